The whole path, thin: entry daemon, stand-ins, catalogue, CLI

Cause: the repo was empty; nothing could be measured before one request went from a caller through an entry process to a back end and back.

Ruled out: circuits.web.client for back-end calls (it buffers whole replies, so streams could not be relayed token by token); generator bodies for relayed streams (circuits.web pulls them in its loop, so a wait on the back end would stall the process).

--- /dev/null
+++ b/gorsefall/cmdline.py
@@ -0,0 +1,150 @@
+"""The ``gorsefall`` command line."""
+
+import argparse
+import pathlib
+import sys
+
+import msgspec
+
+import gorsefall
+from gorsefall import errors
+from gorsefall import logs
+from gorsefall import publish
+from gorsefall import registry
+from gorsefall import settings
+
+
+def _addr(text):
+    try:
+        return settings.split_addr(text)
+    except errors.SettingsError as exc:
+        raise argparse.ArgumentTypeError(str(exc)) from exc
+
+
+def _entry(args):
+    from gorsefall.entry import app
+    cfg = settings.load(args.config)
+    server, _ = app.build(cfg)
+    logs.get('entry').info('starting',
+                           entry=cfg.entry.name,
+                           listen=cfg.entry.listen,
+                           zone=cfg.entry.zone)
+    server.run()
+    return 0
+
+
+def _standin(args):
+    from gorsefall.standins import base
+    cls = registry.standin(args.kind)
+    opts = dict(kv.split('=', 1) for kv in args.opt)
+    typed = {
+        k: (float(v) if '.' in v else int(v))
+           if v.replace('.', '', 1).isdigit() else v for k, v in opts.items()
+    }
+    app = base.serve(cls(**typed), args.listen)
+    logs.get('standin').info('starting',
+                             kind=args.kind,
+                             listen=f'{args.listen[0]}:{args.listen[1]}')
+    app.run()
+    return 0
+
+
+def _catalogue(args):
+    if args.action == 'publish':
+        doc = catalogue_doc(args.file)
+        version = publish.publish(args.log,
+                                  doc,
+                                  author=args.author,
+                                  base=args.base)
+        print(f'accepted as version {version}')
+        return 0
+    state = publish.current(args.log)
+    print(
+        msgspec.json.encode({
+            'version': state.version,
+            'doc': state.doc
+        }).decode())
+    return 0
+
+
+def catalogue_doc(path):
+    """Reads a catalogue TOML file into a ``catalogue.Document``.
+
+    Raises:
+        errors.CatalogueError: Unreadable or invalid file.
+    """
+    from gorsefall import catalogue
+    try:
+        text = pathlib.Path(path).read_text(encoding='utf-8')
+    except OSError as exc:
+        raise errors.CatalogueError(f'{path}: {exc.strerror}') from exc
+    return catalogue.parse_toml(text)
+
+
+def _bench(args):
+    from gorsefall import bench
+    return bench.main(args)
+
+
+def parser():
+    """Returns the argument parser."""
+    p = argparse.ArgumentParser(
+        prog='gorsefall',
+        description=('Router for language-model traffic with service levels.'))
+    p.add_argument('--version',
+                   action='version',
+                   version=f'gorsefall {gorsefall.__version__}')
+    p.add_argument('--log-level', default='info')
+    sub = p.add_subparsers(dest='cmd', required=True)
+
+    e = sub.add_parser('entry', help='run the entry daemon')
+    e.add_argument('config', help='settings TOML file')
+    e.set_defaults(func=_entry)
+
+    s = sub.add_parser('standin', help='run a stand-in of a platform system')
+    s.add_argument('kind', choices=sorted(registry.STANDINS))
+    s.add_argument('--listen', type=_addr, required=True, help='host:port')
+    s.add_argument('--opt',
+                   action='append',
+                   default=[],
+                   help='constructor option NAME=VALUE, repeatable')
+    s.set_defaults(func=_standin)
+
+    c = sub.add_parser('catalogue', help='publish or show the catalogue')
+    c.add_argument('action', choices=['publish', 'show'])
+    c.add_argument('file', nargs='?', help='catalogue TOML (publish)')
+    c.add_argument('--log',
+                   type=_addr,
+                   required=True,
+                   help='log service host:port')
+    c.add_argument('--author', default='')
+    c.add_argument('--base',
+                   type=int,
+                   default=None,
+                   help='version the change is based on (default: current)')
+    c.set_defaults(func=_catalogue)
+
+    b = sub.add_parser('bench', help='send a burst mix and report by class')
+    b.add_argument('scenario', help='scenario TOML file')
+    b.add_argument('--entry',
+                   type=_addr,
+                   action='append',
+                   required=True,
+                   help='entry host:port, repeatable')
+    b.add_argument('--out', default='out/bench.json')
+    b.add_argument('--label', default='gorsefall')
+    b.set_defaults(func=_bench)
+    return p
+
+
+def main(argv=None):
+    """Runs the command line; returns the exit status."""
+    args = parser().parse_args(argv)
+    logs.setup(args.log_level)
+    try:
+        return args.func(args)
+    except errors.GorsefallError as exc:
+        print(f'gorsefall: error [{exc.code}]: {exc}', file=sys.stderr)
+        return 2
+    except KeyboardInterrupt:
+        return 130
--- /dev/null
+++ b/gorsefall/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry daemon: the process on each entry VM."""
--- /dev/null
+++ b/gorsefall/errors.py
@@ -0,0 +1,132 @@
+"""Every failure gorsefall reports, each a type with a stable code."""
+
+
+class GorsefallError(Exception):
+    """Base of all gorsefall errors.
+
+    Attributes:
+        code: Stable machine-readable code, sent to callers as ``error.code``.
+        status: HTTP status used when the error reaches a caller.
+    """
+    code = 'internal'
+    status = 500
+
+    def to_json(self):
+        """Returns the OpenAI-style error body as a dict."""
+        return {'error': {'code': self.code, 'message': str(self)}}
+
+
+class SettingsError(GorsefallError):
+    """A settings file is missing, unreadable or fails its checks."""
+    code = 'bad_settings'
+
+
+class BadRequestError(GorsefallError):
+    """The caller's request is malformed (bad JSON, missing field)."""
+    code = 'bad_request'
+    status = 400
+
+
+class BodyTooLargeError(BadRequestError):
+    """The request body exceeds the configured limit in bytes."""
+    code = 'body_too_large'
+    status = 413
+
+
+class UnknownCustomerError(BadRequestError):
+    """The named customer is not in the catalogue."""
+    code = 'unknown_customer'
+    status = 403
+
+
+class UnknownClassError(BadRequestError):
+    """The named class is not in the catalogue for this customer."""
+    code = 'unknown_class'
+    status = 403
+
+
+class NotRunError(GorsefallError):
+    """The request was refused before dispatch: it certainly did not run.
+
+    Attributes:
+        retry_after: Seconds after which the caller may try again.
+    """
+    code = 'not_run'
+    status = 503
+
+    def __init__(self, msg, retry_after=1.0):
+        super().__init__(msg)
+        self.retry_after = retry_after
+
+
+class ShedError(NotRunError):
+    """Admission refused the request to protect its tier's targets."""
+    code = 'shed'
+    status = 429
+
+
+class RateLimitedError(NotRunError):
+    """The customer or class is over its rate or concurrency limit."""
+    code = 'rate_limited'
+    status = 429
+
+
+class NoReplicaError(NotRunError):
+    """No live, non-leaving replica serves the requested model or service."""
+    code = 'no_replica'
+
+
+class DrainingError(NotRunError):
+    """This entry process is shutting down and takes no new work."""
+    code = 'draining'
+
+
+class OutcomeUnknownError(GorsefallError):
+    """The request was dispatched and its outcome cannot be known.
+
+    Raised instead of ``NotRunError`` whenever a back end may have acted.
+    """
+    code = 'outcome_unknown'
+    status = 502
+
+
+class BackendFailedError(GorsefallError):
+    """A back end failed in a way that proves the request did not run."""
+    code = 'backend_failed'
+    status = 502
+
+
+class LinkError(GorsefallError):
+    """A connection to another process failed, timed out or went silent."""
+    code = 'link_error'
+    status = 502
+
+
+class LogServiceError(GorsefallError):
+    """The platform's log service refused, failed or did not answer."""
+    code = 'log_service'
+    status = 503
+
+
+class StaleVersionError(GorsefallError):
+    """A catalogue change was based on a version that is no longer current."""
+    code = 'stale_version'
+    status = 409
+
+
+class CatalogueError(GorsefallError):
+    """A catalogue document fails its checks."""
+    code = 'bad_catalogue'
+    status = 400
+
+
+class DuplicateRequestError(GorsefallError):
+    """A not-repeatable request with this idempotency key already ran."""
+    code = 'duplicate'
+    status = 409
+
+
+class StaleFenceError(GorsefallError):
+    """An order carried a fencing number older than one already seen."""
+    code = 'stale_fence'
+    status = 409
--- /dev/null
+++ b/gorsefall/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Admission, scheduling and routing decisions, free of I/O."""
--- /dev/null
+++ b/gorsefall/replies.py
@@ -0,0 +1,194 @@
+"""Server-side HTTP replies: JSON bodies, coded errors and pushed streams."""
+
+import msgspec
+from circuits import core
+from circuits.web import events as web_events
+
+from gorsefall import errors
+
+JSON_TYPE = 'application/json'
+WEB_CHANNEL = 'web'
+
+
+def json_body(res, obj, status=200):
+    """Sets ``res`` to a JSON reply and returns it for a controller to return.
+
+    Args:
+        res: The circuits.web response object.
+        obj: Anything msgspec can encode.
+        status: HTTP status code.
+
+    Returns:
+        The response object.
+    """
+    res.status = status
+    res.headers['Content-Type'] = JSON_TYPE
+    res.body = msgspec.json.encode(obj)
+    return res
+
+
+def error_body(res, exc):
+    """Sets ``res`` to the coded error reply of ``exc`` (a GorsefallError)."""
+    if isinstance(exc, errors.NotRunError):
+        res.headers['Retry-After'] = str(max(1, round(exc.retry_after)))
+    return json_body(res, exc.to_json(), exc.status)
+
+
+def read_json(req, limit, kind=dict):
+    """Decodes the request body.
+
+    Args:
+        req: The circuits.web request.
+        limit: Largest body accepted, bytes.
+        kind: Type the body must decode to (a msgspec Struct or dict).
+
+    Returns:
+        The decoded body.
+
+    Raises:
+        errors.BodyTooLargeError: The body is over ``limit`` bytes.
+        errors.BadRequestError: The body is not valid JSON of ``kind``.
+    """
+    req.body.seek(0)
+    raw = req.body.read(limit + 1)
+    if len(raw) > limit:
+        raise errors.BodyTooLargeError(f'body over {limit} bytes')
+    try:
+        return msgspec.json.decode(raw or b'{}', type=kind)
+    except msgspec.ValidationError as exc:
+        raise errors.BadRequestError(f'invalid body: {exc}') from exc
+    except msgspec.DecodeError as exc:
+        raise errors.BadRequestError(f'malformed JSON: {exc}') from exc
+
+
+class _PushedBody:
+    """A body that circuits.web never iterates: data is pushed as it comes.
+
+    circuits.web pulls a generator body once per loop pass, so a generator
+    that waits for a back end would stall every other request of the
+    process. Being falsy, this body makes circuits.web send only the headers;
+    chunks then go out through ``stream`` events fired by ``Push``.
+    """
+
+    def __bool__(self):
+        return False
+
+    def __iter__(self):
+        return iter(())
+
+    def close(self):
+        """Nothing to release; circuits.web calls this at the end."""
+
+
+class Push:
+    """A chunked reply whose chunks are sent when they become available.
+
+    Attributes:
+        res: The circuits.web response being written.
+        closed: True once ``end`` was called.
+    """
+
+    def __init__(self, mgr, res, content_type):
+        self._mgr = mgr
+        self.res = res
+        self.closed = False
+        res.stream = True
+        res.headers['Content-Type'] = content_type
+        res.headers['Cache-Control'] = 'no-cache'
+        res.body = _PushedBody()
+
+    def send(self, data):
+        """Queues ``data`` (bytes) to be written to the caller."""
+        if not self.closed and data:
+            self._mgr.fire(web_events.stream(self.res, data), WEB_CHANNEL)
+
+    def end(self):
+        """Finishes the reply; later ``send`` calls are dropped."""
+        if not self.closed:
+            self.closed = True
+            self._mgr.fire(web_events.stream(self.res, None), WEB_CHANNEL)
+
+
+def push(mgr, res, content_type):
+    """Starts a pushed reply; the controller must return ``push.res``."""
+    return Push(mgr, res, content_type)
+
+
+class JsonErrors(core.BaseComponent):
+    """Turns every HTTP error of a server into a coded JSON reply.
+
+    Without it circuits.web answers errors with an HTML page and a traceback,
+    which API clients cannot parse and which leaks internals. A
+    ``GorsefallError`` raised by a controller keeps its code and status;
+    anything else becomes ``internal`` (500) or the HTTP status circuits
+    chose (404 for an unknown route).
+    """
+    channel = WEB_CHANNEL
+
+    @core.handler('httperror', priority=10)
+    def _on_httperror(self, event, req, res, code=None, **kwargs):
+        del req, kwargs
+        event.stop()
+        res.stream = False
+        exc = event.error[1] if event.error else None
+        if isinstance(exc, errors.GorsefallError):
+            error_body(res, exc)
+        else:
+            status = getattr(event, 'code', None) or code or 500
+            name = 'not_found' if status == 404 else 'internal'
+            json_body(res,
+                      {'error': {
+                          'code': name,
+                          'message': event.description
+                      }}, status)
+        self.fire(web_events.response(res))
+
+
+class Later:
+    """A reply decided after the controller returned.
+
+    The controller returns ``True``, which circuits.web takes as "answered
+    elsewhere"; this object then sends the status and body once known. A
+    request waiting in a queue thus gets its real status (200, 429, 503)
+    rather than a 200 sent before the outcome was known.
+
+    Attributes:
+        res: The circuits.web response.
+        started: True once the status line went out.
+        push: The ``Push`` of a streamed reply, once opened.
+    """
+
+    def __init__(self, mgr, res):
+        self._mgr = mgr
+        self.res = res
+        self.started = False
+        self.push = None
+
+    def json(self, obj, status=200):
+        """Sends a whole JSON reply; ignored after the reply started."""
+        if self.started:
+            return
+        self.started = True
+        json_body(self.res, obj, status)
+        self._mgr.fire(web_events.response(self.res), WEB_CHANNEL)
+
+    def error(self, exc):
+        """Sends the coded error reply of ``exc`` if nothing was sent yet.
+
+        Returns:
+            False when the reply had already started (a stream is open).
+        """
+        if self.started:
+            return False
+        self.started = True
+        error_body(self.res, exc)
+        self._mgr.fire(web_events.response(self.res), WEB_CHANNEL)
+        return True
+
+    def stream(self, content_type):
+        """Sends status 200 and headers; returns the ``Push`` for chunks."""
+        if self.push is None:
+            self.started = True
+            self.push = Push(self._mgr, self.res, content_type)
+            self._mgr.fire(web_events.response(self.res), WEB_CHANNEL)
+        return self.push
--- /dev/null
+++ b/gorsefall/settings.py
@@ -0,0 +1,132 @@
+"""Settings files (TOML), checked at load into typed structures."""
+
+import tomllib
+
+import msgspec
+
+from gorsefall import errors
+
+
+class Backend(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
+    """A back-end replica the entry may route to.
+
+    Attributes:
+        name: Replica name, as the VM list shows it.
+        kind: ``engine`` (model engine) or ``service`` (plain service).
+        pool: Pool it serves, named by catalogue classes.
+        zone: Availability zone.
+        addr: ``host:port``.
+        checks_fence: Whether it refuses orders with stale fencing numbers.
+    """
+    name: str
+    kind: str
+    pool: str
+    zone: str
+    addr: str
+    checks_fence: bool = False
+
+
+class Entry(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
+    """The entry VM process.
+
+    Attributes:
+        name: This entry's name; unique among entries.
+        zone: Its availability zone.
+        listen: ``host:port`` for callers and the balancer.
+        log_service: ``host:port`` of the platform's log service.
+        vm_list: ``host:port`` of the platform's VM list, or empty.
+        entries: How many entry VMs share the limits (at least 1).
+        max_body_bytes: Largest caller body accepted, bytes.
+        catalogue_poll_s: Seconds between reads of the catalogue stream.
+        load_poll_s: Seconds between load reports read from each replica.
+        load_max_age_s: Load reports older than this are not trusted, s.
+        vm_poll_s: Seconds between reads of the VM list.
+        drain_s: Longest wait for requests in flight at shutdown, s.
+        queue_limit: Requests waiting for a replica, per entry.
+        slots_per_replica: Requests this entry keeps in flight per engine.
+    """
+    name: str
+    zone: str
+    listen: str
+    log_service: str
+    vm_list: str = ''
+    entries: int = msgspec.field(default=1)
+    max_body_bytes: int = 1 << 20
+    catalogue_poll_s: float = 0.5
+    load_poll_s: float = 0.5
+    load_max_age_s: float = 3.0
+    vm_poll_s: float = 1.0
+    drain_s: float = 30.0
+    queue_limit: int = 2000
+    slots_per_replica: int = 16
+
+
+class Settings(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
+    """A whole entry settings file: ``[entry]`` and ``[[backends]]``."""
+    entry: Entry
+    backends: list[Backend] = []
+
+
+def split_addr(text):
+    """Returns ``(host, port)`` of ``"host:port"``.
+
+    Raises:
+        errors.SettingsError: The text is not host:port.
+    """
+    host, sep, port = text.rpartition(':')
+    if not sep or not port.isdigit():
+        raise errors.SettingsError(f'not host:port: {text!r}')
+    return host, int(port)
+
+
+def check(cfg):
+    """Checks what types alone cannot; returns ``cfg``.
+
+    Raises:
+        errors.SettingsError: Naming the key at fault.
+    """
+    if cfg.entry.entries < 1:
+        raise errors.SettingsError('entry.entries: must be at least 1')
+    split_addr(cfg.entry.listen)
+    split_addr(cfg.entry.log_service)
+    names = set()
+    for i, b in enumerate(cfg.backends):
+        if b.kind not in ('engine', 'service'):
+            raise errors.SettingsError(
+                f'backends[{i}].kind: {b.kind!r} is not engine or service')
+        if b.name in names:
+            raise errors.SettingsError(f'backends[{i}].name: {b.name!r} twice')
+        names.add(b.name)
+        split_addr(b.addr)
+    return cfg
+
+
+def loads(text, source='<string>'):
+    """Parses and checks settings from TOML text.
+
+    Raises:
+        errors.SettingsError: Bad TOML, wrong types, unknown keys.
+    """
+    try:
+        raw = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as exc:
+        raise errors.SettingsError(f'{source}: not TOML: {exc}') from exc
+    try:
+        cfg = msgspec.convert(raw, Settings)
+    except msgspec.ValidationError as exc:
+        raise errors.SettingsError(f'{source}: {exc}') from exc
+    return check(cfg)
+
+
+def load(path):
+    """Reads, parses and checks a settings file.
+
+    Raises:
+        errors.SettingsError: Missing file or any check failing.
+    """
+    try:
+        with open(path, encoding='utf-8') as f:
+            text = f.read()
+    except OSError as exc:
+        raise errors.SettingsError(f'{path}: {exc.strerror}') from exc
+    return loads(text, str(path))
--- /dev/null
+++ b/gorsefall/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform's systems, each a separate process."""
--- /dev/null
+++ b/gorsefall/standins/launch.py
@@ -0,0 +1,91 @@
+"""Starts stand-ins and entries as separate processes, for demos and tests.
+
+Only this harness starts processes; no gorsefall daemon ever does.
+"""
+
+import contextlib
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import time
+import urllib.request
+
+from gorsefall import settings
+
+
+def _wait_up(host, port, timeout_s=15.0):
+    end = time.monotonic() + timeout_s
+    while time.monotonic() < end:
+        try:
+            with urllib.request.urlopen(f'http://{host}:{port}/healthz',
+                                        timeout=1):
+                return
+        except OSError:
+            time.sleep(0.05)
+    raise TimeoutError(f'{host}:{port} did not come up')
+
+
+@contextlib.contextmanager
+def processes(site_dir, log_dir, entries=None, opts=None):
+    """Starts a site's stand-ins and entries; stops them on exit.
+
+    Args:
+        site_dir: Folder with ``standins.txt`` and ``entry-*.toml``.
+        log_dir: Folder for each process's JSON-line log.
+        entries: Entry settings file names to start (default all).
+        opts: ``kind -> [NAME=VALUE]`` constructor options of stand-ins.
+
+    Yields:
+        A dict ``name -> subprocess.Popen``.
+    """
+    site = pathlib.Path(site_dir)
+    logs_at = pathlib.Path(log_dir)
+    logs_at.mkdir(parents=True, exist_ok=True)
+    procs = {}
+    addrs = []
+    try:
+        for line in (site / 'standins.txt').read_text().splitlines():
+            if not line or line.startswith('#'):
+                continue
+            kind, name, addr = line.split()
+            cmd = [
+                sys.executable, '-m', 'gorsefall', 'standin', kind, '--listen',
+                addr
+            ]
+            if kind in ('engine', 'service'):
+                cmd += ['--opt', f'name={name}']
+            for o in (opts or {}).get(kind, []):
+                cmd += ['--opt', o]
+            procs[name] = _spawn(cmd, logs_at / f'{name}.log')
+            addrs.append(settings.split_addr(addr))
+        for path in sorted(site.glob('entry-*.toml')):
+            if entries is not None and path.name not in entries:
+                continue
+            cfg = settings.load(path)
+            procs[cfg.entry.name] = _spawn(
+                [sys.executable, '-m', 'gorsefall', 'entry',
+                 str(path)], logs_at / f'{cfg.entry.name}.log')
+            addrs.append(settings.split_addr(cfg.entry.listen))
+        for host, port in addrs:
+            _wait_up(host, port)
+        yield procs
+    finally:
+        for p in procs.values():
+            if p.poll() is None:
+                p.send_signal(signal.SIGTERM)
+        for p in procs.values():
+            try:
+                p.wait(timeout=10)
+            except subprocess.TimeoutExpired:
+                p.kill()
+                p.wait()
+
+
+def _spawn(cmd, log_path):
+    with open(log_path, 'ab') as out:
+        return subprocess.Popen(cmd,
+                                stdout=out,
+                                stderr=subprocess.STDOUT,
+                                env=dict(os.environ, PYTHONUNBUFFERED='1'))
