Engines that refuse no longer use up a request's retry budget

Cause (found by the new engine-faults feature before any change): with four of five engines in outage, a seat request failed with backend_failed although engine-5 was healthy. The entry log showed three attempts, each answered 503 by a different down engine: refusals counted against MAX_ATTEMPTS=3, and load reports had not yet shown the outage, so routing still preferred the down engines.

Ruled out: routing alone (the failure score only rises after a load poll, 0.2 s later, so a request arriving at once cannot avoid them).

BackendFailedError no longer claims the request did not run.

Conclusion: a request is refused only when no replica could take it.

--- /dev/null
+++ b/features/steps/common.py
@@ -0,0 +1,102 @@
+"""Steps and helpers shared by the features."""
+
+import json
+import time
+import urllib.error
+import urllib.request
+
+from behave import given
+from behave import then
+
+TIMEOUT_S = 20.0
+
+
+def http(method, addr, path, body=None, headers=None, raw=None):
+    """Returns ``(status, decoded JSON or text, headers)``."""
+    data = raw if raw is not None else (
+        None if body is None else json.dumps(body).encode())
+    hdrs = {'Content-Type': 'application/json'} | (headers or {})
+    req = urllib.request.Request(f'http://{addr}{path}',
+                                 data=data,
+                                 headers=hdrs,
+                                 method=method)
+    try:
+        with urllib.request.urlopen(req, timeout=TIMEOUT_S) as res:
+            text = res.read().decode()
+            status, rhdrs = res.status, res.headers
+    except urllib.error.HTTPError as exc:
+        text = exc.read().decode()
+        status, rhdrs = exc.code, exc.headers
+    try:
+        return status, json.loads(text), rhdrs
+    except ValueError:
+        return status, text, rhdrs
+
+
+def entry(context, name='entry-a'):
+    return context.cfg[name].entry.listen
+
+
+def standin(context, name):
+    for line in (context.site / 'standins.txt').read_text().splitlines():
+        parts = line.split()
+        if len(parts) == 3 and parts[1] == name:
+            return parts[2]
+    raise KeyError(name)
+
+
+def until(check, what, timeout_s=TIMEOUT_S):
+    """Polls ``check`` until it returns a true value; fails after timeout.
+
+    A bound, not a speed assert: it only turns a hang into a failure.
+    """
+    end = time.monotonic() + timeout_s
+    while time.monotonic() < end:
+        got = check()
+        if got:
+            return got
+        time.sleep(0.05)
+    raise AssertionError(f'timed out waiting for {what}')
+
+
+def wait_version(context, version, names=('entry-a', 'entry-b')):
+    for n in names:
+        until(lambda n=n: http('GET', entry(context, n), '/status')[1][
+            'catalogue']['version'] >= version,
+              f'{n} at v{version}')
+
+
+def chat(context,
+         customer,
+         klass,
+         stream=False,
+         name='entry-a',
+         prompt='seats to terminal 2?',
+         headers=None):
+    body = {
+        'model': 'default',
+        'stream': stream,
+        'messages': [{
+            'role': 'user',
+            'content': prompt
+        }]
+    }
+    hdrs = {'X-Customer': customer, 'X-Class': klass} | (headers or {})
+    return http('POST', entry(context, name), '/v1/chat/completions', body,
+                hdrs)
+
+
+def fault(context, name, **switches):
+    status, obj, _ = http('POST', standin(context, name), '/control', switches)
+    assert status == 200, obj
+
+
+@given('the site is up with the catalogue in force')
+def step_site_up(context):
+    assert context.procs is not None
+    wait_version(context, 1)
+
+
+@then('entry "{name}" still answers health checks')
+def step_health(context, name):
+    assert http('GET', entry(context, name), '/healthz')[0] == 200
--- a/gorsefall/entry/app.py
+++ b/gorsefall/entry/app.py
@@ -39,7 +39,7 @@
         super().__init__()
         self.cfg = cfg
         self.max_body = cfg.entry.max_body_bytes
-        self.idle_s = 15.0
+        self.idle_s = cfg.entry.link_idle_s
         self.pools = {}
         self.replicas = {}
         for b in cfg.backends:
--- a/gorsefall/entry/jobs.py
+++ b/gorsefall/entry/jobs.py
@@ -86,6 +86,7 @@
         self.text = []
         self.wasted = 0
         self.attempts = 0
+        self.refusals = 0
         self.tried = set()
         self.call = None
         self.fence = 0
@@ -222,16 +223,23 @@
                          status=self._status,
                          error=str(exc),
                          tokens=self.tokens)
-        if self.attempts < MAX_ATTEMPTS:
+        if self._status is not None and self._status != 200:
+            # A replica that refused (outage, overload) generated nothing.
+            # Counting refusals against MAX_ATTEMPTS failed requests while
+            # a healthy replica was left (symptom: backend_failed with one
+            # of five engines up, before load reports showed the outage),
+            # so each replica may refuse once without using the budget.
+            self.refusals += 1
+        if self.attempts < MAX_ATTEMPTS + self.refusals:
             # Safe to re-run: generation changes nothing outside the engine.
             # The new attempt resumes after the tokens already delivered, so
             # the caller receives each token exactly once.
             self._dispatch()
             return
         self.fail(
-            errors.BackendFailedError('engines failed mid-answer'
-                                     ) if self.tokens ==
-            0 else errors.OutcomeUnknownError('answer cut after retries'))
+            errors.BackendFailedError(
+                f'engines failed {self.attempts} times; {self.tokens} tokens '
+                'were delivered'))
 
     def _finish_engine(self, reason):
         if self.ask.stream:
--- a/gorsefall/errors.py
+++ b/gorsefall/errors.py
@@ -91,7 +91,11 @@
 
 
 class BackendFailedError(GorsefallError):
-    """A back end failed in a way that proves the request did not run."""
+    """Back ends failed and the answer could not be completed.
+
+    Used for engines, whose generation changes nothing outside them; it
+    makes no claim that nothing ran (that is ``NotRunError``).
+    """
     code = 'backend_failed'
     status = 502
 
--- a/gorsefall/settings.py
+++ b/gorsefall/settings.py
@@ -44,6 +44,8 @@
         drain_s: Longest wait for requests in flight at shutdown, s.
         queue_limit: Requests waiting for a replica, per entry.
         slots_per_replica: Requests this entry keeps in flight per engine.
+        link_idle_s: Seconds without a byte from a back end before the
+            call is given up (a connection that went silent for good).
     """
     name: str
     zone: str
@@ -59,6 +61,7 @@
     drain_s: float = 30.0
     queue_limit: int = 2000
     slots_per_replica: int = 16
+    link_idle_s: float = 15.0
 
 
 class Settings(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
