SIGTERM drains an entry instead of cutting its answers

Cause (found by the new shutdown scenario before any change): with six streamed answers in flight, SIGTERM made every caller see a reset mid-stream. circuits.web's server handles the 'signal' event by closing every socket at once and exiting 3 s later; the entry's own drain handler ran, but after the sockets were gone.

Ruled out: the drain logic itself (a SIGTERM with nothing in flight logged draining, drained and exited 0).

Change: the entry handles 'signal' at priority 100 and stops the event, so connections stay open while readiness answers 503 and admitted requests finish; the drain tick timer is unregistered once drained (it logged 'drained' every 100 ms). Engines stand-ins gain a 'slow' switch (a token every N steps) so answers outlast the signal without timed asserts.

Conclusion: a graceful shutdown cuts off no request in flight, within drain_s.

--- a/features/steps/common.py
+++ b/features/steps/common.py
@@ -11,7 +11,7 @@
 TIMEOUT_S = 20.0
 
 
-def http(method, addr, path, body=None, headers=None, raw=None):
+def http(method, addr, path, body=None, *, headers=None, raw=None):
     """Returns ``(status, decoded JSON or text, headers)``."""
     data = raw if raw is not None else (
         None if body is None else json.dumps(body).encode())
@@ -82,8 +82,11 @@
         }]
     }
     hdrs = {'X-Customer': customer, 'X-Class': klass} | (headers or {})
-    return http('POST', entry(context, name), '/v1/chat/completions', body,
-                hdrs)
+    return http('POST',
+                entry(context, name),
+                '/v1/chat/completions',
+                body,
+                headers=hdrs)
 
 
 def fault(context, name, **switches):
--- /dev/null
+++ b/features/steps/membership_steps.py
@@ -0,0 +1,124 @@
+"""Steps of the membership and shutdown feature."""
+
+import json
+import signal
+import threading
+import time
+
+from behave import given
+from behave import then
+from behave import when
+from steps import common
+
+
+def _engine_tokens(context, name):
+    return common.http('GET', common.standin(context, name),
+                       '/stats')[1]['tokens_out']
+
+
+@given('the VM list lags by {lag:g} s')
+def step_lag(context, lag):
+    common.fault(context, 'vmlist', lag_s=lag)
+    context.lag = lag
+
+
+@when('the VM list shows "{name}" leaving and the entries have polled it')
+def step_leaving(context, name):
+    status, obj, _ = common.http('POST', common.standin(context, 'vmlist'),
+                                 '/vms', {
+                                     'name': name,
+                                     'addr': '',
+                                     'zone': 'az1',
+                                     'state': 'leaving'
+                                 })
+    assert status == 200, obj
+
+    def seen():
+        for e in ('entry-a', 'entry-b'):
+            st = common.http('GET', common.entry(context, e), '/status')[1]
+            reps = {r['name']: r['state'] for r in st['replicas']}
+            if reps[name] != 'leaving':
+                return False
+        return True
+
+    t0 = time.monotonic()
+    common.until(seen, f'{name} leaving on every entry')
+    context.drain_s = time.monotonic() - t0
+    context.before = _engine_tokens(context, name)
+
+
+@when('{n:d} seat requests are answered')
+def step_requests(context, n):
+    for i in range(n):
+        status, obj, _ = common.chat(context,
+                                     'traveller-app',
+                                     'seat',
+                                     name=('entry-a', 'entry-b')[i % 2],
+                                     prompt=f'seat {i}')
+        assert status == 200, obj
+
+
+@then('"{name}" received none of them')
+def step_none(context, name):
+    assert _engine_tokens(context, name) == context.before
+
+
+@given('{n:d} long streamed answers are in flight on entry "{name}"')
+def step_inflight(context, n, name):
+    # Engines emit a token every 20 steps (60 ms): the shortest answer (8
+    # tokens) outlasts the signal, the longest (120) ends within drain_s.
+    for i in range(1, 6):
+        common.fault(context, f'engine-{i}', slow=20)
+    context.results = [None] * n
+    started = threading.Barrier(n + 1)
+
+    def run(i):
+        started.wait()
+        context.results[i] = common.chat(context,
+                                         'dispatcher',
+                                         'driver-notice',
+                                         stream=True,
+                                         name=name,
+                                         prompt=f'long {i} ' * 9)
+
+    context.threads = [
+        threading.Thread(target=run, args=(i,)) for i in range(n)
+    ]
+    for t in context.threads:
+        t.start()
+    started.wait()
+    common.until(
+        lambda: common.http('GET', common.entry(context, name), '/status')[1][
+            'running'] >= n, 'answers in flight')
+
+
+@when('entry "{name}" gets SIGTERM')
+def step_sigterm(context, name):
+    context.procs[name].send_signal(signal.SIGTERM)
+
+
+@then('entry "{name}" reports not ready at once')
+def step_not_ready(context, name):
+    status, obj, _ = common.http('GET', common.entry(context, name), '/readyz')
+    assert status == 503 and obj['ready'] is False, (status, obj)
+
+
+@then('every answer in flight ends whole')
+def step_all_whole(context):
+    for t in context.threads:
+        t.join(timeout=common.TIMEOUT_S)
+    for status, text, _ in context.results:
+        assert status == 200, (status, text)
+        assert text.rstrip().endswith('data: [DONE]'), text[-200:]
+        words = ''.join(
+            json.loads(line[6:])['choices'][0]['delta'].get('content', '')
+            for line in text.splitlines()
+            if line.startswith('data: {')).split()
+        assert words == [f'w{i}' for i in range(len(words))], words
+
+
+@then('entry "{name}" exits by itself')
+def step_exits(context, name):
+    assert context.procs[name].wait(timeout=common.TIMEOUT_S) == 0
+    for i in range(1, 6):
+        common.fault(context, f'engine-{i}', slow=1)
--- a/gorsefall/entry/app.py
+++ b/gorsefall/entry/app.py
@@ -191,21 +191,31 @@
         self.draining = True
         self._drain_until = time.monotonic() + self.cfg.entry.drain_s
         self.log.info('draining', running=len(self.jobs))
-        core.Timer(0.1, _DrainTick(), self.channel, persist=True).register(self)
+        self._drain_timer = core.Timer(0.1,
+                                       _DrainTick(),
+                                       self.channel,
+                                       persist=True).register(self)
 
-    @core.handler('signal', channel='*')
-    def _on_signal(self, signo, stack):
+    @core.handler('signal', channel='*', priority=100)
+    def _on_signal(self, event, signo, stack):
         del stack
         if signo in (signal.SIGTERM, signal.SIGINT):
+            # circuits.web's own handler closes every socket at once and
+            # exits 3 s later, cutting answers in flight (symptom: callers
+            # see a reset mid-stream on SIGTERM). Stopping the event here
+            # keeps connections open until the drain is over.
+            event.stop()
             self.drain()
 
     @core.handler('drain_tick')
     def _on_drain_tick(self):
-        if not self.jobs or time.monotonic() > self._drain_until:
-            self.log.info('drained', left=len(self.jobs))
-            # Give the last replies a moment to be written out.
-            core.Timer(0.2, core.Event.create('stop_now'),
-                       self.channel).register(self)
+        if self.jobs and time.monotonic() <= self._drain_until:
+            return
+        self.log.info('drained', left=len(self.jobs))
+        self._drain_timer.unregister()
+        # Give the last replies a moment to be written out.
+        core.Timer(0.2, core.Event.create('stop_now'),
+                   self.channel).register(self)
 
     @core.handler('stop_now')
     def _on_stop_now(self):
--- a/gorsefall/standins/base.py
+++ b/gorsefall/standins/base.py
@@ -19,6 +19,7 @@
             closed with no reply.
         crash_after: Engines: cut each stream after this many tokens (-1 off).
         stall: Engines stop stepping; streams go silent.
+        slow: Engines emit tokens only every this many steps (a straggler).
         lag_s: Load reports, cache events and VM list lag this much, s.
         drop_events: Engines: share of cache events never published, 0..1.
         check_fence: Engines and services refuse stale fencing numbers.
@@ -28,6 +29,7 @@
     lose_reply: int = 0
     crash_after: int = -1
     stall: bool = False
+    slow: int = 1
     lag_s: float = 0.0
     drop_events: float = 0.0
     check_fence: bool = True
--- a/gorsefall/standins/engine.py
+++ b/gorsefall/standins/engine.py
@@ -75,6 +75,7 @@
         self.cache_slots = cache_slots
         self.orders = []
         self.tokens_out = 0
+        self._steps = 0
 
     @core.handler('started', channel='*')
     def _on_started(self, component):
@@ -197,7 +198,8 @@
     @core.handler('engine_step')
     def _on_step(self):
         self._loads.append(self._current_load(time.time()))
-        if self.faults.stall:
+        self._steps += 1
+        if self.faults.stall or self._steps % max(1, self.faults.slow):
             return
         self._admit()
         for rid, seq in list(self._running.items()):
