--- a/features/steps/common.py
+++ b/features/steps/common.py
@@ -69,6 +69,7 @@
 def chat(context,
          customer,
          klass,
+         *,
          stream=False,
          name='entry-a',
          prompt='seats to terminal 2?',
