--- a/features/steps/caller_steps.py
+++ b/features/steps/caller_steps.py
@@ -62,8 +62,10 @@
 
 @when('"{customer}" calls "{pool}" op "{op}" in class "{klass}"')
 def step_service(context, customer, pool, op, klass):
-    context.reply = common.http('POST', common.entry(context),
-                                f'/v1/services/{pool}/{op}', {'seat': '12A'}, {
+    context.reply = common.http('POST',
+                                common.entry(context),
+                                f'/v1/services/{pool}/{op}', {'seat': '12A'},
+                                headers={
                                     'X-Customer': customer,
                                     'X-Class': klass
                                 })
