--- a/features/own_answer.feature
+++ b/features/own_answer.feature
@@ -45,3 +45,17 @@
     Then the reply has status 503 and error code "deadline"
     And the reply says when to come back
     And engines step normally
+
+  Scenario Outline: A refusal is sent once, and its connection goes on
+    When a caller sends <case> and then a health check on one connection
+    Then the connection carried exactly the refusal <status> and the health answer
+
+    Examples:
+      | case             | status |
+      | malformed JSON   | 400    |
+      | unknown customer | 403    |
+      | unknown route    | 404    |
+
+  Scenario: A prompt longer than a cache block is answered whole
+    When "kiosk" asks class "seat" with a prompt of 900 words
+    Then the reply has status 200 and a whole text
--- a/features/steps/own_steps.py
+++ b/features/steps/own_steps.py
@@ -3,11 +3,13 @@
 import concurrent.futures
 import http.client
 import json
+import socket
 import threading
 
 from behave import given
 from behave import then
 from behave import when
+from steps import caller_steps
 from steps import common
 
 BOOKING = ('booking-1', 'booking-2', 'booking-3')
@@ -209,3 +211,58 @@
                                 'staff',
                                 'driver-notice',
                                 headers={'X-Deadline-Ms': str(ms)})
+
+
+def _raw_request(method, path, body, headers):
+    lines = [f'{method} {path} HTTP/1.1', 'Host: test']
+    lines += [f'{k}: {v}' for k, v in headers.items()]
+    lines.append(f'Content-Length: {len(body)}')
+    return '\r\n'.join(lines).encode() + b'\r\n\r\n' + body
+
+
+def _read_until_quiet(sock, quiet_s=0.4):
+    sock.settimeout(quiet_s)
+    data = b''
+    try:
+        while more := sock.recv(65536):
+            data += more
+    except TimeoutError:
+        pass
+    return data
+
+
+@when('a caller sends {case} and then a health check on one connection')
+def step_two_on_one(context, case):
+    path, raw, headers = caller_steps.CASES[case]
+    hdrs = {'X-Customer': 'traveller-app', 'X-Class': 'seat'} | headers
+    host, _, port = common.entry(context).partition(':')
+    with socket.create_connection((host, int(port)), timeout=5) as sock:
+        sock.sendall(_raw_request('POST', path, raw, hdrs))
+        context.first = _read_until_quiet(sock)
+        sock.sendall(_raw_request('GET', '/healthz', b'', {}))
+        context.second = _read_until_quiet(sock)
+
+
+@then('the connection carried exactly the refusal {code:d} and the health '
+      'answer')
+def step_exactly(context, code):
+    assert context.first.count(b'HTTP/1.1 ') == 1, context.first
+    assert context.first.startswith(f'HTTP/1.1 {code}'.encode())
+    assert context.second.count(b'HTTP/1.1 ') == 1, context.second
+    assert context.second.endswith(b'{"ok":true}'), context.second
+
+
+@when('"{customer}" asks class "{klass}" with a prompt of {n:d} words')
+def step_long_prompt(context, customer, klass, n):
+    context.reply = common.chat(context,
+                                customer,
+                                klass,
+                                prompt=' '.join(f'p{i}' for i in range(n)))
+
+
+@then('the reply has status {code:d} and a whole text')
+def step_whole_text(context, code):
+    got, obj, _ = context.reply
+    assert got == code, (got, obj)
+    words = obj['choices'][0]['message']['content'].split()
+    assert words == [f'w{i}' for i in range(len(words))] and words, words
--- a/gorsefall/bench.py
+++ b/gorsefall/bench.py
@@ -1,32 +1,35 @@
 """``gorsefall bench``: an open-loop burst mix against entries, by class.
 
 Sends requests at scheduled times (they do not wait for each other), reads
-answers as a caller would, then reports per class: attainment of the
-latency targets, goodput, shed counts and wasted work from the entries'
-metrics. Writes the figures as JSON.
+answers as a caller would, gives up as a caller would, then reports per
+class: attainment of the latency targets, goodput, sheds, and wasted work.
 """
 
-import concurrent.futures
+import asyncio
+import collections
 import dataclasses
 import json
 import pathlib
 import random
-import threading
+import statistics
 import time
 import tomllib
-import urllib.error
-import urllib.request
 
+import aiohttp
 import msgspec
+from prometheus_client import parser as prom_parser
 
 from gorsefall import catalogue
 from gorsefall import errors
 
-MAX_REQUESTS = 20000
-WORKERS = 256
+MAX_REQUESTS = 50000
+OK = 200
+REFUSED = (429, 503)
+LEFT = 499
+BROKEN = 599
 
 
-class Stream(msgspec.Struct, kw_only=True):
+class Stream(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
     """One source of requests in a scenario.
 
     Attributes:
@@ -38,7 +41,10 @@
         pool: Pool of a service call.
         op: Service operation.
         max_tokens: Token cap of chat requests.
-        prompt_words: Prompt length, words.
+        shared_words: Words of the prompt that this stream's requests share.
+        prompt_words: Words of the prompt of their own.
+        patience_x: The caller leaves after this many times its class's
+            whole-answer target.
     """
     customer: str
     klass: str
@@ -48,207 +54,326 @@
     pool: str = ''
     op: str = ''
     max_tokens: int = 64
+    shared_words: int = 0
     prompt_words: int = 20
+    patience_x: float = 2.0
 
 
-class Scenario(msgspec.Struct, kw_only=True):
-    """A bench scenario file (TOML)."""
+class Scenario(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
+    """A bench scenario file (TOML).
+
+    Attributes:
+        name: Shown in reports.
+        site: Folder under ``examples/`` whose processes are used.
+        catalogue: Catalogue file with the classes' targets.
+        duration_s: Seconds during which requests are sent.
+        burst_start_s, burst_end_s: The burst window, s from the start.
+        seed: Seed of the arrival times.
+        standin_opts: ``kind -> [NAME=VALUE]`` options of the stand-ins.
+        faults: Fault switches flipped during the run.
+        streams: The sources of requests.
+    """
     name: str
+    site: str
     catalogue: str
     duration_s: float
     burst_start_s: float = 0.0
     burst_end_s: float = 0.0
     seed: int = 7
+    standin_opts: dict[str, list[str]] = {}
+    faults: list['Fault'] = []
     streams: list[Stream]
 
 
+class Fault(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
+    """Fault switches set on one stand-in ``at_s`` seconds from the start."""
+    at_s: float
+    standin: str
+    switches: dict
+
+
 @dataclasses.dataclass
 class Result:
-    """One request as the caller saw it."""
-    customer: str
-    klass: str
-    status: int
-    ttft_s: float
-    e2e_s: float
-    tokens: int
+    """One request as the caller saw it.
 
+    Attributes:
+        stream: The ``Stream`` it came from.
+        at_s: When it was sent, s from the start.
+        status: HTTP status; ``LEFT`` when the caller gave up, ``BROKEN``
+            when the answer was cut or never came.
+        ttft_s: Time to the first token, s.
+        e2e_s: Time to the end, s.
+        tokens: Tokens received.
+        gap_s: Longest time between two pieces, s.
+    """
+    stream: Stream
+    at_s: float
+    status: int = BROKEN
+    ttft_s: float = 0.0
+    e2e_s: float = 0.0
+    tokens: int = 0
+    gap_s: float = 0.0
+
+
+def load(path):
+    """Reads a scenario file.
+
+    Raises:
+        errors.BenchError: Missing, malformed, or with unknown keys.
+    """
+    try:
+        raw = tomllib.loads(pathlib.Path(path).read_text(encoding='utf-8'))
+        return msgspec.convert(raw, Scenario)
+    except (OSError, tomllib.TOMLDecodeError, msgspec.ValidationError) as exc:
+        raise errors.BenchError(f'{path}: {exc}') from exc
 
-def _arrivals(sc):
+
+def targets(sc):
+    """Returns ``(customer, class) -> Klass`` of the scenario's catalogue.
+
+    Raises:
+        errors.CatalogueError: A stream's class is not in the catalogue.
+    """
+    doc = catalogue.parse_toml(pathlib.Path(sc.catalogue).read_text())
+    by_key = doc.items()
+    for st in sc.streams:
+        if (st.customer, st.klass) not in by_key:
+            raise errors.CatalogueError(
+                f'{st.customer}/{st.klass} not in {sc.catalogue}')
+    return by_key
+
+
+def arrivals(sc):
+    """Returns ``[(time s, Stream)]``, Poisson with the burst, by time."""
     rng = random.Random(sc.seed)
     out = []
     for st in sc.streams:
-        t = 0.0
-        while t < sc.duration_s and len(out) < MAX_REQUESTS:
-            burst = sc.burst_start_s <= t < sc.burst_end_s
-            rate = st.rate_per_s * (st.burst_x if burst else 1.0)
-            t += rng.expovariate(rate)
-            out.append((t, st))
+        at = 0.0
+        while len(out) < MAX_REQUESTS:
+            burst = sc.burst_start_s <= at < sc.burst_end_s
+            at += rng.expovariate(st.rate_per_s * (st.burst_x if burst else 1))
+            if at >= sc.duration_s:
+                break
+            out.append((at, st))
     return sorted(out, key=lambda a: a[0])
 
 
-def _send(entry, st, n):
-    headers = {
-        'Content-Type': 'application/json',
-        'X-Customer': st.customer,
-        'X-Class': st.klass
-    }
+def _words(seed, n):
+    rng = random.Random(seed)
+    return ' '.join(f'w{rng.randrange(10000)}' for _ in range(n))
+
+
+def _request(st, n):
+    headers = {'X-Customer': st.customer, 'X-Class': st.klass}
     if st.kind == 'service':
-        url = f'http://{entry[0]}:{entry[1]}/v1/services/{st.pool}/{st.op}'
-        headers['Idempotency-Key'] = f'{st.customer}-{st.klass}-{n}'
-        body = {'n': n}
-    else:
-        url = f'http://{entry[0]}:{entry[1]}/v1/chat/completions'
-        words = ' '.join(f'w{(n * 7 + i) % 97}' for i in range(st.prompt_words))
-        body = {
-            'model': 'default',
-            'stream': True,
-            'max_tokens': st.max_tokens,
-            'messages': [{
-                'role': 'user',
-                'content': f'{n} {words}'
-            }]
-        }
-    req = urllib.request.Request(url,
-                                 data=json.dumps(body).encode(),
-                                 headers=headers,
-                                 method='POST')
-    t0 = time.monotonic()
-    ttft = None
-    tokens = 0
-    try:
-        with urllib.request.urlopen(req, timeout=120) as res:
-            if st.kind == 'service':
-                res.read()
-                ttft = time.monotonic() - t0
+        headers['Idempotency-Key'] = f'bench-{time.time_ns()}-{n}'
+        return f'/v1/services/{st.pool}/{st.op}', {'n': n}, headers
+    shared = _words(f'{st.customer}/{st.klass}', st.shared_words)
+    content = f'{shared} {n} {_words(n, st.prompt_words)}'
+    body = {
+        'model': 'default',
+        'stream': True,
+        'max_tokens': st.max_tokens,
+        'messages': [{
+            'role': 'user',
+            'content': content
+        }]
+    }
+    return '/v1/chat/completions', body, headers
+
+
+async def _read_answer(res, result, t0):
+    done = False
+    last = None
+    async for line in res.content:
+        if not line.startswith(b'data: '):
+            continue
+        if line.startswith(b'data: [DONE]'):
+            done = True
+            continue
+        chunk = msgspec.json.decode(line[6:])
+        if 'error' in chunk:
+            return BROKEN
+        text = chunk['choices'][0]['delta'].get('content')
+        if text:
+            now = time.monotonic()
+            if last is None:
+                result.ttft_s = now - t0
             else:
-                for line in res:
-                    if not line.startswith(b'data: {'):
-                        continue
-                    if b'"error"' in line:
-                        return Result(st.customer, st.klass, 502, 0,
-                                      time.monotonic() - t0, tokens)
-                    if b'"content"' in line:
-                        tokens += 1
-                        if ttft is None:
-                            ttft = time.monotonic() - t0
-            status = res.status
-    except urllib.error.HTTPError as exc:
-        status = exc.code
-    except OSError:
-        status = 599
-    e2e = time.monotonic() - t0
-    return Result(st.customer, st.klass, status, ttft or e2e, e2e, tokens)
-
-
-def _scrape_wasted(entries):
-    total = 0.0
-    for host, port in entries:
-        try:
-            with urllib.request.urlopen(f'http://{host}:{port}/metrics',
-                                        timeout=5) as res:
-                for line in res.read().decode().splitlines():
-                    if line.startswith('gorsefall_wasted_tokens_total'):
-                        total += float(line.rsplit(' ', 1)[1])
-        except OSError:
-            pass
-    return total
-
-
-def run(sc, entries):
-    """Runs scenario ``sc`` against ``entries``; returns the report dict."""
-    doc = catalogue.parse_toml(pathlib.Path(sc.catalogue).read_text())
-    targets = {(k.owner, k.name): k for k in doc.classes}
-    plan = _arrivals(sc)
-    wasted0 = _scrape_wasted(entries)
-    results = []
-    lock = threading.Lock()
+                result.gap_s = max(result.gap_s, now - last)
+            last = now
+            result.tokens += len(text.split())
+    return OK if done else BROKEN
+
+
+async def _ask(session, addr, st, n, result):
+    path, body, headers = _request(st, n)
+    t0 = time.monotonic()
+    url = f'http://{addr[0]}:{addr[1]}{path}'
+    async with session.post(url, json=body, headers=headers) as res:
+        if res.status != OK:
+            await res.read()
+            result.status = res.status
+        elif st.kind == 'service':
+            await res.json()
+            result.ttft_s = time.monotonic() - t0
+            result.status = OK
+        else:
+            result.status = await _read_answer(res, result, t0)
+
+
+async def _send(session, addr, n, result, patience_s):
     t0 = time.monotonic()
-    with concurrent.futures.ThreadPoolExecutor(WORKERS) as pool:
-        futs = []
-        for n, (at, st) in enumerate(plan):
-            delay = t0 + at - time.monotonic()
-            if delay > 0:
-                time.sleep(delay)
-            futs.append(pool.submit(_send, entries[n % len(entries)], st, n))
-        for fut in futs:
-            with lock:
-                results.append(fut.result())
-    span = time.monotonic() - t0
-    return _report(sc, targets, results, span,
-                   _scrape_wasted(entries) - wasted0)
-
-
-def _report(sc, targets, results, span, wasted):
-    by = {}
+    try:
+        async with asyncio.timeout(patience_s):
+            await _ask(session, addr, result.stream, n, result)
+    except TimeoutError:
+        result.status = LEFT
+    except aiohttp.ClientError:
+        result.status = BROKEN
+    result.e2e_s = time.monotonic() - t0
+
+
+async def _flip(session, fault, addr_of, t0):
+    await asyncio.sleep(max(0.0, t0 + fault.at_s - time.monotonic()))
+    url = f'http://{addr_of(fault.standin)}/control'
+    async with session.post(url, json=fault.switches) as res:
+        await res.read()
+
+
+async def _drive(sc, entries, klasses, addr_of):
+    results, tasks = [], []
+    conn = aiohttp.TCPConnector(limit=0, force_close=True)
+    async with aiohttp.ClientSession(connector=conn) as session:
+        t0 = time.monotonic()
+        for fault in sc.faults:
+            tasks.append(asyncio.create_task(_flip(session, fault, addr_of,
+                                                   t0)))
+        for n, (at, st) in enumerate(arrivals(sc)):
+            await asyncio.sleep(max(0.0, t0 + at - time.monotonic()))
+            klass = klasses[st.customer, st.klass]
+            result = Result(st, at)
+            results.append(result)
+            tasks.append(
+                asyncio.create_task(
+                    _send(session, entries[n % len(entries)], n, result,
+                          klass.e2e_ms / 1000 * st.patience_x)))
+        await asyncio.gather(*tasks)
+        return results, time.monotonic() - t0
+
+
+async def _scrape(entries):
+    """Returns the entries' counters summed by name and tier."""
+    sums = collections.Counter()
+    async with aiohttp.ClientSession() as session:
+        for host, port in entries:
+            async with session.get(f'http://{host}:{port}/metrics') as res:
+                text = await res.text()
+            for family in prom_parser.text_string_to_metric_families(text):
+                for s in family.samples:
+                    if s.name.endswith('_total') and 'tier' in s.labels:
+                        reason = s.labels.get('reason', '')
+                        sums[s.name, s.labels['tier'], reason] += s.value
+    return sums
+
+
+def run(sc, entries, addr_of=None):
+    """Runs scenario ``sc`` against ``entries``; returns the report dict.
+
+    Args:
+        sc: The ``Scenario``.
+        entries: List of ``(host, port)``.
+        addr_of: Function from a stand-in's name to its ``host:port``, for
+            the scenario's faults.
+    """
+    klasses = targets(sc)
+    before = asyncio.run(_scrape(entries))
+    results, span = asyncio.run(_drive(sc, entries, klasses, addr_of))
+    after = asyncio.run(_scrape(entries))
+    return _report(sc, klasses, results, span, after - before)
+
+
+def met(result, klass):
+    """Whether a result met its class's latency targets."""
+    return (result.status == OK and result.ttft_s * 1000 <= klass.ttft_ms and
+            result.e2e_s * 1000 <= klass.e2e_ms)
+
+
+def _report(sc, klasses, results, span, counters):
+    by = collections.defaultdict(list)
     for r in results:
-        by.setdefault((r.customer, r.klass), []).append(r)
-    classes = []
-    for (cust, name), rs in sorted(by.items()):
-        k = targets.get((cust, name))
-        if k is None:
-            raise errors.CatalogueError(f'{cust}/{name} not in catalogue')
-        ok = [r for r in rs if r.status == 200]
-        met = [
-            r for r in ok
-            if r.ttft_s * 1000 <= k.ttft_ms and r.e2e_s * 1000 <= k.e2e_ms
-        ]
-        classes.append({
-            'customer': cust,
-            'class': name,
-            'tier': k.tier,
-            'sent': len(rs),
-            'served': len(ok),
-            'attained': len(met),
-            'attainment': round(len(met) / len(rs), 4),
-            'shed': sum(1 for r in rs if r.status in (429, 503)),
-            'failed': sum(1 for r in rs if r.status not in (200, 429, 503)),
-            'goodput_tok_s': round(sum(r.tokens for r in met) / span, 1),
-            'ttft_p95_ms': _p95([r.ttft_s for r in ok]),
-        })
+        by[r.stream.customer, r.stream.klass].append(r)
+    classes = [_class_report(klasses[k], rs, span) for k, rs in by.items()]
+    wasted = sum(v for (name, _, _), v in counters.items()
+                 if name == 'gorsefall_wasted_tokens_total')
+    shed = collections.Counter()
+    for (name, tier, reason), v in counters.items():
+        if name == 'gorsefall_shed_total':
+            shed[f'{tier}:{reason}'] += int(v)
     return {
         'scenario': sc.name,
         'span_s': round(span, 2),
         'requests': len(results),
+        'goodput_tok_s': round(sum(c['goodput_tok_s'] for c in classes), 1),
         'wasted_tokens': wasted,
-        'classes': classes
+        'shed': dict(sorted(shed.items())),
+        'classes': sorted(classes, key=lambda c: (c['tier'], c['class']))
+    }
+
+
+def _class_report(klass, rs, span):
+    ok = [r for r in rs if r.status == OK]
+    good = [r for r in rs if met(r, klass)]
+    return {
+        'customer': klass.owner,
+        'class': klass.name,
+        'tier': klass.tier,
+        'sent': len(rs),
+        'served': len(ok),
+        'attainment': round(len(good) / len(rs), 4),
+        'shed': sum(1 for r in rs if r.status in REFUSED),
+        'left': sum(1 for r in rs if r.status == LEFT),
+        'failed': sum(1 for r in rs if r.status not in (OK, LEFT, *REFUSED)),
+        'goodput_tok_s': round(sum(r.tokens for r in good) / span, 1),
+        'ttft_p50_ms': _quantile([r.ttft_s for r in ok], 50),
+        'ttft_p95_ms': _quantile([r.ttft_s for r in ok], 95),
+        'gap_p95_ms': _quantile([r.gap_s for r in ok], 95),
     }
 
 
-def _p95(xs):
-    if not xs:
-        return None
-    xs = sorted(xs)
-    return round(1000 * xs[min(len(xs) - 1, int(0.95 * len(xs)))], 1)
+def _quantile(xs, percent):
+    """Returns a percentile of ``xs`` (s) in ms, or None when empty."""
+    if len(xs) < 2:
+        return round(1000 * xs[0], 1) if xs else None
+    cuts = statistics.quantiles(xs, n=100, method='inclusive')
+    return round(1000 * cuts[percent - 1], 1)
 
 
 def table(rep):
     """Returns the report as a text table, one class a line."""
-    head = (f"{'tier':>4} {'customer/class':<32} {'sent':>5} {'served':>6} "
-            f"{'attain':>7} {'shed':>5} {'fail':>5} {'good tok/s':>10} "
-            f"{'ttft95ms':>9}")
     lines = [
         f"scenario: {rep['scenario']}  span {rep['span_s']} s  "
-        f"requests {rep['requests']}  wasted tokens "
-        f"{rep['wasted_tokens']:.0f}", head
+        f"requests {rep['requests']}  goodput {rep['goodput_tok_s']} tok/s  "
+        f"wasted tokens {rep['wasted_tokens']:.0f}",
+        f"{'tier':>4} {'customer/class':<30} {'sent':>5} {'served':>6} "
+        f"{'attain':>7} {'shed':>5} {'left':>5} {'fail':>5} "
+        f"{'good tok/s':>10} {'ttft95ms':>9}"
     ]
-    for c in sorted(rep['classes'], key=lambda c: (c['tier'], c['class'])):
-        lines.append(
-            f"{c['tier']:>4} {c['customer'] + '/' + c['class']:<32} "
-            f"{c['sent']:>5} {c['served']:>6} {c['attainment']:>7.1%} "
-            f"{c['shed']:>5} {c['failed']:>5} {c['goodput_tok_s']:>10} "
-            f"{c['ttft_p95_ms']!s:>9}")
+    for c in rep['classes']:
+        lines.append(f"{c['tier']:>4} {c['customer'] + '/' + c['class']:<30} "
+                     f"{c['sent']:>5} {c['served']:>6} {c['attainment']:>7.1%} "
+                     f"{c['shed']:>5} {c['left']:>5} {c['failed']:>5} "
+                     f"{c['goodput_tok_s']:>10} {c['ttft_p95_ms']!s:>9}")
     return '\n'.join(lines)
 
 
 def main(args):
     """Entry point of ``gorsefall bench``; returns the exit status."""
-    raw = tomllib.loads(pathlib.Path(args.scenario).read_text())
-    sc = msgspec.convert(raw, Scenario)
-    rep = run(sc, args.entry)
+    rep = run(load(args.scenario), args.entry)
     rep['label'] = args.label
     print(table(rep))
     out = pathlib.Path(args.out)
     out.parent.mkdir(parents=True, exist_ok=True)
-    out.write_text(json.dumps(rep, indent=1))
+    out.write_text(json.dumps(rep, indent=1), encoding='utf-8')
     print(f'written: {out}')
     return 0
--- a/gorsefall/errors.py
+++ b/gorsefall/errors.py
@@ -128,6 +128,11 @@
     status = 409
 
 
+class BenchError(GorsefallError):
+    """A bench scenario is missing or malformed."""
+    code = 'bad_scenario'
+
+
 class CatalogueError(GorsefallError):
     """A catalogue document fails its checks."""
     code = 'bad_catalogue'
--- a/gorsefall/replies.py
+++ b/gorsefall/replies.py
@@ -1,10 +1,13 @@
 """Server-side HTTP replies: JSON bodies, coded errors and pushed streams."""
 
+import weakref
+
 import msgspec
 from circuits import core
 from circuits.web import events as web_events
 
 from gorsefall import errors
+from gorsefall import logs
 
 JSON_TYPE = 'application/json'
 WEB_CHANNEL = 'web'
@@ -134,17 +137,35 @@
     """
     channel = WEB_CHANNEL
 
+    def __init__(self):
+        super().__init__()
+        self._answered = weakref.WeakSet()
+
     @core.handler('httperror', priority=10)
     def _on_httperror(self, event, req, res, code=None, **kwargs):
-        del req, kwargs
+        del kwargs
         event.stop()
+        if req in self._answered:
+            # circuits reports an exception of a controller twice, as
+            # 'exception' and as 'request_failure'. Answering both put two
+            # replies on the connection, and a caller that kept it took the
+            # second for the answer to its next request.
+            return
+        self._answered.add(req)
         res.stream = False
+        # circuits closes after every error; a refusal is no reason to.
+        res.close = req.headers.get('Connection', '').lower() == 'close'
         exc = event.error[1] if event.error else None
         if isinstance(exc, errors.GorsefallError):
             error_body(res, exc)
         else:
             status = getattr(event, 'code', None) or code or 500
             name = 'not_found' if status == 404 else 'internal'
+            if exc is not None:
+                # The caller is told no internals; the operator's log is.
+                logs.get('http').error('internal_error',
+                                       path=req.path,
+                                       exc_info=event.error)
             json_body(res,
                       {'error': {
                           'code': name,
--- a/gorsefall/standins/engine.py
+++ b/gorsefall/standins/engine.py
@@ -59,7 +59,7 @@
     out = []
     chain = xxhash.xxh64()
     for i in range(0, len(words) - BLOCK_WORDS + 1, BLOCK_WORDS):
-        chain.update(' '.join(words[i:i + BLOCK_WORDS]))
+        chain.update(' '.join(words[i:i + BLOCK_WORDS]).encode())
         out.append(chain.hexdigest())
     return out
 
