Limits lend unused share between entries; JSON under any content type

Also found: a JSON body sent with a form's content type (curl -d) made circuits' form parser raise, and the caller got a 500.

Change: each entry reads every peer's usage twice a second (GET /peer/usage) and may use its part of what all together leave; a silent peer counts as using its whole part. Bodies are read as JSON whatever they are called.

Ruled out: larger fixed shares (they break the limit whenever demand is even).

--- a/features/caller_api.feature
+++ b/features/caller_api.feature
@@ -27,3 +27,7 @@
       | unknown class    | 403    | unknown_class    |
       | oversized body   | 413    | body_too_large   |
       | unknown route    | 404    | not_found        |
+
+  Scenario: A JSON body sent under a form's content type is read as JSON
+    When a caller sends a chat request as a form with "&" and "=" in its text
+    Then the reply has status 200 and a whole text
--- a/features/steps/caller_steps.py
+++ b/features/steps/caller_steps.py
@@ -94,3 +94,13 @@
     got, obj, _ = context.reply
     assert got == status, (got, obj)
     assert obj['error']['code'] == code, obj
+
+
+@when('a caller sends a chat request as a form with "&" and "=" in its text')
+def step_form(context):
+    context.reply = common.chat(
+        context,
+        'kiosk',
+        'seat',
+        prompt='from=T2&to=city, "a":{"b":""}',
+        headers={'Content-Type': 'application/x-www-form-urlencoded'})
--- a/gorsefall/entry/api.py
+++ b/gorsefall/entry/api.py
@@ -149,6 +149,15 @@
         return self._text(jobs.ChatAsk, body, prompt)
 
 
+class Peer(_Routes):
+    """``/peer``: what entries ask each other."""
+    channel = '/peer'
+
+    def usage(self):
+        """GET /peer/usage: what this entry uses of the limits."""
+        return replies.json_body(self.response, self.entry.usage())
+
+
 class Ops(_Routes):
     """``/``: health, readiness, metrics and the operators' status page."""
     channel = '/'
--- a/gorsefall/entry/app.py
+++ b/gorsefall/entry/app.py
@@ -9,6 +9,7 @@
 
 from gorsefall import errors
 from gorsefall import logs
+from gorsefall import messages
 from gorsefall import metrics
 from gorsefall import registry
 from gorsefall import replies
@@ -17,6 +18,7 @@
 from gorsefall.entry import dispatch
 from gorsefall.entry import fleet
 from gorsefall.entry import ledger
+from gorsefall.entry import peers
 from gorsefall.entry import watchers
 from gorsefall.policy import admission
 from gorsefall.policy import limits
@@ -76,6 +78,8 @@
                                  cfg.vm_poll_s).register(self)
         watchers.LoadWatch(self.fleet, self.entry_name, cfg.load_poll_s,
                            self._on_reports).register(self)
+        peers.PeerWatch(self.fleet, self._limiter,
+                        cfg.peer_poll_s).register(self)
         core.Timer(SWEEP_S, _Sweep(), self.channel, persist=True).register(self)
 
     # -- catalogue -------------------------------------------------------------
@@ -154,6 +158,8 @@
                                   tier=ask.klass.tier,
                                   arrived=now,
                                   deadline=ask.deadline,
+                                  target_s=ask.klass.ttft_ms / 1000.0,
+                                  group=ask.klass.key,
                                   scopes=self._scopes(ask.klass))
         adm = self.admission(ask.klass.pool)
         verdict, shed = adm.arrive(ticket, now)
@@ -227,6 +233,11 @@
         if job is not None:
             job.cancel()
 
+    def usage(self):
+        """Returns the ``messages.PeerUsage`` of this entry."""
+        return messages.PeerUsage(entry=self.entry_name,
+                                  use=self._limiter.report(time.monotonic()))
+
     def status(self):
         """Returns the operators' status page as a dict."""
         state = self.catalogue.state
@@ -317,9 +328,10 @@
     server = web.Server((host, port), channel=replies.WEB_CHANNEL)
     # circuits' default poller, select, stops at 1,024 descriptors.
     pollers.EPoll().register(server)
-    replies.JsonErrors().register(server)
+    replies.JsonOnly().register(server)
     entry = Entry(cfg).register(server)
     api.V1(entry).register(server)
     api.Chat(entry).register(server)
+    api.Peer(entry).register(server)
     api.Ops(entry).register(server)
     return server, entry
--- a/gorsefall/entry/fleet.py
+++ b/gorsefall/entry/fleet.py
@@ -19,6 +19,7 @@
     Attributes:
         replicas: ``name -> routing.Replica``, gone ones not included.
         pools: ``pool -> {name: routing.Replica}``.
+        peers: ``name -> (host, port)`` of the other live entries.
         shares: This entry's ``limits.Shares``, updated in place.
     """
 
@@ -31,6 +32,7 @@
         self._log = logs.get('fleet')
         self.replicas = {}
         self.pools = {}
+        self.peers = {}
         self.shares = limits.Shares(entries=cfg.entry.entries)
         for b in cfg.backends:
             self._add(b.name, settings.split_addr(b.addr), b.pool, b.zone)
@@ -57,19 +59,22 @@
     def _update_replica(self, vm):
         state = _STATES.get(vm.state, routing.ReplicaState.DOWN)
         rep = self.replicas.get(vm.name)
-        if vm.addr and vm.pool:
-            try:
-                addr = settings.split_addr(vm.addr)
-            except errors.SettingsError as exc:
-                self._log.error('vm_bad_addr', vm=vm.name, error=str(exc))
-                return
-            if rep is None or rep.addr != addr:
-                # A new address is a new machine: nothing known of the old
-                # one (failures, requests in flight) holds for it.
-                rep = self._add(vm.name, addr, vm.pool, vm.zone)
+        addr = self._addr(vm) if vm.addr and vm.pool else None
+        if addr and (rep is None or rep.addr != addr):
+            # A new address is a new machine: nothing known of the old one
+            # (failures, requests in flight) holds for it.
+            rep = self._add(vm.name, addr, vm.pool, vm.zone)
         if rep is not None:
             self._set_state(rep, state)
 
+    def _addr(self, vm):
+        """Returns the VM's ``(host, port)``, or None when it is malformed."""
+        try:
+            return settings.split_addr(vm.addr)
+        except errors.SettingsError as exc:
+            self._log.error('vm_bad_addr', vm=vm.name, error=str(exc))
+            return None
+
     def _set_state(self, rep, state):
         if rep.state is not state:
             self._log.info('replica_state',
@@ -79,11 +84,14 @@
             rep.state = state
 
     def _update_entries(self, vms):
-        live = {vm.name for vm in vms if vm.role == 'entry'}
+        live = {vm.name: vm for vm in vms if vm.role == 'entry'}
         if not live:
             return
+        addrs = {name: self._addr(vm) for name, vm in live.items()}
+        addrs.pop(self._name, None)
+        self.peers = {name: addr for name, addr in addrs.items() if addr}
         # An entry that the lagging list does not show yet counts itself.
-        names = sorted(live | {self._name})
+        names = sorted({*live, self._name})
         self.shares.entries = len(names)
         self.shares.rank = names.index(self._name)
 
--- a/gorsefall/messages.py
+++ b/gorsefall/messages.py
@@ -70,6 +70,18 @@
         return tuple(out)
 
 
+class PeerUsage(msgspec.Struct, kw_only=True):
+    """Entry to entry: what one uses of the limits.
+
+    Attributes:
+        entry: Who says so.
+        use: ``[key parts, requests in flight, requests per second]`` of
+            each limit in use.
+    """
+    entry: str
+    use: list[tuple[list[str], int, float]]
+
+
 class CacheEvent(msgspec.Struct, kw_only=True):
     """A prompt block entering (``stored``) or leaving the engine's cache."""
     seq: int
--- a/gorsefall/policy/admission.py
+++ b/gorsefall/policy/admission.py
@@ -4,6 +4,7 @@
 and acts on what it returns. Tested against a simple oracle.
 """
 
+import collections
 import dataclasses
 import enum
 import math
@@ -18,7 +19,8 @@
 """Part of the pool's places that promoted requests may hold at most."""
 
 TOP_PRIORITY = 1
-LOWEST_TIER = 5
+TIERS = range(1, 6)
+PACE_SMOOTHING = 0.2
 
 
 class Verdict(enum.Enum):
@@ -37,6 +39,9 @@
         arrived: Arrival time, s (monotonic).
         deadline: Time by which it must have started, s (monotonic).
         scopes: Limits it counts against, see ``limits.Limits.admit``.
+        target_s: Latency target for its first token, s; a request that
+            cannot start within it is refused on arrival.
+        group: Its class; places are shared evenly among a tier's classes.
         priority: What the engine is told; its tier unless promoted.
         promoted: Whether it holds one of the promoted places.
     """
@@ -44,6 +49,8 @@
     tier: int
     arrived: float
     deadline: float = math.inf
+    target_s: float = math.inf
+    group: tuple = ()
     scopes: list = dataclasses.field(default_factory=list)
     priority: int = 0
     promoted: bool = False
@@ -52,6 +59,44 @@
         self.priority = self.priority or self.tier
 
 
+class Pace:
+    """How fast queued requests of some tier or higher are being started.
+
+    Measured, since it depends on what more urgent tiers and other entries
+    leave over, which this entry cannot compute.
+
+    Attributes:
+        interval_s: Smoothed time between starts from the queue, s.
+    """
+
+    def __init__(self):
+        self.interval_s = 0.0
+        self._last = None
+
+    def started(self, now):
+        """Notes a start from the queue."""
+        if self._last is not None:
+            gap = now - self._last
+            old = self.interval_s or gap
+            self.interval_s = old + PACE_SMOOTHING * (gap - old)
+        self._last = now
+
+    def idle(self):
+        """Notes that nothing waits: the next gap says nothing of the pace."""
+        self._last = None
+
+    def step_s(self, now, otherwise):
+        """Returns the expected time between starts, s.
+
+        Args:
+            now: Time, s (monotonic).
+            otherwise: What to expect while nothing has been measured, s.
+        """
+        if self._last is None:
+            return self.interval_s or otherwise
+        return max(self.interval_s or otherwise, now - self._last)
+
+
 class Admission:
     """What every admission policy shares: limits, running, waiting.
 
@@ -71,6 +116,7 @@
         self.running = {}
         self.served_time_s = 0.05
         self._waiting = {}
+        self._running_of = collections.Counter()
 
     def arrive(self, ticket, now):
         """Admits, queues or refuses ``ticket``.
@@ -89,7 +135,11 @@
 
     def finish(self, rid, now, served_s=None):
         """Marks ``rid`` done or withdrawn; returns tickets to start now."""
-        ticket = self.running.pop(rid, None) or self._waiting.pop(rid, None)
+        ticket = self.running.pop(rid, None)
+        if ticket is not None:
+            self._running_of[ticket.group] -= 1
+        else:
+            ticket = self._waiting.pop(rid, None)
         if ticket is None:
             return []
         self.limiter.release(ticket.scopes)
@@ -130,6 +180,7 @@
 
     def _run(self, ticket):
         self.running[ticket.rid] = ticket
+        self._running_of[ticket.group] += 1
 
     def fair_share(self):
         """Returns this entry's part of the pool's places, at least 1."""
@@ -146,6 +197,10 @@
     be free, so that stale reports cannot overcommit the engines.
     """
 
+    def __init__(self, capacity, queue_limit=2000, limiter=None):
+        super().__init__(capacity, queue_limit, limiter)
+        self._paces = {tier: Pace() for tier in TIERS}
+
     def arrive(self, ticket, now):
         """See ``Admission.arrive``."""
         self.limiter.admit(ticket.scopes, now, self.served_time_s)
@@ -160,10 +215,12 @@
         if not urgent and self._room(ticket.tier):
             self._run(ticket)
             return Verdict.RUN, []
-        wait = self.expected_wait_s(ticket.tier)
-        if now + wait > ticket.deadline:
-            raise errors.ShedError('cannot start before its deadline',
-                                   retry_after=wait)
+        wait = self.expected_wait_s(ticket.tier, now)
+        if wait > ticket.target_s or now + wait > ticket.deadline:
+            # It would be served late if at all, and make every request
+            # behind it late too (noticed as a burst in which all of a
+            # class is served and none in time).
+            raise errors.ShedError('cannot start in time', retry_after=wait)
         shed = []
         if len(self._waiting) >= self.queue_limit:
             victim = max(self._waiting.values(),
@@ -176,25 +233,39 @@
         self._waiting[ticket.rid] = ticket
         return Verdict.QUEUED, shed
 
-    def expected_wait_s(self, tier):
+    def expected_wait_s(self, tier, now):
         """Estimates the wait of a new ticket of ``tier``, s."""
-        ahead = sum(1 for t in self._waiting.values() if t.tier <= tier)
-        return ahead * self.served_time_s / self.fair_share()
+        ahead = 1 + sum(1 for t in self._waiting.values() if t.tier <= tier)
+        guess = self.served_time_s / self.fair_share()
+        return ahead * self._paces[tier].step_s(now, guess)
 
     def drain(self, now):
         """See ``Admission.drain``."""
-        del now
         out = []
         while self._waiting:
-            best = min(self._waiting.values(),
-                       key=lambda t: (t.tier, t.arrived))
+            best = min(self._waiting.values(), key=self._order)
             if not self._room(best.tier):
                 break
             del self._waiting[best.rid]
             self._run(best)
+            self._note_start(best, now)
             out.append(best)
         return out
 
+    def _order(self, ticket):
+        # Within a tier, the class with the fewest requests running goes
+        # first: a class that bursts within its limits would otherwise fill
+        # the queue ahead of its peers.
+        return (ticket.tier, self._running_of[ticket.group], ticket.arrived)
+
+    def _note_start(self, ticket, now):
+        top = min((t.tier for t in self._waiting.values()), default=None)
+        for tier in TIERS:
+            if tier >= ticket.tier:
+                self._paces[tier].started(now)
+            if top is None or tier < top:
+                self._paces[tier].idle()
+
     def promote(self, now, silent):
         """See ``Admission.promote``.
 
--- a/gorsefall/policy/limits.py
+++ b/gorsefall/policy/limits.py
@@ -1,11 +1,19 @@
-"""Rate and concurrency limits, split over the live entries without messages."""
+"""Rate and concurrency limits, shared by the live entries.
+
+Each entry owns an equal part of every limit and may use more of it as far
+as its peers, by their own lagging word, leave it unused.
+"""
 
 import dataclasses
+import math
 
 import xxhash
 
 from gorsefall import errors
 
+RATE_WINDOW_S = 1.0
+"""Time over which an entry's own rate is smoothed, s."""
+
 
 @dataclasses.dataclass
 class Bucket:
@@ -20,11 +28,6 @@
     level: float
     at: float
 
-    @property
-    def burst(self):
-        """Most requests the bucket holds: one second's worth, at least 1."""
-        return max(1.0, self.rate)
-
     def refill(self, now, rate):
         """Adds what has accrued since ``at``; adopts ``rate``.
 
@@ -32,10 +35,11 @@
         hand out a fresh burst each time an entry joins or leaves (noticed
         as a class over its rate while the VM list flaps).
         """
-        self.level = min(self.burst, self.level + (now - self.at) * self.rate)
+        self.level += (now - self.at) * self.rate
         self.at = now
         self.rate = rate
-        self.level = min(self.level, self.burst)
+        # At most one second's worth, at least one request.
+        self.level = min(self.level, max(1.0, rate))
 
     def wait_s(self):
         """Returns the seconds until one request may be taken."""
@@ -46,11 +50,11 @@
 
 @dataclasses.dataclass
 class Shares:
-    """This entry's part of every limit, from membership alone.
+    """This entry's own part of every limit, from membership alone.
 
-    All entries read the same VM list, so each computes its own share and no
-    two exchange a message. While the list lags behind a join, the sum of
-    shares exceeds a limit by at most one share per joining entry.
+    All entries read the same VM list, so each computes its part without a
+    message. While the list lags behind a join, the sum of the parts exceeds
+    a limit by at most one part per joining entry.
 
     Attributes:
         entries: Live entries, at least 1.
@@ -77,9 +81,35 @@
 
 
 @dataclasses.dataclass
-class _Use:
-    bucket: Bucket
-    inflight: int = 0
+class Use:
+    """What one entry uses of one limit.
+
+    Attributes:
+        inflight: Requests admitted and not finished.
+        rate: Requests admitted per second, smoothed.
+    """
+    inflight: float = 0
+    rate: float = 0.0
+
+
+class _Own(Use):
+    """This entry's use of one limit, with its token bucket."""
+
+    def __init__(self, part, now):
+        super().__init__()
+        self.bucket = Bucket(part, max(1.0, part), now)
+        self._at = now
+
+    def decay(self, now):
+        """Lets the smoothed rate fall off with time."""
+        self.rate *= math.exp((self._at - now) / RATE_WINDOW_S)
+        self._at = now
+
+    def take(self):
+        """Counts one admitted request."""
+        self.bucket.level -= 1.0
+        self.inflight += 1
+        self.rate += 1.0 / RATE_WINDOW_S
 
 
 class Limits:
@@ -87,10 +117,15 @@
 
     Attributes:
         shares: The ``Shares`` in force; membership updates it in place.
+        peers: ``key -> Use`` summed over peers with fresh word.
+        silent: Peers without fresh word; each counts as using its whole
+            part, so that what is not known is not borrowed.
     """
 
     def __init__(self, shares=None):
         self.shares = shares or Shares()
+        self.peers = {}
+        self.silent = None
         self._uses = {}
 
     def admit(self, scopes, now, hint_s):
@@ -106,23 +141,44 @@
         """
         uses = []
         for key, rate, conc in scopes:
-            part = self.shares.rate(rate)
             use = self._uses.get(key)
             if use is None:
-                use = _Use(Bucket(part, max(1.0, part), now))
+                use = _Own(self.shares.rate(rate), now)
                 self._uses[key] = use
-            use.bucket.refill(now, part)
-            most = self.shares.concurrency(key, conc)
+            use.decay(now)
+            use.bucket.refill(now, self._rate(key, use, rate))
+            most = self._concurrency(key, use, conc)
             if use.inflight >= most:
                 raise errors.RateLimitedError(f'{key}: {most} in flight here',
                                               retry_after=hint_s)
             if use.bucket.level < 1.0:
-                raise errors.RateLimitedError(f'{key}: over {part:.2f}/s here',
-                                              retry_after=use.bucket.wait_s())
+                raise errors.RateLimitedError(
+                    f'{key}: over {use.bucket.rate:.2f}/s here',
+                    retry_after=use.bucket.wait_s())
             uses.append(use)
         for use in uses:
-            use.bucket.level -= 1.0
-            use.inflight += 1
+            use.take()
+
+    def _silent(self):
+        known = self.shares.entries - 1
+        return known if self.silent is None else min(self.silent, known)
+
+    # Of what all entries together leave unused, each may take its part.
+    # When all take theirs at once, the limit is reached and not passed; what
+    # peers took since their last word is the only way over it, and the
+    # borrower gives way as soon as it is told.
+
+    def _concurrency(self, key, use, limit):
+        part = self.shares.concurrency(key, limit)
+        others = self.peers.get(key, Use()).inflight + self._silent() * part
+        spare = max(0, limit - use.inflight - others)
+        return max(part, use.inflight + spare // self.shares.entries)
+
+    def _rate(self, key, use, limit):
+        part = self.shares.rate(limit)
+        others = self.peers.get(key, Use()).rate + self._silent() * part
+        spare = max(0.0, limit - use.rate - others)
+        return max(part, use.rate + spare / self.shares.entries)
 
     def release(self, scopes):
         """Gives back the places in flight taken by ``admit``."""
@@ -139,3 +195,12 @@
         """Returns the requests in flight of ``key`` on this entry."""
         use = self._uses.get(key)
         return use.inflight if use else 0
+
+    def report(self, now):
+        """Returns ``[[key, inflight, rate]]`` of limits in use, for peers."""
+        out = []
+        for key, use in self._uses.items():
+            use.decay(now)
+            if use.inflight or use.rate > 0.05:
+                out.append([list(key), use.inflight, round(use.rate, 2)])
+        return out
--- a/gorsefall/replies.py
+++ b/gorsefall/replies.py
@@ -126,8 +126,8 @@
     return Push(mgr, res, content_type)
 
 
-class JsonErrors(core.BaseComponent):
-    """Turns every HTTP error of a server into a coded JSON reply.
+class JsonOnly(core.BaseComponent):
+    """Makes a server speak JSON only: bodies in, errors out.
 
     Without it circuits.web answers errors with an HTML page and a traceback,
     which API clients cannot parse and which leaks internals. A
@@ -141,6 +141,15 @@
         super().__init__()
         self._answered = weakref.WeakSet()
 
+    @core.handler('request', priority=10)
+    def _on_request(self, event, req, res):
+        # Callers forget the content type (curl -d says it is a form), and
+        # circuits' form parser fails on some JSON, which gave callers a
+        # 500. Every body is JSON here, whatever it is called.
+        del event, res
+        if req.method == 'POST':
+            req.headers['Content-Type'] = JSON_TYPE
+
     @core.handler('httperror', priority=10)
     def _on_httperror(self, event, req, res, code=None, **kwargs):
         del kwargs
--- a/gorsefall/settings.py
+++ b/gorsefall/settings.py
@@ -52,6 +52,8 @@
         lame_duck_s: Seconds at shutdown during which readiness is already
             503 but new requests are still served, until the balancer has
             noticed.
+        peer_poll_s: Seconds between reads of what other entries use of the
+            limits.
         drain_s: Longest wait for requests in flight at shutdown, s.
         queue_limit: Requests waiting for a replica, per entry.
         slots_per_replica: Requests a replica runs at once.
@@ -74,6 +76,7 @@
     snapshot_s: float = 600.0
     ledger_poll_s: float = 0.2
     ledger_ttl_s: float = 900.0
+    peer_poll_s: float = 0.5
     lame_duck_s: float = 3.0
     drain_s: float = 30.0
     queue_limit: int = 2000
@@ -102,8 +105,8 @@
 
 _POSITIVE = ('entries', 'max_body_bytes', 'catalogue_poll_s', 'load_poll_s',
              'load_max_age_s', 'vm_poll_s', 'snapshot_s', 'ledger_poll_s',
-             'ledger_ttl_s', 'drain_s', 'queue_limit', 'slots_per_replica',
-             'link_idle_s')
+             'ledger_ttl_s', 'peer_poll_s', 'drain_s', 'queue_limit',
+             'slots_per_replica', 'link_idle_s')
 
 
 def _check_addr(key, text):
--- a/gorsefall/standins/base.py
+++ b/gorsefall/standins/base.py
@@ -127,7 +127,7 @@
     """
     app = web.Server(addr, channel=replies.WEB_CHANNEL)
     pollers.EPoll().register(app)
-    replies.JsonErrors().register(app)
+    replies.JsonOnly().register(app)
     controller.register(app)
     for comp in extra:
         comp.register(app)
--- a/gorsefall/standins/launch.py
+++ b/gorsefall/standins/launch.py
@@ -12,6 +12,9 @@
 import time
 import urllib.request
 
+import msgspec
+
+from gorsefall import messages
 from gorsefall import settings
 
 
@@ -27,6 +30,21 @@
     raise TimeoutError(f'{host}:{port} did not come up')
 
 
+def list_vm(vm_list, **fields):
+    """Sets one VM's ``messages.VmEntry`` on the VM list stand-in.
+
+    Args:
+        vm_list: ``host:port`` of the stand-in.
+        **fields: The entry's fields.
+    """
+    body = msgspec.json.encode(messages.VmEntry(**fields))
+    req = urllib.request.Request(f'http://{vm_list}/vms',
+                                 data=body,
+                                 method='POST')
+    with urllib.request.urlopen(req, timeout=5):
+        pass
+
+
 @contextlib.contextmanager
 def processes(site_dir, log_dir, entries=None, opts=None):
     """Starts a site's stand-ins and entries; stops them on exit.
@@ -45,11 +63,15 @@
     logs_at.mkdir(parents=True, exist_ok=True)
     procs = {}
     addrs = []
+    vm_list = None
+    started = []
     try:
         for line in (site / 'standins.txt').read_text().splitlines():
             if not line or line.startswith('#'):
                 continue
             kind, name, addr = line.split()
+            if kind == 'vmlist':
+                vm_list = addr
             cmd = [
                 sys.executable, '-m', 'gorsefall', 'standin', kind, '--listen',
                 addr
@@ -68,8 +90,15 @@
                 [sys.executable, '-m', 'gorsefall', 'entry',
                  str(path)], logs_at / f'{cfg.entry.name}.log')
             addrs.append(settings.split_addr(cfg.entry.listen))
+            started.append(cfg.entry)
         for host, port in addrs:
             _wait_up(host, port)
+        for entry in started:
+            list_vm(vm_list,
+                    name=entry.name,
+                    addr=entry.listen,
+                    zone=entry.zone,
+                    role='entry')
         yield procs
     finally:
         for p in procs.values():
