Refuse what would start late; route by how a request would start

Cause: in the flight-bank burst 41 of 164 rebookings served were late by less than a second: they were admitted with an expected wait up to their whole target, so reading the prompt and the estimate's error made them late, and each made the next one late.

The router prefers a free place, then one where the request preempts, then one where it waits; own counts are kept by priority. job_done logs queued_ms and ttft_ms.

--- a/bench/compare.py
+++ b/bench/compare.py
@@ -11,6 +11,7 @@
 import argparse
 import json
 import pathlib
+import shutil
 import statistics
 import sys
 import tempfile
@@ -110,7 +111,9 @@
         site = pathlib.Path(tmp)
         cfgs = make_site(sc, policy, site)
         addrs = standin_addrs(site)
-        with launch.processes(site, site / 'logs', opts=sc.standin_opts) as ps:
+        logs = ROOT / 'out' / 'logs' / policy
+        shutil.rmtree(logs, ignore_errors=True)
+        with launch.processes(site, logs, opts=sc.standin_opts) as ps:
             log = settings.split_addr(cfgs[0].entry.log_service)
             publish.publish(log, cmdline.catalogue_doc(ROOT / sc.catalogue))
             wait_ready(cfgs)
--- a/gorsefall/entry/app.py
+++ b/gorsefall/entry/app.py
@@ -22,6 +22,7 @@
 from gorsefall.entry import watchers
 from gorsefall.policy import admission
 from gorsefall.policy import limits
+from gorsefall.policy import routing
 
 SWEEP_S = 0.1
 LAST_WRITES_S = 0.2
@@ -176,11 +177,11 @@
         if verdict is admission.Verdict.RUN:
             job.start()
 
-    def route(self, ask, tried):
+    def route(self, ask, priority, tried):
         """Returns the replica for ``ask``'s next attempt, or None."""
         return self._router.choose(self.fleet.pools[ask.klass.pool].values(),
-                                   ask.prefix_text, time.monotonic(),
-                                   time.time(), tried)
+                                   routing.Want(ask.prefix_text, priority),
+                                   time.monotonic(), time.time(), tried)
 
     def _refuse(self, ticket, exc):
         job = self.jobs.get(ticket.rid)
--- a/gorsefall/entry/fleet.py
+++ b/gorsefall/entry/fleet.py
@@ -38,7 +38,11 @@
             self._add(b.name, settings.split_addr(b.addr), b.pool, b.zone)
 
     def _add(self, name, addr, pool, zone):
-        rep = routing.Replica(name=name, addr=addr, pool=pool, zone=zone)
+        rep = routing.Replica(name=name,
+                              addr=addr,
+                              pool=pool,
+                              zone=zone,
+                              slots=self._pool_slots.get(pool, self._slots))
         self.replicas[name] = rep
         self.pools.setdefault(pool, {})[name] = rep
         return rep
@@ -97,9 +101,9 @@
 
     def capacity(self, pool):
         """Returns the places of the pool's live replicas."""
-        slots = self._pool_slots.get(pool, self._slots)
-        return slots * sum(1 for r in self.pools.get(pool, {}).values()
-                           if r.state is routing.ReplicaState.LIVE)
+        return sum(r.slots
+                   for r in self.pools.get(pool, {}).values()
+                   if r.state is routing.ReplicaState.LIVE)
 
     def others(self, pool, wall, max_age_s):
         """Returns other entries' requests in the pool by urgency, or None.
--- a/gorsefall/entry/jobs.py
+++ b/gorsefall/entry/jobs.py
@@ -111,6 +111,11 @@
         return claims.digest(self.op, self.args)
 
 
+def _ms(since, until):
+    """Returns the time between in ms, or None when it never came."""
+    return None if until is None else round((until - since) * 1000, 1)
+
+
 def new_rid():
     """Returns a fresh request id."""
     return ids.RequestId('req-' + uuid.uuid4().hex[:16])
@@ -134,6 +139,7 @@
         self.reply = reply
         self.phase = Phase.QUEUED
         self.arrived = time.monotonic()
+        self.started_at = None
         self.first_at = None
         self.served_at = self.arrived
         self.tokens = 0
@@ -161,7 +167,7 @@
         so only requests with a key are claimed.
         """
         self.phase = Phase.RUNNING
-        self.served_at = time.monotonic()
+        self.started_at = self.served_at = time.monotonic()
         if self.ask.repeatable or not self.ask.key:
             self.dispatch()
             return
@@ -200,14 +206,14 @@
         """Sends the request to the best replica not tried yet."""
         if self.phase is Phase.DONE:
             return
-        rep = self.app.route(self.ask, self.tried)
+        rep = self.app.route(self.ask, self.ticket.priority, self.tried)
         if rep is None:
             self.fail(self._no_replica())
             return
         self.attempts += 1
         self.tried.add(rep.name)
         self.rep = rep
-        self._place.enter_context(rep.occupied())
+        self._place.enter_context(rep.occupied(self.ticket.priority))
         self.send(rep)
 
     def _no_replica(self):
@@ -310,6 +316,8 @@
         self.log.info('job_done',
                       outcome=outcome,
                       tokens=self.tokens,
+                      queued_ms=_ms(self.arrived, self.started_at),
+                      ttft_ms=_ms(self.arrived, self.first_at),
                       e2e_ms=round(e2e * 1000, 1),
                       attempts=self.attempts)
         self.app.job_done(self, served_s=e2e if ran else None)
--- a/gorsefall/policy/admission.py
+++ b/gorsefall/policy/admission.py
@@ -18,6 +18,10 @@
 PROMOTED_SHARE = 1 / 8
 """Part of the pool's places that promoted requests may hold at most."""
 
+WAIT_SHARE = 0.4
+"""Part of its latency target a request may be expected to wait; the rest is
+for reading the prompt and for the estimate's error."""
+
 TOP_PRIORITY = 1
 TIERS = range(1, 6)
 PACE_SMOOTHING = 0.2
@@ -216,7 +220,7 @@
             self._run(ticket)
             return Verdict.RUN, []
         wait = self.expected_wait_s(ticket.tier, now)
-        if wait > ticket.target_s or now + wait > ticket.deadline:
+        if wait > ticket.target_s * WAIT_SHARE or now + wait > ticket.deadline:
             # It would be served late if at all, and make every request
             # behind it late too (noticed as a burst in which all of a
             # class is served and none in time).
--- a/gorsefall/policy/routing.py
+++ b/gorsefall/policy/routing.py
@@ -39,7 +39,9 @@
         pool: Pool it serves.
         zone: Its zone.
         state: A ``ReplicaState``.
+        slots: Requests it runs at once.
         inflight: Requests this entry has running on it now (exact).
+        own: The same by priority, index 1 to 5.
         others: Requests of other entries by priority, index 1 to 5, from
             its last load report (lagging).
         reported_at: When the replica took that report, s (epoch).
@@ -52,7 +54,9 @@
     pool: str
     zone: str
     state: ReplicaState = ReplicaState.LIVE
+    slots: int = 16
     inflight: int = 0
+    own: list = dataclasses.field(default_factory=lambda: [0] * 6)
     others: tuple = (0,) * 6
     reported_at: float = 0.0
     failures: int = 0
@@ -60,13 +64,25 @@
     gap_s: float = 0.0
 
     @contextlib.contextmanager
-    def occupied(self):
+    def occupied(self, priority):
         """Counts one request in flight for as long as the context is open."""
         self.inflight += 1
+        self.own[priority] += 1
         try:
             yield self
         finally:
             self.inflight -= 1
+            self.own[priority] -= 1
+
+    def load(self, weight, priority=5):
+        """Returns the requests of ``priority`` or more urgent on it.
+
+        Args:
+            weight: How far to trust its last report, 0.0 to 1.0.
+            priority: Least urgent priority that counts.
+        """
+        upto = slice(1, priority + 1)
+        return sum(self.own[upto]) + weight * sum(self.others[upto])
 
     def failed(self, now):
         """Notes a failed call and ejects the replica for a while.
@@ -101,6 +117,25 @@
     return max(0.0, 1.0 - age / max_age_s)
 
 
+@dataclasses.dataclass(frozen=True)
+class Want:
+    """What routing needs to know of a request.
+
+    Attributes:
+        prompt: Prompt text; its start decides cache affinity.
+        priority: The priority the replica will be told.
+    """
+    prompt: str = ''
+    priority: int = 5
+
+
+class Place(enum.IntEnum):
+    """How a request would start at a replica; lower is better."""
+    FREE = 0
+    PREEMPTS = 1
+    WAITS = 2
+
+
 class Router:
     """Chooses a replica for each attempt; subclasses decide how.
 
@@ -111,12 +146,12 @@
     def __init__(self, max_age_s):
         self.max_age_s = max_age_s
 
-    def choose(self, replicas, prompt, now, wall, exclude=()):
+    def choose(self, replicas, want, now, wall, exclude=()):
         """Picks a live replica, or None.
 
         Args:
             replicas: The pool's ``Replica`` objects.
-            prompt: Prompt text; its start decides cache affinity.
+            want: The ``Want`` of the request.
             now: Time, s (monotonic).
             wall: Time, s (epoch), to age load reports.
             exclude: Names already tried for this request.
@@ -131,54 +166,65 @@
         if not sound:
             # All are ejected: a guess is better than refusing everything.
             return min(live, key=lambda r: r.eject_until)
-        return self.pick(sound, prompt, wall)
+        return self.pick(sound, want, wall)
 
-    def pick(self, sound, prompt, wall):
+    def pick(self, sound, want, wall):
         """Picks one of ``sound``, a non-empty list of healthy replicas."""
         raise NotImplementedError
 
 
 class LoadRouter(Router):
-    """Least expected load, then prefix affinity by rendezvous hashing.
-
-    Among replicas within ``AFFINITY_SLACK`` of the lowest score, the one
-    that rendezvous hashing gives for the prompt's prefix wins, so equal
-    prefixes meet the same prefix cache without reading cache events, which
-    come late and with gaps.
+    """A free place first, then least load, then prefix affinity.
+
+    A replica with a free place goes before one where the request would
+    have to preempt, and that before one where it would wait behind requests
+    as urgent as itself. Among replicas equal in that and within
+    ``AFFINITY_SLACK`` of the lowest load, the one that rendezvous hashing
+    gives for the prompt's prefix wins, so equal prefixes meet the same
+    prefix cache without reading cache events, which come late and with
+    gaps.
     """
 
-    def pick(self, sound, prompt, wall):
+    def pick(self, sound, want, wall):
         """See ``Router.pick``."""
         gaps = [r.gap_s for r in sound if r.gap_s > 0]
         median = statistics.median(gaps) if gaps else 0.0
-        scores = {r.name: self.score(r, wall, median) for r in sound}
-        low = min(scores.values())
-        near = [r for r in sound if scores[r.name] <= low + AFFINITY_SLACK]
-        prefix = prompt[:PREFIX_CHARS].encode()
+        scores = {r.name: self.score(r, want, wall, median) for r in sound}
+        place, low = min(scores.values())
+        near = [
+            r for r in sound
+            if scores[r.name][0] == place and scores[r.name][1] <= low +
+            AFFINITY_SLACK
+        ]
+        prefix = want.prompt[:PREFIX_CHARS].encode()
         return max(
             near,
             key=lambda r: xxhash.xxh64_intdigest(prefix + r.name.encode()))
 
-    def score(self, rep, wall, median_gap_s):
-        """Returns the expected load of ``rep``; lower is better.
+    def score(self, rep, want, wall, median_gap_s):
+        """Returns ``(Place, load)`` of ``rep``; lower is better.
 
         The entry's own in-flight count is exact; other entries' work is
         known from the lagging report and discounted by its age. A straggler
         counts as many times busier as it is slower than the median.
         """
         weight = report_weight(rep, wall, self.max_age_s)
-        load = rep.inflight + weight * sum(rep.others)
+        load = rep.load(weight)
+        place = Place.FREE
+        if load >= rep.slots:
+            load = rep.load(weight, want.priority)
+            place = Place.PREEMPTS if load < rep.slots else Place.WAITS
         if median_gap_s > 0 and rep.gap_s > SLOW_RATIO * median_gap_s:
-            return (load + 1) * rep.gap_s / median_gap_s
-        return load
+            load = (load + 1) * rep.gap_s / median_gap_s
+        return place, load
 
 
 class LeastInflightRouter(Router):
     """Baseline: own in-flight count alone."""
 
-    def pick(self, sound, prompt, wall):
+    def pick(self, sound, want, wall):
         """See ``Router.pick``."""
-        del prompt, wall
+        del want, wall
         return min(sound, key=lambda r: r.inflight)
 
 
@@ -189,8 +235,8 @@
         super().__init__(max_age_s)
         self._turn = 0
 
-    def pick(self, sound, prompt, wall):
+    def pick(self, sound, want, wall):
         """See ``Router.pick``."""
-        del prompt, wall
+        del want, wall
         self._turn += 1
         return sound[self._turn % len(sound)]
