Failure features: kills, freezes, silent links, races, retention, membership

Writing the proofs found: the stand-ins' log had no expiry by age, so a catalogue that outlives its change records was unproved; a catalogue file could be published over changes it had never seen (publish took the current version as its base); engine streams needed 15 s to notice a dead link.

Change: features for engines and services that are killed, frozen, muted or crash-looping under streams; for keys whose owner is frozen or killed before or while it runs; for races of one key at two entries; for claims under the log's append limit and outage; for the VM list (new, dropped and leaving replicas, a third entry, outage, slowness); for a catalogue whose every record has expired; for operators' files. A file names the version it was made from; engine streams have their own idle bound (stream_idle_s, 3 s), safe because of heartbeats. Bytes of calls are counted by route.

--- a/features/catalogue.feature
+++ b/features/catalogue.feature
@@ -29,3 +29,26 @@
     When the log service keeps only the newest 2 records of the catalogue
     And entry "entry-b" is restarted
     Then every entry still runs that version
+
+  Scenario: Two operators change different items at once: both are accepted
+    When two operators change different classes based on the current version
+    Then both changes are accepted and in force on every entry
+
+  Scenario: A file made from an older version does not undo what came since
+    Given operator "ann" has saved the catalogue to a file
+    And operator "bo" has changed a class that ann's file also changes
+    When ann publishes her file from the command line
+    Then the command fails with "stale_version" and bo's change stays
+
+  Scenario: A file that names no version is not published over a catalogue
+    When a file without a version is published from the command line
+    Then the command fails with "bad_catalogue" and nothing has changed
+
+  Scenario Outline: A publish whose reply is lost is accepted once
+    Given the log service loses its next <n> replies
+    When one operator publishes a change
+    Then it is accepted as exactly the next version
+
+    Examples:
+      | n |
+      | 1 |
--- a/features/environment.py
+++ b/features/environment.py
@@ -23,7 +23,8 @@
     if 'nosite' in feature.tags:
         context.procs = None
         return
-    context.launch = launch.processes(SITE, context.tmp)
+    opts = {'log': ['retain_s=4.0']} if 'retain' in feature.tags else None
+    context.launch = launch.processes(SITE, context.tmp, opts=opts)
     context.procs = context.launch.__enter__()
     doc = cmdline.catalogue_doc(SITE / 'catalogue.toml')
     publish.publish(context.log_addr, doc, 'test')
@@ -31,6 +32,14 @@
     common.wait_version(context, 1)
 
 
+def after_scenario(context, scenario):
+    # A failed scenario may leave processes frozen, dead or faulty; the
+    # next one must not fail for it.
+    if scenario.status == 'failed' and context.procs is not None:
+        from steps import common
+        common.heal(context)
+
+
 def after_feature(context, feature):
     del feature
     if context.procs is not None:
--- a/features/steps/catalogue_steps.py
+++ b/features/steps/catalogue_steps.py
@@ -1,15 +1,18 @@
 """Steps of the catalogue feature."""
 
+import pathlib
 import subprocess
 import sys
 import threading
 import time
 
+import msgspec
 from behave import given
 from behave import then
 from behave import when
 from steps import common
 
+from gorsefall import catalogue
 from gorsefall import cmdline
 from gorsefall import errors
 from gorsefall import publish
@@ -109,21 +112,136 @@
 @when('entry "{name}" is restarted')
 def step_restart(context, name):
     proc = context.procs[name]
-    proc.terminate()
+    proc.kill()
     proc.wait(timeout=20)
-    cfg = context.site / f'{name}.toml'
-    with open(f'{context.tmp}/{name}-2.log', 'ab') as out:
-        context.procs[name] = subprocess.Popen(
-            [sys.executable, '-m', 'gorsefall', 'entry',
-             str(cfg)],
-            stdout=out,
-            stderr=subprocess.STDOUT)
-    common.until(lambda: _up(context, name), f'{name} back up')
-
-
-def _up(context, name):
-    try:
-        return common.http('GET', common.entry(context, name),
-                           '/healthz')[0] == 200
-    except OSError:
-        return False
+    common.respawn(context, name)
+
+
+# -- retention -----------------------------------------------------------------
+
+
+def _expired(context):
+    _, obj, _ = common.http('GET', common.standin(context, 'log'),
+                            '/streams/catalogue/read?start=0&limit=1')
+    return obj['start'] == obj['end'] > 0
+
+
+@when('the catalogue stream has expired wholly')
+def step_expire(context):
+    common.until(lambda: _expired(context), 'every change record expired')
+
+
+@then('every entry runs version {version:d}')
+def step_runs_version(context, version):
+    common.wait_version(context, version)
+    assert _rates(context) == [version] * 2, _rates(context)
+    context.version = version
+
+
+@when('an operator publishes one more change')
+def step_one_more(context):
+    got = publish.publish(context.log_addr, _doc(context, 33.0), 'op')
+    assert got == context.version + 1, got
+
+
+@then('the change is not lost when that has expired too')
+def step_not_lost(context):
+    common.until(lambda: _expired(context), 'the change record expired')
+    state = publish.current(context.log_addr)
+    assert state.version == context.version
+    assert state.doc.classes[0].rate_per_s == 33.0
+
+
+# -- operators -----------------------------------------------------------------
+
+
+def _rate_of(doc, i):
+    return doc.classes[i].rate_per_s
+
+
+@when('two operators change different classes based on the current version')
+def step_different(context):
+    context.base = publish.current(context.log_addr).version
+    docs = []
+    for i in (1, 2):
+        doc = publish.current(context.log_addr).doc
+        docs.append(msgspec.convert(msgspec.to_builtins(doc), type(doc)))
+        docs[-1].classes[i].rate_per_s = 60.0 + i
+    context.versions = sorted(
+        publish.publish(context.log_addr, doc, f'op{i}', base=context.base)
+        for i, doc in enumerate(docs))
+
+
+@then('both changes are accepted and in force on every entry')
+def step_both_in_force(context):
+    assert context.versions == [context.base + 1, context.base + 2]
+    doc = publish.current(context.log_addr).doc
+    assert (_rate_of(doc, 1), _rate_of(doc, 2)) == (61.0, 62.0)
+    common.wait_version(context, context.base + 2)
+
+
+def _cli(context, *args):
+    context.run = subprocess.run([
+        sys.executable, '-m', 'gorsefall', 'catalogue', *args, '--log',
+        '{}:{}'.format(*context.log_addr)
+    ],
+                                 capture_output=True,
+                                 text=True,
+                                 timeout=30,
+                                 check=False)
+    return context.run
+
+
+@given('operator "ann" has saved the catalogue to a file')
+def step_save(context):
+    context.file = pathlib.Path(context.tmp) / 'ann.toml'
+    context.file.write_text(_cli(context, 'show').stdout)
+
+
+@given('operator "bo" has changed a class that ann\'s file also changes')
+def step_bo(context):
+    publish.publish(context.log_addr, _doc(context, 77.0), 'bo')
+    doc = cmdline.catalogue_doc(context.file)
+    doc.classes[0].rate_per_s = 55.0
+    context.file.write_text(catalogue.to_toml(doc))
+
+
+@when('ann publishes her file from the command line')
+def step_ann(context):
+    context.before = publish.current(context.log_addr)
+    _cli(context, 'publish', str(context.file))
+
+
+@when('a file without a version is published from the command line')
+def step_no_version(context):
+    context.before = publish.current(context.log_addr)
+    _cli(context, 'publish', str(context.site / 'catalogue.toml'))
+
+
+@then('the command fails with "{code}" and {what}')
+def step_fails(context, code, what):
+    del what
+    assert context.run.returncode == 2, context.run
+    assert f'[{code}]' in context.run.stderr, context.run.stderr
+    after = publish.current(context.log_addr)
+    assert after.version == context.before.version
+    assert after.doc == context.before.doc
+
+
+@given('the log service loses its next {n:d} replies')
+def step_lose(context, n):
+    # The entries' reads do not count: only appends lose their replies.
+    common.fault(context, 'log', lose_reply=n)
+
+
+@when('one operator publishes a change')
+def step_publish_one(context):
+    context.base = publish.current(context.log_addr).version
+    context.got = publish.publish(context.log_addr, _doc(context, 44.0), 'op')
+
+
+@then('it is accepted as exactly the next version')
+def step_next_version(context):
+    assert context.got == context.base + 1
+    common.wait_version(context, context.got)
+    common.fault(context, 'log', lose_reply=0)
--- a/features/steps/common.py
+++ b/features/steps/common.py
@@ -1,6 +1,8 @@
 """Steps and helpers shared by the features."""
 
 import json
+import signal
+import subprocess
 import time
 import urllib.error
 import urllib.request
@@ -95,6 +97,65 @@
     assert status == 200, obj
 
 
+FAULTS_OFF = {
+    'outage': False,
+    'delay_ms': 0.0,
+    'lose_reply': 0,
+    'cut_reply': 0,
+    'crash_after': -1,
+    'mute': 0,
+    'stall': False,
+    'slow': 1,
+    'lag_s': 0.0
+}
+
+
+def value(text):
+    """Returns a fault switch's value from its text in a table."""
+    if text in ('true', 'false'):
+        return text == 'true'
+    return float(text) if '.' in text else int(text)
+
+
+def standin_names(context):
+    lines = (context.site / 'standins.txt').read_text().splitlines()
+    return [ln.split()[1] for ln in lines if ln and not ln.startswith('#')]
+
+
+def respawn(context, name):
+    """Starts a process that has ended again, with the same command."""
+    with open(f'{context.tmp}/{name}-again.log', 'ab') as out:
+        context.procs[name] = subprocess.Popen(context.procs[name].args,
+                                               stdout=out,
+                                               stderr=subprocess.STDOUT)
+    addr = entry(context, name) if name in context.cfg else standin(
+        context, name)
+    until(lambda: is_up(addr), f'{name} back up')
+
+
+def is_up(addr):
+    try:
+        return http('GET', addr, '/healthz')[0] == 200
+    except OSError:
+        return False
+
+
+def heal(context):
+    """Wakes, restarts and resets every process of the site."""
+    for name, proc in list(context.procs.items()):
+        if proc.poll() is None:
+            proc.send_signal(signal.SIGCONT)
+        else:
+            respawn(context, name)
+    for name in standin_names(context):
+        fault(context, name, **FAULTS_OFF)
+
+
+@then('everything is whole again')
+def step_heal_all(context):
+    heal(context)
+
+
 @given('the site is up with the catalogue in force')
 def step_site_up(context):
     assert context.procs is not None
--- /dev/null
+++ b/features/steps/failure_steps.py
@@ -0,0 +1,67 @@
+"""Steps that kill, freeze and silence processes."""
+
+import signal
+
+from behave import step
+from behave import then
+from behave import when
+from steps import common
+from steps import own_steps
+
+
+def _kill(context, name):
+    context.procs[name].kill()
+    context.procs[name].wait(timeout=20)
+
+
+def _freeze(context, name):
+    context.procs[name].send_signal(signal.SIGSTOP)
+
+
+def _mute(context, name):
+    # Every stream open there now goes silent; new ones work.
+    stats = common.http('GET', common.standin(context, name), '/stats')[1]
+    common.fault(context, name, mute=stats['running'] + stats['waiting'])
+
+
+def _crash_loop(context, name):
+    common.fault(context, name, crash_after=2)
+
+
+WHAT = {
+    'a kill': _kill,
+    'a freeze': _freeze,
+    'silent links': _mute,
+    'a crash loop': _crash_loop
+}
+
+
+@when('{what} happens to {names}')
+def step_happens(context, what, names):
+    for name in names.split(','):
+        WHAT[what](context, name)
+
+
+@then('no engine has requests running')
+def step_no_running(context):
+
+    def idle():
+        stats = [
+            common.http('GET', common.standin(context, n), '/stats')[1]
+            for n in own_steps.ENGINES
+        ]
+        return all(s['running'] + s['waiting'] == 0 for s in stats)
+
+    common.until(idle, 'the engines to stop')
+
+
+@step('the {who} has the fault {switch}')
+def step_has_fault(context, who, switch):
+    name = {'log service': 'log', 'VM list': 'vmlist'}[who]
+    key, _, val = switch.partition('=')
+    common.fault(context, name, **{key: common.value(val)})
+
+
+@then('the log service is whole again')
+def step_log_whole(context):
+    common.fault(context, 'log', **common.FAULTS_OFF, max_appends_per_s=0)
--- /dev/null
+++ b/features/steps/fleet_steps.py
@@ -0,0 +1,107 @@
+"""Steps of the VM list feature."""
+
+import subprocess
+import sys
+import time
+
+from behave import then
+from behave import when
+from steps import common
+
+from gorsefall.standins import launch
+
+EXTRA_ADDR = '127.0.0.1:19150'
+
+
+def _entries(context):
+    return [
+        common.http('GET', common.entry(context, n), '/status')[1]
+        for n in ('entry-a', 'entry-b')
+    ]
+
+
+def _states(context, name):
+    return [{
+        r['name']: r['state'] for r in st['replicas']
+    }.get(name) for st in _entries(context)]
+
+
+@when('the VM list shows "{name}" live at a new engine process')
+def step_new_engine(context, name):
+    if name not in context.procs:
+        with open(f'{context.tmp}/{name}.log', 'ab') as out:
+            context.procs[name] = subprocess.Popen([
+                sys.executable, '-m', 'gorsefall', 'standin', 'engine',
+                '--listen', EXTRA_ADDR, '--opt', f'name={name}'
+            ],
+                                                   stdout=out,
+                                                   stderr=subprocess.STDOUT)
+        common.until(lambda: common.is_up(EXTRA_ADDR), f'{name} up')
+    launch.list_vm(common.standin(context, 'vmlist'),
+                   name=name,
+                   addr=EXTRA_ADDR,
+                   zone='az1',
+                   pool='llm')
+    common.until(lambda: _states(context, name) == ['live'] * 2,
+                 f'{name} known at every entry')
+
+
+def _tokens(addr):
+    return common.http('GET', addr, '/stats')[1]['tokens_out']
+
+
+@then('"{name}" has answered some of them')
+def step_some(context, name):
+    del name
+    assert _tokens(EXTRA_ADDR) > 0
+
+
+@when('the VM list drops "{name}"')
+def step_drop(context, name):
+    status, obj, _ = common.http('POST', common.standin(context, 'vmlist'),
+                                 '/drop', {'name': name})
+    assert status == 200, obj
+    if name.startswith('engine'):
+        common.until(lambda: _states(context, name) == ['down'] * 2,
+                     f'{name} gone at every entry')
+        context.before = _tokens(EXTRA_ADDR)
+
+
+@when('the VM list shows a third entry "{name}"')
+def step_third(context, name):
+    launch.list_vm(common.standin(context, 'vmlist'),
+                   name=name,
+                   addr='127.0.0.1:19151',
+                   zone='az3',
+                   role='entry')
+
+
+@then('every entry splits the limits by {n:d}')
+def step_split(context, n):
+
+    def split():
+        sts = _entries(context)
+        return [s['entries'] for s in sts
+               ] == [n, n] and {s['rank'] for s in sts} == {0, 1}
+
+    common.until(split, f'limits split by {n}')
+
+
+@when('the VM list has the fault {switch} for a while')
+def step_vm_fault(context, switch):
+    key, _, val = switch.partition('=')
+    common.fault(context, 'vmlist', **{key: common.value(val)})
+    time.sleep(1.0)
+
+
+@then('"{name}" is still leaving at every entry')
+def step_still(context, name):
+    assert _states(context, name) == ['leaving'] * 2, _states(context, name)
+    common.fault(context, 'vmlist', **common.FAULTS_OFF)
+
+
+@then('a seat request sent to entry "{name}" is still answered whole')
+def step_lame_duck(context, name):
+    status, obj, _ = common.chat(context, 'kiosk', 'seat', name=name)
+    assert status == 200, obj
+    assert obj['choices'][0]['finish_reason'] == 'stop', obj
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -6,14 +6,17 @@
 import time
 
 from behave import given
+from behave import step
 from behave import then
 from behave import when
 from steps import common
+from steps import fleet_steps
 
 
 def _engine_tokens(context, name):
-    return common.http('GET', common.standin(context, name),
-                       '/stats')[1]['tokens_out']
+    addr = fleet_steps.EXTRA_ADDR if name == 'engine-6' else common.standin(
+        context, name)
+    return common.http('GET', addr, '/stats')[1]['tokens_out']
 
 
 @given('the VM list lags by {lag:g} s')
@@ -22,7 +25,7 @@
     context.lag = lag
 
 
-@when('the VM list shows "{name}" leaving and the entries have polled it')
+@step('the VM list shows "{name}" leaving and the entries have polled it')
 def step_leaving(context, name):
     status, obj, _ = common.http('POST', common.standin(context, 'vmlist'),
                                  '/vms', {
@@ -47,7 +50,7 @@
     context.before = _engine_tokens(context, name)
 
 
-@when('{n:d} seat requests are answered')
+@step('{n:d} seat requests are answered')
 def step_requests(context, n):
     for i in range(n):
         status, obj, _ = common.chat(context,
--- a/gorsefall/cmdline.py
+++ b/gorsefall/cmdline.py
@@ -4,9 +4,8 @@
 import pathlib
 import sys
 
-import msgspec
-
 import gorsefall
+from gorsefall import catalogue
 from gorsefall import errors
 from gorsefall import logs
 from gorsefall import publish
@@ -50,20 +49,21 @@
 
 
 def _catalogue(args):
-    if args.action == 'publish':
-        doc = catalogue_doc(args.file)
-        version = publish.publish(args.log,
-                                  doc,
-                                  author=args.author,
-                                  base=args.base)
-        print(f'accepted as version {version}')
+    if args.action == 'show':
+        sys.stdout.write(catalogue.to_toml(publish.current(args.log).doc))
         return 0
-    state = publish.current(args.log)
-    print(
-        msgspec.json.encode({
-            'version': state.version,
-            'doc': state.doc
-        }).decode())
+    if not args.file:
+        raise errors.CatalogueError('publish: name the catalogue file')
+    doc = catalogue_doc(args.file)
+    base = doc.version if args.base is None else args.base
+    if not base and publish.current(args.log).version:
+        # Based on nothing, the file would undo every change since it was
+        # written without anybody noticing.
+        raise errors.CatalogueError(
+            f'{args.file} names no version, and a catalogue is in force; '
+            'start from "gorsefall catalogue show" or pass --base')
+    version = publish.publish(args.log, doc, author=args.author, base=base)
+    print(f'accepted as version {version}')
     return 0
 
 
@@ -73,7 +73,6 @@
     Raises:
         errors.CatalogueError: Unreadable or invalid file.
     """
-    from gorsefall import catalogue
     try:
         text = pathlib.Path(path).read_text(encoding='utf-8')
     except OSError as exc:
@@ -121,7 +120,8 @@
     c.add_argument('--base',
                    type=int,
                    default=None,
-                   help='version the change is based on (default: current)')
+                   help='version the change is based on (default: the one '
+                   'the file names)')
     c.set_defaults(func=_catalogue)
 
     b = sub.add_parser('bench', help='send a burst mix and report by class')
--- a/gorsefall/entry/textjobs.py
+++ b/gorsefall/entry/textjobs.py
@@ -61,7 +61,7 @@
                                on_head=self._on_head,
                                on_data=self._on_data,
                                on_end=self._on_end,
-                               idle_s=self.app.cfg.entry.link_idle_s)
+                               idle_s=self.app.cfg.entry.stream_idle_s)
 
     def _on_head(self, status, headers):
         del headers
--- a/gorsefall/links.py
+++ b/gorsefall/links.py
@@ -13,6 +13,7 @@
 from circuits.web import parsers
 
 from gorsefall import errors
+from gorsefall import metrics
 
 IDLE_TICK_S = 0.1
 RECV_BYTES = 65536
@@ -61,13 +62,15 @@
         status: HTTP status of the reply, or None.
         sock: The socket, owned by ``Links``.
         out: Request bytes still to be sent.
+        route: First part of the path, to count bytes by.
     """
 
-    def __init__(self, links, addr, request, *, on_head, on_data, on_end,
+    def __init__(self, links, addr, request, *, route, on_head, on_data, on_end,
                  idle_s):
         self._links = links
         self.addr = addr
         self.out = request
+        self.route = route
         self._on_head = on_head
         self._on_data = on_data
         self._on_end = on_end
@@ -207,6 +210,7 @@
             call_.fail(exc.strerror)
             return
         call_.sent = True
+        metrics.LINK_BYTES.labels(call_.route, 'out').inc(n)
         call_.out = call_.out[n:]
         if not call_.out:
             self.poller().removeWriter(sock)
@@ -223,6 +227,7 @@
         except OSError as exc:
             call_.fail(exc.strerror)
             return
+        metrics.LINK_BYTES.labels(call_.route, 'in').inc(len(data))
         call_.feed(data)
 
     @core.handler('_disconnect')
@@ -287,6 +292,7 @@
     call_ = Call(links,
                  addr,
                  _request(addr, method, path, body),
+                 route=path.split('/')[1],
                  on_head=on_head,
                  on_data=on_data,
                  on_end=on_end,
--- a/gorsefall/metrics.py
+++ b/gorsefall/metrics.py
@@ -46,6 +46,10 @@
 CATALOGUE_VERSION = prom.Gauge('gorsefall_catalogue_version',
                                'Catalogue version in force here.',
                                registry=REGISTRY)
+LINK_BYTES = prom.Counter('gorsefall_link_bytes_total',
+                          'Bytes of calls to other processes, by first part '
+                          'of the path.', ('route', 'direction'),
+                          registry=REGISTRY)
 QUEUED = prom.Gauge('gorsefall_queued',
                     'Requests waiting, by pool.', ('pool',),
                     registry=REGISTRY)
--- a/gorsefall/settings.py
+++ b/gorsefall/settings.py
@@ -58,8 +58,10 @@
         queue_limit: Requests waiting for a replica, per entry.
         slots_per_replica: Requests a replica runs at once.
         pool_slots: The same by pool, where pools differ.
-        link_idle_s: Seconds without a byte from a back end before the
+        link_idle_s: Seconds without a byte from a plain service before the
             call is given up (a connection that went silent for good).
+        stream_idle_s: The same for engine streams, which carry a heartbeat
+            every 0.5 s.
     """
     name: str
     zone: str
@@ -83,6 +85,7 @@
     slots_per_replica: int = 16
     pool_slots: dict[str, int] = {}
     link_idle_s: float = 15.0
+    stream_idle_s: float = 3.0
 
 
 class Settings(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
--- a/gorsefall/standins/base.py
+++ b/gorsefall/standins/base.py
@@ -11,6 +11,9 @@
 
 MAX_BODY = 1 << 20
 
+UNDELAYED = ('/control', '/stats')
+"""Routes for tests; the delay switch leaves them alone."""
+
 
 class Faults(msgspec.Struct, kw_only=True):
     """Fault switches a test flips with ``POST /control``.
@@ -26,6 +29,7 @@
         stall: Engines stop stepping; streams go silent.
         slow: Engines emit tokens only every this many steps (a straggler).
         lag_s: Load reports, cache events and VM list lag this much, s.
+        max_appends_per_s: Log service: lowers its append limit (0 off).
         drop_events: Engines: share of cache events never published, 0..1.
         check_fence: Engines and services refuse stale fencing numbers.
     """
@@ -38,6 +42,7 @@
     stall: bool = False
     slow: int = 1
     lag_s: float = 0.0
+    max_appends_per_s: int = 0
     drop_events: float = 0.0
     check_fence: bool = True
 
@@ -116,7 +121,7 @@
                    replies.WEB_CHANNEL).register(self)
 
     def _is_control(self, res):
-        return res.request.path.startswith('/control')
+        return res.request.path.startswith(UNDELAYED)
 
 
 def serve(controller, addr, extra=()):
--- a/gorsefall/standins/logservice.py
+++ b/gorsefall/standins/logservice.py
@@ -67,7 +67,8 @@
         now = time.monotonic()
         while self._window and self._window[0] < now - 1.0:
             self._window.popleft()
-        if len(self._window) >= self.appends_per_s:
+        most = self.faults.max_appends_per_s or self.appends_per_s
+        if len(self._window) >= most:
             return replies.json_body(
                 self.response, {
                     'error': {
@@ -111,5 +112,8 @@
         return replies.json_body(self.response, {'start': self._starts[name]})
 
     def stats(self):
-        """GET /stats: calls and records so far, for the capacity bench."""
-        return replies.json_body(self.response, dict(self.totals))
+        """GET /stats: calls so far, and each stream's newest record."""
+        newest = {n: recs[-1] for n, recs in self._streams.items() if recs}
+        return replies.json_body(self.response, {
+            **self.totals, 'newest': newest
+        })
--- a/gorsefall/standins/vmlist.py
+++ b/gorsefall/standins/vmlist.py
@@ -24,9 +24,7 @@
         if self.request.method == 'POST':
             vm = replies.read_json(self.request, base.MAX_BODY,
                                    messages.VmEntry)
-            now = dict(self._history[-1][1])
-            now[vm.name] = vm
-            self._history.append((time.time(), now))
+            self._set({**self._history[-1][1], vm.name: vm})
             return replies.json_body(self.response, {'ok': True})
         cutoff = time.time() - self.faults.lag_s
         shown = {}
@@ -35,3 +33,14 @@
                 shown = snap
         return replies.json_body(
             self.response, [msgspec.structs.asdict(v) for v in shown.values()])
+
+    def drop(self, *args, **kwargs):
+        """POST /drop {"name"}: the list shows this VM no longer."""
+        name = replies.read_json(self.request, base.MAX_BODY).get('name')
+        now = dict(self._history[-1][1])
+        now.pop(name, None)
+        self._set(now)
+        return replies.json_body(self.response, {'ok': True})
+
+    def _set(self, now):
+        self._history.append((time.time(), now))
