--- /dev/null
+++ b/features/steps/level_steps.py
@@ -0,0 +1,197 @@
+"""Steps of the service levels feature."""
+
+import concurrent.futures
+import itertools
+import threading
+
+from behave import given
+from behave import then
+from behave import when
+from steps import common
+from steps import own_steps
+
+CUSTOMERS = (*own_steps.CUSTOMERS, 'partner-api', 'tour-desk')
+FAULTS = {
+    'is slow': {
+        'slow': 20
+    },
+    'crashes': {
+        'crash_after': 0
+    },
+    'is down': {
+        'outage': True
+    },
+}
+
+
+def _ask(context, klass, i, customer=None):
+    return common.chat(context,
+                       customer or CUSTOMERS[i % len(CUSTOMERS)],
+                       klass,
+                       prompt=f'{klass} {i}')
+
+
+def _start(context, klass, n):
+    pool = concurrent.futures.ThreadPoolExecutor(n)
+    futs = [pool.submit(_ask, context, klass, i) for i in range(n)]
+    pool.shutdown(wait=False)
+    return futs
+
+
+def _queue(context):
+    return own_steps.status(context)['queues'].get('llm', {})
+
+
+def _assert_whole(reply):
+    status, obj, _ = reply
+    assert status == 200, obj
+    words = obj['choices'][0]['message']['content'].split()
+    assert words == [f'w{i}' for i in range(len(words))] and words, words
+
+
+def _stats(context, key):
+    return {
+        n:
+            common.http('GET', common.standin(context, n), '/stats')
+            [1].get(key, 0) for n in own_steps.ENGINES
+    }
+
+
+@given('engines step at a tenth of their speed')
+def step_tenth(context):
+    for name in own_steps.ENGINES:
+        common.fault(context, name, slow=10)
+
+
+@given('the pool is full of driver notices and more wait')
+def step_full(context):
+    context.preempted = {p: _stats(context, f'preempted_{p}') for p in '1234'}
+    context.notices = _start(context, 'driver-notice', 110)
+    common.until(lambda: _queue(context).get('tier 4', 0) >= 10,
+                 'notices to wait')
+
+
+@when('{n:d} seat requests arrive at entry-a')
+def step_seats(context, n):
+    context.seats = _start(context, 'seat', n)
+
+
+@then('no seat request waits while notices do')
+def step_none_waits(context):
+
+    def urgent_first():
+        queue = _queue(context)
+        return own_steps.status(context)['running'] > 0 and \
+            'tier 1' not in queue and queue.get('tier 4', 0) > 0
+
+    common.until(urgent_first, 'seat requests to go first')
+
+
+@then('every seat request is answered whole')
+def step_seats_whole(context):
+    for fut in context.seats:
+        _assert_whole(fut.result(timeout=common.TIMEOUT_S))
+
+
+@then('only requests of priority 4 were preempted')
+def step_only_4(context):
+    now = {p: _stats(context, f'preempted_{p}') for p in '1234'}
+    for prio in '123':
+        assert now[prio] == context.preempted[prio], now
+    assert sum(now['4'].values()) > sum(context.preempted['4'].values())
+
+
+@then('every notice is answered whole in the end')
+def step_notices_whole(context):
+    for fut in context.notices:
+        _assert_whole(fut.result(timeout=60))
+
+
+@given('seat requests keep the pool full')
+def step_keep_full(context):
+    context.stop = threading.Event()
+    counter = itertools.count()
+
+    def loop():
+        while not context.stop.is_set():
+            if _ask(context, 'seat', next(counter))[0] != 200:
+                context.stop.wait(0.05)
+
+    context.loops = [threading.Thread(target=loop) for _ in range(110)]
+    for t in context.loops:
+        t.start()
+    common.until(lambda: _queue(context).get('tier 1', 0) > 0, 'a full pool')
+
+
+def _promoted(context):
+    text = common.http('GET', common.entry(context), '/metrics')[1]
+    return sum(
+        float(line.rsplit(' ', 1)[1])
+        for line in text.splitlines()
+        if line.startswith('gorsefall_promoted_total'))
+
+
+@when('a driver notice arrives at entry-a')
+def step_notice(context):
+    context.before = _promoted(context)
+    context.reply = _ask(context, 'driver-notice', 0, 'dispatcher')
+
+
+@then('the notice is answered whole while the seat requests go on')
+def step_notice_whole(context):
+    alive = all(t.is_alive() for t in context.loops)
+    context.stop.set()
+    for t in context.loops:
+        t.join(timeout=common.TIMEOUT_S)
+    assert alive
+    _assert_whole(context.reply)
+
+
+@then('it was promoted')
+def step_promoted(context):
+    assert _promoted(context) > context.before
+
+
+@when('"{many}" sends {n:d} seat requests at once and "{few}" sends {m:d}')
+def step_burst(context, many, n, few, m):
+    with concurrent.futures.ThreadPoolExecutor(n + m) as pool:
+        first = [pool.submit(_ask, context, 'seat', i, many) for i in range(n)]
+        second = [pool.submit(_ask, context, 'seat', i, few) for i in range(m)]
+        context.many = [f.result() for f in first]
+        context.few = [f.result() for f in second]
+
+
+@then('some of "{who}" are refused as "{code}" with a time to come back')
+def step_refused(context, who, code):
+    del who
+    refused = [r for r in context.many if r[0] == 429]
+    assert refused and len(refused) < len(context.many)
+    for _, obj, headers in refused:
+        assert obj['error']['code'] == code, obj
+        assert int(headers['Retry-After']) >= 1
+
+
+@then('all of "{who}" are answered')
+def step_few(context, who):
+    del who
+    for reply in context.few:
+        _assert_whole(reply)
+
+
+@given('the replica {name} {what}')
+def step_engine_fault(context, name, what):
+    common.fault(context, name, **FAULTS[what])
+
+
+@when('{n:d} seat requests are answered one after the other')
+def step_in_turn(context, n):
+    context.answers = _stats(context, 'answers')
+    for i in range(n):
+        _assert_whole(_ask(context, 'seat', i))
+
+
+@then('{name} answered at most {most:d} of them')
+def step_at_most(context, name, most):
+    now = _stats(context, 'answers')
+    got = {n: now[n] - context.answers[n] for n in now}
+    assert got[name] <= most and sum(got.values()) == 60, got
--- a/features/steps/own_steps.py
+++ b/features/steps/own_steps.py
@@ -196,7 +196,7 @@
 
     def fill():
         st = status(context)
-        if st['queues'].get('llm', 0) >= 20:
+        if sum(st['queues'].get('llm', {}).values()) >= 20:
             return True
         n = len(context.held)
         context.held += [_open_stream(context, n + i) for i in range(4)]
--- a/gorsefall/entry/app.py
+++ b/gorsefall/entry/app.py
@@ -1,5 +1,6 @@
 """Wires an entry process: routes, admission, watchers, drain on shutdown."""
 
+import collections
 import signal
 import time
 
@@ -268,7 +269,11 @@
                 'gap_ms': round(r.gap_s * 1000, 2)
             } for r in self.fleet.replicas.values()],
             'queues': {
-                p: len(a.waiting()) for p, a in self._admissions.items()
+                pool:
+                    dict(
+                        collections.Counter(f'tier {t.tier}'
+                                            for t in adm.waiting()))
+                for pool, adm in self._admissions.items()
             },
             'running': len(self.jobs),
             'ledger': {
--- a/gorsefall/standins/engine.py
+++ b/gorsefall/standins/engine.py
@@ -105,7 +105,7 @@
         self._steps = 0
         self._last = None
         self.orders = []
-        self.totals = collections.Counter(tokens_out=0)
+        self.totals = collections.Counter(tokens_out=0, answers=0)
 
     @core.handler('started', channel='*')
     def _on_started(self, component):
@@ -211,6 +211,7 @@
             self.response, {
                 'orders': self.orders,
                 'running': len(self._running),
+                'running_ids': list(self._running),
                 'waiting': len(self._waiting),
                 **self.totals
             })
@@ -350,6 +351,7 @@
         if seq.held and (ended or len(seq.held) >= self.event_tokens):
             self._flush(seq)
         if ended:
+            self.totals['answers'] += 1
             self._drop(seq)
             self._line(seq, messages.Event(done=True, reason='stop', n=seq.pos))
             seq.out.end()
