Control polls bounded: load reports by need, ledger on demand

The ledger alone was read five times a second for nothing, and one frozen replica held up all load reports until its 2 s idle timeout, as a round waited for every answer.

Change: each replica is asked on its own, every load_poll_s while it has requests of ours, else a quarter as often, at most load_polls_per_s (20) in all, longest unasked first; the ledger is read for claims and every 3 s; catalogue and peers every 1 s, idle peers every 4 s.

--- a/features/steps/level_steps.py
+++ b/features/steps/level_steps.py
@@ -65,6 +65,8 @@
 
 @given('the pool is full of driver notices and more wait')
 def step_full(context):
+    common.until(lambda: own_steps.status(context)['silent_peers'] == 0,
+                 'the entries to know each other')
     context.preempted = {p: _stats(context, f'preempted_{p}') for p in '1234'}
     context.notices = _start(context, 'driver-notice', 110)
     common.until(lambda: _queue(context).get('tier 4', 0) >= 10,
--- a/gorsefall/entry/app.py
+++ b/gorsefall/entry/app.py
@@ -79,7 +79,7 @@
         watchers.MembershipWatch(vm_addr, self.fleet,
                                  cfg.vm_poll_s).register(self)
         watchers.LoadWatch(self.fleet, self.entry_name, cfg.load_poll_s,
-                           self._on_reports).register(self)
+                           cfg.load_polls_per_s, self._on_report).register(self)
         peers.PeerWatch(self.fleet, self._limiter,
                         cfg.peer_poll_s).register(self)
         core.Timer(SWEEP_S, _Sweep(), self.channel, persist=True).register(self)
@@ -204,8 +204,8 @@
             if job is not None:
                 job.start()
 
-    def _on_reports(self):
-        for pool in list(self._admissions):
+    def _on_report(self, pool):
+        if pool in self._admissions:
             self._start(self.admission(pool).drain(time.monotonic()))
 
     @core.handler('entry_sweep')
@@ -250,6 +250,7 @@
             'draining': self.draining,
             'entries': self.fleet.shares.entries,
             'rank': self.fleet.shares.rank,
+            'silent_peers': self._limiter.silent,
             'catalogue': {
                 'version': state.version,
                 'offset': state.offset,
--- a/gorsefall/entry/ledger.py
+++ b/gorsefall/entry/ledger.py
@@ -3,6 +3,7 @@
 import collections
 import dataclasses
 import enum
+import math
 import time
 
 import msgspec
@@ -23,6 +24,7 @@
 MAX_REPLY_BYTES = 4096
 MAX_UNWRITTEN = 10000
 APPEND_IDLE_S = 1.5
+TICK_S = 0.2
 BUSY_STATUS = 429
 
 
@@ -56,7 +58,17 @@
     """
 
     def __init__(self, log_addr, entry_name, period_s, ttl_s):
-        super().__init__(period_s, channel='ledger-watch')
+        """Creates the task.
+
+        Args:
+            log_addr: ``(host, port)`` of the log service.
+            entry_name: Written into every record.
+            period_s: Seconds between reads while no claim is under way.
+            ttl_s: How long a key is remembered, s.
+        """
+        super().__init__(TICK_S, channel='ledger-watch')
+        self.idle_period_s = period_s
+        self._read_at = -math.inf
         self.log_addr = log_addr
         self.entry_name = entry_name
         self.state = claims.State(ttl_s)
@@ -169,6 +181,7 @@
     def poll(self):
         """Starts one read; see the class docstring."""
         self.busy = True
+        self._read_at = time.monotonic()
         for waiter in self._waiters.values():
             if waiter.written is _Written.LOST:
                 # Only a read that starts after the append was given up can
@@ -184,6 +197,15 @@
         if self._out and not self._appending:
             self._append()
 
+    def is_due(self):
+        """Reads only for a claim, or now and then to keep up.
+
+        Reading the whole time cost five calls a second for nothing: a claim
+        reads up to the stream's end anyway before it is decided.
+        """
+        idle_s = time.monotonic() - self._read_at
+        return bool(self._waiters) or idle_s >= self.idle_period_s
+
     def _get(self, start, limit, done):
         links.fetch_json(self,
                          self.log_addr,
--- a/gorsefall/entry/peers.py
+++ b/gorsefall/entry/peers.py
@@ -1,6 +1,7 @@
 """What the other entries use of the limits, read from each in turn."""
 
 import collections
+import math
 import time
 
 import msgspec
@@ -11,7 +12,8 @@
 from gorsefall.entry import watchers
 from gorsefall.policy import limits
 
-MAX_AGE_S = 2.0
+MAX_AGE_S = 5.0
+IDLE_PERIODS = 4
 IDLE_S = 1.0
 
 
@@ -36,12 +38,28 @@
         self.limiter = limiter
         self._reports = {}
         self._pending = 0
+        self._asked_at = -math.inf
         self._log = logs.get('peers')
 
+    def is_due(self):
+        """While this entry uses no limit, peers are asked less often.
+
+        Not asking at all made the first second of every burst meet the
+        fixed shares, as nothing was known of the peers.
+        """
+        unheard = self.fleet.peers.keys() - self._reports.keys()
+        if unheard or self.limiter.report(time.monotonic()):
+            return True
+        idle_s = time.monotonic() - self._asked_at
+        return idle_s >= (IDLE_PERIODS - 0.5) * self.period_s
+
     def poll(self):
         """Asks every peer once."""
         peers = self.fleet.peers
-        self._reports = {n: r for n, r in self._reports.items() if n in peers}
+        self._asked_at = time.monotonic()
+        self._reports = {
+            n: r for n, r in self._reports.items() if n in self.fleet.peers
+        }
         self._pending = len(peers)
         self.busy = bool(peers)
         for name, addr in peers.items():
--- a/gorsefall/entry/watchers.py
+++ b/gorsefall/entry/watchers.py
@@ -1,5 +1,6 @@
 """Background tasks of an entry: the catalogue, the VM list, load reports."""
 
+import math
 import random
 import time
 
@@ -16,6 +17,7 @@
 
 READ_LIMIT = 500
 LOAD_IDLE_S = 2.0
+IDLE_PERIODS = 4
 
 
 class _Tick(core.Event):
@@ -52,9 +54,13 @@
     @core.handler('watch_tick')
     def _on_tick(self):
         self.before_tick()
-        if not self.busy:
+        if not self.busy and self.is_due():
             self.poll()
 
+    def is_due(self):
+        """Whether a tick should start a poll."""
+        return True
+
     def before_tick(self):
         """Called on every tick; for work that does not wait for a poll."""
 
@@ -238,32 +244,47 @@
 
 
 class LoadWatch(Watcher):
-    """Reads each replica's load report into its ``routing.Replica``."""
+    """Reads replicas' load reports into their ``routing.Replica``.
+
+    A replica with requests of ours is asked every period, an idle one every
+    ``IDLE_PERIODS``, and no more than ``polls_per_s`` in all, the one asked
+    longest ago first: what an entry spends on this does not grow with the
+    number of replicas. Each replica is asked on its own; waiting for a
+    whole round let one frozen replica hold up all reports for 2 s.
+    """
 
-    def __init__(self, fleet, entry_name, period_s, on_reports):
+    def __init__(self, fleet, entry_name, period_s, polls_per_s, on_reports):
         """Creates the watcher.
 
         Args:
             fleet: The ``fleet.Fleet`` whose replicas are read.
             entry_name: This entry's name in the reports.
-            period_s: Seconds between reads.
-            on_reports: Called after each round of reads.
+            period_s: Seconds between reads of a busy replica.
+            polls_per_s: Most reads a second.
+            on_reports: Called after each report.
         """
         super().__init__(period_s, channel='load-watch')
         self.fleet = fleet
         self.entry_name = entry_name
+        self.polls_per_s = polls_per_s
         self._on_reports = on_reports
-        self._pending = 0
+        self._asked = {}
+        self._open = set()
 
     def poll(self):
-        """Starts one read of every replica; see the class docstring."""
-        replicas = [
-            r for r in self.fleet.replicas.values()
+        """Asks the replicas that are due; see the class docstring."""
+        now = time.monotonic()
+        live = {
+            r.name: r
+            for r in self.fleet.replicas.values()
             if r.state is not routing.ReplicaState.DOWN
-        ]
-        self._pending = len(replicas)
-        self.busy = bool(replicas)
-        for rep in replicas:
+        }
+        self._asked = {n: at for n, at in self._asked.items() if n in live}
+        due = [r for r in live.values() if self._is_due(r, now)]
+        due.sort(key=lambda r: self._asked.get(r.name, 0.0))
+        for rep in due[:max(1, int(self.polls_per_s * self.period_s))]:
+            self._asked[rep.name] = now
+            self._open.add(rep.name)
             links.fetch_json(self,
                              rep.addr,
                              'GET',
@@ -271,18 +292,23 @@
                              idle_s=LOAD_IDLE_S,
                              done=self._reader(rep))
 
+    def _is_due(self, rep, now):
+        if rep.name in self._open:
+            return False
+        age = now - self._asked.get(rep.name, -math.inf)
+        # The timer itself is a little late or early.
+        return rep.inflight > 0 or age >= (IDLE_PERIODS - 0.5) * self.period_s
+
     def _reader(self, rep):
 
         def done(status, obj, exc):
-            self._pending -= 1
-            self.busy = self._pending > 0
+            self._open.discard(rep.name)
             if exc is None and status == 200:
                 report = msgspec.convert(obj, messages.LoadReport)
                 rep.others = report.others(self.entry_name)
                 rep.reported_at = report.at
             elif exc is not None and not rep.failures:
                 rep.failed(time.monotonic())
-            if not self.busy:
-                self._on_reports()
+            self._on_reports(rep.pool)
 
         return done
--- a/gorsefall/settings.py
+++ b/gorsefall/settings.py
@@ -42,12 +42,15 @@
             bench.
         max_body_bytes: Largest caller body accepted, bytes.
         catalogue_poll_s: Seconds between reads of the catalogue stream.
-        load_poll_s: Seconds between load reports read from each replica.
+        load_poll_s: Seconds between load reports read from a busy replica;
+            idle ones are asked a quarter as often.
+        load_polls_per_s: Most load reports read a second, over all replicas.
         load_max_age_s: Load reports older than this are not trusted, s.
         vm_poll_s: Seconds between reads of the VM list.
         snapshot_s: Seconds after which an entry renews the newest catalogue
             snapshot; well below the log service's retention.
-        ledger_poll_s: Seconds between reads of the ledger stream.
+        ledger_poll_s: Seconds between reads of the ledger stream while no
+            claim is under way; a claim reads it at once.
         ledger_ttl_s: How long an idempotency key is remembered, s.
         lame_duck_s: Seconds at shutdown during which readiness is already
             503 but new requests are still served, until the balancer has
@@ -71,14 +74,15 @@
     entries: int = 1
     policy: str = 'tiers'
     max_body_bytes: int = 1 << 20
-    catalogue_poll_s: float = 0.5
+    catalogue_poll_s: float = 1.0
     load_poll_s: float = 0.5
+    load_polls_per_s: float = 20.0
     load_max_age_s: float = 3.0
     vm_poll_s: float = 1.0
     snapshot_s: float = 600.0
-    ledger_poll_s: float = 0.2
+    ledger_poll_s: float = 3.0
     ledger_ttl_s: float = 900.0
-    peer_poll_s: float = 0.5
+    peer_poll_s: float = 1.0
     lame_duck_s: float = 3.0
     drain_s: float = 30.0
     queue_limit: int = 2000
@@ -107,9 +111,9 @@
 
 
 _POSITIVE = ('entries', 'max_body_bytes', 'catalogue_poll_s', 'load_poll_s',
-             'load_max_age_s', 'vm_poll_s', 'snapshot_s', 'ledger_poll_s',
-             'ledger_ttl_s', 'peer_poll_s', 'drain_s', 'queue_limit',
-             'slots_per_replica', 'link_idle_s')
+             'load_polls_per_s', 'load_max_age_s', 'vm_poll_s', 'snapshot_s',
+             'ledger_poll_s', 'ledger_ttl_s', 'peer_poll_s', 'drain_s',
+             'queue_limit', 'slots_per_replica', 'link_idle_s')
 
 
 def _check_addr(key, text):
