--- a/gorsefall/errors.py
+++ b/gorsefall/errors.py
@@ -45,6 +45,43 @@
     status = 403
 
 
+class NoRouteError(BadRequestError):
+    """No route of the configuration in force matches the request."""
+    code = 'no_route'
+    status = 404
+
+
+class UnknownKeyError(BadRequestError):
+    """The request's key is missing or in no configuration in force."""
+    code = 'unknown_key'
+    status = 401
+
+
+class HeadTooLargeError(BadRequestError):
+    """The request head exceeds the configured limit in bytes."""
+    code = 'head_too_large'
+    status = 431
+
+
+class RecordError(GorsefallError):
+    """A record read from the shared log cannot be decoded."""
+    code = 'bad_record'
+
+
+class StoreError(GorsefallError):
+    """The platform's store refused, failed or did not answer.
+
+    Attributes:
+        forgotten: Whether it no longer keeps the records asked for.
+    """
+    code = 'store'
+    status = 503
+
+    def __init__(self, msg, forgotten=False):
+        super().__init__(msg)
+        self.forgotten = forgotten
+
+
 class NotRunError(GorsefallError):
     """The request was refused before dispatch: it certainly did not run.
 
@@ -86,6 +123,16 @@
     code = 'no_catalogue'
 
 
+class UnprovenError(NotRunError):
+    """The configuration was not confirmed lately: a key may be revoked."""
+    code = 'unproven'
+
+
+class ReplicaRefusedError(NotRunError):
+    """The replica says that it did not run the request."""
+    code = 'replica_refused'
+
+
 class DrainingError(NotRunError):
     """This entry process is shutting down and takes no new work."""
     code = 'draining'
@@ -110,6 +157,12 @@
     status = 502
 
 
+class TimedOutError(GorsefallError):
+    """The request's time passed after it was handed to a replica."""
+    code = 'timed_out'
+    status = 504
+
+
 class LinkError(GorsefallError):
     """A connection to another process failed, timed out or went silent."""
     code = 'link_error'
--- a/gorsefall/logs.py
+++ b/gorsefall/logs.py
@@ -1,13 +1,62 @@
 """JSON-line logs through structlog."""
 
 import logging
+import os
 import sys
 
 import structlog
 
+MAX_WAITING_BYTES = 1 << 20
+"""Log bytes that wait for a slow reader; more is left out and counted. A
+line has about 300 bytes, so this is some seconds of the busiest entry."""
 
-def setup(level='info'):
-    """Configures structlog to write one JSON object a line to stderr."""
+
+
+class BoundedWriter:
+    """Writes lines to a descriptor without ever waiting for its reader.
+
+    A reader of our output that stalls would otherwise stop the process with
+    the pipe full, and every request with it.
+
+    Attributes:
+        left_out: Lines that were left out.
+    """
+
+    def __init__(self, fd):
+        self._fd = fd
+        self._waiting = bytearray()
+        self.left_out = 0
+        os.set_blocking(fd, False)
+
+    def msg(self, line):
+        """Writes a line, or keeps or drops it when the reader is slow."""
+        if len(self._waiting) > MAX_WAITING_BYTES:
+            self.left_out += 1
+            self._flush()
+            return
+        if self.left_out:
+            note = f'{{"event": "log_left_out", "lines": {self.left_out}}}\n'
+            self._waiting += note.encode()
+            self.left_out = 0
+        self._waiting += line.encode() + b'\n'
+        self._flush()
+
+    log = debug = info = warning = warn = error = critical = exception = msg
+
+    def _flush(self):
+        try:
+            while self._waiting:
+                n = os.write(self._fd, self._waiting)
+                del self._waiting[:n]
+        except BlockingIOError:
+            # The rest goes out with a later line.
+            pass
+        except OSError:
+            # The reader is gone for good: nobody is left to tell.
+            self._waiting.clear()
+
+
+def _configure(level, factory):
     structlog.configure(
         processors=[
             structlog.contextvars.merge_contextvars,
@@ -18,11 +67,22 @@
         ],
         wrapper_class=structlog.make_filtering_bound_logger(
             logging.getLevelNamesMapping()[level.upper()]),
-        logger_factory=structlog.PrintLoggerFactory(file=sys.stderr),
+        logger_factory=factory,
         cache_logger_on_first_use=True,
     )
 
 
+def setup(level='info'):
+    """Configures structlog to write one JSON object a line to stderr."""
+    _configure(level, structlog.PrintLoggerFactory(file=sys.stderr))
+
+
+def setup_bounded(fd, level='info'):
+    """Configures structlog to write JSON lines to ``fd``, never blocking."""
+    writer = BoundedWriter(fd)
+    _configure(level, lambda *args: writer)
+
+
 def get(name):
     """Returns a logger bound to ``component=name``."""
     return structlog.get_logger().bind(component=name)
--- a/gorsefall/metrics.py
+++ b/gorsefall/metrics.py
@@ -55,6 +55,23 @@
                     registry=REGISTRY)
 
 
+_RELAY_LABELS = ('account', 'route')
+RELAYED = prom.Counter('gorsefall_relayed_total',
+                       'Forwarded requests by outcome.',
+                       (*_RELAY_LABELS, 'outcome'),
+                       registry=REGISTRY)
+RELAY_FIRST = prom.Histogram('gorsefall_relay_first_seconds',
+                             'Time to the first byte of an answer, s.',
+                             _RELAY_LABELS,
+                             buckets=_BUCKETS_S,
+                             registry=REGISTRY)
+RELAY_WHOLE = prom.Histogram('gorsefall_relay_whole_seconds',
+                             'Time to the end of an answer, s.',
+                             _RELAY_LABELS,
+                             buckets=_BUCKETS_S,
+                             registry=REGISTRY)
+
+
 def render():
     """Returns ``(body bytes, content type)`` for ``/metrics``."""
     return prom.generate_latest(REGISTRY), prom.CONTENT_TYPE_LATEST
--- /dev/null
+++ b/gorsefall/policy/budget.py
@@ -0,0 +1,67 @@
+"""How many requests an entry may send a second time.
+
+All entries share one allowance per service: a part of the requests for it
+plus a fixed number a window. An entry keeps to the same part of its own
+requests, whose sum can never be over the part of all, and to a small number
+of its own beside, so nobody has to be asked per retry.
+"""
+
+import collections
+import dataclasses
+
+SHARE = 0.7
+"""Part of the allowed ratio that is used: requests are counted by when they
+arrive, retries come later and may fall into a window with fewer requests."""
+
+EXPECTED_ENTRIES = 12
+"""Entries that divide the fixed number; twice the 6 to 7 of today's
+deployments, as entries are added and restarted ones start afresh."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Allowance:
+    """What all entries together may send beyond first tries.
+
+    Attributes:
+        ratio: Retries allowed for each request.
+        window_s: Window they are counted in, s.
+        slack: Retries allowed in a window beside the ratio.
+    """
+    ratio: float = 0.1
+    window_s: float = 10.0
+    slack: float = 10.0
+
+
+class Budget:
+    """One entry's retries to one service."""
+
+    def __init__(self, allowance):
+        self._allowance = allowance
+        self._firsts = collections.deque()
+        self._retries = collections.deque()
+
+    def first(self, now):
+        """Notes a request's first send at ``now``, s (monotonic)."""
+        self._expire(now)
+        self._firsts.append(now)
+
+    def room(self, now):
+        """Returns how many more retries may be sent now."""
+        self._expire(now)
+        a = self._allowance
+        allowed = (a.slack / EXPECTED_ENTRIES +
+                   SHARE * a.ratio * len(self._firsts))
+        return int(allowed - len(self._retries))
+
+    def take(self, now):
+        """Takes one retry; returns whether it may be sent."""
+        if self.room(now) < 1:
+            return False
+        self._retries.append(now)
+        return True
+
+    def _expire(self, now):
+        since = now - self._allowance.window_s
+        for times in (self._firsts, self._retries):
+            while times and times[0] <= since:
+                times.popleft()
--- /dev/null
+++ b/gorsefall/policy/health.py
@@ -0,0 +1,32 @@
+"""Leaving replicas that fail alone for a while, and trying them again."""
+
+EJECT_BASE_S = 0.5
+EJECT_MAX_S = 10.0
+
+
+class Health:
+    """Failures in a row of one replica, and until when it gets no work.
+
+    Attributes:
+        failures: Consecutive failed calls.
+        eject_until: No new work before this time, s (monotonic).
+    """
+    failures = 0
+    eject_until = 0.0
+
+    def failed(self, now):
+        """Notes a failed call and ejects the replica for a while.
+
+        Without it a crashing replica, being idle, looks least busy and
+        draws every next request (noticed as one replica with most of the
+        failed attempts). The time doubles with each failure in a row; after
+        it, the next request probes the replica.
+        """
+        self.failures += 1
+        pause = min(EJECT_MAX_S, EJECT_BASE_S * 2**(self.failures - 1))
+        self.eject_until = now + pause
+
+    def succeeded(self):
+        """Notes a whole answer: the replica is healthy again."""
+        self.failures = 0
+        self.eject_until = 0.0
--- /dev/null
+++ b/gorsefall/policy/placement.py
@@ -0,0 +1,143 @@
+"""Where a forwarded request goes: least expected wait, near its cached prompt.
+
+Every entry reads the same lagging load, so the entry's own sends since count
+in full, others' fade, and what is left equal is drawn by lot.
+"""
+
+import dataclasses
+import random
+
+import xxhash
+
+from gorsefall import ids
+from gorsefall.policy import health
+
+PROMPT_TOKENS_PER_MS = 56.9
+"""Prompt tokens an engine reads in a ms, from the engines' data sheet."""
+
+RUNNING_MS = 2.0
+"""What one more running request adds to the wait for a first token, ms: a
+step takes 3.1 ms and 0.1 ms a request, and about 20 steps pass."""
+
+CALL_MS = 22.5
+"""Work of a call to a plain service, ms, from the services' data sheet."""
+
+OTHER_ZONE_MS = 5.0
+"""What leaving the zone weighs, ms: two passes of 0.5 to 0.9 ms, and bytes
+between zones are paid for."""
+
+REPORT_FADE_S = 1.0
+"""Time over which what a replica said of its load loses its weight, s; the
+engines' answers of 20 to 60 events are over by then."""
+
+ERRORS_FORGIVEN = 0.3
+"""Share of answers that may be failures before a replica is avoided; some
+calls fail by themselves in one of seven."""
+
+ERRORS_MS = 2000.0
+"""What a replica that fails all requests weighs, ms."""
+
+ERRORS_SMOOTHING = 0.15
+
+
+@dataclasses.dataclass
+class Target(health.Health):
+    """What an entry knows of one replica that requests can go to.
+
+    Attributes:
+        name: Replica id.
+        zone: Its availability zone.
+        slots: Requests it runs at once.
+        engine: Whether it is a model engine.
+        outstanding: Own requests sent there and not ended.
+        pending_tokens: Prompt tokens of those without a first event.
+        others: Requests of other entries as of ``reported_at``.
+        reported_at: When its last load came, s (monotonic).
+        error_share: Smoothed share of failed answers, 0 to 1.
+        failures: See ``health.Health``.
+        eject_until: See ``health.Health``.
+    """
+    name: ids.ReplicaName
+    zone: ids.ZoneName
+    slots: int
+    engine: bool
+    outstanding: int = 0
+    pending_tokens: int = 0
+    others: int = 0
+    reported_at: float = float('-inf')
+    error_share: float = 0.0
+    failures: int = 0
+    eject_until: float = 0.0
+
+    def report(self, busy, now):
+        """Notes that the replica said it has ``busy`` requests."""
+        self.others = max(0, busy - self.outstanding)
+        self.reported_at = now
+
+    def answered(self, ok):
+        """Notes whether an answer was what the caller needed."""
+        self.error_share += ERRORS_SMOOTHING * ((not ok) - self.error_share)
+
+
+@dataclasses.dataclass(frozen=True)
+class Want:
+    """What placement needs to know of a request.
+
+    Attributes:
+        zone: Availability zone of the entry.
+        session: Name of the shared part its prompt goes on from; '' if none.
+        shared_tokens: Tokens up to the end of that part.
+        tokens: Tokens of the whole prompt.
+    """
+    zone: ids.ZoneName
+    session: str = ''
+    shared_tokens: int = 0
+    tokens: int = 0
+
+
+def home(targets, session):
+    """Returns the target that keeps a session's prompt, by rendezvous hash.
+
+    All entries find the same one without a message, and only the sessions
+    of a replica that left move.
+    """
+    return max(
+        targets,
+        key=lambda t: xxhash.xxh64_intdigest((session + t.name).encode()))
+
+
+def choose(targets, want, now, rng=random):
+    """Returns the best of ``targets``, or None when there is none.
+
+    Args:
+        targets: The ``Target`` objects that may take the request.
+        want: The ``Want``.
+        now: Time, s (monotonic).
+        rng: Source of the lot.
+    """
+    sound = [t for t in targets if t.eject_until <= now]
+    if not sound:
+        # All are ejected: a guess is better than refusing everything.
+        return min(targets, key=lambda t: t.eject_until, default=None)
+    # The home is found among all, so that a session returns to it as soon
+    # as it is sound again.
+    keeper = home(targets, want.session) if want.session else None
+    return min(sound,
+               key=lambda t: (cost_ms(t, want, now, t is keeper), rng.random()))
+
+
+def cost_ms(target, want, now, keeps_prompt):
+    """Returns the expected wait for the first event at ``target``, ms."""
+    weight = max(0.0, 1.0 - (now - target.reported_at) / REPORT_FADE_S)
+    busy = target.outstanding + weight * target.others
+    cost = 0.0 if target.zone == want.zone else OTHER_ZONE_MS
+    cost += ERRORS_MS * max(0.0, target.error_share - ERRORS_FORGIVEN)
+    if not target.engine:
+        return cost + busy * CALL_MS / max(1, target.slots)
+    tokens = target.pending_tokens + want.tokens
+    if keeps_prompt:
+        tokens -= want.shared_tokens
+    cost += tokens / PROMPT_TOKENS_PER_MS + busy * RUNNING_MS
+    if busy >= target.slots:
+        cost += (busy - target.slots + 1) * CALL_MS
+    return cost
--- a/gorsefall/policy/routing.py
+++ b/gorsefall/policy/routing.py
@@ -8,6 +8,7 @@
 import xxhash
 
 from gorsefall import ids
+from gorsefall.policy import health
 
 PREFIX_CHARS = 256
 """Characters of a prompt that decide where its shared part is cached."""
@@ -16,8 +17,6 @@
 """A replica this much busier than the least busy may still be chosen for a
 prefix-cache hit; more than that and load wins over the cache."""
 
-EJECT_BASE_S = 0.5
-EJECT_MAX_S = 10.0
 GAP_SMOOTHING = 0.1
 SLOW_RATIO = 3.0
 """A replica whose token gap is this many times the pool's median is a
@@ -32,7 +31,7 @@
 
 
 @dataclasses.dataclass
-class Replica:
+class Replica(health.Health):
     """What the entry knows of one back-end replica.
 
     Attributes:
@@ -86,23 +85,6 @@
         upto = slice(1, priority + 1)
         return sum(self.own[upto]) + weight * sum(self.others[upto])
 
-    def failed(self, now):
-        """Notes a failed call and ejects the replica for a while.
-
-        Without it a crashing replica, being idle, looks least busy and
-        draws every next request (noticed as one replica with most of the
-        failed attempts). The time doubles with each failure in a row; after
-        it, the next request probes the replica.
-        """
-        self.failures += 1
-        pause = min(EJECT_MAX_S, EJECT_BASE_S * 2**(self.failures - 1))
-        self.eject_until = now + pause
-
-    def succeeded(self):
-        """Notes a whole answer: the replica is healthy again."""
-        self.failures = 0
-        self.eject_until = 0.0
-
     def observe_gap(self, gap_s):
         """Adds one measured time between token events, s."""
         old = self.gap_s or gap_s
--- /dev/null
+++ b/gorsefall/relay/dialect.py
@@ -0,0 +1,35 @@
+"""The seam between the relay and a wire: how messages are spelled."""
+
+
+class Dialect:
+    """Decodes what callers and replicas send, encodes what they get."""
+
+    def decode_request(self, method, target, fields):
+        """Returns the ``model.CallerRequest`` of a request head.
+
+        Args:
+            method: HTTP method, bytes.
+            target: Path and query, bytes.
+            fields: ``model.Headers``.
+
+        Raises:
+            errors.BadRequestError: A header is missing or malformed.
+        """
+        raise NotImplementedError
+
+    def encode_request(self, req, order):
+        """Returns the header fields for a replica, a list of byte pairs.
+
+        Args:
+            req: The ``model.CallerRequest``.
+            order: The ``model.Order``.
+        """
+        raise NotImplementedError
+
+    def decode_answer(self, status, fields):
+        """Returns the ``model.Answer`` of a replica's answer head."""
+        raise NotImplementedError
+
+    def encode_answer(self, answer):
+        """Returns the header fields for the caller, a list of byte pairs."""
+        raise NotImplementedError
--- /dev/null
+++ b/gorsefall/relay/exchange.py
@@ -0,0 +1,539 @@
+"""One request from its caller to its final answer."""
+
+import contextlib
+import enum
+import random
+import time
+
+from gorsefall import errors
+from gorsefall import logs
+from gorsefall import metrics
+from gorsefall.policy import placement
+from gorsefall.relay import events
+from gorsefall.relay import model
+from gorsefall.relay import outbound
+from gorsefall.relay import routes
+
+ATTEMPT_SHARE = 0.4
+"""Part of the time left that an attempt which may be repeated waits for its
+answer to begin, before another replica is asked."""
+
+ATTEMPT_MIN_S = 0.15
+"""Shortest such wait, s: over three times the slowest usual call (110 ms is
+the longest on the services' data sheet, at five times the usual 22)."""
+
+STREAM_ATTEMPT_MIN_S = 1.2
+"""The same for streams, whose first event waits for its prompt to be read."""
+
+STREAM_GAP_S = 1.0
+"""Silence within a stream that may be resumed, after which another replica
+is asked, s: over twice the longest pause that callers take for on time."""
+
+RETRY_AFTER_S = (0.05, 0.25)
+"""Range a refused caller's return is spread over, s: what refuses is mostly
+one replica or one moment's queue, and a queue of 64 calls of 22 ms on 18
+places is worked off in 80 ms."""
+
+MAX_BUFFERED = 262144
+"""Answer bytes that are held back until the answer is whole. Over twice 110
+KB, the largest body of today's routes; more goes out as it comes."""
+
+
+class Phase(enum.Enum):
+    """Where an exchange stands."""
+    WAITING = 'waiting'
+    SENT = 'sent'
+    ANSWERING = 'answering'
+    DONE = 'done'
+
+
+class Outcome(enum.Enum):
+    """How an exchange ended."""
+    SERVED = 'served'
+    REPLICA_FAILED = 'replica_failed'
+    REFUSED = 'refused'
+    DENIED = 'denied'
+    UNKNOWN = 'outcome_unknown'
+    TIMED_OUT = 'timed_out'
+    BROKEN = 'broken_off'
+    CALLER_LEFT = 'caller_left'
+
+
+def _outcome(exc):
+    if isinstance(exc, errors.NotRunError):
+        return Outcome.REFUSED
+    if isinstance(exc, errors.BadRequestError):
+        return Outcome.DENIED
+    if isinstance(exc, errors.TimedOutError):
+        return Outcome.TIMED_OUT
+    return Outcome.UNKNOWN
+
+
+def error_answer(exc):
+    """Returns the ``(status, fields, body)`` of an error."""
+    body = f'{exc.code}: {exc}\n'.encode()
+    fields = [(b'Content-Type', b'text/plain; charset=utf-8')]
+    if isinstance(exc, errors.NotRunError):
+        fields.append((b'Retry-After', f'{exc.retry_after:.2f}'.encode()))
+    return exc.status, fields, body
+
+
+def spread_s():
+    """Returns a time after which a refused caller may return, s."""
+    return random.uniform(*RETRY_AFTER_S)
+
+
+class Attempt(outbound.Call):
+    """One send of an exchange's request to one replica."""
+
+    def __init__(self, exchange, replica, order):
+        req = exchange.req
+        fields = exchange.node.dialect.encode_request(req, order)
+        super().__init__(req.method, req.target, fields, req.body)
+        self._exchange = exchange
+        self._answer = None
+        self._buf = []
+        self._buffered = 0
+        self.replica = replica
+        self.began = time.monotonic()
+        self.channel = None
+        self.place = contextlib.ExitStack()
+        self.prompt_read = self.place.enter_context(
+            replica.occupied(req.prompt.tokens_in if req.prompt else 0))
+
+    def is_mine(self, status, fields):
+        """See ``outbound.Call``."""
+        answer = self._exchange.node.dialect.decode_answer(status, fields)
+        return (answer.request_id is None or
+                answer.request_id == self._exchange.req.id)
+
+    def on_head(self, status, fields):
+        """See ``outbound.Call``."""
+        self._answer = self._exchange.node.dialect.decode_answer(status, fields)
+        load = self._answer.load
+        if load is not None:
+            self.replica.target.report(load.running + load.waiting,
+                                       time.monotonic())
+        self._exchange.answer_began(self, self._answer)
+
+    def on_data(self, data):
+        """See ``outbound.Call``."""
+        self._exchange.answer_data(self, data)
+
+    def on_end(self):
+        """See ``outbound.Call``."""
+        self._exchange.answer_ended(self, self._answer)
+
+    def on_fail(self, failure):
+        """See ``outbound.Call``."""
+        self._exchange.attempt_failed(self, failure)
+
+
+class Exchange:
+    """Runs one caller request through replicas; owns its answer.
+
+    Attributes:
+        req: The ``model.CallerRequest``.
+        node: The ``node.Node`` it belongs to.
+        phase: A ``Phase``.
+        attempts: Replicas it was sent to, ids in order.
+    """
+
+    def __init__(self, node, req, reply):
+        self.node = node
+        self.req = req
+        self._reply = reply
+        self.phase = Phase.WAITING
+        self.attempts = []
+        self._tried = set()
+        self._attempt = None
+        self._answer = None
+        self._body = []
+        self._size = 0
+        self._splitter = None
+        self._streaming = False
+        self._may_have_run = False
+        self._route = None
+        self._account = None
+        self._service = None
+        self._arrived = time.monotonic()
+        self._first_at = None
+        self._deadline = None
+        self._deadline_timer = None
+        self._attempt_timer = None
+        self._log = logs.get('exchange').bind(rid=req.id)
+
+    # -- what may be done ------------------------------------------------------
+
+    def start(self):
+        """Decides on the request and sends it, or answers at once."""
+        try:
+            self._admit()
+        except errors.GorsefallError as exc:
+            self._fail(exc)
+            return
+        route = self._route
+        left = route.timeout_s
+        if self.req.time_left_s is not None:
+            left = min(left, self.req.time_left_s)
+        self._deadline = self._arrived + left
+        self._deadline_timer = self.node.loop.later(left, self._time_up)
+        self._try_next()
+
+    def _admit(self):
+        """Finds route and account in the configuration in force now.
+
+        Raises:
+            errors.NoCatalogueError: No configuration is known yet.
+            errors.BadRequestError: No route, or no valid key.
+            errors.UnprovenError: The key might be revoked by now.
+        """
+        table = self.node.table
+        if table is None:
+            # A process that knows nothing yet must not deny what may well
+            # be allowed: the caller would not try again.
+            raise errors.NoCatalogueError('no configuration read yet',
+                                          retry_after=spread_s())
+        route = table.match(self.req)
+        account = table.account(self.req, route)
+        if account is not None and not self.node.proof.valid():
+            raise errors.UnprovenError(
+                f'configuration {table.version} was last confirmed '
+                f'{self.node.proof.age_s():.2f} s ago',
+                retry_after=spread_s())
+        if self._route is not route:
+            self._route = route
+            self._service = routes.pick_service(route)
+        self._account = account
+
+    def _time_left(self):
+        return self._deadline - time.monotonic()
+
+    # -- sending ---------------------------------------------------------------
+
+    def _try_next(self):
+        try:
+            # Asked again before each send: while the request waited, its
+            # key may have been revoked or its route moved.
+            self._admit()
+            self._send(self._choose())
+        except errors.GorsefallError as exc:
+            self._fail(exc)
+
+    def _choose(self):
+        reps = self.node.fleet.candidates(self._service, self._tried)
+        if not reps:
+            raise self._nothing_left(f'no replica of {self._service} is left')
+        best = placement.choose([r.target for r in reps], self._want(),
+                                time.monotonic())
+        return next(r for r in reps if r.target is best)
+
+    def _want(self):
+        prompt = self.req.prompt
+        if prompt is None:
+            return placement.Want(zone=self.node.cfg.zone)
+        shared = prompt.parts[:-1]
+        return placement.Want(zone=self.node.cfg.zone,
+                              session=shared[-1][0] if shared else '',
+                              shared_tokens=sum(t for _, t in shared),
+                              tokens=prompt.tokens_in)
+
+    def _send(self, replica):
+        now = time.monotonic()
+        first = not self.attempts
+        if first:
+            self.node.budget(self._service).first(now)
+        self._tried.add(replica.record.id)
+        self.attempts.append(replica.record.id)
+        route, account = self._route, self._account
+        priority = route.priority
+        if account is not None and account.priority is not None:
+            priority = account.priority
+        order = model.Order(
+            replica=replica.record.id,
+            time_left_s=self._time_left(),
+            account=account.name if account else None,
+            priority=priority,
+            resume_after=self._splitter.last_id if self._splitter else None)
+        self.phase = Phase.SENT
+        self._attempt = Attempt(self, replica, order)
+        self._attempt.channel = replica.pool.send(self._attempt)
+        self._log.info('sent',
+                       replica=replica.record.id,
+                       service=self._service,
+                       attempt=len(self.attempts),
+                       outstanding=replica.target.outstanding,
+                       others=replica.target.others,
+                       version=self.node.table.version,
+                       proof_age_s=round(self.node.proof.age_s(), 3))
+        self._watch_attempt()
+
+    def _watch_attempt(self):
+        if not self._may_repeat():
+            return
+        floor = ATTEMPT_MIN_S
+        if self._route.kind is model.Kind.STREAM:
+            floor = STREAM_ATTEMPT_MIN_S
+        wait = max(floor, ATTEMPT_SHARE * self._time_left())
+        self._set_attempt_timer(wait)
+
+    def _set_attempt_timer(self, wait_s):
+        if self._attempt_timer is not None:
+            self._attempt_timer.cancel()
+        self._attempt_timer = self.node.loop.later(wait_s, self._attempt_silent)
+
+    def _may_repeat(self):
+        return (self._route.repeatable and
+                len(self.attempts) < self._route.max_attempts)
+
+    def _attempt_silent(self):
+        # A replica that hangs, or a channel that something between the ends
+        # lost track of, shows no error. Asking another replica while there
+        # is time serves the caller; the budget keeps that from doubling the
+        # load when all of them are slow.
+        attempt = self._attempt
+        if attempt is None or not self._may_repeat():
+            return
+        budget = self.node.budget(self._service)
+        if budget.room(time.monotonic()) < 1:
+            return
+        attempt.channel.cancel()
+        self.attempt_failed(attempt, outbound.Failure(True, 'silent'))
+
+    # -- what a replica answers ------------------------------------------------
+
+    def answer_began(self, attempt, answer):
+        """Called with the head of an answer."""
+        self._answer = answer
+        if self._splitter is not None and not self._acceptable(answer):
+            # The rest of a stream that has begun can only be more events.
+            self._streaming = False
+            return
+        if (self._route.kind is model.Kind.STREAM and answer.success and
+                answer.genuine):
+            self._streaming = True
+            self._splitter = self._splitter or events.Splitter()
+            self._splitter.rest = b''
+
+    def _acceptable(self, answer):
+        return answer.success and answer.genuine
+
+    def answer_data(self, attempt, data):
+        """Called with a piece of an answer's body."""
+        if self._first_at is None:
+            self._first_at = time.monotonic()
+        attempt.prompt_read()
+        if self._streaming:
+            self._pass_on(attempt, self._splitter.feed(data))
+            return
+        self._body.append(data)
+        self._size += len(data)
+        if self._size > MAX_BUFFERED:
+            self._attempt.channel.cancel()
+            self.attempt_failed(
+                attempt,
+                outbound.Failure(True, f'answer over {MAX_BUFFERED} bytes'))
+
+    def _pass_on(self, attempt, data):
+        if not data:
+            return
+        if self._may_repeat():
+            self._set_attempt_timer(STREAM_GAP_S)
+        if not self._reply.started:
+            self.phase = Phase.ANSWERING
+            self._reply.head(self._answer.status,
+                             self.node.dialect.encode_answer(self._answer))
+        if not self._reply.data(data):
+            attempt.channel.pause()
+
+    def caller_drained(self):
+        """Called when the caller has taken all that was sent to it."""
+        if self._attempt is not None:
+            self._attempt.channel.resume()
+
+    def answer_ended(self, attempt, answer):
+        """Called when an answer is whole."""
+        self._close_attempt(attempt)
+        now = time.monotonic()
+        health = attempt.replica.target
+        if answer.not_run:
+            self._log.info('not_run',
+                           replica=attempt.replica.record.id,
+                           status=answer.status,
+                           load=answer.load)
+            self._again_or(
+                errors.ReplicaRefusedError(
+                    f'the replica refused it ({answer.status})',
+                    retry_after=spread_s()), 'not run')
+            return
+        health.succeeded()
+        health.answered(answer.success)
+        self._may_have_run = True
+        if answer.success and not answer.genuine:
+            health.failed(now)
+            self._again_or(self._unknown('its answer is not its own'),
+                           'not genuine')
+        elif self._streaming:
+            self._end_stream()
+        elif self._splitter is not None:
+            self._again_or(self._unknown(f'resuming gave {answer.status}'),
+                           'not resumed')
+        elif not answer.success and self._take_retry():
+            self._log.info('retry', reason=f'status {answer.status}')
+            self._restart()
+        else:
+            self._pass_whole(answer)
+
+    def _end_stream(self):
+        if not self._reply.started:
+            self._reply.head(self._answer.status,
+                             self.node.dialect.encode_answer(self._answer))
+        if self._splitter.rest:
+            self._reply.data(self._splitter.rest)
+        self._reply.end()
+        self._close(Outcome.SERVED)
+
+    def _pass_whole(self, answer):
+        self._reply.whole(answer.status,
+                          self.node.dialect.encode_answer(answer),
+                          b''.join(self._body))
+        self._close(Outcome.SERVED if answer.success else Outcome.
+                    REPLICA_FAILED)
+
+    def attempt_failed(self, attempt, failure):
+        """Called when an attempt ended without a whole answer."""
+        self._close_attempt(attempt)
+        now = time.monotonic()
+        attempt.replica.target.failed(now)
+        self._log.info('attempt_failed',
+                       replica=attempt.replica.record.id,
+                       reason=failure.reason,
+                       sent=failure.sent,
+                       after_ms=round((now - attempt.began) * 1000, 1))
+        if not failure.sent:
+            # Never connected: nothing reached the replica, so this was no
+            # attempt at all.
+            self.attempts.pop()
+            self._restart()
+            return
+        self._may_have_run = True
+        self._again_or(self._unknown(failure.reason), failure.reason)
+
+    def _unknown(self, reason):
+        return errors.OutcomeUnknownError(
+            f'{self.attempts[-1]} may have run it: {reason}')
+
+    def _nothing_left(self, why):
+        if self._may_have_run:
+            return errors.OutcomeUnknownError(why)
+        return errors.NoReplicaError(why, retry_after=spread_s())
+
+    def _take_retry(self, *, not_run=False):
+        """Whether the request may be sent once more; takes it if so."""
+        if len(self.attempts) >= self._route.max_attempts:
+            return False
+        if not (not_run or self._route.repeatable):
+            return False
+        return self.node.budget(self._service).take(time.monotonic())
+
+    def _again_or(self, exc, reason):
+        not_run = (isinstance(exc, errors.NotRunError) and
+                   not self._may_have_run)
+        if self._take_retry(not_run=not_run):
+            self._log.info('retry', reason=reason)
+            self._restart()
+            return
+        if isinstance(exc, errors.NotRunError) and self._may_have_run:
+            # An earlier attempt may have run: "not run" would be false.
+            exc = self._unknown(reason)
+        self._fail(exc)
+
+    def _restart(self):
+        self._answer = None
+        self._streaming = False
+        self._body.clear()
+        self._size = 0
+        self._try_next()
+
+    # -- endings ---------------------------------------------------------------
+
+    def caller_left(self):
+        """The caller's channel ended: stops the replica's work."""
+        self._drop_attempt()
+        self._close(Outcome.CALLER_LEFT)
+
+    def _time_up(self):
+        self._drop_attempt()
+        if self._may_have_run:
+            self._fail(errors.TimedOutError('no whole answer in time'))
+        else:
+            self._fail(
+                errors.DeadlineError('could not be sent in time',
+                                     retry_after=spread_s()))
+
+    def cut(self):
+        """Ends the exchange because the process ends."""
+        self._drop_attempt()
+        self._fail(
+            self._unknown('the entry is shutting down') if self._may_have_run
+            else errors.DrainingError('the entry is shutting down'))
+
+    def _drop_attempt(self):
+        attempt = self._attempt
+        if attempt is not None:
+            # Whether the replica had begun cannot be known.
+            self._may_have_run = True
+            attempt.channel.cancel()
+            self._close_attempt(attempt)
+
+    def _close_attempt(self, attempt):
+        attempt.place.close()
+        self._attempt = None
+        if self._attempt_timer is not None:
+            self._attempt_timer.cancel()
+
+    def _fail(self, exc):
+        """Gives the caller its final answer ``exc`` now."""
+        if self.phase is Phase.DONE:
+            return
+        if self._reply.started:
+            self._reply.break_off()
+            self._close(Outcome.BROKEN, exc)
+            return
+        self._reply.whole(*error_answer(exc))
+        self._close(_outcome(exc), exc)
+
+    def _close(self, outcome, exc=None):
+        if self.phase is Phase.DONE:
+            return
+        self.phase = Phase.DONE
+        if self._deadline_timer is not None:
+            self._deadline_timer.cancel()
+        now = time.monotonic()
+        route = self._route
+        labels = (self._account.name if self._account else '',
+                  route.name if route else '')
+        metrics.RELAYED.labels(*labels, outcome.value).inc()
+        if outcome is Outcome.SERVED:
+            metrics.RELAY_FIRST.labels(*labels).observe(self._first_at -
+                                                        self._arrived)
+            metrics.RELAY_WHOLE.labels(*labels).observe(now - self._arrived)
+        self._log.info(
+            'answered',
+            outcome=outcome.value,
+            error=str(exc) if exc else None,
+            code=exc.code if exc else None,
+            route=route.name if route else None,
+            kind=route.kind.value if route else None,
+            account=labels[0],
+            attempts=self.attempts,
+            first_ms=self._since(self._first_at),
+            ms=self._since(now),
+            version=self.node.table.version if self.node.table else None,
+            proof_age_s=round(self.node.proof.age_s(), 3))
+        self.node.exchange_done(self)
+
+    def _since(self, when):
+        if when is None:
+            return None
+        return round((when - self._arrived) * 1000, 1)
--- /dev/null
+++ b/gorsefall/relay/fleet.py
@@ -0,0 +1,172 @@
+"""The replicas an entry may send to, from the replicas' own records."""
+
+import contextlib
+
+from gorsefall import logs
+from gorsefall.policy import placement
+from gorsefall.relay import model
+from gorsefall.relay import outbound
+
+CONNECT_TIMEOUT_S = 0.25
+"""Longest time to connect to a replica, s; a way there and back takes 2 ms,
+and the shortest callers wait 600 ms in all."""
+
+CONNECTION_SHARE = 1 / 6
+"""Part of a replica's connections that one entry may hold; there are 6 to 7
+entries, which are rarely at their cap at once."""
+
+ABSENT_S = 2.2
+"""Time after the store's return in which replicas whose records lapsed
+meanwhile write them again, s; the store's operators name 2 s."""
+
+
+class Replica:
+    """A replica, its connections and what placement knows of it.
+
+    Attributes:
+        record: Its newest ``model.ReplicaRecord``.
+        target: Its ``placement.Target``.
+        pool: Its ``outbound.Pool``.
+        doubtful: Its record lapsed while the store was away: it may have
+            left, or may just not have been able to write.
+    """
+
+    def __init__(self, loop, record, service):
+        self.record = record
+        self.doubtful = False
+        self.target = placement.Target(name=record.id,
+                                       zone=record.zone,
+                                       slots=record.slots,
+                                       engine=service.engine)
+        cap = max(2, int(service.max_connections * CONNECTION_SHARE))
+        self.pool = outbound.Pool(loop,
+                                  record.addr,
+                                  cap=cap,
+                                  connect_timeout_s=CONNECT_TIMEOUT_S)
+
+    @contextlib.contextmanager
+    def occupied(self, tokens):
+        """Counts one request in flight; ``tokens`` as prompt to be read.
+
+        Yields:
+            A function to call when the first event came: the prompt is read.
+        """
+        left = [tokens]
+
+        def prompt_read():
+            self.target.pending_tokens -= left[0]
+            left[0] = 0
+
+        self.target.outstanding += 1
+        self.target.pending_tokens += tokens
+        try:
+            yield prompt_read
+        finally:
+            prompt_read()
+            self.target.outstanding -= 1
+
+
+class Fleet:
+    """All replicas by id.
+
+    Attributes:
+        replicas: ``id -> Replica``.
+    """
+
+    def __init__(self, loop):
+        self._loop = loop
+        self._records = {}
+        self._services = {}
+        self._away = False
+        self._doubt_until = float('-inf')
+        self._log = logs.get('fleet')
+        self.replicas = {}
+
+    def services_changed(self, services):
+        """Adopts the ``name -> model.Service`` of a new configuration."""
+        self._services = services
+        for record in self._records.values():
+            self._refresh(record)
+
+    def put(self, record):
+        """Adopts a replica's record."""
+        old = self._records.get(record.id)
+        self._records[record.id] = record
+        self._refresh(record)
+        if old is None or old.status is not record.status:
+            self._log.info('replica_seen',
+                           replica=record.id,
+                           service=record.service,
+                           zone=record.zone,
+                           status=record.status.value)
+
+    def _refresh(self, record):
+        rep = self.replicas.get(record.id)
+        if rep is not None:
+            rep.record = record
+            rep.doubtful = False
+        elif record.service in self._services:
+            self.replicas[record.id] = Replica(self._loop, record,
+                                               self._services[record.service])
+
+    def remove(self, replica_id, now):
+        """Drops a replica whose record is gone.
+
+        While the store was away no replica could write, and records lapsed
+        of replicas that live on. Dropping those at once would leave no
+        replica to send to (noticed as refusals just after an outage), so
+        they stay as a last resort until they had time to write again.
+        """
+        rep = self.replicas.get(replica_id)
+        self._records.pop(replica_id, None)
+        if rep is None:
+            return
+        if self._away or now < self._doubt_until:
+            rep.doubtful = True
+            self._log.info('replica_doubtful', replica=replica_id)
+            return
+        self._drop(replica_id, 'record gone')
+
+    def reset(self, records, now):
+        """Adopts a whole new listing of records."""
+        for record in records:
+            self.put(record)
+        for replica_id in set(self._records) - {r.id for r in records}:
+            self.remove(replica_id, now)
+
+    def store_lost(self):
+        """Notes that the store does not answer."""
+        self._away = True
+
+    def store_back(self, now):
+        """Notes that the store answers again."""
+        if self._away:
+            self._away = False
+            self._doubt_until = now + ABSENT_S
+            self._loop.later(ABSENT_S, self._settle)
+
+    def _settle(self):
+        if self._away:
+            return
+        for replica_id, rep in list(self.replicas.items()):
+            if rep.doubtful:
+                self._drop(replica_id, 'record not back after an outage')
+
+    def _drop(self, replica_id, reason):
+        rep = self.replicas.pop(replica_id)
+        rep.pool.close()
+        self._log.info('replica_gone', replica=replica_id, reason=reason)
+
+    def candidates(self, service, exclude):
+        """Returns the replicas of ``service`` that may get new work.
+
+        Args:
+            service: Service name.
+            exclude: Ids already tried for the request.
+        """
+        live = [
+            r for r in self.replicas.values()
+            if r.record.service == service and r.record.id not in exclude and
+            r.record.status is model.ReplicaStatus.READY and not r.pool.full()
+        ]
+        return [r for r in live if not r.doubtful] or live
--- /dev/null
+++ b/gorsefall/relay/inbound.py
@@ -0,0 +1,287 @@
+"""HTTP/1.1 from callers: reads requests, writes answers, notices who left."""
+
+import h11
+
+from gorsefall import errors
+from gorsefall.relay import model
+from gorsefall.relay import tcp
+
+MAX_PENDING_BYTES = 65536
+"""Unsent answer bytes above which the replica's stream is paused, and bytes
+of later requests that are read ahead."""
+
+_HOP_BY_HOP = frozenset((b'connection', b'keep-alive', b'proxy-connection',
+                         b'te', b'trailer', b'transfer-encoding', b'upgrade'))
+
+
+def end_to_end(fields):
+    """Returns the ``(name, value)`` fields that concern more than one hop.
+
+    Args:
+        fields: A ``model.Headers``.
+    """
+    drop = set(_HOP_BY_HOP)
+    for name, value in fields.items:
+        if name.lower() == b'connection':
+            drop.update(token.strip().lower() for token in value.split(b','))
+    return [(n, v) for n, v in fields.items if n.lower() not in drop]
+
+
+class Reply:
+    """What an exchange uses to answer its caller; at most one answer.
+
+    Attributes:
+        started: Whether the head was sent.
+        done: Whether the answer ended, whole or broken off.
+    """
+
+    def __init__(self, conn):
+        self._conn = conn
+        self.started = False
+        self.done = False
+
+    def whole(self, status, fields, body):
+        """Sends a whole answer; ``fields`` are byte pairs."""
+        if not self.done:
+            self.started = self.done = True
+            self._conn.send_head(status, fields, len(body))
+            self._conn.send_body(body)
+            self._conn.end()
+
+    def head(self, status, fields):
+        """Starts an answer whose length is not known."""
+        self.started = True
+        self._conn.send_head(status, fields, None)
+
+    def data(self, data):
+        """Sends a piece; returns whether the caller keeps up."""
+        self._conn.send_body(data)
+        return self._conn.keeps_up()
+
+    def end(self):
+        """Ends an answer that was started with ``head``."""
+        if not self.done:
+            self.done = True
+            self._conn.end()
+
+    def break_off(self):
+        """Ends the channel so that the answer cannot look complete."""
+        if not self.done:
+            self.done = True
+            self._conn.break_off()
+
+
+class Channel:
+    """One caller's channel.
+
+    The server object it belongs to gives ``limits``, ``draining`` and
+    ``begin(head, body, reply)``, which returns an exchange with
+    ``caller_left()`` and ``caller_drained()``, or None when it has answered.
+    """
+
+    def __init__(self, loop, server, sock):
+        self._loop = loop
+        self._server = server
+        self._body = bytearray()
+        self._head = None
+        self._exchange = None
+        self._answering = False
+        self._closing = False
+        self._timer = None
+        self._limits = server.limits
+        self._h11 = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=self._limits.header_bytes)
+        self._conn = tcp.Connection(loop, self, sock)
+        self._expect(self._limits.idle_timeout_s)
+
+    @property
+    def idle(self):
+        """Whether no request is being read or answered."""
+        return (not self._answering and self._head is None and
+                not self._h11.trailing_data[0])
+
+    def on_connected(self):
+        """See ``tcp.Connection``; callers connect to us."""
+
+    def on_bytes(self, data):
+        """See ``tcp.Connection``."""
+        if not data:
+            self._gone()
+            return
+        if self._closing:
+            return
+        if self.idle and not self._answering:
+            self._expect(self._limits.header_timeout_s)
+        try:
+            self._h11.receive_data(data)
+            self._advance()
+        except h11.RemoteProtocolError as exc:
+            self._reject(exc)
+
+    def on_broken(self, reason):
+        """See ``tcp.Connection``."""
+        del reason
+        self._gone()
+
+    def on_drained(self):
+        """See ``tcp.Connection``."""
+        if self._closing and not self._answering:
+            self.close()
+        elif self._exchange is not None:
+            self._exchange.caller_drained()
+
+    # -- reading ---------------------------------------------------------------
+
+    def _advance(self):
+        while (not self._answering and not self._closing and self._conn.open):
+            event = self._h11.next_event()
+            if event is h11.NEED_DATA:
+                if self._h11.they_are_waiting_for_100_continue:
+                    self._conn.write(
+                        self._h11.send(
+                            h11.InformationalResponse(status_code=100,
+                                                      headers=[])))
+                return
+            if isinstance(event, h11.Request):
+                self._on_head(event)
+            elif isinstance(event, h11.Data):
+                self._on_data(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                self._on_request()
+            else:
+                return
+        if len(self._h11.trailing_data[0]) > MAX_PENDING_BYTES:
+            self._conn.pause()
+
+    def _on_head(self, event):
+        self._limits = self._server.limits
+        self._head = event
+        length = dict(event.headers).get(b'content-length')
+        if length and int(length) > self._limits.body_bytes:
+            self._refuse(
+                errors.BodyTooLargeError(
+                    f'body over {self._limits.body_bytes} bytes'))
+
+    def _on_data(self, data):
+        self._body += data
+        if len(self._body) > self._limits.body_bytes:
+            self._refuse(
+                errors.BodyTooLargeError(
+                    f'body over {self._limits.body_bytes} bytes'))
+
+    def _on_request(self):
+        head, body = self._head, bytes(self._body)
+        self._head = None
+        self._body.clear()
+        self._answering = True
+        self._cancel_timer()
+        fields = model.headers(head.headers.raw_items())
+        exchange = self._server.begin(head.method, head.target, fields, body,
+                                      Reply(self))
+        if self._answering:
+            self._exchange = exchange
+
+    def _reject(self, exc):
+        if self._answering:
+            # What follows the request is malformed; its answer still goes
+            # out, and the channel ends with it.
+            self._closing = True
+            return
+        kind = (errors.HeadTooLargeError
+                if exc.error_status_hint == 431 else errors.BadRequestError)
+        self._refuse(kind(f'malformed request: {exc}'))
+
+    def _refuse(self, exc):
+        """Answers a request that was not read whole, and closes."""
+        self._answering = self._closing = True
+        self._head = None
+        Reply(self).whole(*self._server.error_answer(exc))
+
+    # -- writing ---------------------------------------------------------------
+
+    def send_head(self, status, fields, length):
+        """Sends an answer head; ``length`` None means in chunks."""
+        out = list(fields)
+        if length is not None:
+            out.append((b'Content-Length', str(length).encode()))
+        elif self._h11.their_http_version >= b'1.1':
+            out.append((b'Transfer-Encoding', b'chunked'))
+        if self._server.draining or self._closing:
+            out.append((b'Connection', b'close'))
+        self._conn.write(
+            self._h11.send(h11.Response(status_code=status, headers=out)))
+
+    def send_body(self, data):
+        """Sends a piece of the answer's body."""
+        self._conn.write(self._h11.send(h11.Data(data=data)))
+
+    def keeps_up(self):
+        """Returns whether the caller reads as fast as it is sent to."""
+        return self._conn.unsent < MAX_PENDING_BYTES
+
+    def end(self):
+        """Ends the answer; reads the next request or closes."""
+        self._conn.write(self._h11.send(h11.EndOfMessage()))
+        self._answering = False
+        self._exchange = None
+        if not self._conn.open:
+            return
+        if (self._closing or self._h11.our_state is not h11.DONE or
+                self._h11.their_state is not h11.DONE):
+            self._closing = True
+            if not self._conn.unsent:
+                self.close()
+            return
+        self._h11.start_next_cycle()
+        self._expect(self._limits.idle_timeout_s)
+        self._conn.resume()
+        if self._h11.trailing_data[0]:
+            self._loop.later(0, self._resume)
+
+    def _resume(self):
+        try:
+            if self._conn.open:
+                self._advance()
+        except h11.RemoteProtocolError as exc:
+            self._reject(exc)
+
+    def break_off(self):
+        """Resets the channel in the middle of an answer."""
+        self._answering = False
+        self._exchange = None
+        self._conn.abort()
+        self._left()
+
+    def close(self):
+        """Closes the channel, which has nothing left to send."""
+        self._conn.close()
+        self._left()
+
+    # -- ends ------------------------------------------------------------------
+
+    def _gone(self):
+        exchange, self._exchange = self._exchange, None
+        self._answering = False
+        self._conn.close()
+        self._left()
+        if exchange is not None:
+            exchange.caller_left()
+
+    def _left(self):
+        self._cancel_timer()
+        self._server.channel_closed(self)
+
+    def _expect(self, timeout_s):
+        self._cancel_timer()
+        self._timer = self._loop.later(timeout_s, self._quiet)
+
+    def _cancel_timer(self):
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _quiet(self):
+        # Nothing was handed on: a caller that sends half a request and
+        # falls silent must not hold a descriptor for good.
+        if not self._answering:
+            self.close()
--- /dev/null
+++ b/gorsefall/relay/model.py
@@ -0,0 +1,245 @@
+"""What the relay knows of requests, answers, routes and replicas."""
+
+import dataclasses
+import enum
+import typing
+
+from gorsefall import ids
+
+
+class Kind(enum.Enum):
+    """What may be repeated on a route."""
+    IDEMPOTENT = 'idempotent'
+    NON_IDEMPOTENT = 'non_idempotent'
+    STREAM = 'stream'
+
+
+class ReplicaStatus(enum.Enum):
+    """A replica as its own record says."""
+    READY = 'ready'
+    DRAINING = 'draining'
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Route:
+    """Where requests of one host and path prefix go, and on what terms.
+
+    Attributes:
+        name: Route name.
+        host: Host the route belongs to, lowercase.
+        prefix: Path prefix, begins and ends with a slash.
+        kind: What may be repeated.
+        timeout_s: Longest time a caller is kept waiting, s.
+        target_s: Time to the answer, or its first event, for full worth, s.
+        priority: Rank, 0 is the most urgent.
+        services: ``(service, weight)`` pairs the route's requests go to.
+        max_attempts: Replicas one request may be sent to.
+        public: Whether requests need no key.
+        resumable: Whether a broken stream may go on at another replica.
+        model: Whether its requests carry prompts that replicas cache.
+    """
+    name: str
+    host: str
+    prefix: str
+    kind: Kind
+    timeout_s: float
+    target_s: float
+    priority: int
+    services: tuple[tuple[ids.ServiceName, float], ...]
+    max_attempts: int = 1
+    public: bool = False
+    resumable: bool = False
+    model: bool = False
+
+    @property
+    def repeatable(self):
+        """Whether a request may run a second time from its start."""
+        return self.kind is Kind.IDEMPOTENT or self.resumable
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Service:
+    """A group of replicas.
+
+    Attributes:
+        name: Service name.
+        max_connections: Connections one replica accepts from all entries.
+        engine: Whether its replicas are model engines.
+    """
+    name: ids.ServiceName
+    max_connections: int
+    engine: bool = False
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class CallerLimits:
+    """Bounds on what a caller may send and how long it may take.
+
+    Attributes:
+        header_bytes: Largest request head, bytes.
+        body_bytes: Largest request body, bytes.
+        header_timeout_s: Longest time for a request head, s.
+        idle_timeout_s: Longest quiet time between requests, s.
+    """
+    header_bytes: int = 16384
+    body_bytes: int = 4 << 20
+    header_timeout_s: float = 5.0
+    idle_timeout_s: float = 15.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Account:
+    """A client account.
+
+    Attributes:
+        name: Its name, which replicas are told.
+        priority: Rank of all its requests; None leaves it to the route.
+    """
+    name: ids.AccountName
+    priority: int | None = None
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ReplicaRecord:
+    """What a replica writes of itself.
+
+    Attributes:
+        id: Names one start of one replica; never used twice.
+        service: Service it belongs to.
+        addr: ``(host, port)``; may be used again by another replica later.
+        zone: Availability zone.
+        slots: Requests it runs at once.
+        status: A ``ReplicaStatus``.
+        warm_in_s: How much longer it stays slow after its start, s.
+    """
+    id: ids.ReplicaName
+    service: ids.ServiceName
+    addr: tuple[str, int]
+    zone: ids.ZoneName
+    slots: int
+    status: ReplicaStatus
+    warm_in_s: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Prompt:
+    """Size and shared parts of a prompt.
+
+    Attributes:
+        parts: ``(id, tokens)`` in order; requests share leading parts.
+        tokens_in: Tokens of the whole prompt.
+        tokens_out: Most tokens to generate.
+    """
+    parts: tuple[tuple[str, int], ...] = ()
+    tokens_in: int = 0
+    tokens_out: int = 0
+
+
+class Headers(typing.NamedTuple):
+    """Header fields in order, as received.
+
+    Attributes:
+        items: ``(name, value)`` bytes; names keep their case.
+        first: Lowercase name -> its first value.
+    """
+    items: list[tuple[bytes, bytes]]
+    first: dict[bytes, bytes]
+
+
+def headers(items):
+    """Returns the ``Headers`` of an iterable of ``(name, value)`` bytes."""
+    items = list(items)
+    first = {}
+    for name, value in items:
+        first.setdefault(name.lower(), value)
+    return Headers(items, first)
+
+
+@dataclasses.dataclass(kw_only=True)
+class CallerRequest:
+    """One request of a caller, decoded.
+
+    Attributes:
+        id: The caller's id of this attempt; replicas echo it.
+        method: HTTP method, bytes.
+        target: Path and query as sent, bytes.
+        host: Host, lowercase, without port.
+        headers: All header fields as received.
+        body: The whole body.
+        time_left_s: How long the caller will wait, s; None when not said.
+        key: API key; None when the request carries none.
+        prompt: The ``Prompt`` of a model request, else None.
+        last_event_id: Last event the caller has, as sent; None for none.
+    """
+    id: ids.RequestId
+    method: bytes
+    target: bytes
+    host: str
+    headers: Headers
+    body: bytes = b''
+    time_left_s: float | None = None
+    key: str | None = None
+    prompt: Prompt | None = None
+    last_event_id: bytes | None = None
+
+    @property
+    def path(self):
+        """The path without its query, str."""
+        return self.target.split(b'?', 1)[0].decode('latin-1')
+
+
+class Load(typing.NamedTuple):
+    """What a replica says of its load on an answer.
+
+    Attributes:
+        running: Requests it runs.
+        waiting: Requests in its queue.
+        slots: Requests it can run at once.
+    """
+    running: int
+    waiting: int
+    slots: int
+
+
+@dataclasses.dataclass(kw_only=True)
+class Answer:
+    """The head of a replica's answer, decoded.
+
+    Attributes:
+        status: HTTP status.
+        headers: All header fields as received.
+        request_id: Id of the request it answers; None when not said.
+        genuine: Whether it bears the replica's proof that it is its own and
+            its body was not re-encoded on the way.
+        not_run: The replica says that it did not run the request.
+        load: Its ``Load``, or None.
+    """
+    status: int
+    headers: Headers
+    request_id: str | None
+    genuine: bool
+    not_run: bool
+    load: Load | None
+
+    @property
+    def success(self):
+        """Whether the status is a success."""
+        return 200 <= self.status < 300
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Order:
+    """What a replica is told beside the caller's own request.
+
+    Attributes:
+        replica: The replica it is meant for; another one refuses it.
+        time_left_s: How long the replica may work on it, s.
+        account: Name of the caller's account; None on public routes.
+        priority: Rank, 0 is the most urgent.
+        resume_after: Id of the last event delivered; None from the start.
+    """
+    replica: ids.ReplicaName
+    time_left_s: float
+    account: ids.AccountName | None
+    priority: int
+    resume_after: bytes | None = None
--- /dev/null
+++ b/gorsefall/relay/node.py
@@ -0,0 +1,406 @@
+"""A relay entry: wires listeners, followers, fleet and exchanges."""
+
+import os
+import signal
+
+from circuits import core
+
+from gorsefall import errors
+from gorsefall import logs
+from gorsefall import metrics
+from gorsefall import settings as own_settings
+from gorsefall.policy import budget
+from gorsefall.policy import freshness
+from gorsefall.relay import exchange
+from gorsefall.relay import fleet
+from gorsefall.relay import inbound
+from gorsefall.relay import model
+from gorsefall.relay import reactor
+from gorsefall.relay import settings
+from gorsefall.relay import tcp
+from gorsefall.relay import topic
+
+PROOF_MARGIN_S = 0.4
+"""Part of the revocation bound that is left for a request's way to its
+replica and a late answer there, s."""
+
+PROOF_READY_SHARE = 0.9
+"""Part of the proof's bound after which the entry reports itself not ready,
+so that the balancer prefers entries that reach the store."""
+
+CONFIG_WAIT_S = 1.0
+"""How long a read of the configuration waits at the store, s. Each answer
+renews the proof, so its age stays under 2 s, at one call a second."""
+
+REPLICAS_PAUSE_S = 0.8
+"""Pause between reads of the replicas' records, s. A replica that leaves may
+get new work for 2 s after it said so; waiting reads would return at each of
+the replicas' heartbeats, several a second."""
+
+LAME_DUCK_S = 3.0
+"""Time after the stop signal in which new requests are still served, s: the
+balancer asks once a second and goes by two misses."""
+
+LAST_ANSWERS_S = 0.7
+"""Time before the platform's kill at which what still runs is ended, s."""
+
+STOP_POLL_S = 0.05
+SETTINGS_POLL_S = 2.0
+"""How often the settings file is looked at, s: it may change without a
+signal."""
+
+
+class _Configuration(topic.Listener):
+    """Keeps the node's table and proof current."""
+
+    def __init__(self, node, records):
+        self._node = node
+        self._records = records
+        self._log = logs.get('configuration')
+
+    def on_listing(self, records):
+        for record in records:
+            self.on_record(record)
+
+    def on_record(self, record):
+        try:
+            table = self._records.table(record)
+        except errors.RecordError as exc:
+            topic.spoilt(self._log, record, exc)
+            return
+        if table is not None:
+            self._node.adopt(table)
+
+    def on_confirmed(self, sent_at):
+        self._node.confirmed(sent_at)
+
+
+class _Replicas(topic.Listener):
+    """Keeps the node's fleet current."""
+
+    def __init__(self, node, records):
+        self._node = node
+        self._records = records
+        self._log = logs.get('replicas')
+
+    def _decode(self, record):
+        try:
+            return self._records.replica(record)
+        except errors.RecordError as exc:
+            topic.spoilt(self._log, record, exc)
+            return None
+
+    def on_listing(self, records):
+        decoded = [self._decode(r) for r in records]
+        self._node.fleet.reset([r for r in decoded if r is not None],
+                               self._node.loop.now)
+        self._node.replicas_known = True
+
+    def on_record(self, record):
+        if not record.value:
+            self._node.fleet.remove(record.key, self._node.loop.now)
+            return
+        decoded = self._decode(record)
+        if decoded is not None:
+            self._node.fleet.put(decoded)
+
+    def on_lost(self):
+        self._node.fleet.store_lost()
+
+    def on_regained(self):
+        self._node.fleet.store_back(self._node.loop.now)
+
+
+class Records:
+    """The seam to how records are spelled."""
+
+    def table(self, record):
+        """Returns the ``routes.Table`` of a record, None if it is no table.
+
+        Raises:
+            errors.RecordError: It cannot be decoded.
+        """
+        raise NotImplementedError
+
+    def replica(self, record):
+        """Returns the ``model.ReplicaRecord`` of a record.
+
+        Raises:
+            errors.RecordError: It cannot be decoded.
+        """
+        raise NotImplementedError
+
+
+class _Channels:
+    """What the server ends of channels share: which are open."""
+
+    def __init__(self, node):
+        self.node = node
+        self.open = set()
+
+    @property
+    def limits(self):
+        """The ``model.CallerLimits`` in force."""
+        table = self.node.table
+        return table.limits if table else model.CallerLimits()
+
+    @property
+    def draining(self):
+        """Whether channels end with their next answer."""
+        return self.node.draining
+
+    def accept(self, sock):
+        """Takes a new connection."""
+        self.open.add(inbound.Channel(self.node.loop, self, sock))
+
+    def channel_closed(self, channel):
+        """Called by a channel at its end."""
+        self.open.discard(channel)
+
+    def error_answer(self, exc):
+        """Returns status, fields and body for ``exc``."""
+        return exchange.error_answer(exc)
+
+
+class _Callers(_Channels):
+    """Serves callers."""
+
+    def begin(self, method, target, fields, body, reply):
+        """Starts the exchange of a whole request."""
+        return self.node.begin(method, target, fields, body, reply)
+
+    def close_idle(self):
+        """Closes the channels on which nothing is under way."""
+        for channel in list(self.open):
+            if channel.idle:
+                channel.close()
+
+
+class _Readiness(_Channels):
+    """Answers the balancer."""
+
+    def begin(self, method, target, fields, body, reply):
+        """Answers 200 while new work may come here, else 503."""
+        del method, target, fields, body
+        status = 200 if self.node.ready() else 503
+        reply.whole(status, [(b'Content-Type', b'text/plain')], b'')
+
+
+class _Metrics(_Channels):
+    """Serves the metrics page."""
+
+    def begin(self, method, target, fields, body, reply):
+        """Answers with all counters and histograms."""
+        del method, target, fields, body
+        page, content_type = metrics.render()
+        reply.whole(200, [(b'Content-Type', content_type.encode())], page)
+
+
+class Node(core.BaseComponent):
+    """The relay entry's state and its tasks.
+
+    Attributes:
+        cfg: The ``settings.Relay``.
+        dialect: The ``dialect.Dialect`` of the wire.
+        loop: The ``reactor.Reactor``.
+        table: The ``routes.Table`` in force; None before the first.
+        proof: The ``freshness.Proof`` of the table.
+        fleet: The ``fleet.Fleet``.
+        replicas_known: Whether the replicas were listed once.
+        draining: Whether the process is stopping.
+    """
+    channel = 'node'
+
+    def __init__(self, path, adapter):
+        """Creates the node.
+
+        Args:
+            path: Settings file.
+            adapter: Gives ``dialect``, ``records`` and
+                ``source(loop, addr, topic)`` of the wire.
+        """
+        super().__init__()
+        self._path = path
+        self._adapter = adapter
+        self.cfg = settings.load(path)
+        self.dialect = adapter.dialect
+        self.loop = reactor.Reactor().register(self)
+        self.table = None
+        self.proof = freshness.Proof(self.cfg.revoke_s - PROOF_MARGIN_S)
+        self.fleet = fleet.Fleet(self.loop)
+        self.replicas_known = False
+        self.draining = False
+        self._proven = False
+        self._budgets = {}
+        self._exchanges = set()
+        self._stop_at = float('inf')
+        self._log = logs.get('node').bind(entry=self.cfg.name)
+        self._settings_seen = self._settings_stamp()
+
+    def start(self):
+        """Opens the listeners and starts following the store."""
+        self._callers = _Callers(self)
+        host, _ = own_settings.split_addr(self.cfg.callers)
+        tcp.Listener(self.loop, own_settings.split_addr(self.cfg.callers),
+                     self._callers.accept)
+        tcp.Listener(self.loop, own_settings.split_addr(self.cfg.readiness),
+                     _Readiness(self).accept)
+        if self.cfg.metrics_port:
+            tcp.Listener(self.loop, (host, self.cfg.metrics_port),
+                         _Metrics(self).accept)
+        self._follow(self._adapter.configuration_topic,
+                     _Configuration(self, self._adapter.records), CONFIG_WAIT_S,
+                     0.0)
+        self._follow(self._adapter.replicas_topic,
+                     _Replicas(self, self._adapter.records), 0.0,
+                     REPLICAS_PAUSE_S)
+        self.loop.later(SETTINGS_POLL_S, self._look_at_settings)
+        self._log.info('started',
+                       zone=self.cfg.zone,
+                       callers=self.cfg.callers,
+                       store=self.cfg.store)
+
+    def _follow(self, name, listener, wait_s, pause_s):
+        source = self._adapter.source(
+            self.loop, own_settings.split_addr(self.cfg.store), name)
+        topic.Follower(self.loop,
+                       source,
+                       listener,
+                       name=name,
+                       wait_s=wait_s,
+                       pause_s=pause_s).start()
+
+    # -- what is believed ------------------------------------------------------
+
+    def adopt(self, table):
+        """Adopts a configuration unless a newer one is in force."""
+        old = self.table.version if self.table else None
+        if old is not None and table.version <= old:
+            return
+        self.table = table
+        self.fleet.services_changed(table.services)
+        self._log.info('configuration',
+                       version=table.version,
+                       before=old,
+                       routes=len(table.routes),
+                       keys=len(table.accounts))
+
+    def confirmed(self, sent_at):
+        """Notes that the configuration was confirmed."""
+        self.proof.confirmed(sent_at)
+        if not self._proven:
+            self._proven = True
+            self._log.info('proof_regained',
+                           age_s=round(self.proof.age_s(), 3))
+
+    def ready(self):
+        """Returns whether new work may come here."""
+        if self.draining or self.table is None or not self.replicas_known:
+            return False
+        fresh = self.proof.age_s() <= self.proof.bound_s * PROOF_READY_SHARE
+        if not fresh and self._proven:
+            self._proven = False
+            self._log.warning('proof_lost', age_s=round(self.proof.age_s(), 3))
+        return fresh or not self.table.keyed
+
+    def budget(self, service):
+        """Returns the ``budget.Budget`` of a service."""
+        found = self._budgets.get(service)
+        if found is None:
+            r = self.cfg.retries
+            found = self._budgets[service] = budget.Budget(
+                budget.Allowance(r.ratio, r.window_s, r.slack))
+        return found
+
+    # -- requests --------------------------------------------------------------
+
+    def begin(self, method, target, fields, body, reply):
+        """Starts the exchange of a caller's request; returns it."""
+        try:
+            req = self.dialect.decode_request(method, target, fields)
+        except errors.BadRequestError as exc:
+            self._log.info('bad_request', error=str(exc))
+            reply.whole(*exchange.error_answer(exc))
+            return None
+        req.body = body
+        running = exchange.Exchange(self, req, reply)
+        self._exchanges.add(running)
+        running.start()
+        return running
+
+    def exchange_done(self, ended):
+        """Called by an exchange at its end."""
+        self._exchanges.discard(ended)
+
+    # -- settings --------------------------------------------------------------
+
+    def _settings_stamp(self):
+        try:
+            stat = os.stat(self._path)
+        except OSError:
+            return None
+        return stat.st_mtime_ns, stat.st_size, stat.st_ino
+
+    def _look_at_settings(self):
+        self.loop.later(SETTINGS_POLL_S, self._look_at_settings)
+        stamp = self._settings_stamp()
+        if stamp != self._settings_seen:
+            self._settings_seen = stamp
+            self._reload()
+
+    def _reload(self):
+        try:
+            self.cfg = settings.load(self._path)
+        except errors.SettingsError as exc:
+            # The file may be half written; what is in force stays, and the
+            # next change is read again.
+            self._log.error('reload_failed', error=str(exc))
+            return
+        self.proof.bound_s = self.cfg.revoke_s - PROOF_MARGIN_S
+        self._budgets.clear()
+        self._log.info('reloaded', store=self.cfg.store)
+
+    # -- shutdown --------------------------------------------------------------
+
+    @core.handler('signal', channel='*', priority=100)
+    def _on_signal(self, event, signo, stack):
+        del stack
+        event.stop()
+        if signo in (signal.SIGTERM, signal.SIGINT):
+            self.drain()
+
+    def drain(self):
+        """Stops being ready, serves what comes, ends with its last answer."""
+        if self.draining:
+            return
+        self.draining = True
+        self._stop_at = self.loop.now + self.cfg.grace_s - LAST_ANSWERS_S
+        self._log.info('stopping', running=len(self._exchanges))
+        self.loop.later(LAME_DUCK_S, self._check_drained)
+
+    def _check_drained(self):
+        # Idle channels are closed before those in use end: a caller whose
+        # next request crosses the close was not read and tries elsewhere.
+        self._callers.close_idle()
+        late = self.loop.now >= self._stop_at
+        if late:
+            for running in list(self._exchanges):
+                running.cut()
+        if late or not self._exchanges:
+            self._log.info('stopped', cut=len(self._exchanges))
+            self.loop.later(STOP_POLL_S, self.stop)
+            return
+        self.loop.later(STOP_POLL_S, self._check_drained)
+
+
+def run(path, adapter):
+    """Runs a relay entry until it is stopped.
+
+    Raises:
+        errors.SettingsError: The settings file is at fault.
+    """
+    node = Node(path, adapter)
+    signal.signal(signal.SIGHUP, lambda signo, stack: node.loop.later(
+        0, node._reload))
+    node.start()
+    node.run()
--- /dev/null
+++ b/gorsefall/relay/outbound.py
@@ -0,0 +1,298 @@
+"""HTTP/1.1 towards back ends and the store: kept channels, one call at a time.
+
+The framing is by ``h11``. The parser of ``circuits.web`` neither tells bytes
+after an answer from the answer nor a cut body from one that ends with its
+connection, and both decide here whether an answer may be passed on.
+"""
+
+import collections
+import dataclasses
+import re
+
+import h11
+
+from gorsefall.relay import model
+from gorsefall.relay import tcp
+
+DEFAULT_IDLE_S = 0.4
+"""How long a channel is kept where its peer names no timeout, s. Peers name
+theirs in whole seconds, so an unnamed one may be under a second."""
+
+IDLE_SHARE = 0.7
+"""Part of a peer's idle timeout for which a channel is used again; the rest
+covers the way there, so that no request crosses the peer's close."""
+
+_KEEP_ALIVE = re.compile(rb'timeout=(\d+)')
+
+
+@dataclasses.dataclass(frozen=True)
+class Failure:
+    """Why a call has no whole answer.
+
+    Attributes:
+        sent: Whether the peer may have received any of the request.
+        reason: What happened, for logs.
+    """
+    sent: bool
+    reason: str
+
+
+class Call:
+    """One request and what to do with its answer; subclasses override.
+
+    Attributes:
+        method: HTTP method, bytes.
+        target: Path and query, bytes.
+        fields: Header fields, a list of byte pairs.
+        body: Request body.
+    """
+
+    def __init__(self, method, target, fields, body=b''):
+        self.method = method
+        self.target = target
+        self.fields = fields
+        self.body = body
+
+    def is_mine(self, status, fields):
+        """Returns whether an answer head belongs to this request."""
+        del status, fields
+        return True
+
+    def on_head(self, status, fields):
+        """Called with the status and ``model.Headers`` of the answer."""
+
+    def on_data(self, data):
+        """Called with each piece of the body."""
+
+    def on_end(self):
+        """Called once when the answer is whole."""
+
+    def on_fail(self, failure):
+        """Called once with the ``Failure`` when there is no whole answer."""
+
+
+class Channel:
+    """One connection to a peer.
+
+    Attributes:
+        busy: Whether a call is under way.
+    """
+
+    def __init__(self, loop, addr, timeout_s, released):
+        """Starts connecting.
+
+        Args:
+            loop: The ``reactor.Reactor``.
+            addr: ``(host, port)``.
+            timeout_s: Longest time to connect, s.
+            released: Called with ``(channel, idle_s)`` when the channel can
+                be used again for ``idle_s``, with 0 when it is closed.
+        """
+        self._loop = loop
+        self._released = released
+        self._call = None
+        self._h11 = None
+        self._spoilt = False
+        self._skipping = False
+        self._idle_s = DEFAULT_IDLE_S
+        self._conn = tcp.Connection(loop, self)
+        self._timer = loop.later(timeout_s, self._not_connected)
+        self._conn.connect(addr)
+
+    @property
+    def busy(self):
+        """See the class."""
+        return self._call is not None
+
+    def usable(self):
+        """Returns whether an idle channel is sound and quiet."""
+        return self._conn.open and not self._conn.stray()
+
+    def send(self, call):
+        """Sends ``call``; only when no other is under way."""
+        self._call = call
+        self._conn.wrote = False
+        self._conn.write(self._begin(call))
+
+    def _begin(self, call):
+        self._h11 = h11.Connection(h11.CLIENT)
+        self._skipping = False
+        out = self._h11.send(
+            h11.Request(method=call.method,
+                        target=call.target,
+                        headers=call.fields))
+        if call.body:
+            out += self._h11.send(h11.Data(data=call.body))
+        return out + self._h11.send(h11.EndOfMessage())
+
+    def cancel(self):
+        """Gives up the call; its peer sees the channel close."""
+        self._call = None
+        self._shut()
+
+    def pause(self):
+        """Stops reading while the answer's receiver is slow."""
+        self._conn.pause()
+
+    def resume(self):
+        """Reads again after ``pause``."""
+        self._conn.resume()
+
+    def close(self):
+        """Closes the channel, which must be idle."""
+        self._shut()
+
+    def on_connected(self):
+        """See ``tcp.Connection``."""
+        self._timer.cancel()
+
+    def on_drained(self):
+        """See ``tcp.Connection``."""
+
+    def on_broken(self, reason):
+        """See ``tcp.Connection``."""
+        self._fail(reason)
+
+    def on_bytes(self, data):
+        """See ``tcp.Connection``."""
+        if self._call is None:
+            # An end, or bytes that answer nothing: whatever they are, the
+            # next answer on this channel could not be told from them.
+            self._shut()
+            return
+        try:
+            self._h11.receive_data(data)
+            while self._call is not None and self._next():
+                pass
+        except h11.RemoteProtocolError as exc:
+            self._fail(f'bad answer: {exc}')
+
+    def _next(self):
+        event = self._h11.next_event()
+        if event is h11.NEED_DATA or event is h11.PAUSED:
+            return False
+        if isinstance(event, h11.Response):
+            self._on_response(event)
+        elif isinstance(event, h11.Data):
+            if not self._skipping:
+                self._call.on_data(bytes(event.data))
+        elif isinstance(event, h11.EndOfMessage):
+            self._on_message_end()
+        elif isinstance(event, h11.ConnectionClosed):
+            self._fail('closed without an answer')
+            return False
+        return True
+
+    def _on_response(self, event):
+        fields = model.headers(event.headers.raw_items())
+        if not self._call.is_mine(event.status_code, fields):
+            # A peer may answer an earlier request twice or late. Taking
+            # that for the answer due here would hand one caller another's
+            # answer. It is read past; the channel is not used again.
+            self._skipping = self._spoilt = True
+            return
+        keep = _KEEP_ALIVE.search(fields.first.get(b'keep-alive', b''))
+        if keep:
+            self._idle_s = IDLE_SHARE * int(keep.group(1))
+        self._call.on_head(event.status_code, fields)
+
+    def _on_message_end(self):
+        if self._skipping:
+            rest, _ = self._h11.trailing_data
+            self._begin(self._call)
+            if rest:
+                self._h11.receive_data(rest)
+            return
+        # Bytes after the answer belong to no request, and a peer that
+        # answers before it has read the whole request would take our next
+        # one for the rest of this.
+        rest, closed = self._h11.trailing_data
+        sound = (not self._spoilt and not rest and not closed and
+                 not self._conn.unsent and
+                 self._h11.their_state is h11.DONE and
+                 self._h11.our_state is h11.DONE)
+        call, self._call = self._call, None
+        if sound:
+            self._released(self, self._idle_s)
+        else:
+            self._shut()
+        call.on_end()
+
+    def _not_connected(self):
+        self._fail('not connected in time')
+
+    def _fail(self, reason):
+        call, self._call = self._call, None
+        sent = self._conn.wrote
+        self._shut()
+        if call is not None:
+            call.on_fail(Failure(sent, reason))
+
+    def _shut(self):
+        self._timer.cancel()
+        self._conn.close()
+        released, self._released = self._released, None
+        if released is not None:
+            released(self, 0.0)
+
+
+class Pool:
+    """The channels of one peer, kept and used again.
+
+    Attributes:
+        opened: Channels that were opened.
+        size: Channels open now.
+        cap: Most channels open at once.
+    """
+
+    def __init__(self, loop, addr, *, cap, connect_timeout_s):
+        self._loop = loop
+        self._addr = addr
+        self._connect_timeout_s = connect_timeout_s
+        self._idle = collections.deque()
+        self.cap = cap
+        self.size = 0
+        self.opened = 0
+
+    def full(self):
+        """Returns whether no call can be sent now."""
+        return self.size >= self.cap and not self._idle
+
+    def send(self, call):
+        """Sends ``call`` on a kept channel or a new one; returns it."""
+        channel = self._kept()
+        if channel is None:
+            self.size += 1
+            self.opened += 1
+            channel = Channel(self._loop, self._addr, self._connect_timeout_s,
+                              self._on_released)
+        channel.send(call)
+        return channel
+
+    def _kept(self):
+        while self._idle:
+            channel, timer = self._idle.pop()
+            timer.cancel()
+            if channel.usable():
+                return channel
+            channel.close()
+        return None
+
+    def _on_released(self, channel, idle_s):
+        if idle_s:
+            timer = self._loop.later(idle_s, channel.close)
+            self._idle.append((channel, timer))
+            return
+        self.size -= 1
+        for entry in self._idle:
+            if entry[0] is channel:
+                entry[1].cancel()
+                self._idle.remove(entry)
+                break
+
+    def close(self):
+        """Closes the idle channels; busy ones end with their calls."""
+        while self._idle:
+            channel, timer = self._idle.pop()
+            timer.cancel()
+            channel.close()
--- /dev/null
+++ b/gorsefall/relay/routes.py
@@ -0,0 +1,64 @@
+"""The routing configuration in force: routes, services, accounts, keys."""
+
+import random
+
+from gorsefall import errors
+
+
+class Table:
+    """One version of the configuration, ready to be asked.
+
+    Attributes:
+        version: Its version; higher is newer.
+        routes: All ``model.Route``.
+        services: ``name -> model.Service``.
+        limits: The ``model.CallerLimits``.
+        accounts: ``key -> model.Account``; empty when no route needs a key.
+        keyed: Whether requests need a key.
+    """
+
+    def __init__(self, *, version, routes, services, limits, accounts, keyed):
+        self.version = version
+        self.routes = routes
+        self.services = services
+        self.limits = limits
+        self.accounts = accounts
+        self.keyed = keyed
+        self._by_host = {}
+        for route in sorted(routes, key=lambda r: -len(r.prefix)):
+            self._by_host.setdefault(route.host, []).append(route)
+
+    def match(self, req):
+        """Returns the route of ``req``: its host's longest matching prefix.
+
+        Raises:
+            errors.NoRouteError: None matches.
+        """
+        path = req.path
+        for route in self._by_host.get(req.host, ()):
+            if path.startswith(route.prefix):
+                return route
+        raise errors.NoRouteError(
+            f'no route for {req.host}{path} in configuration {self.version}')
+
+    def account(self, req, route):
+        """Returns the account of ``req``; None on public routes.
+
+        Raises:
+            errors.UnknownKeyError: The key is missing or unknown.
+        """
+        if not self.keyed or route.public:
+            return None
+        account = self.accounts.get(req.key)
+        if account is None:
+            raise errors.UnknownKeyError(
+                f'key not known to configuration {self.version}')
+        return account
+
+
+def pick_service(route, rng=random):
+    """Returns one of the route's services, by weight."""
+    if len(route.services) == 1:
+        return route.services[0][0]
+    names, weights = zip(*route.services, strict=True)
+    return rng.choices(names, weights)[0]
--- /dev/null
+++ b/gorsefall/relay/settings.py
@@ -0,0 +1,99 @@
+"""Settings of a relay entry (TOML), checked at load into typed structures."""
+
+import tomllib
+
+import msgspec
+
+from gorsefall import errors
+from gorsefall import settings
+
+
+class Retries(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
+    """What all entries together may send beyond first tries, per service.
+
+    Attributes:
+        ratio: Retries allowed for each request.
+        window_s: Window they are counted in, s.
+        slack: Retries allowed in a window beside the ratio.
+    """
+    ratio: float = 0.1
+    window_s: float = 10.0
+    slack: float = 10.0
+
+
+class Relay(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
+    """A relay entry process.
+
+    Attributes:
+        name: This entry's name; unique among entries.
+        zone: Its availability zone.
+        callers: ``host:port`` for callers.
+        readiness: ``host:port`` the balancer asks.
+        metrics_port: Port for metrics on the callers' host; 0 for none.
+        store: ``host:port`` of the platform's store.
+        revoke_s: Time within which a revoked key stops working, s.
+        grace_s: Time from the stop signal until the platform kills, s.
+        retries: See ``Retries``.
+    """
+    name: str
+    zone: str
+    callers: str
+    readiness: str
+    store: str
+    metrics_port: int = 9464
+    revoke_s: float = 5.0
+    grace_s: float = 8.0
+    retries: Retries = msgspec.field(default_factory=Retries)
+
+
+_ADDRESSES = ('callers', 'readiness', 'store')
+_POSITIVE = ('revoke_s', 'grace_s')
+
+
+def _problems(cfg):
+    for key in _ADDRESSES:
+        try:
+            settings.split_addr(getattr(cfg, key))
+        except errors.SettingsError as exc:
+            yield f'{key}: {exc}'
+    for key in _POSITIVE:
+        if getattr(cfg, key) <= 0:
+            yield f'{key}: must be over 0'
+    for key in ('name', 'zone'):
+        if not getattr(cfg, key):
+            yield f'{key}: must not be empty'
+    if not 0 <= cfg.metrics_port < 65536:
+        yield f'metrics_port: {cfg.metrics_port} is no port'
+    if cfg.retries.window_s <= 0:
+        yield 'retries.window_s: must be over 0'
+
+
+def loads(text, source='<string>'):
+    """Parses and checks settings from TOML text.
+
+    Raises:
+        errors.SettingsError: Bad TOML, wrong types, unknown keys; names all
+            fields at fault.
+    """
+    try:
+        cfg = msgspec.convert(tomllib.loads(text), Relay)
+    except (tomllib.TOMLDecodeError, msgspec.ValidationError) as exc:
+        raise errors.SettingsError(f'{source}: {exc}') from exc
+    problems = list(_problems(cfg))
+    if problems:
+        raise errors.SettingsError(f'{source}: ' + '; '.join(problems))
+    return cfg
+
+
+def load(path):
+    """Reads, parses and checks a settings file.
+
+    Raises:
+        errors.SettingsError: Missing file or any check failing.
+    """
+    try:
+        with open(path, encoding='utf-8') as f:
+            text = f.read()
+    except OSError as exc:
+        raise errors.SettingsError(f'{path}: {exc.strerror}') from exc
+    return loads(text, str(path))
--- /dev/null
+++ b/gorsefall/relay/topic.py
@@ -0,0 +1,225 @@
+"""Following a topic that keeps the newest record of each key."""
+
+import enum
+import random
+import typing
+
+from gorsefall import errors
+from gorsefall import logs
+from gorsefall.policy import freshness
+
+ANSWER_S = 0.9
+"""Longest time for an answer of the store beyond the wait asked for, s. It
+answers in 4 ms, at times 60 times as slowly; a silent channel shows only by
+this, and two such waits stay well under the proof's bound."""
+
+RETRY_S = (0.05, 0.2)
+"""Range of the pause after a failed call, s; spread, so that entries that
+lost the store together do not return together."""
+
+RETRY_MAX_S = 0.5
+"""Longest pause after failures in a row, s."""
+
+
+class Record(typing.NamedTuple):
+    """One record of a keyed topic.
+
+    Attributes:
+        key: Its key.
+        value: Its bytes; empty when the key was dropped.
+        offset: Its place in the topic.
+    """
+    key: str
+    value: bytes
+    offset: int
+
+
+class Newest(typing.NamedTuple):
+    """A page of the newest records of all keys.
+
+    Attributes:
+        records: List of ``Record``.
+        more: Whether another page follows.
+        end: Offset after the topic's last record.
+    """
+    records: list
+    more: bool
+    end: int
+
+
+class Batch(typing.NamedTuple):
+    """Records read from an offset on.
+
+    Attributes:
+        records: List of ``Record``, in order.
+        next: Offset to read from next.
+    """
+    records: list
+    next: int
+
+
+class Source:
+    """The seam to the store: reads of one keyed topic.
+
+    ``done(result, exc)`` gets the result or an ``errors.StoreError``.
+    """
+
+    def newest(self, after, timeout_s, done):
+        """Reads a page of newest records, after the key ``after``."""
+        raise NotImplementedError
+
+    def read(self, offset, wait_s, timeout_s, done):
+        """Reads from ``offset``, waiting up to ``wait_s`` for a record."""
+        raise NotImplementedError
+
+
+class Listener:
+    """Is told what a follower learns; subclasses override what they need."""
+
+    def on_listing(self, records):
+        """Called with the newest record of every key."""
+
+    def on_record(self, record):
+        """Called with each later record."""
+
+    def on_confirmed(self, sent_at):
+        """Called when all up to a read sent at ``sent_at`` is known."""
+
+    def on_lost(self):
+        """Called once when the store stops answering."""
+
+    def on_regained(self):
+        """Called once when it answers again."""
+
+
+class _State(enum.Enum):
+    LISTING = 'listing'
+    READING = 'reading'
+
+
+class Follower:
+    """Keeps a listener up to date with one topic.
+
+    Attributes:
+        offset: Offset the next read starts from.
+    """
+
+    def __init__(self, loop, source, listener, *, name, wait_s, pause_s):
+        """Creates a follower; ``start`` begins.
+
+        Args:
+            loop: The ``reactor.Reactor``.
+            source: The ``Source``.
+            listener: The ``Listener``.
+            name: Name for logs.
+            wait_s: How long a read may wait at the store, s.
+            pause_s: Pause between reads, s.
+        """
+        self._loop = loop
+        self._source = source
+        self._listener = listener
+        self._name = name
+        self._wait_s = wait_s
+        self._pause_s = pause_s
+        self._state = _State.LISTING
+        self._listed = {}
+        self._end = None
+        self._failures = 0
+        self._sent_at = None
+        self._newest_seen = {}
+        self._log = logs.get('follower').bind(topic=name)
+        self.offset = 0
+
+    def start(self):
+        """Begins with a listing."""
+        self._list('')
+
+    def _list(self, after):
+        if not after:
+            self._state = _State.LISTING
+            self._listed = {}
+            self._end = None
+            self._listing_sent_at = freshness.clock()
+        self._source.newest(after, ANSWER_S, self._on_newest)
+
+    def _on_newest(self, page, exc):
+        if exc is not None:
+            self._failed(exc, lambda: self._list(''))
+            return
+        if self._end is None:
+            # Pages are read one after the other; reading on from the first
+            # page's end passes over nothing that changed meanwhile.
+            self._end = page.end
+        for record in page.records:
+            self._listed[record.key] = record
+        if page.more and page.records:
+            self._list(page.records[-1].key)
+            return
+        self._answered()
+        self.offset = self._end
+        self._state = _State.READING
+        records = [r for r in self._listed.values() if r.value]
+        self._log.info('listed', keys=len(records), offset=self.offset)
+        self._listener.on_listing([r for r in records if self._is_new(r)])
+        self._listener.on_confirmed(self._listing_sent_at)
+        self._read()
+
+    def _read(self):
+        self._sent_at = freshness.clock()
+        self._source.read(self.offset, self._wait_s, self._wait_s + ANSWER_S,
+                          self._on_batch)
+
+    def _on_batch(self, batch, exc):
+        if exc is not None:
+            if exc.forgotten:
+                self._log.info('history_forgotten', offset=self.offset)
+                self._list('')
+                return
+            self._failed(exc, self._read)
+            return
+        self._answered()
+        for record in batch.records:
+            if self._is_new(record):
+                self._listener.on_record(record)
+        self.offset = max(self.offset, batch.next)
+        self._listener.on_confirmed(self._sent_at)
+        if self._pause_s:
+            self._loop.later(self._pause_s, self._read)
+        else:
+            self._read()
+
+    def _is_new(self, record):
+        # Answers may come late and listings overlap reads; what is known of
+        # a key only goes forward.
+        if record.offset < self._newest_seen.get(record.key, 0):
+            return False
+        self._newest_seen[record.key] = record.offset
+        return True
+
+    def _answered(self):
+        if self._failures:
+            self._log.info('store_regained', failures=self._failures)
+            self._failures = 0
+            self._listener.on_regained()
+
+    def _failed(self, exc, again):
+        if not self._failures:
+            self._log.warning('store_lost', error=str(exc))
+            self._listener.on_lost()
+        self._failures += 1
+        pause = min(RETRY_MAX_S, random.uniform(*RETRY_S) * self._failures)
+        self._loop.later(pause, again)
+
+
+def spoilt(log, record, exc):
+    """Logs a record that cannot be decoded; it is passed over.
+
+    Raises:
+        errors.GorsefallError: ``exc`` is not about the record.
+    """
+    if not isinstance(exc, errors.RecordError):
+        raise exc
+    log.error('record_spoilt',
+              key=record.key,
+              offset=record.offset,
+              error=str(exc))
