Streams that write long are kept apart from long prompts

A step that reads 2,048 prompt tokens takes 36 ms; six steps make an event, so one prompt of 10,000 tokens beside it breaks a pause of 250 ms.

Ruled out: preemption (none seen), waiting at the replica (first events).

Change: about a fifth of a service's engines, the same at every entry by rendezvous hash, are kept for requests that write more than they read; the others overflow there at 150 ms. A replica's failure is passed on where no other replica is left to ask (12 of 22 such retries ended as 502 before).

A fault found on the way: an exception in a handler left its caller waiting; its connection now ends.

--- a/gorsefall/policy/placement.py
+++ b/gorsefall/policy/placement.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import math
 import random
 
 import xxhash
@@ -39,6 +40,10 @@
 
 ERRORS_SMOOTHING = 0.15
 
+READ_PER_WRITTEN = 8
+QUIET_SHARE = 0.2
+MISPLACED_MS = 150.0
+
 
 @dataclasses.dataclass
 class Target(health.Health):
@@ -93,6 +98,12 @@
     session: str = ''
     shared_tokens: int = 0
     tokens: int = 0
+    tokens_out: int = 0
+
+    @property
+    def writes(self):
+        """Whether its time goes into writing rather than into reading."""
+        return self.tokens < READ_PER_WRITTEN * self.tokens_out
 
 
 def home(targets, session):
@@ -106,6 +117,14 @@
                    (session + t.name).encode()))
 
 
+def quiet(targets):
+    """Returns the names of the targets kept for requests that write."""
+    engines = [t for t in targets if t.engine]
+    count = round(len(engines) * QUIET_SHARE) if len(engines) > 2 else 0
+    engines.sort(key=lambda t: xxhash.xxh64_intdigest(('quiet' + t.name).encode()))
+    return {t.name for t in engines[:count]}
+
+
 def choose(targets, want, now, rng=random):
     """Returns the best of ``targets``, or None when there is none.
 
@@ -121,9 +140,17 @@
         return min(targets, key=lambda t: t.eject_until, default=None)
     # The home is found among all, so that a session returns to it as soon
     # as it is sound again.
-    keeper = home(targets, want.session) if want.session else None
-    return min(sound,
-               key=lambda t: (cost_ms(t, want, now, t is keeper), rng.random()))
+    apart = quiet(targets) if want.tokens else set()
+    mine = [t for t in targets if (t.name in apart) == want.writes] or targets
+    keeper = home(mine, want.session) if want.session else None
+
+    def rank(target):
+        cost = cost_ms(target, want, now, target is keeper)
+        if apart and (target.name in apart) != want.writes:
+            cost += MISPLACED_MS
+        return cost, rng.random()
+
+    return min(sound, key=rank)
 
 
 def cost_ms(target, want, now, keeps_prompt):
--- a/gorsefall/relay/exchange.py
+++ b/gorsefall/relay/exchange.py
@@ -34,6 +34,10 @@
 one replica or one moment's queue, and a queue of 64 calls of 22 ms on 18
 places is worked off in 80 ms."""
 
+INTERNAL = 500
+TIME_UP = 504
+"""Statuses of a replica that failed, and of one whose time was up."""
+
 MAX_BUFFERED = 262144
 """Answer bytes that are held back until the answer is whole. Over twice 110
 KB, the largest body of today's routes; more goes out as it comes."""
@@ -236,7 +240,8 @@
         return placement.Want(zone=self.node.cfg.zone,
                               session=shared[-1][0] if shared else '',
                               shared_tokens=sum(t for _, t in shared),
-                              tokens=prompt.tokens_in)
+                              tokens=prompt.tokens_in,
+                              tokens_out=prompt.tokens_out)
 
     def _send(self, replica):
         now = time.monotonic()
@@ -367,7 +372,7 @@
                     retry_after=spread_s()), 'not run')
             return
         health.succeeded()
-        health.answered(answer.success)
+        health.answered(answer.status < INTERNAL or answer.status == TIME_UP)
         self._may_have_run = True
         if answer.success and not answer.genuine:
             health.failed(now)
@@ -378,7 +383,9 @@
         elif self._splitter is not None:
             self._again_or(self._unknown(f'resuming gave {answer.status}'),
                            'not resumed')
-        elif not answer.success and self._take_retry():
+        elif answer.status == INTERNAL and self._take_retry():
+            # Without another replica to ask, the answer itself is the best
+            # that the caller can get, so it is passed on below.
             self._log.info('retry', reason=f'status {answer.status}')
             self._restart()
         else:
@@ -434,6 +441,8 @@
             return False
         if not (not_run or self._route.repeatable):
             return False
+        if not self.node.fleet.candidates(self._service, self._tried):
+            return False
         return self.node.budget(self._service).take(time.monotonic())
 
     def _again_or(self, exc, reason):
--- a/gorsefall/relay/reactor.py
+++ b/gorsefall/relay/reactor.py
@@ -49,6 +49,10 @@
         raise NotImplementedError
 
 
+    def on_fault(self):
+        """Called when one of the other calls raised an exception."""
+
+
 class Reactor(core.BaseComponent):
     """Polls all sockets of the process and runs its timers.
 
@@ -124,8 +128,10 @@
                 handler.on_writable()
         except Exception:
             # One connection's fault must not end the process and with it
-            # every other request; it is logged with its traceback.
+            # every other request; it is logged with its traceback, and the
+            # connection ends so that nobody waits on it in vain.
             self._log.exception('handler_failed')
+            handler.on_fault()
 
     def _drop_cancelled(self):
         while self._due and self._due[0][2].callback is None:
--- a/gorsefall/relay/tcp.py
+++ b/gorsefall/relay/tcp.py
@@ -149,6 +149,10 @@
             return
         self._flush()
 
+    def on_fault(self):
+        """See ``reactor.Handler``."""
+        self._break('fault in the handler')
+
     def _check_hang_up(self):
         code = self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         self._break(os.strerror(code) if code else 'closed by the peer')
