A stopping entry takes no new channel once the balancer had time to notice

While one long answer ran, channels were accepted on.

Test: 'requests that come late in a shutdown'.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -113,6 +113,10 @@
     When the entry is told to stop while callers keep coming
     Then every request that was handed on was answered whole
 
+  Scenario: requests that come late in a shutdown, beside a long one
+    When the entry is told to stop while a request hangs
+    Then it takes no new channel once the balancer had time to notice
+
   Scenario: an entry that knows no configuration
     When an entry starts while the store is silent
     Then it is not ready and answers 503
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -430,6 +430,31 @@
     assert not cut, cut
 
 
+@when('the entry is told to stop while a request hangs')
+def step_stop_hangs(context):
+    # Symptom: a stream cut at the end of the grace time, taken 4.7 s after
+    # the stop signal. Sequence: one long answer keeps the entry from ending;
+    # callers whom the balancer still sends are served on. Cause: channels
+    # were accepted for as long as anything ran.
+    site = context.platform
+    for name in POOL:
+        site.replicas[name].script.append('hangs')
+    with standin.connect(site.callers) as sock:
+        sock.sendall(
+            standin.request_bytes('/l/x', _rid(context), deadline_ms=60000))
+        standin.until(lambda: any(site.replicas[n].runs for n in POOL),
+                      'the run')
+        site.proc.send_signal(signal.SIGTERM)
+        standin.until(lambda: standin.status(site.callers) is None,
+                      'refused channels')
+
+
+@then('it takes no new channel once the balancer had time to notice')
+def step_refuses(context):
+    events = {ln['event']: ln for ln in context.platform.log()}
+    assert events['no_new_channels']['running'] == 1, events.keys()
+
+
 @when('an entry starts while the store is silent')
 def step_start_silent(context):
     site = _site(context, configured=False)
--- a/gorsefall/relay/node.py
+++ b/gorsefall/relay/node.py
@@ -386,7 +386,14 @@
         self.draining = True
         self._stop_at = self.loop.now + self.cfg.grace_s - LAST_ANSWERS_S
         self._log.info('stopping', running=len(self._exchanges))
-        self.loop.later(LAME_DUCK_S, self._check_drained)
+        self.loop.later(LAME_DUCK_S, self._refuse_channels)
+
+    def _refuse_channels(self):
+        # A request taken late may outlast the grace time and be cut. A
+        # caller whose channel is refused tries another entry at once.
+        self._listener.close()
+        self._log.info('no_new_channels', running=len(self._exchanges))
+        self._check_drained()
 
     def _check_drained(self):
         # Idle channels are closed before those in use end: a caller whose
@@ -402,10 +409,8 @@
         self.loop.later(STOP_POLL_S, self._check_drained)
 
     def _finish(self):
-        # Callers keep coming while the balancer has nowhere better. From
-        # here to the exit nothing more may be read: a request that is read
-        # in between would be sent to a replica and then cut.
-        self._listener.close()
+        # From here to the exit nothing more may be read: a request that is
+        # read in between would be sent to a replica and then cut.
         self._callers.close_all()
         self._log.info('stopped')
         self.stop()
