--- /dev/null
+++ b/bench/days.py
@@ -0,0 +1,360 @@
+"""Writes days of trouble beside the standard ones, each kind alone and paired.
+
+Usage: python bench/days.py SITE_FILE FOLDER
+
+Takes the quiet day of a site file as its traffic, and writes a day file for
+each trouble of the table below, one with each of ``PAIRS`` beside it, for
+the installation's own bench to play.
+"""
+
+import pathlib
+import sys
+import tomllib
+
+import tomli_w
+
+ALONE = [
+    ('srv_slow', {
+        'share': 0.3,
+        'for_s': 6.0
+    }),
+    ('srv_slow', {
+        'share': 1.0,
+        'x': 3.0,
+        'how': 'all',
+        'for_s': 5.0
+    }),
+    ('srv_cut', {
+        'for_s': 6.0
+    }),
+    ('srv_cut', {
+        'how': 'fronts',
+        'x': 0.4,
+        'share': 0.4,
+        'for_s': 6.0
+    }),
+    ('srv_cut', {
+        'how': 'some',
+        'x': 0.5,
+        'share': 0.4,
+        'for_s': 6.0
+    }),
+    ('srv_cut', {
+        'how': 'some lossy',
+        'x': 0.5,
+        'share': 0.4,
+        'for_s': 6.0
+    }),
+    ('srv_cut', {
+        'how': 'one_way',
+        'for_s': 6.0
+    }),
+    ('srv_cut', {
+        'how': 'reset',
+        'for_s': 6.0
+    }),
+    ('srv_cut', {
+        'how': 'reborn',
+        'for_s': 6.0
+    }),
+    ('replace_with_reuse', {
+        'share': 0.3
+    }),
+    ('replace_with_reuse', {
+        'share': 0.3,
+        'how': 'drain'
+    }),
+    ('replace_with_reuse', {
+        'share': 0.3,
+        'how': 'dark'
+    }),
+    ('reset_conns', {
+        'share': 0.5,
+        'x': 0.7
+    }),
+    ('reset_conns', {
+        'share': 1.0,
+        'x': 1.0
+    }),
+    ('srv_crash', {
+        'how': 'dark',
+        'share': 0.4,
+        'for_s': 5.0
+    }),
+    ('srv_crash', {
+        'how': 'gone',
+        'share': 0.4
+    }),
+    ('srv_grey', {
+        'how': 'hang',
+        'share': 0.4,
+        'for_s': 6.0
+    }),
+    ('srv_grey', {
+        'how': 'mute',
+        'share': 0.4,
+        'for_s': 6.0
+    }),
+    ('srv_grey', {
+        'how': 'shed',
+        'share': 0.4,
+        'for_s': 6.0
+    }),
+    ('srv_grey', {
+        'how': 'busy',
+        'share': 0.4,
+        'for_s': 6.0
+    }),
+    ('srv_grey', {
+        'how': 'reset',
+        'share': 0.4,
+        'for_s': 6.0
+    }),
+    ('srv_grey', {
+        'how': 'slow',
+        'share': 0.4,
+        'for_s': 6.0
+    }),
+    ('scale_in', {
+        'how': 'spot',
+        'share': 0.4
+    }),
+    ('scale_in', {
+        'how': 'reclaim',
+        'for_s': 6.0
+    }),
+    ('release', {
+        'share': 1.0,
+        'gap_s': 0.6
+    }),
+    ('answer_lost', {
+        'share': 1.0,
+        'x': 0.3,
+        'for_s': 6.0
+    }),
+    ('garble', {
+        'share': 1.0,
+        'x': 0.2,
+        'for_s': 6.0
+    }),
+    ('garble', {
+        'share': 1.0,
+        'x': 0.2,
+        'how': 'extra',
+        'for_s': 6.0
+    }),
+    ('garble', {
+        'share': 1.0,
+        'x': 0.2,
+        'how': 'extra late',
+        'for_s': 6.0
+    }),
+    ('garble', {
+        'share': 1.0,
+        'x': 0.2,
+        'how': 'unframed',
+        'for_s': 6.0
+    }),
+    ('garble', {
+        'share': 1.0,
+        'x': 0.3,
+        'how': 'early',
+        'for_s': 6.0
+    }),
+    ('garble', {
+        'share': 1.0,
+        'x': 0.2,
+        'how': 'rot',
+        'for_s': 6.0
+    }),
+    ('node_kill', {
+        'share': 0.4,
+        'how': 'power',
+        'for_s': 4.0
+    }),
+    ('node_freeze', {
+        'share': 0.5,
+        'for_s': 5.0
+    }),
+    ('node_slow', {
+        'share': 0.5,
+        'x': 8.0,
+        'for_s': 6.0
+    }),
+    ('roll_term', {
+        'share': 1.0,
+        'how': 'busy',
+        'gap_s': 1.5
+    }),
+    ('roll_term', {
+        'share': 1.0,
+        'x': 3,
+        'gap_s': 2.0
+    }),
+    ('herd_kill', {
+        'on': 'core',
+        'share': 1.0
+    }),
+    ('herd_kill', {
+        'on': 'core',
+        'how': 'off power',
+        'for_s': 3.0
+    }),
+    ('clock_step', {
+        'share': 1.0,
+        'x': 10000.0,
+        'how': 'ahead',
+        'for_s': 5.0
+    }),
+    ('clock_step', {
+        'share': 1.0,
+        'x': 10000.0,
+        'how': 'back',
+        'for_s': 5.0
+    }),
+    ('node_cut', {
+        'share': 0.5,
+        'for_s': 7.0,
+        'how': 'revoke'
+    }),
+    ('node_cut', {
+        'share': 0.5,
+        'for_s': 7.0,
+        'how': 'servers'
+    }),
+    ('node_cut', {
+        'share': 0.5,
+        'for_s': 7.0,
+        'how': 'all reset'
+    }),
+    ('core_cut', {
+        'count': 3,
+        'for_s': 7.0,
+        'how': 'one_way'
+    }),
+    ('lossy', {
+        'x': 0.1,
+        'for_s': 6.0
+    }),
+    ('platform_down', {
+        'how': 'silent',
+        'for_s': 9.0
+    }),
+    ('platform_down', {
+        'how': 'busy lapse',
+        'for_s': 7.0
+    }),
+    ('platform_down', {
+        'how': 'reset lapse',
+        'for_s': 7.0
+    }),
+    ('platform_down', {
+        'how': 'nodes many revoke',
+        'share': 0.5,
+        'for_s': 9.0
+    }),
+    ('platform_down', {
+        'how': 'nodes silent revoke meet',
+        'share': 0.5,
+        'for_s': 9.0
+    }),
+    ('platform_slow', {
+        'x': 200.0,
+        'for_s': 6.0
+    }),
+    ('platform_lost', {
+        'x': 0.6,
+        'how': 'late',
+        'for_s': 6.0
+    }),
+    ('platform_compact', {
+        'x': 5.0,
+        'how': 'keyed drain',
+        'for_s': 1.0
+    }),
+    ('config_storm', {
+        'for_s': 8.0,
+        'gap_s': 0.1
+    }),
+    ('big_config', {
+        'count': 1500
+    }),
+    ('revoke', {
+        'count': 4,
+        'gap_s': 0.3,
+        'how': 'last'
+    }),
+    ('retry_abuse', {
+        'share': 0.6,
+        'x': 6.0,
+        'for_s': 6.0
+    }),
+    ('give_up', {
+        'share': 0.6,
+        'for_s': 6.0
+    }),
+    ('hot_tenant', {
+        'x': 12.0,
+        'for_s': 6.0
+    }),
+    ('hot_key', {
+        'share': 0.8,
+        'for_s': 6.0
+    }),
+    ('burst', {
+        'x': 3.0,
+        'for_s': 6.0
+    }),
+]
+
+PAIRS = [
+    ('platform_down', {
+        'how': 'busy lapse',
+        'for_s': 7.0
+    }),
+    ('roll_term', {
+        'share': 1.0,
+        'how': 'busy',
+        'gap_s': 1.5
+    }),
+    ('release', {
+        'share': 1.0,
+        'gap_s': 0.6
+    }),
+]
+
+FIRST_S, SECOND_S = 8.0, 9.5
+"""When the trouble and the one beside it begin, s of traffic."""
+
+_PLANNED = ('roll_term', 'release', 'scale_in', 'config_storm', 'big_config',
+            'revoke')
+
+
+def _day(base, name, troubles):
+    day = {k: v for k, v in base.items() if k not in ('plan', 'faults', 'slot')}
+    day |= {'name': name, 'slot': 'trouble', 'plan': [], 'faults': []}
+    for at, (kind, fields) in troubles:
+        part = 'plan' if kind in _PLANNED else 'faults'
+        day[part].append({'at': at, 'kind': kind} | fields)
+    return day
+
+
+def main(site_file, folder):
+    """Writes the day files."""
+    site = tomllib.loads(pathlib.Path(site_file).read_text(encoding='utf-8'))
+    base = next(d for d in site['day'] if d['slot'] == 'quiet')
+    out = pathlib.Path(folder)
+    out.mkdir(parents=True, exist_ok=True)
+    for i, trouble in enumerate(ALONE):
+        beside = PAIRS[i % len(PAIRS)]
+        for suffix, troubles in (('', [(FIRST_S, trouble)]),
+                                 ('-pair', [(FIRST_S, trouble),
+                                            (SECOND_S, beside)])):
+            name = f'{i:02d}-{trouble[0]}{suffix}'
+            (out / f'{name}.toml').write_text(tomli_w.dumps(
+                _day(base, name, troubles)),
+                                              encoding='utf-8')
+
+
+if __name__ == '__main__':
+    main(*sys.argv[1:])
--- a/gorsefall/policy/placement.py
+++ b/gorsefall/policy/placement.py
@@ -5,7 +5,6 @@
 """
 
 import dataclasses
-import math
 import random
 
 import xxhash
@@ -106,6 +105,11 @@
         return self.tokens < READ_PER_WRITTEN * self.tokens_out
 
 
+def _rank(word, target):
+    """Returns the place of ``target`` for ``word``, the same everywhere."""
+    return xxhash.xxh64_intdigest((word + target.name).encode())
+
+
 def home(targets, session):
     """Returns the target that keeps a session's prompt, by rendezvous hash.
 
@@ -121,7 +125,7 @@
     """Returns the names of the targets kept for requests that write."""
     engines = [t for t in targets if t.engine]
     count = round(len(engines) * QUIET_SHARE) if len(engines) > 2 else 0
-    engines.sort(key=lambda t: xxhash.xxh64_intdigest(('quiet' + t.name).encode()))
+    engines.sort(key=lambda t: _rank('quiet', t))
     return {t.name for t in engines[:count]}
 
 
--- a/gorsefall/relay/reactor.py
+++ b/gorsefall/relay/reactor.py
@@ -48,7 +48,6 @@
         """Called when the socket takes bytes again, or has connected."""
         raise NotImplementedError
 
-
     def on_fault(self):
         """Called when one of the other calls raised an exception."""
 
