--- a/gorsefall/policy/placement.py
+++ b/gorsefall/policy/placement.py
@@ -40,8 +40,23 @@
 ERRORS_SMOOTHING = 0.15
 
 READ_PER_WRITTEN = 8
+"""A request that reads fewer prompt tokens than this for each token it may
+write spends its time writing. Reading one takes 0.02 ms and writing one 3 ms
+and more, so both kinds lie far from it: 3 for chats, 100 and more for the
+others."""
+
 QUIET_SHARE = 0.2
+"""Part of a service's engines kept for requests that write. A step that reads
+takes 40 ms instead of 4, and an event takes six steps, so one long prompt
+beside a stream makes it late. Keeping them apart brought the share of long
+answers on time from 0.22 to 0.66 in the emulated burst of long prompts, and
+that of the long prompts from 0.58 to 0.67. At 0.3 and more the rest is too
+small for the long prompts."""
+
 MISPLACED_MS = 150.0
+"""How much longer the wait must be among its own kind before a request goes to
+the other, ms: reading a prompt of 9,000 tokens takes 160. At 60 long prompts
+spill over in every burst."""
 
 
 @dataclasses.dataclass
--- a/gorsefall/relay/reactor.py
+++ b/gorsefall/relay/reactor.py
@@ -101,7 +101,14 @@
     @core.handler('generate_events', priority=-9)
     def _on_generate_events(self, event):
         event.stop()
-        self._poll(event.time_left)
+        self.step(event.time_left)
+
+    def step(self, time_left):
+        """Waits up to ``time_left`` s (below 0: as long as need be), once.
+
+        Then calls the handlers of ready sockets and the timers due.
+        """
+        self._poll(time_left)
         self._run_timers()
 
     def _poll(self, time_left):
--- /dev/null
+++ b/tests/test_inbound.py
@@ -0,0 +1,119 @@
+"""Callers' requests, however their bytes are cut, against the originals."""
+
+import socket
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+
+import peers
+from gorsefall.relay import exchange
+from gorsefall.relay import inbound
+from gorsefall.relay import model
+
+
+class Server:
+    """Answers each request with its own body and keeps what came."""
+    limits = model.CallerLimits(header_bytes=2000, body_bytes=500)
+    draining = False
+
+    def __init__(self):
+        self.seen = []
+        self.closed = 0
+
+    def begin(self, method, target, fields, body, reply):
+        self.seen.append((method, target, body))
+        reply.whole(200, [(b'X-Target', target)], body)
+
+    def error_answer(self, exc):
+        return exchange.error_answer(exc)
+
+    def channel_closed(self, channel):
+        self.closed += 1
+
+
+def encode(target, body, chunked):
+    out = b'POST ' + target + b' HTTP/1.1\r\nHost: h\r\n'
+    if not chunked:
+        return out + b'Content-Length: %d\r\n\r\n' % len(body) + body
+    out += b'Transfer-Encoding: chunked\r\n\r\n'
+    for i in range(0, len(body), 7):
+        piece = body[i:i + 7]
+        out += b'%x\r\n%s\r\n' % (len(piece), piece)
+    return out + b'0\r\n\r\n'
+
+
+def converse(data, cuts, enough):
+    """Sends ``data`` in pieces; returns the server and what it answered."""
+    server = Server()
+    ours, theirs = socket.socketpair(socket.AF_UNIX, socket.SOCK_STREAM)
+    theirs.close()
+    with socket.create_server(('127.0.0.1', 0)) as listener:
+        ours.close()
+        client = socket.create_connection(listener.getsockname())
+        accepted, _ = listener.accept()
+    got = bytearray()
+    client.setblocking(False)
+
+    def read():
+        try:
+            got.extend(client.recv(65536))
+        except BlockingIOError:
+            pass
+        return enough(server, bytes(got))
+
+    with peers.loop() as loop:
+        inbound.Channel(loop, server, accepted)
+        start = 0
+        for cut in [*sorted(c % (len(data) + 1) for c in cuts), len(data)]:
+            client.sendall(data[start:cut])
+            start = cut
+            loop.step(0.002)
+        peers.run(loop, read)
+    client.close()
+    return server, bytes(got)
+
+
+_REQUESTS = st.lists(st.tuples(st.sampled_from([b'/a', b'/b?c=%2f', b'/']),
+                               st.binary(max_size=60), st.booleans()),
+                     min_size=1,
+                     max_size=4)
+
+
+@settings(max_examples=60, deadline=None)
+@given(_REQUESTS, st.lists(st.integers(0, 2000), max_size=8))
+def test_requests_arrive_as_sent(requests, cuts):
+    """Requests run into each other.
+
+    Symptom: a replica runs bytes that no caller sent as a request. Cause:
+    a body's end mistaken, or a request that was read ahead lost.
+    """
+    data = b''.join(encode(*r) for r in requests)
+    server, got = converse(
+        data, cuts, lambda s, got: got.count(b'HTTP/1.1 200') == len(requests)
+        and got.endswith(requests[-1][1]))
+    assert server.seen == [(b'POST', t, b) for t, b, _ in requests]
+    at = 0
+    for target, body, _ in requests:
+        at = got.index(target, at)
+        assert body in got[at:]
+
+
+@settings(max_examples=40, deadline=None)
+@given(st.binary(min_size=1, max_size=200))
+def test_bytes_that_are_no_request_reach_nobody(junk):
+    """Smuggled request: what is not HTTP is answered 400, or read on."""
+    data = junk.replace(b'\r', b'').replace(b'\n', b'') + b'\r\n\r\n'
+    server, got = converse(
+        data, [],
+        lambda s, got: s.closed or data.strip() == b'' or b' 400 ' in got)
+    assert not server.seen
+    assert b' 200 ' not in got
+
+
+def test_two_lengths_are_refused():
+    """Request smuggling by two framings."""
+    data = (b'POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n'
+            b'Content-Length: 30\r\n\r\nabc')
+    server, got = converse(data, [], lambda s, got: b' 400 ' in got)
+    assert not server.seen
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,93 @@
+"""Placement under the heaviest loads, on the emulator, and its parts."""
+
+import random
+import statistics
+
+from gorsefall import emulator
+from gorsefall.policy import placement
+
+SEEDS = range(6)
+
+
+def _mean(kinds, policy, name):
+    return statistics.mean(
+        emulator.emulate(kinds, policy=policy, seed=seed)[name]
+        for seed in SEEDS)
+
+
+def test_long_answers_stay_on_time_beside_a_burst_of_long_prompts():
+    """Pattern: a bank of flights lands, long digests come at 2.3 times their
+    rate while travellers chat.
+
+    Symptom: chats come late though their first event is quick. Sequence: a
+    prompt of 10,000 tokens is read in five steps of 40 ms beside a stream
+    whose events take six steps each. Cause: both on one replica.
+    Figures: the authority's load sheet; long answers on time in 0.66 of cases
+    against 0.22 by least load and 0.28 by lot (6 seeds), digests in 0.67
+    against 0.58 and 0.63.
+    """
+    kinds = [
+        emulator.burst(emulator.DIGEST, 2.3), emulator.ADVICE, emulator.CHAT
+    ]
+    placed = _mean(kinds, emulator.placed, 'chat')
+    assert placed > _mean(kinds, emulator.least_loaded, 'chat') + 0.25
+    assert placed > _mean(kinds, emulator.by_lot, 'chat') + 0.25
+    digests = _mean(kinds, emulator.placed, 'digest')
+    assert digests > _mean(kinds, emulator.least_loaded, 'digest') - 0.03
+
+
+def test_a_calm_load_is_on_time():
+    """Pattern: the usual rates; nearly all of every kind is on time."""
+    kinds = [emulator.DIGEST, emulator.ADVICE, emulator.CHAT]
+    for name in ('chat', 'digest', 'advice'):
+        assert _mean(kinds, emulator.placed, name) > 0.93
+
+
+def _targets(count, **fields):
+    return [
+        placement.Target(name=f'r{i}', zone='z', slots=8, engine=True, **fields)
+        for i in range(count)
+    ]
+
+
+def test_sessions_move_only_when_their_home_leaves():
+    """Prompts read again at every change of the replicas."""
+    targets = _targets(6)
+    before = {s: placement.home(targets, s).name for s in map(str, range(200))}
+    left = targets[1:]
+    for session, name in before.items():
+        if name != 'r0':
+            assert placement.home(left, session).name == name
+
+
+def test_every_entry_keeps_the_same_replicas_quiet():
+    """Two entries that disagree mix long prompts with long answers again."""
+    targets = _targets(5)
+    shuffled = random.Random(1).sample(targets, 5)
+    assert placement.quiet(targets) == placement.quiet(shuffled)
+    assert len(placement.quiet(targets)) == 1
+    assert not placement.quiet(_targets(2))
+
+
+def test_a_failing_replica_is_left_and_tried_again():
+    """Black hole: a replica that fails fast looks idle and draws all work."""
+    targets = _targets(3)
+    want = placement.Want(zone='z')
+    targets[0].failed(0.0)
+    picked = {placement.choose(targets, want, 0.1).name for _ in range(50)}
+    assert picked == {'r1', 'r2'}
+    for target in targets[1:]:
+        target.outstanding = 5
+    assert placement.choose(targets, want, 1.0).name == 'r0'
+
+
+def test_a_replica_that_answers_with_failures_is_avoided():
+    """Grey replica: its health is good and half of its answers are not."""
+    targets = _targets(3)
+    for _ in range(20):
+        targets[0].answered(False)
+        targets[1].answered(True)
+        targets[2].answered(True)
+    want = placement.Want(zone='z')
+    picked = {placement.choose(targets, want, 0.0).name for _ in range(50)}
+    assert picked == {'r1', 'r2'}
