A long answer goes on from a copy of its run when its replica crashes

The engines can copy a run's memory to another one and go on from there as the same run.

Change: requests that write more than they read name a replica for the copy, spread by request. When the stream breaks or is silent for 0.5 s, a connection shows whether the replica is there; only if not does the copy go on. A run that may have begun is never begun anew, whatever led there.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -50,6 +50,18 @@
       | resumable      | breaks inside an event | 200    | events   | 2    |
       | resumable      | breaks before an event | 200    | events   | 2    |
 
+  Scenario Outline: a long answer whose replica <fault>, its copy <copy>
+    Given a third pool replica
+    When a long answer's replica "<fault>" while its copy's replica is <copy>
+    Then the caller gets status 200 and "<body>"
+    And it ran once and went on <times> times
+
+    Examples:
+      | fault                    | copy | body   | times |
+      | crashes after two events | up   | events | 1     |
+      | crashes after two events | gone | broken | 0     |
+      | breaks after two events  | up   | broken | 0     |
+
   Scenario: a second answer never reaches the next caller
     When requests follow each other past replicas that answer twice
     Then each caller got its own answer
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -131,6 +131,51 @@
     assert len(ran) == runs, ran
 
 
+@given('a third pool replica')
+def step_third_pool(context):
+    site = context.platform
+    site.add('e3', 'pool')
+    standin.until(
+        lambda: any(ln['event'] == 'replica_seen' and ln['replica'] == 'e3'
+                    for ln in site.log()), 'the third replica')
+
+
+@when('a long answer\'s replica "{fault}" while its copy\'s replica is {copy}')
+def step_copied(context, fault, copy):
+    # Symptom: a piece came twice, a request ran twice. Sequence: a replica
+    # crashes in mid-stream, and the one with the copy with it. Cause: the
+    # refused connection there was taken for a request that had not run.
+    site = context.platform
+    shared = _OneFault(fault)
+    replicas = [site.replicas[n] for n in (*POOL, 'e3')]
+    for replica in replicas:
+        replica.script = shared
+    context.rid = _rid(context)
+    request = standin.request_bytes(PATHS['streaming'],
+                                    context.rid,
+                                    body=b'x',
+                                    extra=('Model: m', 'Token-Count: 10,400'))
+    with standin.connect(site.callers) as sock:
+        sock.sendall(request)
+        if copy == 'gone':
+            standin.until(lambda: _runs(context, context.rid), 'the run')
+            (_, req), = _runs(context, context.rid)
+            for replica in replicas:
+                if replica.addr == req.headers['kv-backup']:
+                    replica.close()
+        context.reply = standin.read_answer(sock)
+
+
+@then('it ran once and went on {times:d} times')
+def step_went_on(context, times):
+    assert len(_runs(context, context.rid)) == 1
+    continued = [
+        req for replica in context.platform.replicas.values()
+        for req in replica.continued
+    ]
+    assert len(continued) == times, continued
+
+
 @when('requests follow each other past replicas that answer twice')
 def step_twice(context):
     context.replies = []
--- a/gorsefall/policy/placement.py
+++ b/gorsefall/policy/placement.py
@@ -180,6 +180,21 @@
     return min(sound, key=rank)
 
 
+def backup(targets, request, now):
+    """Returns the target to keep a copy of a run's memory, or None.
+
+    Spread by request, so that when a replica goes, its runs go on at all
+    others and not at one.
+
+    Args:
+        targets: The targets beside the one that runs the request.
+        request: The request's id.
+        now: Time, s (monotonic).
+    """
+    sound = [t for t in targets if t.eject_until <= now]
+    return max(sound, key=lambda t: _rank(request, t), default=None)
+
+
 def cost_ms(target, want, now, keeps_prompt):
     """Returns the expected wait for the first event at ``target``, ms."""
     weight = max(0.0, 1.0 - (now - target.reported_at) / REPORT_FADE_S)
--- a/gorsefall/relay/exchange.py
+++ b/gorsefall/relay/exchange.py
@@ -1,6 +1,5 @@
 """One request from its caller to its final answer."""
 
-import contextlib
 import enum
 import random
 import time
@@ -10,9 +9,11 @@
 from gorsefall import metrics
 from gorsefall.policy import placement
 from gorsefall.relay import events
+from gorsefall.relay import fleet
 from gorsefall.relay import model
 from gorsefall.relay import outbound
 from gorsefall.relay import routes
+from gorsefall.relay import sending
 
 ATTEMPT_SHARE = 0.4
 """Part of the time left that an attempt which may be repeated waits for its
@@ -29,6 +30,11 @@
 """Silence within a stream that may be resumed, after which another replica
 is asked, s: over twice the longest pause that callers take for on time."""
 
+BACKUP_GAP_S = 0.5
+"""Silence within a stream that has a copy, after which its replica is looked
+for, s: twice the longest pause that callers take for on time, a quarter of
+what they bear."""
+
 RETRY_AFTER_S = (0.05, 0.25)
 """Range a refused caller's return is spread over, s: what refuses is mostly
 one replica or one moment's queue, and a queue of 64 calls of 22 ms on 18
@@ -87,52 +93,6 @@
     return random.uniform(*RETRY_AFTER_S)
 
 
-class Attempt(outbound.Call):
-    """One send of an exchange's request to one replica."""
-
-    def __init__(self, exchange, replica, order):
-        req = exchange.req
-        fields = exchange.node.dialect.encode_request(req, order)
-        super().__init__(req.method, req.target, fields, req.body)
-        self._exchange = exchange
-        self._answer = None
-        self._buf = []
-        self._buffered = 0
-        self.replica = replica
-        self.began = time.monotonic()
-        self.channel = None
-        self.place = contextlib.ExitStack()
-        self.prompt_read = self.place.enter_context(
-            replica.occupied(req.prompt.tokens_in if req.prompt else 0))
-
-    def is_mine(self, status, fields):
-        """See ``outbound.Call``."""
-        answer = self._exchange.node.dialect.decode_answer(status, fields)
-        return (answer.request_id is None or
-                answer.request_id == self._exchange.req.id)
-
-    def on_head(self, status, fields):
-        """See ``outbound.Call``."""
-        self._answer = self._exchange.node.dialect.decode_answer(status, fields)
-        load = self._answer.load
-        if load is not None:
-            self.replica.target.report(load.running + load.waiting,
-                                       time.monotonic())
-        self._exchange.answer_began(self, self._answer)
-
-    def on_data(self, data):
-        """See ``outbound.Call``."""
-        self._exchange.answer_data(self, data)
-
-    def on_end(self):
-        """See ``outbound.Call``."""
-        self._exchange.answer_ended(self, self._answer)
-
-    def on_fail(self, failure):
-        """See ``outbound.Call``."""
-        self._exchange.attempt_failed(self, failure)
-
-
 class Exchange:
     """Runs one caller request through replicas; owns its answer.
 
@@ -157,6 +117,7 @@
         self._splitter = None
         self._streaming = False
         self._may_have_run = False
+        self._once = False
         self._route = None
         self._account = None
         self._service = None
@@ -165,6 +126,8 @@
         self._deadline = None
         self._deadline_timer = None
         self._attempt_timer = None
+        self._backup = None
+        self._probe = None
         self._log = logs.get('exchange').bind(rid=req.id)
 
     # -- what may be done ------------------------------------------------------
@@ -208,6 +171,7 @@
         if self._route is not route:
             self._route = route
             self._service = routes.pick_service(route)
+            self._once = self._once or not route.repeatable
         self._account = account
 
     def _time_left(self):
@@ -220,6 +184,10 @@
             # Asked again before each send: while the request waited, its
             # key may have been revoked or its route moved.
             self._admit()
+            if self._may_have_run and self._once:
+                # Whatever led here, a run that may have begun is not begun
+                # anew; only a copy of it may go on.
+                raise self._unknown('it may not be repeated')
             self._send(self._choose())
         except errors.GorsefallError as exc:
             self._fail(exc)
@@ -243,7 +211,7 @@
                               tokens=prompt.tokens_in,
                               tokens_out=prompt.tokens_out)
 
-    def _send(self, replica):
+    def _send(self, replica, *, from_copy=False):
         now = time.monotonic()
         first = not self.attempts
         if first:
@@ -259,9 +227,11 @@
             time_left_s=self._time_left(),
             account=account.name if account else None,
             priority=priority,
+            backup=None if from_copy else self._choose_backup(replica),
+            copy_at=replica.record.addr if from_copy else None,
             resume_after=self._splitter.last_id if self._splitter else None)
         self.phase = Phase.SENT
-        self._attempt = Attempt(self, replica, order)
+        self._attempt = sending.Attempt(self, replica, order)
         self._attempt.channel = replica.pool.send(self._attempt)
         self._log.info('sent',
                        replica=replica.record.id,
@@ -273,6 +243,21 @@
                        proof_age_s=round(self.node.proof.age_s(), 3))
         self._watch_attempt()
 
+    def _choose_backup(self, replica):
+        """Returns the address of the replica that copies the run, or None."""
+        service = self.node.table.services.get(self._service)
+        want = self._want()
+        if (service is None or not service.backups or not want.writes or
+                self._route.kind is not model.Kind.STREAM):
+            return None
+        others = self.node.fleet.candidates(self._service, {replica.record.id})
+        target = placement.backup([r.target for r in others], self.req.id,
+                                  time.monotonic())
+        self._backup = target.name if target else None
+        if target is None:
+            return None
+        return self.node.fleet.replicas[target.name].record.addr
+
     def _watch_attempt(self):
         if not self._may_repeat():
             return
@@ -297,7 +282,12 @@
         # is time serves the caller; the budget keeps that from doubling the
         # load when all of them are slow.
         attempt = self._attempt
-        if attempt is None or not self._may_repeat():
+        if attempt is None:
+            return
+        if self._restorable():
+            self._look_after(attempt)
+            return
+        if not self._may_repeat():
             return
         budget = self.node.budget(self._service)
         if budget.room(time.monotonic()) < 1:
@@ -342,7 +332,9 @@
     def _pass_on(self, attempt, data):
         if not data:
             return
-        if self._may_repeat():
+        if self._restorable():
+            self._set_attempt_timer(BACKUP_GAP_S)
+        elif self._may_repeat():
             self._set_attempt_timer(STREAM_GAP_S)
         if not self._reply.started:
             self.phase = Phase.ANSWERING
@@ -424,8 +416,59 @@
             self._restart()
             return
         self._may_have_run = True
+        if self._restorable():
+            self._look_after(attempt, failure.reason)
+            return
         self._again_or(self._unknown(failure.reason), failure.reason)
 
+    # -- going on from a copy --------------------------------------------------
+
+    def _restorable(self):
+        """Whether the run has a copy and the caller part of its answer."""
+        return (self._backup is not None and self._splitter is not None and
+                self._splitter.last_id is not None)
+
+    def _look_after(self, attempt, broken=None):
+        """Looks whether the replica of a broken or silent stream is there."""
+
+        def looked(alive):
+            self._probe = None
+            if not alive:
+                self._restore(attempt)
+            elif broken:
+                self._fail(self._unknown(broken))
+            else:
+                self._set_attempt_timer(BACKUP_GAP_S)
+
+        if self._probe is None:
+            self._probe = sending.Probe(self.node.loop,
+                                        attempt.replica.record.addr,
+                                        fleet.CONNECT_TIMEOUT_S, looked)
+
+    def _restore(self, attempt):
+        """Goes on at the replica that has the copy of the run's memory."""
+        if self._attempt is not None:
+            attempt.channel.cancel()
+            self._close_attempt(attempt)
+            attempt.replica.target.failed(time.monotonic())
+        replica = self.node.fleet.replicas.get(self._backup)
+        self._backup = None
+        gone = attempt.replica.record.id
+        if (replica is None or
+                not self.node.budget(self._service).take(time.monotonic())):
+            self._fail(
+                self._unknown('its replica is gone, and no copy is left'))
+            return
+        self._log.info('restored',
+                       gone=gone,
+                       replica=replica.record.id,
+                       after=self._splitter.last_id.decode('latin-1'))
+        try:
+            self._admit()
+            self._send(replica, from_copy=True)
+        except errors.GorsefallError as exc:
+            self._fail(exc)
+
     def _unknown(self, reason):
         return errors.OutcomeUnknownError(
             f'{self.attempts[-1]} may have run it: {reason}')
@@ -518,6 +561,8 @@
         self.phase = Phase.DONE
         if self._deadline_timer is not None:
             self._deadline_timer.cancel()
+        if self._probe is not None:
+            self._probe.cancel()
         now = time.monotonic()
         route = self._route
         labels = (self._account.name if self._account else '',
--- a/gorsefall/relay/model.py
+++ b/gorsefall/relay/model.py
@@ -65,10 +65,12 @@
         name: Service name.
         max_connections: Connections one replica accepts from all entries.
         engine: Whether its replicas are model engines.
+        backups: Whether a replica can copy a run's memory to another one.
     """
     name: ids.ServiceName
     max_connections: int
     engine: bool = False
+    backups: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -236,10 +238,15 @@
         time_left_s: How long the replica may work on it, s.
         account: Name of the caller's account; None on public routes.
         priority: Rank, 0 is the most urgent.
+        backup: ``(host, port)`` of the replica that keeps a copy of the run's
+            memory as it grows; None for no copy.
+        copy_at: ``(host, port)`` of the copy to go on from; None for none.
         resume_after: Id of the last event delivered; None from the start.
     """
     replica: ids.ReplicaName
     time_left_s: float
     account: ids.AccountName | None
     priority: int
+    backup: tuple[str, int] | None = None
+    copy_at: tuple[str, int] | None = None
     resume_after: bytes | None = None
