Copies, outcomes and sends in modules of their own; settings told at once

A broken stream whose replica lives may be asked for again where its route allows that, also when it had a copy; a retry keeps its service while the route stays the same; answers that are no streams may be as long as what callers send (4 MB instead of 256 KB).

--- a/gorsefall/cmdline.py
+++ b/gorsefall/cmdline.py
@@ -11,6 +11,7 @@
 from gorsefall import publish
 from gorsefall import registry
 from gorsefall import settings
+from gorsefall.relay import settings as relay_settings
 
 
 def _addr(text):
@@ -32,6 +33,13 @@
     return 0
 
 
+def _check_settings(args):
+    kind = relay_settings if args.relay else settings
+    kind.load(args.config)
+    print(f'{args.config}: sound')
+    return 0
+
+
 def _standin(args):
     from gorsefall.standins import base
     cls = registry.standin(args.kind)
@@ -100,6 +108,13 @@
     e.add_argument('config', help='settings TOML file')
     e.set_defaults(func=_entry)
 
+    k = sub.add_parser('check-settings', help='check a settings file')
+    k.add_argument('config', help='settings TOML file')
+    k.add_argument('--relay',
+                   action='store_true',
+                   help='the settings of a relay entry')
+    k.set_defaults(func=_check_settings)
+
     s = sub.add_parser('standin', help='run a stand-in of a platform system')
     s.add_argument('kind', choices=sorted(registry.STANDINS))
     s.add_argument('--listen', type=_addr, required=True, help='host:port')
--- a/gorsefall/relay/exchange.py
+++ b/gorsefall/relay/exchange.py
@@ -1,17 +1,17 @@
 """One request from its caller to its final answer."""
 
 import enum
-import random
 import time
 
 from gorsefall import errors
 from gorsefall import logs
 from gorsefall import metrics
 from gorsefall.policy import placement
+from gorsefall.relay import copies
 from gorsefall.relay import events
-from gorsefall.relay import fleet
 from gorsefall.relay import model
 from gorsefall.relay import outbound
+from gorsefall.relay import outcomes
 from gorsefall.relay import routes
 from gorsefall.relay import sending
 
@@ -30,23 +30,18 @@
 """Silence within a stream that may be resumed, after which another replica
 is asked, s: over twice the longest pause that callers take for on time."""
 
-BACKUP_GAP_S = 0.5
+COPY_GAP_S = 0.5
 """Silence within a stream that has a copy, after which its replica is looked
 for, s: twice the longest pause that callers take for on time, a quarter of
 what they bear."""
 
-RETRY_AFTER_S = (0.05, 0.25)
-"""Range a refused caller's return is spread over, s: what refuses is mostly
-one replica or one moment's queue, and a queue of 64 calls of 22 ms on 18
-places is worked off in 80 ms."""
-
 INTERNAL = 500
 TIME_UP = 504
 """Statuses of a replica that failed, and of one whose time was up."""
 
-MAX_BUFFERED = 262144
-"""Answer bytes that are held back until the answer is whole. Over twice 110
-KB, the largest body of today's routes; more goes out as it comes."""
+MAX_BUFFERED = 4 << 20
+"""Longest answer that is no stream, bytes: it is held back until it is whole,
+so that another replica can still be asked. As much as callers may send."""
 
 
 class Phase(enum.Enum):
@@ -57,42 +52,6 @@
     DONE = 'done'
 
 
-class Outcome(enum.Enum):
-    """How an exchange ended."""
-    SERVED = 'served'
-    REPLICA_FAILED = 'replica_failed'
-    REFUSED = 'refused'
-    DENIED = 'denied'
-    UNKNOWN = 'outcome_unknown'
-    TIMED_OUT = 'timed_out'
-    BROKEN = 'broken_off'
-    CALLER_LEFT = 'caller_left'
-
-
-def _outcome(exc):
-    if isinstance(exc, errors.NotRunError):
-        return Outcome.REFUSED
-    if isinstance(exc, errors.BadRequestError):
-        return Outcome.DENIED
-    if isinstance(exc, errors.TimedOutError):
-        return Outcome.TIMED_OUT
-    return Outcome.UNKNOWN
-
-
-def error_answer(exc):
-    """Returns the ``(status, fields, body)`` of an error."""
-    body = f'{exc.code}: {exc}\n'.encode()
-    fields = [(b'Content-Type', b'text/plain; charset=utf-8')]
-    if isinstance(exc, errors.NotRunError):
-        fields.append((b'Retry-After', f'{exc.retry_after:.2f}'.encode()))
-    return exc.status, fields, body
-
-
-def spread_s():
-    """Returns a time after which a refused caller may return, s."""
-    return random.uniform(*RETRY_AFTER_S)
-
-
 class Exchange:
     """Runs one caller request through replicas; owns its answer.
 
@@ -130,8 +89,7 @@
         self._deadline = None
         self._deadline_timer = None
         self._attempt_timer = None
-        self._backup = None
-        self._probe = None
+        self._copy = copies.Copy(node.loop, node.fleet)
         self._log = logs.get('exchange').bind(rid=req.id)
 
     # -- what may be done ------------------------------------------------------
@@ -164,15 +122,15 @@
             # A process that knows nothing yet must not deny what may well
             # be allowed: the caller would not try again.
             raise errors.NoCatalogueError('no configuration read yet',
-                                          retry_after=spread_s())
+                                          retry_after=outcomes.spread_s())
         route = table.match(self.req)
         account = table.account(self.req, route)
         if account is not None and not self.node.proof.valid():
             raise errors.UnprovenError(
                 f'configuration {table.version} was last confirmed '
                 f'{self.node.proof.age_s():.2f} s ago',
-                retry_after=spread_s())
-        if self._route is not route:
+                retry_after=outcomes.spread_s())
+        if self._route != route:
             self._route = route
             self._service = routes.pick_service(route)
             self._once = self._once or not route.repeatable
@@ -232,7 +190,7 @@
             time_left_s=self._time_left(),
             account=account.name if account else None,
             priority=priority,
-            backup=None if from_copy else self._choose_backup(replica),
+            backup=None if from_copy else self._order_copy(replica),
             copy_at=replica.record.addr if from_copy else None,
             resume_after=self._splitter.last_id if self._splitter else None)
         self.phase = Phase.SENT
@@ -248,7 +206,7 @@
                        proof_age_s=round(self.node.proof.age_s(), 3))
         self._watch_attempt()
 
-    def _choose_backup(self, replica):
+    def _order_copy(self, replica):
         """Returns the address of the replica that copies the run, or None."""
         service = self.node.table.services.get(self._service)
         want = self._want()
@@ -256,12 +214,7 @@
                 self._route.kind is not model.Kind.STREAM):
             return None
         others = self.node.fleet.candidates(self._service, {replica.record.id})
-        target = placement.backup([r.target for r in others], self.req.id,
-                                  time.monotonic())
-        self._backup = target.name if target else None
-        if target is None:
-            return None
-        return self.node.fleet.replicas[target.name].record.addr
+        return self._copy.order(others, self.req.id)
 
     def _watch_attempt(self):
         if not self._may_repeat():
@@ -305,19 +258,13 @@
     def answer_began(self, attempt, answer):
         """Called with the head of an answer."""
         self._answer = answer
-        if self._splitter is not None and not self._acceptable(answer):
-            # The rest of a stream that has begun can only be more events.
-            self._streaming = False
-            return
-        if (self._route.kind is model.Kind.STREAM and answer.success and
-                answer.genuine):
-            self._streaming = True
+        # The rest of a stream that has begun can only be more events.
+        self._streaming = (self._route.kind is model.Kind.STREAM and
+                           answer.success and answer.genuine)
+        if self._streaming:
             self._splitter = self._splitter or events.Splitter()
             self._splitter.rest = b''
 
-    def _acceptable(self, answer):
-        return answer.success and answer.genuine
-
     def answer_data(self, attempt, data):
         """Called with a piece of an answer's body."""
         if self._first_at is None:
@@ -338,7 +285,7 @@
         if not data:
             return
         if self._restorable():
-            self._set_attempt_timer(BACKUP_GAP_S)
+            self._set_attempt_timer(COPY_GAP_S)
         elif self._may_repeat():
             self._set_attempt_timer(STREAM_GAP_S)
         if not self._reply.started:
@@ -367,7 +314,7 @@
             self._again_or(
                 errors.ReplicaRefusedError(
                     f'the replica refused it ({answer.status})',
-                    retry_after=spread_s()), 'not run')
+                    retry_after=outcomes.spread_s()), 'not run')
             return
         health.succeeded()
         health.answered(answer.status < INTERNAL or answer.status == TIME_UP)
@@ -395,14 +342,14 @@
         if self._splitter.rest:
             self._reply.data(self._splitter.rest)
         self._reply.end()
-        self._close(Outcome.SERVED)
+        self._close(outcomes.Outcome.SERVED)
 
     def _pass_whole(self, answer):
         self._reply.whole(answer.status,
                           self.node.dialect.encode_answer(answer),
                           b''.join(self._body))
-        self._close(
-            Outcome.SERVED if answer.success else Outcome.REPLICA_FAILED)
+        self._close(outcomes.Outcome.SERVED if answer.success else outcomes.
+                    Outcome.REPLICA_FAILED)
 
     def attempt_failed(self, attempt, failure):
         """Called when an attempt ended without a whole answer."""
@@ -430,25 +377,21 @@
 
     def _restorable(self):
         """Whether the run has a copy and the caller part of its answer."""
-        return (self._backup is not None and self._splitter is not None and
+        return (self._copy.held and self._splitter is not None and
                 self._splitter.last_id is not None)
 
     def _look_after(self, attempt, broken=None):
         """Looks whether the replica of a broken or silent stream is there."""
 
         def looked(alive):
-            self._probe = None
             if not alive:
                 self._restore(attempt)
             elif broken:
-                self._fail(self._unknown(broken))
+                self._again_or(self._unknown(broken), broken)
             else:
-                self._set_attempt_timer(BACKUP_GAP_S)
+                self._set_attempt_timer(COPY_GAP_S)
 
-        if self._probe is None:
-            self._probe = sending.Probe(self.node.loop,
-                                        attempt.replica.record.addr,
-                                        fleet.CONNECT_TIMEOUT_S, looked)
+        self._copy.look(attempt.replica, looked)
 
     def _restore(self, attempt):
         """Goes on at the replica that has the copy of the run's memory."""
@@ -456,16 +399,14 @@
             attempt.channel.cancel()
             self._close_attempt(attempt)
             attempt.replica.target.failed(time.monotonic())
-        replica = self.node.fleet.replicas.get(self._backup)
-        self._backup = None
-        gone = attempt.replica.record.id
+        replica = self._copy.take()
         if (replica is None or
                 not self.node.budget(self._service).take(time.monotonic())):
             self._fail(
                 self._unknown('its replica is gone, and no copy is left'))
             return
         self._log.info('restored',
-                       gone=gone,
+                       gone=attempt.replica.record.id,
                        replica=replica.record.id,
                        after=self._splitter.last_id.decode('latin-1'))
         try:
@@ -481,7 +422,7 @@
     def _nothing_left(self, why):
         if self._in_doubt:
             return errors.OutcomeUnknownError(why)
-        return errors.NoReplicaError(why, retry_after=spread_s())
+        return errors.NoReplicaError(why, retry_after=outcomes.spread_s())
 
     def _take_retry(self, *, not_run=False):
         """Whether the request may be sent once more; takes it if so."""
@@ -516,7 +457,7 @@
     def caller_left(self):
         """The caller's channel ended: stops the replica's work."""
         self._drop_attempt()
-        self._close(Outcome.CALLER_LEFT)
+        self._close(outcomes.Outcome.CALLER_LEFT)
 
     def _time_up(self):
         self._drop_attempt()
@@ -525,7 +466,7 @@
         else:
             self._fail(
                 errors.DeadlineError('could not be sent in time',
-                                     retry_after=spread_s()))
+                                     retry_after=outcomes.spread_s()))
 
     def cut(self):
         """Ends the exchange because the process ends."""
@@ -553,10 +494,10 @@
             return
         if self._reply.started:
             self._reply.break_off()
-            self._close(Outcome.BROKEN, exc)
+            self._close(outcomes.Outcome.BROKEN, exc)
             return
-        self._reply.whole(*error_answer(exc))
-        self._close(_outcome(exc), exc)
+        self._reply.whole(*outcomes.error_answer(exc))
+        self._close(outcomes.outcome_of(exc), exc)
 
     def _close(self, outcome, exc=None):
         if self.phase is Phase.DONE:
@@ -564,14 +505,13 @@
         self.phase = Phase.DONE
         if self._deadline_timer is not None:
             self._deadline_timer.cancel()
-        if self._probe is not None:
-            self._probe.cancel()
+        self._copy.cancel()
         now = time.monotonic()
         route = self._route
         labels = (self._account.name if self._account else '',
                   route.name if route else '')
         metrics.RELAYED.labels(*labels, outcome.value).inc()
-        if outcome is Outcome.SERVED:
+        if outcome is outcomes.Outcome.SERVED:
             metrics.RELAY_FIRST.labels(*labels).observe(self._first_at -
                                                         self._arrived)
             metrics.RELAY_WHOLE.labels(*labels).observe(now - self._arrived)
--- a/gorsefall/relay/node.py
+++ b/gorsefall/relay/node.py
@@ -15,6 +15,7 @@
 from gorsefall.relay import fleet
 from gorsefall.relay import inbound
 from gorsefall.relay import model
+from gorsefall.relay import outcomes
 from gorsefall.relay import reactor
 from gorsefall.relay import settings
 from gorsefall.relay import tcp
@@ -159,7 +160,7 @@
 
     def error_answer(self, exc):
         """Returns status, fields and body for ``exc``."""
-        return exchange.error_answer(exc)
+        return outcomes.error_answer(exc)
 
 
 class _Callers(_Channels):
@@ -330,7 +331,7 @@
             req = self.dialect.decode_request(method, target, fields)
         except errors.BadRequestError as exc:
             self._log.info('bad_request', error=str(exc))
-            reply.whole(*exchange.error_answer(exc))
+            reply.whole(*outcomes.error_answer(exc))
             return None
         req.body = body
         running = exchange.Exchange(self, req, reply)
--- a/gorsefall/relay/sending.py
+++ b/gorsefall/relay/sending.py
@@ -4,7 +4,6 @@
 import time
 
 from gorsefall.relay import outbound
-from gorsefall.relay import tcp
 
 
 class Attempt(outbound.Call):
@@ -51,46 +50,3 @@
     def on_fail(self, failure):
         """See ``outbound.Call``."""
         self._exchange.attempt_failed(self, failure)
-
-
-class Probe:
-    """Finds out whether a replica's process is there, by connecting to it.
-
-    A stream that breaks says nothing of its replica: that one may have
-    crashed, or cut just this answer and live on. Only one that is gone for
-    certain may be replaced in the middle of an answer.
-    """
-
-    def __init__(self, loop, addr, timeout_s, done):
-        """Starts connecting; ``done(alive)`` gets the outcome."""
-        self._done = done
-        self._conn = tcp.Connection(loop, self)
-        self._timer = loop.later(timeout_s, lambda: self._end(False))
-        self._conn.connect(addr)
-
-    def cancel(self):
-        """Gives up; ``done`` is not called after this."""
-        self._done = None
-        self._end(False)
-
-    def on_connected(self):
-        """See ``tcp.Connection``."""
-        self._end(True)
-
-    def on_broken(self, reason):
-        """See ``tcp.Connection``."""
-        del reason
-        self._end(False)
-
-    def on_drained(self):
-        """See ``tcp.Connection``."""
-
-    def on_bytes(self, data):
-        """See ``tcp.Connection``; nothing was asked."""
-
-    def _end(self, alive):
-        self._timer.cancel()
-        self._conn.close()
-        done, self._done = self._done, None
-        if done is not None:
-            done(alive)
--- a/gorsefall/relay/tcp.py
+++ b/gorsefall/relay/tcp.py
@@ -5,6 +5,7 @@
 import os
 import socket
 
+from gorsefall import errors
 from gorsefall.relay import reactor
 
 RECV_BYTES = 65536
@@ -206,6 +207,9 @@
 
     Attributes:
         accept: Called with each new socket.
+
+    Raises:
+        errors.SettingsError: The address cannot be listened on.
     """
 
     def __init__(self, loop, addr, accept):
@@ -214,7 +218,12 @@
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self._sock.setblocking(False)
-        self._sock.bind(addr)
+        try:
+            self._sock.bind(addr)
+        except OSError as exc:
+            raise errors.SettingsError(
+                f'cannot listen on {addr[0]}:{addr[1]}: {exc.strerror}'
+            ) from exc
         self._sock.listen(BACKLOG)
         self.addr = self._sock.getsockname()
         loop.watch(self._sock, self, read=True, write=False)
--- a/tests/test_inbound.py
+++ b/tests/test_inbound.py
@@ -7,9 +7,9 @@
 from hypothesis import strategies as st
 
 import peers
-from gorsefall.relay import exchange
 from gorsefall.relay import inbound
 from gorsefall.relay import model
+from gorsefall.relay import outcomes
 
 
 class Server:
@@ -26,7 +26,7 @@
         reply.whole(200, [(b'X-Target', target)], body)
 
     def error_answer(self, exc):
-        return exchange.error_answer(exc)
+        return outcomes.error_answer(exc)
 
     def channel_closed(self, channel):
         self.closed += 1
--- /dev/null
+++ b/tests/test_relay_settings.py
@@ -0,0 +1,55 @@
+"""Settings of a relay entry: every fault is named, and nothing starts."""
+
+import pytest
+
+from gorsefall import cmdline
+from gorsefall import errors
+from gorsefall.relay import settings
+
+SOUND = """
+name = "entry-1"
+zone = "z1"
+callers = "10.0.0.1:8000"
+readiness = "10.0.0.1:8001"
+store = "10.0.0.9:8002"
+"""
+
+
+def test_sound_settings_have_their_defaults():
+    cfg = settings.loads(SOUND)
+    assert (cfg.revoke_s, cfg.grace_s, cfg.metrics_port) == (5.0, 8.0, 9464)
+    assert cfg.retries.window_s == 10.0
+
+
+@pytest.mark.parametrize(('change', 'named'), [
+    (('zone = "z1"', ''), 'zone'),
+    (('zone = "z1"', 'zone = ""'), 'zone'),
+    (('10.0.0.9:8002', 'nowhere'), 'store'),
+    (('name = "entry-1"', 'name = 3'), 'name'),
+    (('name = "entry-1"', 'name = "entry-1"\nfloat = 1'), 'float'),
+    (('zone = "z1"', 'zone = "z1"\nrevoke_s = 0'), 'revoke_s'),
+    (('zone = "z1"', 'zone = '), 'TOML'),
+    (('zone = "z1"', 'zone = "z1"\nmetrics_port = 70000'), 'metrics_port'),
+])
+def test_a_fault_names_its_field(change, named):
+    """An entry that starts with half of its settings does harm later."""
+    with pytest.raises(errors.SettingsError) as info:
+        settings.loads(SOUND.replace(*change), 'x.toml')
+    assert named.lower() in str(info.value).lower()
+    assert 'x.toml' in str(info.value)
+
+
+def test_all_faults_are_told_at_once():
+    text = SOUND.replace('8000', 'x').replace('8001', 'y')
+    with pytest.raises(errors.SettingsError) as info:
+        settings.loads(text)
+    assert 'callers' in str(info.value) and 'readiness' in str(info.value)
+
+
+def test_the_command_checks_a_file(tmp_path, capsys):
+    path = tmp_path / 'relay.toml'
+    path.write_text(SOUND)
+    assert cmdline.main(['check-settings', '--relay', str(path)]) == 0
+    path.write_text(SOUND.replace('"z1"', '""'))
+    assert cmdline.main(['check-settings', '--relay', str(path)]) == 2
+    assert 'zone: must not be empty' in capsys.readouterr().err
