--- a/gorsefall/relay/exchange.py
+++ b/gorsefall/relay/exchange.py
@@ -307,6 +307,8 @@
         health = attempt.replica.target
         if answer.not_run:
             self._in_doubt.discard(attempt.replica.record.id)
+            if answer.misdirected:
+                self.node.fleet.replaced(attempt.replica.record.id)
             self._log.info('not_run',
                            replica=attempt.replica.record.id,
                            status=answer.status,
--- a/gorsefall/relay/fleet.py
+++ b/gorsefall/relay/fleet.py
@@ -76,6 +76,7 @@
     def __init__(self, loop):
         self._loop = loop
         self._records = {}
+        self._replaced = set()
         self._services = {}
         self._away = False
         self._doubt_until = float('-inf')
@@ -105,7 +106,8 @@
         if rep is not None:
             rep.record = record
             rep.doubtful = False
-        elif record.service in self._services:
+        elif (record.service in self._services and
+              record.id not in self._replaced):
             self.replicas[record.id] = Replica(self._loop, record,
                                                self._services[record.service])
 
@@ -119,6 +121,7 @@
         """
         rep = self.replicas.get(replica_id)
         self._records.pop(replica_id, None)
+        self._replaced.discard(replica_id)
         if rep is None:
             return
         if self._away or now < self._doubt_until:
@@ -127,6 +130,17 @@
             return
         self._drop(replica_id, 'record gone')
 
+    def replaced(self, replica_id):
+        """Drops a replica whose address another one answers at.
+
+        Its record stays for some heartbeats after its end. Without this every
+        request of that time which is sent there is refused (noticed as
+        refusals for three seconds after a replica was restarted in place).
+        """
+        self._replaced.add(replica_id)
+        if replica_id in self.replicas:
+            self._drop(replica_id, 'another replica has its address')
+
     def reset(self, records, now):
         """Adopts a whole new listing of records."""
         for record in records:
--- a/gorsefall/relay/model.py
+++ b/gorsefall/relay/model.py
@@ -214,6 +214,7 @@
         genuine: Whether it bears the replica's proof that it is its own and
             its body was not re-encoded on the way.
         not_run: The replica says that it did not run the request.
+        misdirected: It says that it is not the one the request is meant for.
         load: Its ``Load``, or None.
     """
     status: int
@@ -221,6 +222,7 @@
     request_id: str | None
     genuine: bool
     not_run: bool
+    misdirected: bool
     load: Load | None
 
     @property
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -98,3 +98,23 @@
     assert not names(directory, 't')
     directory.services_changed(SERVICES)
     assert names(directory, 't') == {'a'}
+
+
+def test_a_replaced_replica_gets_no_more_work_though_its_record_lives():
+    """Refusals after a replica was restarted in place.
+
+    Symptom: for three seconds a part of the requests is refused. Sequence: a
+    replica crashes, its successor takes the address under a new id, the old
+    record lapses only after three heartbeats. Cause: the record was believed
+    more than the answer from the address.
+    """
+    directory = fleet.Fleet(Loop())
+    directory.services_changed(SERVICES)
+    for name in 'ab':
+        directory.put(record(name))
+    directory.replaced('a')
+    directory.services_changed(SERVICES)
+    directory.put(record('a'))
+    assert names(directory) == {'b'}
+    directory.remove('a', 0.0)
+    assert names(directory) == {'b'}
