--- a/bench/relay_capacity.py
+++ b/bench/relay_capacity.py
@@ -1,4 +1,4 @@
-"""Measures what a relay entry costs: at rest by replicas and routes, per request.
+"""Measures what a relay entry costs: at rest, and for a request.
 
 Usage: python bench/relay_capacity.py
 
