gorsefall explain: from a request's id to its cause, from the entries' own lines

Lines are decoded into typed events; the sentences say what was decided, which beliefs were in force at that process, and the cause. 'answered' says the last event passed on; an answer that ends early is no longer told as a parser's error.

--- a/gorsefall/cmdline.py
+++ b/gorsefall/cmdline.py
@@ -7,6 +7,8 @@
 import gorsefall
 from gorsefall import catalogue
 from gorsefall import errors
+from gorsefall import explain
+from gorsefall import loglines
 from gorsefall import logs
 from gorsefall import publish
 from gorsefall import registry
@@ -93,6 +95,14 @@
     return bench.main(args)
 
 
+def _explain(args):
+    *files, request = args.files_and_id
+    if not files:
+        raise errors.LogFileError('name the log files, then the request')
+    print(explain.explain(loglines.read(files), request))
+    return 0
+
+
 def parser():
     """Returns the argument parser."""
     p = argparse.ArgumentParser(
@@ -139,6 +149,14 @@
                    'the file names)')
     c.set_defaults(func=_catalogue)
 
+    x = sub.add_parser('explain',
+                       help='tell from log files why a request ended so')
+    x.add_argument('files_and_id',
+                   nargs='+',
+                   metavar='LOGFILE... REQUEST-ID',
+                   help='log files of relay entries, then the request id')
+    x.set_defaults(func=_explain)
+
     b = sub.add_parser('bench', help='send a burst mix and report by class')
     b.add_argument('scenario', help='scenario TOML file')
     b.add_argument('--entry',
--- a/gorsefall/errors.py
+++ b/gorsefall/errors.py
@@ -186,6 +186,16 @@
     code = 'bad_scenario'
 
 
+class LogFileError(GorsefallError):
+    """A log file cannot be read."""
+    code = 'bad_log_file'
+
+
+class UnknownRequestError(GorsefallError):
+    """No log line has the request's id."""
+    code = 'unknown_request'
+
+
 class CatalogueError(GorsefallError):
     """A catalogue document fails its checks."""
     code = 'bad_catalogue'
--- a/gorsefall/policy/freshness.py
+++ b/gorsefall/policy/freshness.py
@@ -6,6 +6,7 @@
 is recent enough.
 """
 
+import math
 import time
 
 
@@ -42,6 +43,15 @@
         """Returns the age of the proof, s."""
         return clock() - self.sent_at
 
+    def logged_age_s(self):
+        """Returns the age for a log line, s, or None before any proof.
+
+        JSON knows no infinity: a line that holds one cannot be decoded,
+        just when an entry that knows nothing yet has to be explained.
+        """
+        age_s = self.age_s()
+        return None if math.isinf(age_s) else round(age_s, 3)
+
     def valid(self):
         """Returns whether requests that need a key may be handed on now."""
         return self.age_s() <= self.bound_s
--- a/gorsefall/relay/exchange.py
+++ b/gorsefall/relay/exchange.py
@@ -202,7 +202,7 @@
                        outstanding=replica.target.outstanding,
                        others=replica.target.others,
                        version=self.node.table.version,
-                       proof_age_s=round(self.node.proof.age_s(), 3))
+                       proof_age_s=self.node.proof.logged_age_s())
         self._watch_attempt()
 
     def _order_copy(self, replica):
@@ -420,7 +420,7 @@
         self._log.info('restored',
                        gone=attempt.replica.record.id,
                        replica=replica.record.id,
-                       after=self._splitter.last_id.decode('latin-1'))
+                       after=self._last_event())
         try:
             self._admit()
             self._send(replica, from_copy=True)
@@ -538,10 +538,17 @@
             attempts=self.attempts,
             first_ms=self._since(self._first_at),
             ms=self._since(now),
+            last_event=self._last_event(),
             version=self.node.table.version if self.node.table else None,
-            proof_age_s=round(self.node.proof.age_s(), 3))
+            proof_age_s=self.node.proof.logged_age_s())
         self.node.exchange_done(self)
 
+    def _last_event(self):
+        """Returns the id of the last event passed on, or None."""
+        if self._splitter is None or self._splitter.last_id is None:
+            return None
+        return self._splitter.last_id.decode('latin-1')
+
     def _since(self, when):
         if when is None:
             return None
--- a/gorsefall/relay/node.py
+++ b/gorsefall/relay/node.py
@@ -308,7 +308,7 @@
         self.proof.confirmed(sent_at)
         if not self._proven:
             self._proven = True
-            self._log.info('proof_regained', age_s=round(self.proof.age_s(), 3))
+            self._log.info('proof_regained', age_s=self.proof.logged_age_s())
 
     def ready(self):
         """Returns whether new work may come here."""
@@ -317,7 +317,7 @@
         fresh = self.proof.age_s() <= self.proof.bound_s * PROOF_READY_SHARE
         if not fresh and self._proven:
             self._proven = False
-            self._log.warning('proof_lost', age_s=round(self.proof.age_s(), 3))
+            self._log.warning('proof_lost', age_s=self.proof.logged_age_s())
         return fresh or not self.table.keyed
 
     def budget(self, service):
--- a/gorsefall/relay/outbound.py
+++ b/gorsefall/relay/outbound.py
@@ -171,7 +171,9 @@
             while self._call is not None and self._next():
                 pass
         except h11.RemoteProtocolError as exc:
-            self._fail(f'bad answer: {exc}')
+            # An end where more is due is no fault of the peer's spelling.
+            self._fail(f'bad answer: {exc}'
+                       if data else 'closed before its answer was whole')
 
     def _next(self):
         event = self._h11.next_event()
