Replicas read every 1.4 s, configuration reads wait 1.2 s

Calls to the store are paid for, and are the largest price that is ours to lower. The bound on replicas that leave (2 s) still holds a read, its answer and a connection; two lost answers in a row still fit the proof.

--- a/gorsefall/relay/node.py
+++ b/gorsefall/relay/node.py
@@ -31,18 +31,21 @@
 """Part of the proof's bound after which the entry reports itself not ready,
 so that the balancer prefers entries that reach the store."""
 
-CONFIG_WAIT_S = 1.0
-"""Longest time a read of the configuration waits at the store, s. Each answer
-renews the proof, so its age stays under twice this, at one call a second."""
+CONFIG_WAIT_S = 1.2
+"""Longest time a read of the configuration waits at the store, s; calls are
+paid for. Each answer renews the proof, whose age stays under twice this while
+all is well; the next bound holds for longer troubles."""
 
 PROOF_READS = 4
-"""Reads within the proof's bound, at least: its age comes to two of them while
-all is well, and a lost answer must not make requests be refused."""
+"""Reads within the proof's bound, at least. Two answers in a row may then be
+lost, each noticed after 0.9 s, before a request has to be refused."""
 
-REPLICAS_PAUSE_S = 0.8
+REPLICAS_PAUSE_S = 1.4
 """Pause between reads of the replicas' records, s. A replica that leaves may
-get new work for 2 s after it said so; waiting reads would return at each of
-the replicas' heartbeats, several a second."""
+get new work for 2 s after it said so: this, an answer of the store and a new
+connection to the replica (0.25 s at most) fit. Waiting reads would return at
+each of the replicas' heartbeats, several a second. At 0.8 an entry makes a
+fifth more calls to the store."""
 
 LAME_DUCK_S = 3.0
 """Time after the stop signal in which new requests are still served, s: the
