Settings that change: retries stay counted, a store that moves is followed

The allowance is now changed in place, and followers start anew at a new store. The feature also holds what was not tested yet: streams beside a change of settings, a faulty file, all entries starting at once (at most 12 calls each to the store) and callers that do not read (400 MB offered, under 64 MB kept). Reading a settings file stands once (settingsfile.py), as does the allowance.

--- /dev/null
+++ b/features/steps/operations_steps.py
@@ -0,0 +1,189 @@
+"""Steps of the feature about operating an entry on the platform."""
+
+import concurrent.futures
+import pathlib
+import re
+import signal
+import socket
+import tempfile
+
+from behave import given
+from behave import then
+from behave import when
+from gorsefall.policy import budget
+from gorsefall.standins import ports
+from steps import platform_steps as on_platform
+
+standin = on_platform.standin
+
+STORE_CALLS_AT_START = 12
+"""Most calls of one entry to the store until it is ready: two listings, the
+first waiting read and the next reads of the replicas."""
+
+MEMORY_MB = 64
+"""Bound on the entry's memory, MB; it has 36 when idle here, and the replicas
+offer 400."""
+
+FLOODED_CALLERS = 8
+
+
+def _ask(context, path='/i/x', **kw):
+    return standin.ask(context.platform.callers, path,
+                       on_platform._rid(context), **kw)
+
+
+def _events(site, name):
+    return [line for line in site.log() if line['event'] == name]
+
+
+def _change(site, name, **changed):
+    """Writes changed settings, signals and waits for the event ``name``."""
+    path = site.settings()
+    text = path.read_text()
+    for key, value in changed.items():
+        text = re.sub(rf'(?m)^{key} = .*$', value, text)
+    path.write_text(text)
+    before = len(_events(site, name))
+    site.proc.send_signal(signal.SIGHUP)
+    standin.until(lambda: len(_events(site, name)) > before, name)
+
+
+@when('the settings change with a signal while streams run')
+def step_reload(context):
+    site = context.platform
+    with concurrent.futures.ThreadPoolExecutor(8) as pool:
+        futs = [pool.submit(_ask, context, '/s/x', body=b'x') for _ in range(8)]
+        _change(site, 'reloaded', revoke_s='revoke_s = 0.9')
+        context.replies = [fut.result() for fut in futs]
+
+
+@then('the streams end whole and the new settings are in force')
+def step_reloaded(context):
+    for reply in context.replies:
+        assert reply.whole and reply.body == on_platform.EVENTS, reply
+    context.platform.store.mode = 'silent'
+    standin.until(lambda: _ask(context).status == 503, 'the shorter bound')
+
+
+@when('a settings file without a store is put in place, with a signal')
+def step_faulty(context):
+    _change(context.platform, 'reload_failed', store='')
+
+
+@then('the fault is logged with the field\'s name and requests are served')
+def step_fault_told(context):
+    assert 'store' in _events(context.platform, 'reload_failed')[-1]['error']
+    assert _ask(context).status == 200
+
+
+def _retries(context, asks):
+    """Asks with every first send failing; returns the retries that came."""
+    site = context.platform
+    before = len(_events(site, 'retry'))
+    for _ in range(asks):
+        for name in on_platform.PLAIN:
+            site.replicas[name].script.clear()
+            site.replicas[name].script.append('resets')
+        _ask(context)
+    return len(_events(site, 'retry')) - before
+
+
+@when('the settings change after all retries were used')
+def step_used(context):
+    context.first_retries = _retries(context, 12)
+    assert 0 < context.first_retries < 12, context.first_retries
+    _change(context.platform, 'reloaded', revoke_s='revoke_s = 4.0')
+
+
+@then('no more retries are sent than before')
+def step_not_forgotten(context):
+    again = _retries(context, 4)
+    # Each further request adds its own part to what may be sent.
+    assert again <= 4 * budget.SHARE, again
+
+
+@when('the settings name another store, whose configuration is newer')
+def step_store_moves(context):
+    site = context.platform
+    other = context.other_store = standin.Store()
+    context.add_cleanup(other.close)
+    other.put('keyed.op', 'config', standin.config(7))
+    for replica in site.replicas.values():
+        other.put('keyed.servers', replica.id, replica.record())
+    _change(site, 'reloaded', store=f'store = "{other.addr}"')
+
+
+@then('the configuration of that store is in force')
+def step_followed(context):
+    site = context.platform
+    standin.until(
+        lambda: any(ln['version'] == 7
+                    for ln in _events(site, 'configuration')),
+        'the new store\'s configuration')
+    site.store.mode = 'silent'
+    assert _ask(context).status == 200
+    context.other_store.put('keyed.op', 'config', standin.config(8, routes=[]))
+    standin.until(lambda: _ask(context).status == 404, 'its next version')
+
+
+@given('two more entries on the same store')
+def step_more_entries(context):
+    context.sites = [context.platform]
+    for _ in range(2):
+        take = context.ports_held.enter_context(ports.free())
+        site = standin.Site(tempfile.mkdtemp(dir=context.tmp),
+                            take,
+                            store=context.platform.store)
+        context.add_cleanup(site.close)
+        site.start()
+        context.sites.append(site)
+
+
+@when('all entries are killed and started at once')
+def step_kill_all(context):
+    for site in context.sites:
+        site.proc.kill()
+        site.proc.wait()
+    context.platform.store.calls.clear()
+    with concurrent.futures.ThreadPoolExecutor(3) as pool:
+        list(pool.map(lambda s: s.start(), context.sites))
+
+
+@then('each is soon ready and serves, with few calls to the store')
+def step_recovered(context):
+    for site in context.sites:
+        standin.until(lambda s=site: standin.status(s.readiness) == 200,
+                      'ready')
+    calls = context.platform.store.calls.total()
+    assert calls <= STORE_CALLS_AT_START * len(context.sites), calls
+    for i, site in enumerate(context.sites):
+        reply = standin.ask(site.callers, '/i/x', f'after{i}')
+        assert reply.status == 200, reply
+
+
+def _memory_mb(pid):
+    status = pathlib.Path(f'/proc/{pid}/status').read_text()
+    return int(re.search(r'VmHWM:\s+(\d+) kB', status)[1]) / 1024
+
+
+@when('callers do not read while replicas send without end')
+def step_flood(context):
+    site = context.platform
+    for name in on_platform.POOL:
+        site.replicas[name].script.extend(['floods'] * FLOODED_CALLERS)
+    for i in range(FLOODED_CALLERS):
+        sock = standin.connect(site.callers)
+        context.add_cleanup(sock.close)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        sock.sendall(standin.request_bytes('/s/x', f'flood{i}'))
+    standin.until(
+        lambda: sum(r.flooded for r in site.replicas.values()) > 1 << 20,
+        'the flood')
+
+
+@then('the entry\'s memory stays small and other callers are served')
+def step_small(context):
+    site = context.platform
+    for _ in range(20):
+        assert _ask(context).status == 200
+    assert _memory_mb(site.proc.pid) < MEMORY_MB, _memory_mb(site.proc.pid)
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -35,7 +35,7 @@
 
 
 def _site(context, configured=True):
-    held = contextlib.ExitStack()
+    held = context.ports_held = contextlib.ExitStack()
     take = held.enter_context(ports.free())
     site = standin.Site(tempfile.mkdtemp(dir=context.tmp), take)
     held.callback(site.close)
--- a/gorsefall/policy/budget.py
+++ b/gorsefall/policy/budget.py
@@ -7,7 +7,8 @@
 """
 
 import collections
-import dataclasses
+
+import msgspec
 
 SHARE = 0.7
 """Part of the allowed ratio that is used: requests are counted by when they
@@ -18,8 +19,7 @@
 deployments, as entries are added and restarted ones start afresh."""
 
 
-@dataclasses.dataclass(frozen=True)
-class Allowance:
+class Allowance(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """What all entries together may send beyond first tries.
 
     Attributes:
@@ -33,10 +33,14 @@
 
 
 class Budget:
-    """One entry's retries to one service."""
+    """One entry's retries to one service.
+
+    Attributes:
+        allowance: The ``Allowance`` of all entries.
+    """
 
     def __init__(self, allowance):
-        self._allowance = allowance
+        self.allowance = allowance
         self._firsts = collections.deque()
         self._retries = collections.deque()
 
@@ -48,7 +52,7 @@
     def room(self, now):
         """Returns how many more retries may be sent now."""
         self._expire(now)
-        a = self._allowance
+        a = self.allowance
         allowed = (a.slack / EXPECTED_ENTRIES +
                    SHARE * a.ratio * len(self._firsts))
         return int(allowed - len(self._retries))
@@ -61,7 +65,7 @@
         return True
 
     def _expire(self, now):
-        since = now - self._allowance.window_s
+        since = now - self.allowance.window_s
         for times in (self._firsts, self._retries):
             while times and times[0] <= since:
                 times.popleft()
--- a/gorsefall/relay/node.py
+++ b/gorsefall/relay/node.py
@@ -253,6 +253,7 @@
         self._budgets = {}
         self._patience = {}
         self._ranks = {}
+        self._followers = []
         self._exchanges = set()
         self._stop_at = float('inf')
         self._log = logs.get('node').bind(entry=self.cfg.name)
@@ -270,28 +271,40 @@
         if self.cfg.metrics_port:
             tcp.Listener(self.loop, (host, self.cfg.metrics_port),
                          _Metrics(self).accept)
-        self._follow(self._adapter.configuration_topic,
-                     _Configuration(self, self._adapter.records),
-                     min(CONFIG_WAIT_S, self.proof.bound_s / PROOF_READS), 0.0)
-        self._follow(self._adapter.replicas_topic,
-                     _Replicas(self, self._adapter.records), 0.0,
-                     REPLICAS_PAUSE_S)
+        self._follow_store()
         self.loop.later(SETTINGS_POLL_S, self._look_at_settings)
         self._log.info('started',
                        zone=self.cfg.zone,
                        callers=self.cfg.callers,
                        store=self.cfg.store)
 
-    def _follow(self, name, listener, wait_s, pause_s):
+    def _follow_store(self):
+        """Follows both topics at the store of the settings, anew if need be."""
+        for follower in self._followers:
+            follower.stop()
+        records = self._adapter.records
+        self._followers = [
+            self._follower(self._adapter.configuration_topic,
+                           _Configuration(self, records),
+                           wait_s=min(CONFIG_WAIT_S,
+                                      self.proof.bound_s / PROOF_READS)),
+            self._follower(self._adapter.replicas_topic,
+                           _Replicas(self, records),
+                           pause_s=REPLICAS_PAUSE_S)
+        ]
+        for follower in self._followers:
+            follower.start()
+
+    def _follower(self, name, listener, *, wait_s=0.0, pause_s=0.0):
         source = self._adapter.source(self.loop,
                                       own_settings.split_addr(self.cfg.store),
                                       name)
-        topic.Follower(self.loop,
-                       source,
-                       listener,
-                       name=name,
-                       wait_s=wait_s,
-                       pause_s=pause_s).start()
+        return topic.Follower(self.loop,
+                              source,
+                              listener,
+                              name=name,
+                              wait_s=wait_s,
+                              pause_s=pause_s)
 
     # -- what is believed ------------------------------------------------------
 
@@ -329,9 +342,7 @@
         """Returns the ``budget.Budget`` of a service."""
         found = self._budgets.get(service)
         if found is None:
-            r = self.cfg.retries
-            found = self._budgets[service] = budget.Budget(
-                budget.Allowance(r.ratio, r.window_s, r.slack))
+            found = self._budgets[service] = budget.Budget(self.cfg.retries)
         return found
 
     def ranks(self, service):
@@ -379,6 +390,7 @@
             self._reload()
 
     def _reload(self):
+        before = self.cfg
         try:
             self.cfg = settings.load(self._path)
         except errors.SettingsError as exc:
@@ -387,7 +399,14 @@
             self._log.error('reload_failed', error=str(exc))
             return
         self.proof.bound_s = self.cfg.revoke_s - PROOF_MARGIN_S
-        self._budgets.clear()
+        for known in self._budgets.values():
+            # Their counts stay: retries that were forgotten would be allowed
+            # once more by every change of the settings.
+            known.allowance = self.cfg.retries
+        moved = self.cfg.store != before.store
+        if moved or self.cfg.revoke_s < before.revoke_s:
+            # A shorter bound also needs shorter waits at the store.
+            self._follow_store()
         self._log.info('reloaded', store=self.cfg.store)
 
     # -- shutdown --------------------------------------------------------------
--- a/gorsefall/relay/settings.py
+++ b/gorsefall/relay/settings.py
@@ -1,24 +1,11 @@
 """Settings of a relay entry (TOML), checked at load into typed structures."""
 
-import tomllib
-
 import msgspec
 
 from gorsefall import errors
 from gorsefall import settings
-
-
-class Retries(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
-    """What all entries together may send beyond first tries, per service.
-
-    Attributes:
-        ratio: Retries allowed for each request.
-        window_s: Window they are counted in, s.
-        slack: Retries allowed in a window beside the ratio.
-    """
-    ratio: float = 0.1
-    window_s: float = 10.0
-    slack: float = 10.0
+from gorsefall import settingsfile
+from gorsefall.policy import budget
 
 
 class Relay(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
@@ -33,7 +20,7 @@
         store: ``host:port`` of the platform's store.
         revoke_s: Time within which a revoked key stops working, s.
         grace_s: Time from the stop signal until the platform kills, s.
-        retries: See ``Retries``.
+        retries: What all entries together may send twice, per service.
     """
     name: str
     zone: str
@@ -43,7 +30,7 @@
     metrics_port: int = 9464
     revoke_s: float = 5.0
     grace_s: float = 8.0
-    retries: Retries = msgspec.field(default_factory=Retries)
+    retries: budget.Allowance = budget.Allowance()
 
 
 _ADDRESSES = ('callers', 'readiness', 'store')
@@ -75,10 +62,7 @@
         errors.SettingsError: Bad TOML, wrong types, unknown keys; names all
             fields at fault.
     """
-    try:
-        cfg = msgspec.convert(tomllib.loads(text), Relay)
-    except (tomllib.TOMLDecodeError, msgspec.ValidationError) as exc:
-        raise errors.SettingsError(f'{source}: {exc}') from exc
+    cfg = settingsfile.parse(text, Relay, source)
     problems = list(_problems(cfg))
     if problems:
         raise errors.SettingsError(f'{source}: ' + '; '.join(problems))
@@ -91,9 +75,4 @@
     Raises:
         errors.SettingsError: Missing file or any check failing.
     """
-    try:
-        with open(path, encoding='utf-8') as f:
-            text = f.read()
-    except OSError as exc:
-        raise errors.SettingsError(f'{path}: {exc.strerror}') from exc
-    return loads(text, str(path))
+    return loads(settingsfile.read(path), str(path))
--- a/gorsefall/relay/topic.py
+++ b/gorsefall/relay/topic.py
@@ -127,6 +127,7 @@
         self._failures = 0
         self._sent_at = None
         self._newest_seen = {}
+        self._stopped = False
         self._log = logs.get('follower').bind(topic=name)
         self.offset = 0
 
@@ -134,7 +135,13 @@
         """Begins with a listing."""
         self._list('')
 
+    def stop(self):
+        """Ends for good; answers that are still to come are passed over."""
+        self._stopped = True
+
     def _list(self, after):
+        if self._stopped:
+            return
         if not after:
             self._state = _State.LISTING
             self._listed = {}
@@ -143,6 +150,8 @@
         self._source.newest(after, ANSWER_S, self._on_newest)
 
     def _on_newest(self, page, exc):
+        if self._stopped:
+            return
         if exc is not None:
             self._failed(exc, lambda: self._list(''))
             return
@@ -165,6 +174,8 @@
         self._read()
 
     def _read(self):
+        if self._stopped:
+            return
         # After a failure the first read does not wait: it tells at once
         # that the store is back, and renews the proof as much sooner.
         wait_s = 0.0 if self._failures else self._wait_s
@@ -173,6 +184,8 @@
                           self._on_batch)
 
     def _on_batch(self, batch, exc):
+        if self._stopped:
+            return
         if exc is not None:
             if exc.forgotten:
                 self._log.info('history_forgotten', offset=self.offset)
--- a/gorsefall/settings.py
+++ b/gorsefall/settings.py
@@ -1,11 +1,10 @@
 """Settings files (TOML), checked at load into typed structures."""
 
-import tomllib
-
 import msgspec
 
 from gorsefall import errors
 from gorsefall import registry
+from gorsefall import settingsfile
 
 
 class Backend(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
@@ -157,15 +156,7 @@
     Raises:
         errors.SettingsError: Bad TOML, wrong types, unknown keys.
     """
-    try:
-        raw = tomllib.loads(text)
-    except tomllib.TOMLDecodeError as exc:
-        raise errors.SettingsError(f'{source}: not TOML: {exc}') from exc
-    try:
-        cfg = msgspec.convert(raw, Settings)
-    except msgspec.ValidationError as exc:
-        raise errors.SettingsError(f'{source}: {exc}') from exc
-    return check(cfg)
+    return check(settingsfile.parse(text, Settings, source))
 
 
 def load(path):
@@ -174,9 +165,4 @@
     Raises:
         errors.SettingsError: Missing file or any check failing.
     """
-    try:
-        with open(path, encoding='utf-8') as f:
-            text = f.read()
-    except OSError as exc:
-        raise errors.SettingsError(f'{path}: {exc.strerror}') from exc
-    return loads(text, str(path))
+    return loads(settingsfile.read(path), str(path))
