--- a/gorsefall/relay/exchange.py
+++ b/gorsefall/relay/exchange.py
@@ -6,14 +6,12 @@
 from gorsefall import errors
 from gorsefall import logs
 from gorsefall import metrics
-from gorsefall.policy import overload
-from gorsefall.policy import placement
 from gorsefall.relay import copies
 from gorsefall.relay import events
+from gorsefall.relay import grant
 from gorsefall.relay import model
 from gorsefall.relay import outbound
 from gorsefall.relay import outcomes
-from gorsefall.relay import routes
 from gorsefall.relay import sending
 
 ATTEMPT_SHARE = 0.4
@@ -81,10 +79,7 @@
         # doubt only where a failure is handled missed one path, on which a
         # stream was begun anew beside its first run.
         self._in_doubt = set()
-        self._once = False
-        self._route = None
-        self._account = None
-        self._service = None
+        self._grant = grant.Grant(node, req)
         self._arrived = time.monotonic()
         self._first_at = None
         self._deadline = None
@@ -98,45 +93,26 @@
     def start(self):
         """Decides on the request and sends it, or answers at once."""
         try:
-            self._admit()
+            self._grant.renew()
         except errors.GorsefallError as exc:
             self._fail(exc)
             return
-        route = self._route
+        route = self._grant.route
         left = route.timeout_s
         if self.req.time_left_s is not None:
             left = min(left, self.req.time_left_s)
         self._deadline = self._arrived + left
         self._deadline_timer = self.node.loop.later(left, self._time_up)
-        self.node.ranks(self._service).asked(self._rank())
-        self._try_next()
+        self.node.ranks(self._grant.service).asked(self._grant.rank)
+        self._send_on()
+
+    def _budget(self):
+        """Returns the ``budget.Budget`` that its retries are taken from."""
+        return self.node.budget(self._grant.service)
 
-    def _admit(self):
-        """Finds route and account in the configuration in force now.
-
-        Raises:
-            errors.NoCatalogueError: No configuration is known yet.
-            errors.BadRequestError: No route, or no valid key.
-            errors.UnprovenError: The key might be revoked by now.
-        """
-        table = self.node.table
-        if table is None:
-            # A process that knows nothing yet must not deny what may well
-            # be allowed: the caller would not try again.
-            raise errors.NoCatalogueError('no configuration read yet',
-                                          retry_after=outcomes.spread_s())
-        route = table.match(self.req)
-        if self._route != route:
-            self._route = route
-            self._service = routes.pick_service(route)
-            self._once = self._once or not route.repeatable
-        account = table.account(self.req, route)
-        if account is not None and not self.node.proof.valid():
-            raise errors.UnprovenError(
-                f'configuration {table.version} was last confirmed '
-                f'{self.node.proof.age_s():.2f} s ago',
-                retry_after=outcomes.spread_s())
-        self._account = account
+    def _patience(self):
+        """Returns the ``patience.Patience`` with its service's answers."""
+        return self.node.patience(self._grant.service, self._grant.route.kind)
 
     def _time_left(self):
         return self._deadline - time.monotonic()
@@ -147,8 +123,15 @@
         try:
             # Asked again before each send: while the request waited, its
             # key may have been revoked or its route moved.
-            self._admit()
-            if self._in_doubt and self._once:
+            self._grant.renew()
+        except errors.GorsefallError as exc:
+            self._fail(exc)
+            return
+        self._send_on()
+
+    def _send_on(self):
+        try:
+            if self._in_doubt and self._grant.once:
                 # Whatever led here, a run that may have begun is not begun
                 # anew; only a copy of it may go on.
                 raise self._unknown('it may not be repeated')
@@ -157,54 +140,23 @@
             self._fail(exc)
 
     def _choose(self):
-        reps = self.node.fleet.candidates(self._service, self._tried)
-        if not reps:
-            raise self._nothing_left(f'no replica of {self._service} is left')
-        want = self._want()
-        best = placement.choose([r.target for r in reps], want,
-                                time.monotonic())
-        metrics.QUEUE_MS.labels(self._service).set(best.queue_ms)
-        if not self.attempts:
-            self._refuse_late(best, want)
-        return self.node.fleet.replicas[best.target.name], best.tokens
-
-    def _refuse_late(self, best, want):
-        """Raises ``errors.ShedError`` where it would only come late."""
-        wait_s = overload.refuse_for_s(best, want)
-        if wait_s is None:
-            return
-        raise errors.ShedError(
-            f'{best.queue_ms:.0f} ms of work wait at {best.target.name}, the '
-            f'best replica; {overload.limit_ms(want):.0f} ms are its limit',
-            retry_after=wait_s)
-
-    def _want(self):
-        prompt = self.req.prompt
-        if prompt is None:
-            return placement.Want(zone=self.node.cfg.zone)
-        shared = prompt.parts[:-1]
-        return placement.Want(zone=self.node.cfg.zone,
-                              session=shared[-1][0] if shared else '',
-                              shared_tokens=sum(t for _, t in shared),
-                              tokens=prompt.tokens_in,
-                              tokens_out=prompt.tokens_out,
-                              target_ms=self._route.target_s * 1000,
-                              ranks_below=self.node.ranks(self._service).below(
-                                  self._rank()))
-
-    def _rank(self):
-        return self.node.table.rank(self._account, self._route)
+        """Returns the replica to send to, and the tokens to be read there."""
+        choice = self._grant.place(self._tried, refuse=not self.attempts)
+        if choice is None:
+            raise self._nothing_left(
+                f'no replica of {self._grant.service} is left')
+        return self.node.fleet.replicas[choice.target.name], choice.tokens
 
     def _send(self, replica, tokens, *, from_copy=False):
         now = time.monotonic()
         first = not self.attempts
         if first:
-            self.node.budget(self._service).first(now)
+            self._budget().first(now)
         self._tried.add(replica.record.id)
         self.attempts.append(replica.record.id)
         self._in_doubt.add(replica.record.id)
-        account = self._account
-        priority = self._rank()
+        account = self._grant.account
+        priority = self._grant.rank
         order = model.Order(
             replica=replica.record.id,
             time_left_s=self._time_left(),
@@ -218,7 +170,7 @@
         self._attempt.channel = replica.pool.send(self._attempt)
         self._log.info('sent',
                        replica=replica.record.id,
-                       service=self._service,
+                       service=self._grant.service,
                        attempt=len(self.attempts),
                        priority=priority,
                        outstanding=replica.target.outstanding,
@@ -229,21 +181,22 @@
 
     def _order_copy(self, replica):
         """Returns the address of the replica that copies the run, or None."""
-        service = self.node.table.services.get(self._service)
-        want = self._want()
+        service = self.node.table.services.get(self._grant.service)
+        want = self._grant.want()
         if (service is None or not service.backups or not want.writes or
-                self._route.kind is not model.Kind.STREAM):
+                not self._grant.streams):
             return None
-        others = self.node.fleet.candidates(self._service, {replica.record.id})
+        others = self.node.fleet.candidates(self._grant.service,
+                                            {replica.record.id})
         return self._copy.order(others, self.req.id)
 
     def _watch_attempt(self):
         if not self._may_repeat():
             return
         floor = ATTEMPT_MIN_S
-        if self._route.kind is model.Kind.STREAM:
+        if self._grant.streams:
             floor = STREAM_ATTEMPT_MIN_S
-        patience = self.node.patience(self._service, self._route.kind)
+        patience = self._patience()
         self._set_attempt_timer(
             max(ATTEMPT_SHARE * self._time_left(), patience.wait_s(floor)))
 
@@ -253,8 +206,8 @@
         self._attempt_timer = self.node.loop.later(wait_s, self._attempt_silent)
 
     def _may_repeat(self):
-        return (self._route.repeatable and
-                len(self.attempts) < self._route.max_attempts)
+        return (self._grant.route.repeatable and
+                len(self.attempts) < self._grant.route.max_attempts)
 
     def _attempt_silent(self):
         # A replica that hangs, or a channel that something between the ends
@@ -269,8 +222,7 @@
             return
         if not self._may_repeat():
             return
-        budget = self.node.budget(self._service)
-        if budget.room(time.monotonic()) < 1:
+        if self._budget().room(time.monotonic()) < 1:
             return
         attempt.channel.cancel()
         if not attempt.begun:
@@ -278,9 +230,7 @@
         self.attempt_failed(attempt, outbound.Failure(True, 'silent'))
 
     def _note_wait(self, attempt):
-        self.node.patience(self._service,
-                           self._route.kind).began(time.monotonic() -
-                                                   attempt.began)
+        self._patience().began(time.monotonic() - attempt.began)
 
     # -- what a replica answers ------------------------------------------------
 
@@ -288,8 +238,8 @@
         """Called with the head of an answer."""
         self._answer = answer
         # The rest of a stream that has begun can only be more events.
-        self._streaming = (self._route.kind is model.Kind.STREAM and
-                           answer.success and answer.genuine)
+        self._streaming = (self._grant.streams and answer.success and
+                           answer.genuine)
         if self._streaming:
             self._splitter = self._splitter or events.Splitter()
             self._splitter.rest = b''
@@ -434,8 +384,7 @@
             self._close_attempt(attempt)
             attempt.replica.target.failed(time.monotonic())
         replica = self._copy.take()
-        if (replica is None or
-                not self.node.budget(self._service).take(time.monotonic())):
+        if (replica is None or not self._budget().take(time.monotonic())):
             self._fail(
                 self._unknown('its replica is gone, and no copy is left'))
             return
@@ -444,7 +393,7 @@
                        replica=replica.record.id,
                        after=self._last_event())
         try:
-            self._admit()
+            self._grant.renew()
             self._send(replica, 0, from_copy=True)
         except errors.GorsefallError as exc:
             self._fail(exc)
@@ -460,13 +409,13 @@
 
     def _take_retry(self, *, not_run=False):
         """Whether the request may be sent once more; takes it if so."""
-        if len(self.attempts) >= self._route.max_attempts:
+        if len(self.attempts) >= self._grant.route.max_attempts:
             return False
-        if not (not_run or self._route.repeatable):
+        if not (not_run or self._grant.route.repeatable):
             return False
-        if not self.node.fleet.candidates(self._service, self._tried):
+        if not self.node.fleet.candidates(self._grant.service, self._tried):
             return False
-        return self.node.budget(self._service).take(time.monotonic())
+        return self._budget().take(time.monotonic())
 
     def _again_or(self, exc, reason):
         not_run = (isinstance(exc, errors.NotRunError) and not self._in_doubt)
@@ -541,8 +490,8 @@
             self._deadline_timer.cancel()
         self._copy.cancel()
         now = time.monotonic()
-        route = self._route
-        account = self._account.name if self._account else ''
+        route = self._grant.route
+        account = self._grant.account.name if self._grant.account else ''
         metrics.relayed(account, route.name if route else '', outcome.value)
         if outcome is outcomes.Outcome.SERVED:
             metrics.relay_times(route.name, self._first_at - self._arrived,
--- /dev/null
+++ b/gorsefall/relay/grant.py
@@ -0,0 +1,112 @@
+"""What the configuration in force grants a request: route, account, place."""
+
+import time
+
+from gorsefall import errors
+from gorsefall import metrics
+from gorsefall.policy import overload
+from gorsefall.policy import placement
+from gorsefall.relay import model
+from gorsefall.relay import outcomes
+from gorsefall.relay import routes
+
+
+class Grant:
+    """A request's route and account, renewed before each send.
+
+    Attributes:
+        route: The ``model.Route``; None until one was found.
+        account: The ``model.Account``; None on public routes.
+        service: Name of the service it goes to.
+        once: Whether any route it had forbids a second run.
+    """
+
+    def __init__(self, node, req):
+        self._node = node
+        self._req = req
+        self.route = None
+        self.account = None
+        self.service = None
+        self.once = False
+
+    def renew(self):
+        """Finds route and account in the configuration in force now.
+
+        Raises:
+            errors.NoCatalogueError: No configuration is known yet.
+            errors.BadRequestError: No route, or no valid key.
+            errors.UnprovenError: The key might be revoked by now.
+        """
+        table = self._node.table
+        if table is None:
+            # A process that knows nothing yet must not deny what may well
+            # be allowed: the caller would not try again.
+            raise errors.NoCatalogueError('no configuration read yet',
+                                          retry_after=outcomes.spread_s())
+        route = table.match(self._req)
+        if self.route != route:
+            self.route = route
+            self.service = routes.pick_service(route)
+            self.once = self.once or not route.repeatable
+        account = table.account(self._req, route)
+        if account is not None and not self._node.proof.valid():
+            raise errors.UnprovenError(
+                f'configuration {table.version} was last confirmed '
+                f'{self._node.proof.age_s():.2f} s ago',
+                retry_after=outcomes.spread_s())
+        self.account = account
+
+    @property
+    def streams(self):
+        """Whether its answer is a stream of events."""
+        return self.route.kind is model.Kind.STREAM
+
+    @property
+    def rank(self):
+        """How urgent it is, 0 the most."""
+        return self._node.table.rank(self.account, self.route)
+
+    def want(self):
+        """Returns its ``placement.Want``."""
+        zone = self._node.cfg.zone
+        prompt = self._req.prompt
+        if prompt is None:
+            return placement.Want(zone=zone)
+        shared = prompt.parts[:-1]
+        return placement.Want(zone=zone,
+                              session=shared[-1][0] if shared else '',
+                              shared_tokens=sum(t for _, t in shared),
+                              tokens=prompt.tokens_in,
+                              tokens_out=prompt.tokens_out,
+                              target_ms=self.route.target_s * 1000,
+                              ranks_below=self._node.ranks(self.service).below(
+                                  self.rank))
+
+    def place(self, tried, *, refuse):
+        """Chooses where it goes.
+
+        Args:
+            tried: Ids of the replicas it was sent to.
+            refuse: Whether it may be refused when it would only come late.
+
+        Returns:
+            The ``placement.Choice``, or None when no replica is left.
+
+        Raises:
+            errors.ShedError: It would only come late.
+        """
+        targets = [
+            r.target for r in self._node.fleet.candidates(self.service, tried)
+        ]
+        want = self.want()
+        choice = placement.choose(targets, want, time.monotonic())
+        if choice is None:
+            return None
+        metrics.QUEUE_MS.labels(self.service).set(choice.queue_ms)
+        wait_s = overload.refuse_for_s(choice, want) if refuse else None
+        if wait_s is None:
+            return choice
+        raise errors.ShedError(
+            f'{choice.queue_ms:.0f} ms of work wait at {choice.target.name}, '
+            f'the best replica; {overload.limit_ms(want):.0f} ms are its limit',
+            retry_after=wait_s)
--- a/gorsefall/relay/node.py
+++ b/gorsefall/relay/node.py
@@ -13,12 +13,12 @@
 from gorsefall.policy import freshness
 from gorsefall.policy import overload
 from gorsefall.policy import patience
+from gorsefall.relay import beliefs
 from gorsefall.relay import exchange
 from gorsefall.relay import fleet
-from gorsefall.relay import inbound
-from gorsefall.relay import model
 from gorsefall.relay import outcomes
 from gorsefall.relay import reactor
+from gorsefall.relay import servers
 from gorsefall.relay import settings
 from gorsefall.relay import tcp
 from gorsefall.relay import topic
@@ -60,162 +60,6 @@
 signal."""
 
 
-class _Configuration(topic.Listener):
-    """Keeps the node's table and proof current."""
-
-    def __init__(self, node, records):
-        self._node = node
-        self._records = records
-        self._log = logs.get('configuration')
-
-    def on_listing(self, records):
-        for record in records:
-            self.on_record(record)
-
-    def on_record(self, record):
-        try:
-            table = self._records.table(record)
-        except errors.RecordError as exc:
-            topic.spoilt(self._log, record, exc)
-            return
-        if table is not None:
-            self._node.adopt(table)
-
-    def on_confirmed(self, sent_at):
-        self._node.confirmed(sent_at)
-
-
-class _Replicas(topic.Listener):
-    """Keeps the node's fleet current."""
-
-    def __init__(self, node, records):
-        self._node = node
-        self._records = records
-        self._log = logs.get('replicas')
-
-    def _decode(self, record):
-        try:
-            return self._records.replica(record)
-        except errors.RecordError as exc:
-            topic.spoilt(self._log, record, exc)
-            return None
-
-    def on_listing(self, records):
-        decoded = [self._decode(r) for r in records]
-        self._node.fleet.reset([r for r in decoded if r is not None],
-                               self._node.loop.now)
-        self._node.replicas_known = True
-
-    def on_record(self, record):
-        if not record.value:
-            self._node.fleet.remove(record.key, self._node.loop.now)
-            return
-        decoded = self._decode(record)
-        if decoded is not None:
-            self._node.fleet.put(decoded)
-
-    def on_lost(self):
-        self._node.fleet.store_lost()
-
-    def on_regained(self):
-        self._node.fleet.store_back(self._node.loop.now)
-
-
-class Records:
-    """The seam to how records are spelled."""
-
-    def table(self, record):
-        """Returns the ``routes.Table`` of a record, None if it is no table.
-
-        Raises:
-            errors.RecordError: It cannot be decoded.
-        """
-        raise NotImplementedError
-
-    def replica(self, record):
-        """Returns the ``model.ReplicaRecord`` of a record.
-
-        Raises:
-            errors.RecordError: It cannot be decoded.
-        """
-        raise NotImplementedError
-
-
-class _Channels:
-    """What the server ends of channels share: which are open."""
-
-    def __init__(self, node):
-        self.node = node
-        self.open = set()
-
-    @property
-    def limits(self):
-        """The ``model.CallerLimits`` in force."""
-        table = self.node.table
-        return table.limits if table else model.CallerLimits()
-
-    @property
-    def draining(self):
-        """Whether channels end with their next answer."""
-        return self.node.draining
-
-    def accept(self, sock):
-        """Takes a new connection."""
-        self.open.add(inbound.Channel(self.node.loop, self, sock))
-
-    def channel_closed(self, channel):
-        """Called by a channel at its end."""
-        self.open.discard(channel)
-
-    def error_answer(self, exc):
-        """Returns status, fields and body for ``exc``."""
-        return outcomes.error_answer(exc)
-
-
-class _Callers(_Channels):
-    """Serves callers."""
-
-    def begin(self, method, target, fields, body, reply):
-        """Starts the exchange of a whole request."""
-        return self.node.begin(method, target, fields, body, reply)
-
-    def sending(self):
-        """Returns whether an answer is still on its way to a caller."""
-        return any(channel.sending for channel in self.open)
-
-    def close_all(self):
-        """Closes every channel."""
-        for channel in list(self.open):
-            channel.close()
-
-    def close_idle(self):
-        """Closes the channels on which nothing is under way."""
-        for channel in list(self.open):
-            if channel.idle:
-                channel.close()
-
-
-class _Readiness(_Channels):
-    """Answers the balancer."""
-
-    def begin(self, method, target, fields, body, reply):
-        """Answers 200 while new work may come here, else 503."""
-        del method, target, fields, body
-        status = 200 if self.node.ready() else 503
-        reply.whole(status, [(b'Content-Type', b'text/plain')], b'')
-
-
-class _Metrics(_Channels):
-    """Serves the metrics page."""
-
-    def begin(self, method, target, fields, body, reply):
-        """Answers with all counters and histograms."""
-        del method, target, fields, body
-        self.node.measure()
-        page, content_type = metrics.render()
-        reply.whole(200, [(b'Content-Type', content_type.encode())], page)
-
-
 class Node(core.BaseComponent):
     """The relay entry's state and its tasks.
 
@@ -262,16 +106,16 @@
 
     def start(self):
         """Opens the listeners and starts following the store."""
-        self._callers = _Callers(self)
+        self._callers = servers.Callers(self)
         host, _ = own_settings.split_addr(self.cfg.callers)
         self._listener = tcp.Listener(self.loop,
                                       own_settings.split_addr(self.cfg.callers),
                                       self._callers.accept)
         tcp.Listener(self.loop, own_settings.split_addr(self.cfg.readiness),
-                     _Readiness(self).accept)
+                     servers.Readiness(self).accept)
         if self.cfg.metrics_port:
             tcp.Listener(self.loop, (host, self.cfg.metrics_port),
-                         _Metrics(self).accept)
+                         servers.Metrics(self).accept)
         self._follow_store()
         self.loop.later(SETTINGS_POLL_S, self._look_at_settings)
         self._log.info('started',
@@ -286,11 +130,11 @@
         records = self._adapter.records
         self._followers = [
             self._follower(self._adapter.configuration_topic,
-                           _Configuration(self, records),
+                           beliefs.Configuration(self, records),
                            wait_s=min(CONFIG_WAIT_S,
                                       self.proof.bound_s / PROOF_READS)),
             self._follower(self._adapter.replicas_topic,
-                           _Replicas(self, records),
+                           beliefs.Replicas(self, records),
                            pause_s=REPLICAS_PAUSE_S)
         ]
         for follower in self._followers:
