--- a/gorsefall/metrics.py
+++ b/gorsefall/metrics.py
@@ -116,9 +116,9 @@
                           'Retries that this entry may send now.', ('service',),
                           registry=REGISTRY)
 QUEUE_MS = prom.Gauge('gorsefall_relay_queue_ms',
-                       'Queue at the best replica for the last request, ms.',
-                       ('service',),
-                       registry=REGISTRY)
+                      'Queue at the best replica for the last request, ms.',
+                      ('service',),
+                      registry=REGISTRY)
 LOG_LEFT_OUT = prom.Counter('gorsefall_log_lines_left_out_total',
                             'Log lines left out as their reader was slow.',
                             registry=REGISTRY)
