--- a/gorsefall/explain.py
+++ b/gorsefall/explain.py
@@ -92,7 +92,9 @@
     route = f' on route {event.route}' if event.route else ''
     last = f', last event {event.last_event}' if event.last_event else ''
     why = f': {event.error}' if event.error else ''
-    return f'{event.outcome}{route}{took}{last}{why}'
+    back = ('' if event.retry_after_s is None else
+            f'; told to return after {event.retry_after_s:.2f} s')
+    return f'{event.outcome}{route}{took}{last}{why}{back}'
 
 
 @tell.register
@@ -186,7 +188,9 @@
         if isinstance(line.event, loglines.Started):
             latest.clear()
         if isinstance(line.event, loglines.Belief):
-            latest[_subject(line.event)] = line
+            subject = _subject(line.event)
+            latest.pop(subject, None)
+            latest[subject] = line
     return [
         line for subject, line in latest.items()
         if not subject.startswith('replica ') or line.event.replica in replicas
--- a/gorsefall/loglines.py
+++ b/gorsefall/loglines.py
@@ -82,6 +82,7 @@
     first_ms: float | None = None
     ms: float | None = None
     last_event: str | None = None
+    retry_after_s: float | None = None
     version: int | None = None
     proof_age_s: float | None = None
 
--- a/gorsefall/relay/exchange.py
+++ b/gorsefall/relay/exchange.py
@@ -51,6 +51,13 @@
     DONE = 'done'
 
 
+def _retry_after_s(exc):
+    """Returns when the caller of a request that failed may return, or None."""
+    if not isinstance(exc, errors.NotRunError):
+        return None
+    return round(exc.retry_after, 2)
+
+
 class Exchange:
     """Runs one caller request through replicas; owns its answer.
 
@@ -501,6 +508,7 @@
             outcome=outcome.value,
             error=str(exc) if exc else None,
             code=exc.code if exc else None,
+            retry_after_s=_retry_after_s(exc),
             route=route.name if route else None,
             kind=route.kind.value if route else None,
             account=account,
