--- a/bench/days.py
+++ b/bench/days.py
@@ -1,14 +1,16 @@
-"""Writes days of trouble beside the standard ones, each kind alone and paired.
+"""Writes days of trouble beside the standard ones, alone, paired and mixed.
 
-Usage: python bench/days.py SITE_FILE FOLDER
+Usage: python bench/days.py SITE_FILE FOLDER [--mixed DAYS --seed SEED]
 
 Takes the quiet day of a site file as its traffic, and writes a day file for
 each trouble of the table below, one with each of ``PAIRS`` beside it, for
-the installation's own bench to play.
+the installation's own bench to play. With ``--mixed`` it writes days on which
+several of the table come at any time, overlapping, some of them twice.
 """
 
+import argparse
 import pathlib
-import sys
+import random
 import tomllib
 
 import tomli_w
@@ -339,22 +341,61 @@
     return day
 
 
-def main(site_file, folder):
-    """Writes the day files."""
+MIXED_AT_S = (0.5, 29.0)
+MIXED_TROUBLES = (3, 6)
+"""When the troubles of a mixed day begin, s of traffic, and how many."""
+
+
+def _quiet_day(site_file):
     site = tomllib.loads(pathlib.Path(site_file).read_text(encoding='utf-8'))
-    base = next(d for d in site['day'] if d['slot'] == 'quiet')
-    out = pathlib.Path(folder)
-    out.mkdir(parents=True, exist_ok=True)
+    return next(d for d in site['day'] if d['slot'] == 'quiet')
+
+
+def _write(folder, day):
+    path = pathlib.Path(folder) / f'{day["name"]}.toml'
+    path.parent.mkdir(parents=True, exist_ok=True)
+    path.write_text(tomli_w.dumps(day), encoding='utf-8')
+
+
+def alone_and_paired(base, folder):
+    """Writes the days of one trouble and of one beside another."""
     for i, trouble in enumerate(ALONE):
         beside = PAIRS[i % len(PAIRS)]
-        for suffix, troubles in (('', [(FIRST_S, trouble)]),
-                                 ('-pair', [(FIRST_S, trouble),
-                                            (SECOND_S, beside)])):
-            name = f'{i:02d}-{trouble[0]}{suffix}'
-            (out / f'{name}.toml').write_text(tomli_w.dumps(
-                _day(base, name, troubles)),
-                                              encoding='utf-8')
+        name = f'{i:02d}-{trouble[0]}'
+        _write(folder, _day(base, name, [(FIRST_S, trouble)]))
+        _write(
+            folder,
+            _day(base, f'{name}-pair', [(FIRST_S, trouble),
+                                        (SECOND_S, beside)]))
+
+
+def mixed(base, folder, days, seed):
+    """Writes days of several troubles at random."""
+    for i in range(days):
+        rng = random.Random(f'{seed}-{i}')
+        troubles = [(round(rng.uniform(*MIXED_AT_S), 1), rng.choice(ALONE))
+                    for _ in range(rng.randint(*MIXED_TROUBLES))]
+        troubles.append((round(rng.uniform(*MIXED_AT_S), 1), troubles[0][1]))
+        _write(
+            folder,
+            _day(base, f'mixed-{seed}-{i:02d}',
+                 sorted(troubles, key=lambda t: t[0])))
+
+
+def main():
+    """Writes the day files."""
+    parser = argparse.ArgumentParser(description='Write days of trouble.')
+    parser.add_argument('site_file')
+    parser.add_argument('folder')
+    parser.add_argument('--mixed', type=int, help='days of several troubles')
+    parser.add_argument('--seed', default='1')
+    args = parser.parse_args()
+    base = _quiet_day(args.site_file)
+    if args.mixed:
+        mixed(base, args.folder, args.mixed, args.seed)
+    else:
+        alone_and_paired(base, args.folder)
 
 
 if __name__ == '__main__':
-    main(*sys.argv[1:])
+    main()
