--- a/bench/relay_capacity.py
+++ b/bench/relay_capacity.py
@@ -16,6 +16,7 @@
 sys.path.append(str(ROOT / 'platform' / 'tests'))
 
 import standin  # noqa: E402
+import wire_callers  # noqa: E402
 
 from gorsefall.standins import ports  # noqa: E402
 
@@ -56,7 +57,8 @@
         cfg['routes'] += more
         site.store.put('keyed.op', 'config', cfg)
         site.start()
-        standin.until(lambda: standin.status(site.readiness) == 200, 'ready')
+        wire_callers.until(lambda: wire_callers.status(site.readiness) == 200,
+                           'ready')
         try:
             _rows(site, replicas, routes)
         finally:
@@ -77,7 +79,10 @@
     for kind, path in (('plain', '/i/x'), ('stream', '/s/x')):
         before = cpu_s(pid)
         for i in range(BATCH):
-            reply = standin.ask(site.callers, path, f'{kind}{i}', body=b'x')
+            reply = wire_callers.ask(site.callers,
+                                     path,
+                                     f'{kind}{i}',
+                                     body=b'x')
             assert reply.status == 200, reply
         row.append(f'{kind} {(cpu_s(pid) - before) / BATCH * 1000:.2f} ms')
     row.append(f'{rss_mb(pid):.1f} MB')
--- /dev/null
+++ b/bench/series.py
@@ -0,0 +1,93 @@
+"""Table and plot of one series of played days, from journal entries.
+
+Usage: python bench/series.py [--journal DIR] [--out FILE.png]
+
+Takes the newest entry of each site and policy whose reason begins with
+``series: POLICY`` and prints, per site and day, the score and the share of
+worth earned by each kind of request, whole and without what was paid for.
+"""
+
+import argparse
+import json
+import pathlib
+
+PREFIX = 'series: '
+POLICIES = ('product', 'before', 'leastload', 'roundrobin')
+KINDS = {
+    'kasa-gorsefall': ('digest', 'advice', 'chat', 'hold', 'receipt'),
+    'hollinbrook-labelcalc':
+        ('dossier', 'reconcile', 'allergen', 'panel', 'claim'),
+}
+"""Kinds of request in the order of each site's load sheet."""
+
+
+def entries(journal):
+    """Returns ``{(site, policy): entry}`` of the newest of each."""
+    found = {}
+    for path in sorted(pathlib.Path(journal).glob('*.json')):
+        entry = json.loads(path.read_text(encoding='utf-8'))
+        why = entry.get('why') or ''
+        if why.startswith(PREFIX) and entry.get('days'):
+            found[entry['site'], why.removeprefix(PREFIX)] = entry
+    return found
+
+
+def _days(entry):
+    return [d for d in entry['days'] if not d['name'].startswith('fresh')]
+
+
+def _row(policy, day):
+    shares = ' | '.join(f'{s:.2f}' for s in day['by_class'] if s is not None)
+    prices = sum(p[2] for p in day['prices'])
+    return (f'| {day["name"]} | {policy} | {day["score"]:.2f} | {shares} | '
+            f'{day["refused"]:.3f} | {day["failed"]:.3f} | {prices:.3f} |')
+
+
+def table(found, site):
+    """Yields the lines of a site's table."""
+    kinds = KINDS[site]
+    yield '| day | policy | score | ' + ' | '.join(
+        kinds) + ' | refused | failed | paid |'
+    yield '|---' * (6 + len(kinds)) + '|'
+    mine = {p: _days(found[site, p]) for p in POLICIES if (site, p) in found}
+    for row in zip(*mine.values(), strict=True):
+        for policy, day in zip(mine, row, strict=True):
+            yield _row(policy, day)
+    for policy in mine:
+        yield f'{policy}: site score {found[site, policy]["score"]:.3f}  '
+
+
+def plot(found, path):
+    """Draws each day's score by policy, a panel a site."""
+    from matplotlib import pyplot
+    fig, axes = pyplot.subplots(len(KINDS), 1, figsize=(9, 6), sharey=True)
+    for ax, site in zip(axes, KINDS, strict=True):
+        mine = [p for p in POLICIES if (site, p) in found]
+        for i, policy in enumerate(mine):
+            days = _days(found[site, policy])
+            at = [x + (i - len(mine) / 2) * 0.2 for x in range(len(days))]
+            ax.bar(at, [d['score'] for d in days], 0.18, label=policy)
+        ax.set_xticks(range(len(days)), [d['name'] for d in days])
+        ax.set_ylabel('score')
+        ax.set_title(site)
+    axes[0].legend(loc='lower right')
+    fig.tight_layout()
+    fig.savefig(path, dpi=110)
+
+
+def main():
+    """Prints the tables and draws the plot."""
+    parser = argparse.ArgumentParser(description='Compare a series of days.')
+    parser.add_argument('--journal', default='journal')
+    parser.add_argument('--out')
+    args = parser.parse_args()
+    found = entries(args.journal)
+    for site in KINDS:
+        print(f'\n### {site}\n')
+        print('\n'.join(table(found, site)))
+    if args.out:
+        plot(found, args.out)
+
+
+if __name__ == '__main__':
+    main()
--- a/features/steps/operations_steps.py
+++ b/features/steps/operations_steps.py
@@ -15,7 +15,9 @@
 from gorsefall.standins import ports
 from steps import platform_steps as on_platform
 
-standin = on_platform.standin
+import standin
+import wire_callers
+import wire_store
 
 STORE_CALLS_AT_START = 12
 """Most calls of one entry to the store until it is ready: two listings, the
@@ -29,8 +31,8 @@
 
 
 def _ask(context, path='/i/x', **kw):
-    return standin.ask(context.platform.callers, path,
-                       on_platform._rid(context), **kw)
+    return wire_callers.ask(context.platform.callers, path,
+                            on_platform._rid(context), **kw)
 
 
 def _events(site, name):
@@ -46,7 +48,7 @@
     path.write_text(text)
     before = len(_events(site, name))
     site.proc.send_signal(signal.SIGHUP)
-    standin.until(lambda: len(_events(site, name)) > before, name)
+    wire_callers.until(lambda: len(_events(site, name)) > before, name)
 
 
 @when('the settings change with a signal while streams run')
@@ -63,7 +65,7 @@
     for reply in context.replies:
         assert reply.whole and reply.body == on_platform.EVENTS, reply
     context.platform.store.mode = 'silent'
-    standin.until(lambda: _ask(context).status == 503, 'the shorter bound')
+    wire_callers.until(lambda: _ask(context).status == 503, 'the shorter bound')
 
 
 @when('a settings file without a store is put in place, with a signal')
@@ -106,7 +108,7 @@
 @when('the settings name another store, whose configuration is newer')
 def step_store_moves(context):
     site = context.platform
-    other = context.other_store = standin.Store()
+    other = context.other_store = wire_store.Store()
     context.add_cleanup(other.close)
     other.put('keyed.op', 'config', standin.config(7))
     for replica in site.replicas.values():
@@ -117,14 +119,14 @@
 @then('the configuration of that store is in force')
 def step_followed(context):
     site = context.platform
-    standin.until(
+    wire_callers.until(
         lambda: any(ln['version'] == 7
                     for ln in _events(site, 'configuration')),
         'the new store\'s configuration')
     site.store.mode = 'silent'
     assert _ask(context).status == 200
     context.other_store.put('keyed.op', 'config', standin.config(8, routes=[]))
-    standin.until(lambda: _ask(context).status == 404, 'its next version')
+    wire_callers.until(lambda: _ask(context).status == 404, 'its next version')
 
 
 @given('two more entries on the same store')
@@ -153,12 +155,12 @@
 @then('each is soon ready and serves, with few calls to the store')
 def step_recovered(context):
     for site in context.sites:
-        standin.until(lambda s=site: standin.status(s.readiness) == 200,
-                      'ready')
+        wire_callers.until(
+            lambda s=site: wire_callers.status(s.readiness) == 200, 'ready')
     calls = context.platform.store.calls.total()
     assert calls <= STORE_CALLS_AT_START * len(context.sites), calls
     for i, site in enumerate(context.sites):
-        reply = standin.ask(site.callers, '/i/x', f'after{i}')
+        reply = wire_callers.ask(site.callers, '/i/x', f'after{i}')
         assert reply.status == 200, reply
 
 
@@ -173,11 +175,11 @@
     for name in on_platform.POOL:
         site.replicas[name].script.extend(['floods'] * FLOODED_CALLERS)
     for i in range(FLOODED_CALLERS):
-        sock = standin.connect(site.callers)
+        sock = wire_callers.connect(site.callers)
         context.add_cleanup(sock.close)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-        sock.sendall(standin.request_bytes('/s/x', f'flood{i}'))
-    standin.until(
+        sock.sendall(wire_callers.request_bytes('/s/x', f'flood{i}'))
+    wire_callers.until(
         lambda: sum(r.flooded for r in site.replicas.values()) > 1 << 20,
         'the flood')
 
--- a/features/steps/overload_steps.py
+++ b/features/steps/overload_steps.py
@@ -7,7 +7,8 @@
 from behave import when
 from steps import platform_steps as on_platform
 
-standin = on_platform.standin
+import standin
+import wire_callers
 
 WAITING_TOKENS = 4000
 """Prompt tokens that wait at each replica: 70 ms of reading. The target of
@@ -27,19 +28,20 @@
                       priority=0),
     ]
     site.store.put('keyed.op', 'config', standin.config(2, routes=routes))
-    standin.until(lambda: _in_force(site, 2), 'the configuration')
+    wire_callers.until(lambda: _in_force(site, 2), 'the configuration')
     held = context.platform_held = contextlib.ExitStack()
     context.add_cleanup(held.close)
     for name in on_platform.POOL:
         site.replicas[name].script.append('hangs')
     for i in range(len(on_platform.POOL)):
-        sock = held.enter_context(standin.connect(site.callers))
+        sock = held.enter_context(wire_callers.connect(site.callers))
         sock.sendall(
-            standin.request_bytes('/s/x',
-                                  f'wait{i}',
-                                  extra=(f'Token-Count: {WAITING_TOKENS},10',)))
-        standin.until(lambda i=i: _seen(site, f'wait{i}'),
-                      'the prompt at a replica')
+            wire_callers.request_bytes(
+                '/s/x',
+                f'wait{i}',
+                extra=(f'Token-Count: {WAITING_TOKENS},10',)))
+        wire_callers.until(lambda i=i: _seen(site, f'wait{i}'),
+                           'the prompt at a replica')
 
 
 def _seen(site, rid):
@@ -56,14 +58,14 @@
 @when('a less urgent and a more urgent request come')
 def step_come(context):
     site = context.platform
-    context.less = standin.ask(site.callers,
-                               '/s/x',
-                               'less',
-                               extra=('Token-Count: 100,10',))
-    context.more = standin.ask(site.callers,
-                               '/r/x',
-                               'more',
-                               extra=('Token-Count: 100,10',))
+    context.less = wire_callers.ask(site.callers,
+                                    '/s/x',
+                                    'less',
+                                    extra=('Token-Count: 100,10',))
+    context.more = wire_callers.ask(site.callers,
+                                    '/r/x',
+                                    'more',
+                                    extra=('Token-Count: 100,10',))
 
 
 @then('the less urgent one is told at once when to return and never runs')
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -16,6 +16,8 @@
     str(pathlib.Path(__file__).resolve().parents[2] / 'platform' / 'tests'))
 
 import standin  # noqa: E402
+import wire_callers  # noqa: E402
+import wire_replica  # noqa: E402
 
 from gorsefall.standins import ports  # noqa: E402
 
@@ -53,7 +55,8 @@
 def _ask(context, kind='idempotent', **kw):
     site = context.platform
     context.rid = _rid(context)
-    context.reply = standin.ask(site.callers, PATHS[kind], context.rid, **kw)
+    context.reply = wire_callers.ask(site.callers, PATHS[kind], context.rid,
+                                     **kw)
     return context.reply
 
 
@@ -91,8 +94,8 @@
 @given('an entry on the platform with two plain and two pool replicas')
 def step_entry(context):
     _site(context).start()
-    standin.until(lambda: standin.status(context.platform.readiness) == 200,
-                  'ready')
+    wire_callers.until(
+        lambda: wire_callers.status(context.platform.readiness) == 200, 'ready')
 
 
 @when('a "{kind}" request meets a replica that "{fault}"')
@@ -111,11 +114,11 @@
         name, req = ran[-1]
         want = f'{name}:{req.method}:{req.target}:'.encode() + req.body
         assert reply.whole and reply.body == want, reply
-        assert reply.headers['replica-seal'] == standin.SEAL
+        assert reply.headers['replica-seal'] == wire_replica.SEAL
     elif body == 'events':
         assert reply.whole and reply.body == EVENTS, reply
         # The head stays that of the first replica.
-        seals = {f'{standin.SEAL}.{name}' for name, _ in ran}
+        seals = {f'{wire_replica.SEAL}.{name}' for name, _ in ran}
         assert reply.headers['replica-seal'] in seals
     elif body == 'broken':
         assert not reply.whole and EVENTS.startswith(reply.body), reply
@@ -135,7 +138,7 @@
 def step_third_pool(context):
     site = context.platform
     site.add('e3', 'pool')
-    standin.until(
+    wire_callers.until(
         lambda: any(ln['event'] == 'replica_seen' and ln['replica'] == 'e3'
                     for ln in site.log()), 'the third replica')
 
@@ -151,19 +154,20 @@
     for replica in replicas:
         replica.script = shared
     context.rid = _rid(context)
-    request = standin.request_bytes(PATHS['streaming'],
-                                    context.rid,
-                                    body=b'x',
-                                    extra=('Model: m', 'Token-Count: 10,400'))
-    with standin.connect(site.callers) as sock:
+    request = wire_callers.request_bytes(PATHS['streaming'],
+                                         context.rid,
+                                         body=b'x',
+                                         extra=('Model: m',
+                                                'Token-Count: 10,400'))
+    with wire_callers.connect(site.callers) as sock:
         sock.sendall(request)
         if copy == 'gone':
-            standin.until(lambda: _runs(context, context.rid), 'the run')
+            wire_callers.until(lambda: _runs(context, context.rid), 'the run')
             (_, req), = _runs(context, context.rid)
             for replica in replicas:
                 if replica.addr == req.headers['kv-backup']:
                     replica.close()
-        context.reply = standin.read_answer(sock)
+        context.reply = wire_callers.read_answer(sock)
 
 
 @then('it ran once and went on {times:d} times')
@@ -200,14 +204,14 @@
     _script(context, kind, 'hangs')
     site = context.platform
     context.rid = _rid(context)
-    with standin.connect(site.callers) as sock:
-        sock.sendall(standin.request_bytes(PATHS[kind], context.rid))
-        standin.until(lambda: _runs(context, context.rid), 'the run')
+    with wire_callers.connect(site.callers) as sock:
+        sock.sendall(wire_callers.request_bytes(PATHS[kind], context.rid))
+        wire_callers.until(lambda: _runs(context, context.rid), 'the run')
 
 
 @then('the replica sees the request\'s channel close')
 def step_close_seen(context):
-    standin.until(
+    wire_callers.until(
         lambda: any(context.rid in r.left
                     for r in context.platform.replicas.values()),
         'the closed channel')
@@ -243,7 +247,7 @@
 
 def _bad_request(context, case):
     rid, path = context.rid, PATHS['idempotent']
-    make = standin.request_bytes
+    make = wire_callers.request_bytes
     return {
         'an unknown path': lambda: make('/none/x', rid),
         'an unknown host': lambda: make(path, rid, host='other.example'),
@@ -259,9 +263,9 @@
 @when('a caller sends "{case}"')
 def step_bad(context, case):
     context.rid = _rid(context)
-    with standin.connect(context.platform.callers) as sock:
+    with wire_callers.connect(context.platform.callers) as sock:
         sock.sendall(_bad_request(context, case))
-        context.reply = standin.read_answer(sock)
+        context.reply = wire_callers.read_answer(sock)
 
 
 @then('the caller gets status {status:d} and no replica saw it')
@@ -281,7 +285,8 @@
 
 @then('requests with it get status {status:d} soon')
 def step_soon(context, status):
-    standin.until(lambda: _ask(context).status == status, 'the new version')
+    wire_callers.until(lambda: _ask(context).status == status,
+                       'the new version')
     assert not _runs(context, context.rid)
 
 
@@ -311,18 +316,20 @@
 
 @then('requests with a key get status {status:d} within the bound')
 def step_bound(context, status):
-    standin.until(lambda: _ask(context).status == status, 'the lapsed proof')
+    wire_callers.until(lambda: _ask(context).status == status,
+                       'the lapsed proof')
     assert 'retry-after' in context.reply.headers
-    standin.until(lambda: standin.status(context.platform.readiness) == 503,
-                  'not ready')
+    wire_callers.until(
+        lambda: wire_callers.status(context.platform.readiness) == 503,
+        'not ready')
 
 
 @then('requests on an open route are still served')
 def step_open(context):
-    reply = standin.ask(context.platform.callers,
-                        '/o/x',
-                        _rid(context),
-                        key=None)
+    reply = wire_callers.ask(context.platform.callers,
+                             '/o/x',
+                             _rid(context),
+                             key=None)
     assert reply.status == 200, reply
 
 
@@ -334,7 +341,7 @@
 
 @then('requests with a key are served again')
 def step_served_again(context):
-    standin.until(lambda: _ask(context).status == 200, 'service')
+    wire_callers.until(lambda: _ask(context).status == 200, 'service')
 
 
 @when('the store forgets its history while versions follow each other')
@@ -354,11 +361,12 @@
 def step_newest(context):
 
     def served():
-        reply = standin.ask(context.platform.callers, '/v11/x', _rid(context))
+        reply = wire_callers.ask(context.platform.callers, '/v11/x',
+                                 _rid(context))
         return reply.status == 200
 
-    standin.until(served, 'version 11')
-    reply = standin.ask(context.platform.callers, '/v10/x', _rid(context))
+    wire_callers.until(served, 'version 11')
+    reply = wire_callers.ask(context.platform.callers, '/v10/x', _rid(context))
     assert reply.status == 404, reply
 
 
@@ -371,7 +379,7 @@
 
 @then('it is logged, and requests are still served')
 def step_logged(context):
-    standin.until(
+    wire_callers.until(
         lambda: {
             ln['key']
             for ln in context.platform.log()
@@ -397,7 +405,7 @@
             assert _ask(context).status == 200
         return len(replica.seen) == before
 
-    standin.until(quiet, 'no new work')
+    wire_callers.until(quiet, 'no new work')
 
 
 @when('the store is away while the records of all plain replicas lapse')
@@ -405,7 +413,7 @@
     site = context.platform
     site.store.mode = 'busy'
     site.store.cut()
-    standin.until(
+    wire_callers.until(
         lambda: sum(ln['event'] == 'store_lost' for ln in site.log()) == 2,
         'the store lost on both topics')
     for name in PLAIN:
@@ -416,7 +424,7 @@
 @then('requests are served after its return')
 def step_after_return(context):
     site = context.platform
-    standin.until(
+    wire_callers.until(
         lambda: sum(ln['event'] == 'replica_doubtful'
                     for ln in site.log()) == len(PLAIN), 'the lapsed records')
     assert _ask(context).status == 200, context.reply
@@ -432,7 +440,7 @@
     site = context.platform
     with concurrent.futures.ThreadPoolExecutor(8) as pool:
         futs = [
-            pool.submit(standin.ask,
+            pool.submit(wire_callers.ask,
                         site.callers,
                         PATHS['streaming'],
                         _rid(context),
@@ -445,8 +453,8 @@
 @then('it is not ready, ends them whole and exits by itself')
 def step_stopped(context):
     site = context.platform
-    assert standin.status(site.readiness) == 503
-    late = standin.ask(site.callers, PATHS['idempotent'], _rid(context))
+    assert wire_callers.status(site.readiness) == 503
+    late = wire_callers.ask(site.callers, PATHS['idempotent'], _rid(context))
     assert late.status == 200 and late.headers['connection'] == 'close', late
     for reply in context.replies:
         assert reply.whole and reply.body == EVENTS, reply
@@ -466,10 +474,10 @@
         while site.proc.poll() is None:
             rid = f'{n:08x}{time.monotonic_ns() & 0xffffffff:08x}'
             try:
-                reply = standin.ask(site.callers,
-                                    PATHS['streaming'],
-                                    rid,
-                                    body=b'x')
+                reply = wire_callers.ask(site.callers,
+                                         PATHS['streaming'],
+                                         rid,
+                                         body=b'x')
             except OSError:
                 continue
             context.asked.append((rid, reply))
@@ -502,14 +510,15 @@
     site = context.platform
     for name in POOL:
         site.replicas[name].script.append('hangs')
-    with standin.connect(site.callers) as sock:
+    with wire_callers.connect(site.callers) as sock:
         sock.sendall(
-            standin.request_bytes('/l/x', _rid(context), deadline_ms=60000))
-        standin.until(lambda: any(site.replicas[n].runs for n in POOL),
-                      'the run')
+            wire_callers.request_bytes('/l/x', _rid(context),
+                                       deadline_ms=60000))
+        wire_callers.until(lambda: any(site.replicas[n].runs for n in POOL),
+                           'the run')
         site.proc.send_signal(signal.SIGTERM)
-        standin.until(lambda: standin.status(site.callers) is None,
-                      'refused channels')
+        wire_callers.until(lambda: wire_callers.status(site.callers) is None,
+                           'refused channels')
 
 
 @then('it takes no new channel once the balancer had time to notice')
@@ -527,7 +536,7 @@
 
 @then('it is not ready and answers {status:d}')
 def step_unknowing(context, status):
-    assert standin.status(context.platform.readiness) == 503
+    assert wire_callers.status(context.platform.readiness) == 503
     reply = _ask(context)
     assert reply.status == status, reply
     assert 'retry-after' in reply.headers, reply
