A more urgent request bears at least the queue of any less urgent one

Found by reading: limits were worked out from each route's own target, so an urgent class with a short target beside a bulk class with a long one would be refused while the bulk begins. Each rank's limit is now at least that of the ranks below it.

--- a/gorsefall/emulator.py
+++ b/gorsefall/emulator.py
@@ -26,8 +26,6 @@
 tokens read in a step, tokens an event holds, memory."""
 
 ENTRIES = 6
-CHEAPEST = 2
-"""Rank of the least urgent kind."""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -72,6 +70,11 @@
             0.45, 0)
 """The authority's three kinds of model request, from its load sheet."""
 
+RANKS = overload.Ranks()
+for _kind in (DIGEST, ADVICE, CHAT):
+    # Each rank is in use, so that the limits are those of the usual traffic.
+    RANKS.asked(_kind.priority, _kind.aim_ms)
+
 
 def burst(kind, times):
     """Returns ``kind`` at ``times`` its rate."""
@@ -335,8 +338,8 @@
                           shared_tokens=req.kind.shared,
                           tokens=req.own + req.kind.shared,
                           tokens_out=req.tokens_out,
-                          target_ms=req.kind.aim_ms,
-                          ranks_below=CHEAPEST - req.kind.priority)
+                          queue_limit_ms=RANKS.limit_ms(req.kind.priority,
+                                                        req.kind.aim_ms))
     choice = policy(view, want, req.tried_ms / 1000, rng)
     if isinstance(choice, Refused):
         return choice
--- a/gorsefall/policy/overload.py
+++ b/gorsefall/policy/overload.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+import math
 import random
 
 QUEUE_SHARE = 0.2
@@ -39,28 +40,44 @@
 
 
 class Ranks:
-    """How often each rank is asked for at a service."""
+    """How often each rank is asked for at a service, and for which target."""
 
     def __init__(self):
         self._counts = collections.Counter()
+        self._targets_ms = {}
 
-    def asked(self, rank):
+    def asked(self, rank, target_ms):
         """Notes a request of ``rank``, 0 the most urgent."""
         self._counts[rank] += 1
+        self._targets_ms[rank] = target_ms
         if self._counts.total() > RANK_MEMORY:
             self._counts = collections.Counter({
                 r: n // 2 for r, n in self._counts.items()
             })
 
-    def below(self, rank):
-        """Returns how many less urgent ranks are in use."""
+    def _below(self, rank):
+        """Returns the less urgent ranks in use, the least urgent first."""
         least = RANK_SHARE * self._counts.total()
-        return sum(n >= least for r, n in self._counts.items() if r > rank)
+        return sorted(
+            (r for r, n in self._counts.items() if r > rank and n >= least),
+            reverse=True)
 
+    def limit_ms(self, rank, target_ms):
+        """Returns the longest queue a request may be put behind, ms.
 
-def limit_ms(want):
-    """Returns the longest queue that ``want`` may be put behind, ms."""
-    return QUEUE_SHARE * want.target_ms * GROWTH**want.ranks_below
+        Never less than what a less urgent rank bears: a short target would
+        else have the more urgent refused while less urgent ones begin.
+
+        Args:
+            rank: Its rank.
+            target_ms: Target for its first event, ms; 0 for none.
+        """
+        if not target_ms:
+            return math.inf
+        below = self._below(rank)
+        targets = [self._targets_ms[r] for r in below] + [target_ms]
+        return max(QUEUE_SHARE * target * GROWTH**steps
+                   for steps, target in enumerate(targets))
 
 
 def refuse_for_s(choice, want, rng=random):
@@ -71,10 +88,10 @@
         want: Its ``placement.Want``.
         rng: Source of the spread.
     """
-    if not choice.target.engine or not want.target_ms:
+    if not choice.target.engine:
         # Plain services turn away what they have no room for themselves.
         return None
-    if choice.queue_ms <= limit_ms(want):
+    if choice.queue_ms <= want.queue_limit_ms:
         return None
     return max(RETURN_MIN_S,
                choice.queue_ms / 1000) * rng.uniform(*RETURN_TIMES)
--- a/gorsefall/policy/placement.py
+++ b/gorsefall/policy/placement.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import math
 import random
 
 import xxhash
@@ -157,16 +158,14 @@
         shared_tokens: Tokens up to the end of that part.
         tokens: Tokens of the whole prompt.
         tokens_out: Tokens it may write.
-        target_ms: Target for its first event, ms; 0 if none.
-        ranks_below: How many less urgent ranks its service has.
+        queue_limit_ms: Longest queue it may be put behind, ms.
     """
     zone: ids.ZoneName
     session: str = ''
     shared_tokens: int = 0
     tokens: int = 0
     tokens_out: int = 0
-    target_ms: float = 0.0
-    ranks_below: int = 0
+    queue_limit_ms: float = math.inf
 
     @property
     def writes(self):
--- a/gorsefall/relay/exchange.py
+++ b/gorsefall/relay/exchange.py
@@ -110,7 +110,7 @@
             left = min(left, self.req.time_left_s)
         self._deadline = self._arrived + left
         self._deadline_timer = self.node.loop.later(left, self._time_up)
-        self.node.ranks(self._grant.service).asked(self._grant.rank)
+        self._grant.asked()
         self._send_on()
 
     def _budget(self):
--- a/gorsefall/relay/grant.py
+++ b/gorsefall/relay/grant.py
@@ -78,9 +78,17 @@
                               shared_tokens=sum(t for _, t in shared),
                               tokens=prompt.tokens_in,
                               tokens_out=prompt.tokens_out,
-                              target_ms=self.route.target_s * 1000,
-                              ranks_below=self._node.ranks(self.service).below(
-                                  self.rank))
+                              queue_limit_ms=self._node.ranks(
+                                  self.service).limit_ms(
+                                      self.rank, self._target_ms))
+
+    @property
+    def _target_ms(self):
+        return self.route.target_s * 1000
+
+    def asked(self):
+        """Notes the request among those for its service."""
+        self._node.ranks(self.service).asked(self.rank, self._target_ms)
 
     def place(self, tried, *, refuse):
         """Chooses where it goes.
@@ -108,5 +116,5 @@
             return choice
         raise errors.ShedError(
             f'{choice.queue_ms:.0f} ms of work wait at {choice.target.name}, '
-            f'the best replica; {overload.limit_ms(want):.0f} ms are its limit',
+            f'the best replica; {want.queue_limit_ms:.0f} ms are its limit',
             retry_after=wait_s)
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -78,7 +78,7 @@
 
 
 def _want(**fields):
-    return placement.Want(zone='z', target_ms=1000.0, **fields)
+    return placement.Want(zone='z', queue_limit_ms=200.0, **fields)
 
 
 def test_a_large_prompt_alone_is_not_refused():
@@ -122,22 +122,50 @@
     assert min(times) >= 1.0 and max(times) - min(times) > 0.5
 
 
-@hypothesis.given(st.lists(st.integers(0, 9), max_size=300), st.integers(0, 9))
-def test_ranks_against_a_plain_count(asked, rank):
+def test_a_short_target_does_not_put_the_more_urgent_behind():
+    """Symptom: urgent requests refused while bulk ones begin. Sequence: the
+    urgent have a target of 300 ms, the bulk of 10 s; a queue of one second
+    builds up. Cause: each limit was worked out from the own target alone."""
     ranks = overload.Ranks()
-    for one in asked:
-        ranks.asked(one)
-    counts = collections.Counter(asked)
-    expected = sum(1 for r, n in counts.items()
-                   if r > rank and n >= overload.RANK_SHARE * len(asked))
-    assert ranks.below(rank) == expected
+    for _ in range(20):
+        ranks.asked(0, 300.0)
+        ranks.asked(3, 10000.0)
+    assert ranks.limit_ms(0, 300.0) >= ranks.limit_ms(3, 10000.0)
+
+
+_ASKED = st.lists(st.tuples(st.integers(0, 9), st.sampled_from([300, 1200])),
+                  max_size=300)
 
 
-def test_ranks_follow_the_traffic():
+@hypothesis.given(_ASKED, st.integers(0, 9), st.sampled_from([300, 1200]))
+def test_limits_against_a_plain_count(asked, rank, target):
+    ranks = overload.Ranks()
+    for one in asked:
+        ranks.asked(*one)
+    counts = collections.Counter(r for r, _ in asked)
+    targets = dict(asked)
+    limit = 0.0
+    steps = 0
+    for lower in range(9, rank, -1):
+        if counts[lower] and counts[lower] >= overload.RANK_SHARE * len(asked):
+            limit = max(
+                limit,
+                overload.QUEUE_SHARE * targets[lower] * overload.GROWTH**steps)
+            steps += 1
+    own = overload.QUEUE_SHARE * target * overload.GROWTH**steps
+    assert ranks.limit_ms(rank, target) == max(limit, own)
+
+
+def test_no_target_means_no_limit():
+    assert overload.Ranks().limit_ms(1, 0.0) == float('inf')
+
+
+def test_limits_follow_the_traffic():
     """A rank that is no longer asked for must not keep limits high."""
     ranks = overload.Ranks()
     for _ in range(1000):
-        ranks.asked(5)
+        ranks.asked(5, 1000.0)
+    high = ranks.limit_ms(2, 1000.0)
     for _ in range(10 * overload.RANK_MEMORY):
-        ranks.asked(2)
-    assert ranks.below(2) == 0
+        ranks.asked(2, 1000.0)
+    assert ranks.limit_ms(2, 1000.0) < high
