--- a/gorsefall/loglines.py
+++ b/gorsefall/loglines.py
@@ -10,7 +10,7 @@
 from gorsefall import errors
 from gorsefall import ids
 
-_PREFIX = re.compile(r'^\s*(?:(-?\d+(?:\.\d+)?)\s+)?(\S+)\s+(?=\{)')
+_PREFIX = re.compile(r'\s*(?:(-?\d+(?:\.\d+)?)\s+)?(\S+)\s+')
 """What a collector may put before a line: a time, s, and the VM's name."""
 
 
@@ -189,7 +189,7 @@
 
 def _decode(text, process):
     start = text.index('{')
-    prefix = _PREFIX.match(text)
+    prefix = _PREFIX.fullmatch(text[:start])
     event = _decoder.decode(text[start:])
     at_s = _seconds(event.timestamp)
     if prefix:
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -88,3 +88,12 @@
     assert cmdline.main(['explain', str(tmp_path / 'none.log'), 'r1']) == 2
     assert 'bad_log_file' in capsys.readouterr().err
     assert cmdline.main(['explain', 'r1']) == 2
+
+
+def test_a_line_without_a_prefix_is_not_taken_for_one(tmp_path):
+    """Symptom: lines of one file are told as those of several processes.
+    Cause: the start of a line with an object within was read as a name."""
+    path = tmp_path / 'entry-a.log'
+    path.write_text('{"extra": {"a": 1}, "event": "answered", "rid": "r1", '
+                    '"outcome": "served"}\n')
+    assert loglines.read([path]).lines[0].process == 'entry-a'
