--- a/bench/compare.py
+++ b/bench/compare.py
@@ -24,7 +24,7 @@
 import tomli_w
 
 from gorsefall import bench
-from gorsefall import cmdline
+from gorsefall import catalogue
 from gorsefall import publish
 from gorsefall import settings
 from gorsefall.standins import launch
@@ -115,7 +115,7 @@
         shutil.rmtree(logs, ignore_errors=True)
         with launch.processes(site, logs, opts=sc.standin_opts) as ps:
             log = settings.split_addr(cfgs[0].entry.log_service)
-            publish.publish(log, cmdline.catalogue_doc(ROOT / sc.catalogue))
+            publish.publish(log, catalogue.load(ROOT / sc.catalogue))
             wait_ready(cfgs)
             procs = [psutil.Process(ps[c.entry.name].pid) for c in cfgs]
             cpu0 = sum(sum(p.cpu_times()[:2]) for p in procs)
--- a/features/environment.py
+++ b/features/environment.py
@@ -5,7 +5,7 @@
 import shutil
 import tempfile
 
-from gorsefall import cmdline
+from gorsefall import catalogue
 from gorsefall import publish
 from gorsefall import settings
 from gorsefall.standins import launch
@@ -34,7 +34,7 @@
     opts = {'log': ['retain_s=4.0']} if 'retain' in feature.tags else None
     context.procs = context.site_stack.enter_context(
         launch.processes(context.site, context.tmp, opts=opts))
-    doc = cmdline.catalogue_doc(SITE / 'catalogue.toml')
+    doc = catalogue.load(SITE / 'catalogue.toml')
     publish.publish(context.log_addr, doc, 'test')
     from steps import common
     common.wait_version(context, 1)
--- a/features/steps/catalogue_steps.py
+++ b/features/steps/catalogue_steps.py
@@ -13,13 +13,12 @@
 from steps import common
 
 from gorsefall import catalogue
-from gorsefall import cmdline
 from gorsefall import errors
 from gorsefall import publish
 
 
 def _doc(context, rate):
-    doc = cmdline.catalogue_doc(context.site / 'catalogue.toml')
+    doc = catalogue.load(context.site / 'catalogue.toml')
     doc.classes[0].rate_per_s = rate
     return doc
 
@@ -201,7 +200,7 @@
 @given('operator "bo" has changed a class that ann\'s file also changes')
 def step_bo(context):
     publish.publish(context.log_addr, _doc(context, 77.0), 'bo')
-    doc = cmdline.catalogue_doc(context.file)
+    doc = catalogue.load(context.file)
     doc.classes[0].rate_per_s = 55.0
     context.file.write_text(catalogue.to_toml(doc))
 
--- a/gorsefall/bench.py
+++ b/gorsefall/bench.py
@@ -367,13 +367,28 @@
     return '\n'.join(lines)
 
 
-def main(args):
-    """Entry point of ``gorsefall bench``; returns the exit status."""
-    rep = run(load(args.scenario), args.entry)
-    rep['label'] = args.label
+def report(scenario, entries, out, label='gorsefall'):
+    """Plays a scenario file, prints its table and writes its result.
+
+    Args:
+        scenario: Path of the scenario file.
+        entries: ``(host, port)`` of each entry.
+        out: Path of the result, JSON.
+        label: Name of the run in the result.
+
+    Returns:
+        The exit status.
+    """
+    rep = run(load(scenario), entries)
+    rep['label'] = label
     print(table(rep))
-    out = pathlib.Path(args.out)
+    out = pathlib.Path(out)
     out.parent.mkdir(parents=True, exist_ok=True)
     out.write_text(json.dumps(rep, indent=1), encoding='utf-8')
     print(f'written: {out}')
     return 0
+
+
+def main(args):
+    """Entry point of ``gorsefall bench``; returns the exit status."""
+    return report(args.scenario, args.entry, args.out, args.label)
--- a/gorsefall/catalogue.py
+++ b/gorsefall/catalogue.py
@@ -7,6 +7,8 @@
 builds compare-and-set from sequence numbers.
 """
 
+import pathlib
+
 import msgspec
 
 from gorsefall import errors
@@ -156,6 +158,19 @@
     return doc
 
 
+def load(path):
+    """Reads a catalogue TOML file into a ``Document``.
+
+    Raises:
+        errors.CatalogueError: Unreadable or invalid file.
+    """
+    try:
+        text = pathlib.Path(path).read_text(encoding='utf-8')
+    except OSError as exc:
+        raise errors.CatalogueError(f'{path}: {exc.strerror}') from exc
+    return parse_toml(text)
+
+
 def parse_toml(text):
     """Parses a catalogue file.
 
--- a/gorsefall/cmdline.py
+++ b/gorsefall/cmdline.py
@@ -1,7 +1,6 @@
 """The ``gorsefall`` command line."""
 
 import argparse
-import pathlib
 import sys
 
 import gorsefall
@@ -64,7 +63,7 @@
         return 0
     if not args.file:
         raise errors.CatalogueError('publish: name the catalogue file')
-    doc = catalogue_doc(args.file)
+    doc = catalogue.load(args.file)
     base = doc.version if args.base is None else args.base
     if not base and publish.current(args.log).version:
         # Based on nothing, the file would undo every change since it was
@@ -77,24 +76,16 @@
     return 0
 
 
-def catalogue_doc(path):
-    """Reads a catalogue TOML file into a ``catalogue.Document``.
-
-    Raises:
-        errors.CatalogueError: Unreadable or invalid file.
-    """
-    try:
-        text = pathlib.Path(path).read_text(encoding='utf-8')
-    except OSError as exc:
-        raise errors.CatalogueError(f'{path}: {exc.strerror}') from exc
-    return catalogue.parse_toml(text)
-
-
 def _bench(args):
     from gorsefall import bench
     return bench.main(args)
 
 
+def _demo(args):
+    from gorsefall import demo
+    return demo.run(args.site, args.scenario, args.out)
+
+
 def _explain(args):
     *files, request = args.files_and_id
     if not files:
@@ -167,6 +158,13 @@
     b.add_argument('--out', default='out/bench.json')
     b.add_argument('--label', default='gorsefall')
     b.set_defaults(func=_bench)
+
+    d = sub.add_parser('demo',
+                       help='run a site of stand-ins, ask it and load it')
+    d.add_argument('site', help='folder of the site, as examples/authority')
+    d.add_argument('scenario', help='scenario TOML file of the load')
+    d.add_argument('--out', default='out', help='folder for logs and results')
+    d.set_defaults(func=_demo)
     return p
 
 
--- /dev/null
+++ b/gorsefall/demo.py
@@ -0,0 +1,92 @@
+"""The whole path on stand-ins: a site is started, asked and loaded."""
+
+import json
+import pathlib
+import time
+import urllib.request
+
+from gorsefall import bench
+from gorsefall import catalogue
+from gorsefall import errors
+from gorsefall import publish
+from gorsefall import settings
+from gorsefall.standins import launch
+from gorsefall.standins import ports
+
+
+def run(site, scenario, out):
+    """Starts a site on free ports, publishes, asks and benches.
+
+    Args:
+        site: Folder with ``standins.txt``, entries and a catalogue.
+        scenario: Scenario file of the load.
+        out: Folder for logs and results.
+
+    Returns:
+        The exit status.
+
+    Raises:
+        errors.SettingsError: The folder holds no site.
+    """
+    site, out = pathlib.Path(site), pathlib.Path(out)
+    if not (site / 'standins.txt').is_file():
+        raise errors.SettingsError(f'{site}: no standins.txt there')
+    with ports.site(site, out / 'sites' / site.name) as site_dir:
+        with launch.processes(site_dir, out / 'logs'):
+            doc = catalogue.load(site_dir / 'catalogue.toml')
+            entries = [
+                settings.load(path).entry
+                for path in sorted(site_dir.glob('entry-*.toml'))
+            ]
+            log = settings.split_addr(entries[0].log_service)
+            version = publish.publish(log, doc, 'demo')
+            print('catalogue accepted as version', version)
+            listens = [entry.listen for entry in entries]
+            _wait_ready(listens)
+            _ask(listens[0], doc.classes[0])
+            return bench.report(scenario,
+                                [settings.split_addr(a) for a in listens],
+                                out / f'{site.name}.json')
+
+
+def _ask(listen, klass):
+    """Asks as a caller with a usual client does, whole and streamed."""
+    import openai
+    client = openai.OpenAI(base_url=f'http://{listen}/v1',
+                           api_key='unused',
+                           default_headers={
+                               'X-Customer': klass.owner,
+                               'X-Class': klass.name
+                           })
+
+    def complete(text, stream):
+        return client.chat.completions.create(model='default',
+                                              stream=stream,
+                                              messages=[{
+                                                  'role': 'user',
+                                                  'content': text
+                                              }])
+
+    whole = complete('seats to terminal 2?', False)
+    print('non-streamed:', whole.choices[0].message.content[:60], '...')
+    parts = [
+        c.choices[0].delta.content or ''
+        for c in complete('next bus to city?', True)
+    ]
+    print('streamed:', len(parts), 'chunks:', ''.join(parts)[:60], '...')
+
+
+def _wait_ready(entries, timeout_s=15.0):
+    end = time.monotonic() + timeout_s
+    for e in entries:
+        while True:
+            try:
+                with urllib.request.urlopen(f'http://{e}/readyz',
+                                            timeout=1) as res:
+                    if json.load(res)['ready']:
+                        break
+            except OSError:
+                pass
+            if time.monotonic() > end:
+                raise TimeoutError(f'{e} not ready')
+            time.sleep(0.1)
