--- a/gorsefall/policy/placement.py
+++ b/gorsefall/policy/placement.py
@@ -359,21 +359,15 @@
     if sound[0].eject_until > now:
         # A last resort is asked whatever waits there.
         return Choice(sound[0], want.tokens)
+    apart = _apart(targets, want, service, now)
     # The home is found among all, so that a session returns to it as soon
     # as it is sound again.
-    apart = set()
-    if want.tokens:
-        engines = [t for t in targets if t.engine]
-        apart = quiet(engines, service.split.count(engines, now))
-        if want.writes and want.gap_ms:
-            service.gap_ms = want.gap_ms
     mine = [t for t in targets if (t.name in apart) == want.writes] or targets
     keeper = home(mine, want.session) if want.session else None
-    usual_ms = pace.usual_pause_ms(targets)
-    view = View(service.speed, usual_ms, now, service.fetch_ms)
+    view = View(service.speed, pace.usual_pause_ms(targets), now,
+                service.fetch_ms)
     view.pool_ms = statistics.fmean(view.queue_ms(t) for t in mine)
-    if want.shared_tokens >= FETCHED_MIN:
-        view.source = view.best_source([*targets, *sources], want)
+    view.source = view.best_source([*targets, *sources], want)
 
     def rank(target):
         cost = view.cost_ms(target, want, target is keeper)
@@ -381,12 +375,17 @@
             cost += view.misplaced_ms(target, want, service.gap_ms)
         return cost, rng.random()
 
-    best = min(sound, key=rank)
-    fetched = view.fetched(best, want)
-    return Choice(best,
-                  want.unread(best) - fetched, view.queue_ms(best),
-                  view.ahead(best), pace.slowness(best, usual_ms),
-                  view.source if fetched else None)
+    return view.choice(min(sound, key=rank), want)
+
+
+def _apart(targets, want, service, now):
+    """Returns the names of the targets kept for requests that write."""
+    if not want.tokens:
+        return set()
+    if want.writes and want.gap_ms:
+        service.gap_ms = want.gap_ms
+    engines = [t for t in targets if t.engine]
+    return quiet(engines, service.split.count(engines, now))
 
 
 def backup(targets, request, now):
@@ -437,10 +436,19 @@
     def best_source(self, targets, want):
         """Returns the sound target that keeps most of a prompt, or None."""
         fit = [t for t in targets if t.eject_until <= self.now]
-        if not fit or not 0 < self.fetch_ms < FETCH_BELOW * self.speed.read_ms:
+        quick = 0 < self.fetch_ms < FETCH_BELOW * self.speed.read_ms
+        if not fit or not quick or want.shared_tokens < FETCHED_MIN:
             return None
         return max(fit, key=lambda t: t.kept.tokens(want.parts))
 
+    def choice(self, target, want):
+        """Returns the ``Choice`` of ``target``."""
+        fetched = self.fetched(target, want)
+        return Choice(target,
+                      want.unread(target) - fetched, self.queue_ms(target),
+                      self.ahead(target), pace.slowness(target, self.usual_ms),
+                      self.source if fetched else None)
+
     def fetched(self, target, want):
         """Returns the tokens that ``target`` had better fetch."""
         if self.source is None or self.source is target:
