--- a/gorsefall/emulator/entries.py
+++ b/gorsefall/emulator/entries.py
@@ -40,8 +40,7 @@
         uses = [use for at_ms, use in self._uses if at_ms > now_ms - USES_MS]
         self._uses = [u for u in self._uses if u[0] > now_ms - USES_MS]
         rows = {n: t.row() for n, t in self.targets.items() if t.outstanding}
-        return membership.Status(self.name, 0, self._seq, 0, True, {}, rows,
-                                 tuple(uses))
+        return membership.Status(self.name, 0, self._seq, {}, rows, tuple(uses))
 
     def hear(self, status, now_ms):
         """Takes in what another entry tells."""
--- a/gorsefall/policy/membership.py
+++ b/gorsefall/policy/membership.py
@@ -67,8 +67,6 @@
         name: Its name.
         boot: When its process started, ms since 1970; tells starts apart.
         seq: Counts its messages.
-        version: Version of the configuration it goes by; 0 for none.
-        current: Whether the store has confirmed that of late.
         firsts: ``service -> requests`` it sent a first time in the retry
             window.
         rows: ``replica -> Row``; replicas without requests are left out.
@@ -77,8 +75,6 @@
     name: str
     boot: int
     seq: int
-    version: int
-    current: bool
     firsts: dict[ids.ServiceName, int]
     rows: dict[ids.ReplicaName, Row]
     uses: tuple[prompts.Use, ...] = ()
@@ -196,12 +192,6 @@
         """
         return self._firsts[service]
 
-    def ahead(self, version):
-        """Whether another is sure of a configuration at least as new."""
-        return any(
-            m.counted and m.status.current and m.status.version >= version
-            for m in self._members.values())
-
     def _count_in(self, member):
         member.counted = True
         self._counted += 1
--- a/gorsefall/relay/exchange.py
+++ b/gorsefall/relay/exchange.py
@@ -119,7 +119,7 @@
             resume_after=self._delivery.last_id,
             fetch_from=self._source_addr(choice))
         if self.req.prompt is not None:
-            self.node.prompt_sent(replica, self.req.prompt.parts[:-1])
+            self.node.work.prompt_sent(replica, self.req.prompt.parts[:-1])
         self._attempt = sending.Attempt(self,
                                         replica,
                                         order,
@@ -206,7 +206,8 @@
         if not attempt.begun:
             attempt.begun = True
             self._note_wait(attempt)
-            attempt.note_start(self.node.knowledge(self._grant.service).speed)
+            attempt.note_start(
+                self.node.work.service(self._grant.service).speed)
         attempt.prompt_read()
         if self._delivery.streaming:
             self._pass_on(attempt, self._delivery.split(data))
@@ -241,7 +242,7 @@
             return
         health = attempt.replica.target
         health.succeeded()
-        attempt.note_end(self.node.knowledge(self._grant.service).speed)
+        attempt.note_end(self.node.work.service(self._grant.service).speed)
         health.answered(answer.status < INTERNAL or answer.status == TIME_UP)
         if answer.success and not answer.genuine:
             health.failed(time.monotonic())
--- a/gorsefall/relay/fleet.py
+++ b/gorsefall/relay/fleet.py
@@ -216,6 +216,10 @@
         rep.pool.close()
         self._log.info('replica_gone', replica=replica_id, reason=reason)
 
+    def service(self, name):
+        """Returns the ``model.Service`` of that name, or None."""
+        return self._services.get(name)
+
     def of(self, service):
         """Returns every replica of a service, a list."""
         return [
--- a/gorsefall/relay/grant.py
+++ b/gorsefall/relay/grant.py
@@ -97,12 +97,12 @@
 
     @property
     def _limit_ms(self):
-        return self._node.ranks(self.service).limit_ms(self.rank,
-                                                       self._target_ms)
+        return self._node.work.ranks(self.service).limit_ms(
+            self.rank, self._target_ms)
 
     def asked(self):
         """Notes the request among those for its service."""
-        self._node.ranks(self.service).asked(self.rank, self._target_ms)
+        self._node.work.ranks(self.service).asked(self.rank, self._target_ms)
 
     def place(self, tried, *, refuse):
         """Chooses where it goes.
@@ -117,12 +117,12 @@
         Raises:
             errors.ShedError: It would only come late.
         """
-        targets = self._node.targets(self.service, tried)
+        targets = self._node.work.targets(self.service, tried)
         choice = placement.choose(targets,
                                   self._want(),
-                                  self._node.knowledge(self.service),
+                                  self._node.work.service(self.service),
                                   time.monotonic(),
-                                  sources=self._node.sources(self.service))
+                                  sources=self._node.work.sources(self.service))
         if choice is None:
             return None
         metrics.QUEUE_MS.labels(self.service).set(choice.queue_ms)
--- a/gorsefall/relay/node.py
+++ b/gorsefall/relay/node.py
@@ -1,9 +1,7 @@
 """A relay entry: wires listeners, followers, fleet and exchanges."""
 
-import collections
 import os
 import signal
-import time
 
 from gorsefall import daemon
 from gorsefall import errors
@@ -14,21 +12,17 @@
 from gorsefall.net import tcp
 from gorsefall.policy import budget
 from gorsefall.policy import freshness
-from gorsefall.policy import membership
-from gorsefall.policy import overload
 from gorsefall.policy import patience
-from gorsefall.policy import placement
-from gorsefall.policy import prompts
 from gorsefall.policy import share
 from gorsefall.relay import beliefs
 from gorsefall.relay import exchange
 from gorsefall.relay import fleet
-from gorsefall.relay import model
 from gorsefall.relay import outcomes
 from gorsefall.relay import peers
 from gorsefall.relay import servers
 from gorsefall.relay import settings
 from gorsefall.relay import topic
+from gorsefall.relay import workload
 
 PROOF_MARGIN_S = 0.4
 """Part of the revocation bound that is left for a request's way to its
@@ -64,14 +58,6 @@
 REPLICAS_PAUSE_MIN_S = 0.2
 """Shortest such pause, s."""
 
-USES_S = 0.4
-"""How long a use of a replica's cached prompts is told to the others, s: in a
-few messages, of which some may be lost."""
-
-MAX_USES = 64
-"""Most uses told in a message, the last ones; an entry has 16 requests a
-second at the size of two years hence."""
-
 LAME_DUCK_S = 3.0
 """Time after the stop signal in which new requests are still served, s: the
 balancer asks once a second and goes by two misses."""
@@ -115,6 +101,7 @@
         table: The ``routes.Table`` in force; None before the first.
         proof: The ``freshness.Proof`` of the table.
         fleet: The ``fleet.Fleet``.
+        work: The ``workload.Workload`` at its replicas.
         share: The ``share.Share`` of the traffic that comes here.
         replicas_known: Whether the replicas were listed once.
     """
@@ -137,15 +124,13 @@
         self.table = None
         self.proof = freshness.Proof(self.cfg.revoke_s - PROOF_MARGIN_S)
         self.fleet = fleet.Fleet(self.loop, self._work_changed)
+        self.work = workload.Workload(self.cfg.name, self.fleet)
         self._peers = None
-        self._knowledge = {}
-        self._uses = collections.deque(maxlen=MAX_USES)
         self.replicas_known = False
         self._proven = False
         self.share = share.Share()
         self._budgets = {}
         self._patience = {}
-        self._ranks = {}
         self._followers = []
         self._exchanges = set()
         self._settings_seen = self._settings_stamp()
@@ -239,86 +224,20 @@
         if found is None:
             found = self._budgets[service] = budget.Budget(
                 self.cfg.retries, self.share,
-                lambda: self._others_firsts(service))
+                lambda: self.work.others_firsts(service))
         return found
 
-    def knowledge(self, service):
-        """Returns the ``placement.Service`` of a service."""
-        known = self._knowledge.setdefault(service, placement.Service())
-        described = self.table.services.get(service) if self.table else None
-        known.fetch_ms = described.fetch_ms if described else 0.0
-        return known
-
-    def sources(self, service):
-        """Returns the targets of replicas that leave: they still lend."""
-        return [
-            r.target
-            for r in self.fleet.of(service)
-            if r.record.status is model.ReplicaStatus.DRAINING
-        ]
-
-    def targets(self, service, exclude):
-        """Returns the targets that may take a request, with others' work."""
-        targets = [r.target for r in self.fleet.candidates(service, exclude)]
-        if self._peers is not None and not self._peers.members.alone:
-            now = time.monotonic()
-            for target in targets:
-                target.told(self._peers.members.row(target.name), now)
-        return targets
-
-    def _others_firsts(self, service):
-        """Returns the others' requests in the retry window, None if alone."""
-        if self._peers is None or self._peers.members.alone:
-            return None
-        return self._peers.members.firsts(service)
-
-    def prompt_sent(self, replica, parts):
-        """Notes the shared parts that a replica reads for a request."""
-        replica.target.kept.used(parts)
-        known = tuple(p for p in parts if p.tokens >= prompts.PART_TOKENS_MIN)
-        if known:
-            self._uses.append(
-                (self.loop.now, prompts.Use(replica.record.id, known)))
-
-    def told_uses(self, uses):
-        """Notes what other entries had read."""
-        for use in uses:
-            replica = self.fleet.replicas.get(use.replica)
-            if replica is not None:
-                replica.target.kept.used(use.parts)
-
-    def _last_uses(self, now):
-        while self._uses and self._uses[0][0] < now - USES_S:
-            self._uses.popleft()
-        return tuple(use for _, use in self._uses)
-
     def _work_changed(self):
         if self._peers is not None:
             self._peers.changed()
 
     def status(self, boot, seq):
         """Returns the ``membership.Status`` to tell the other entries."""
-        now = self.loop.now
-        return membership.Status(
-            name=self.cfg.name,
-            boot=boot,
-            seq=seq,
-            version=self.table.version if self.table else 0,
-            current=self.proof.valid(),
-            firsts={
-                service: known.firsts(now)
-                for service, known in self._budgets.items()
-            },
-            rows={
-                r.record.id: r.target.row()
-                for r in self.fleet.replicas.values()
-                if r.target.outstanding
-            },
-            uses=self._last_uses(now))
-
-    def ranks(self, service):
-        """Returns the ``overload.Ranks`` of a service."""
-        return self._ranks.setdefault(service, overload.Ranks())
+        firsts = {
+            service: known.firsts(self.loop.now)
+            for service, known in self._budgets.items()
+        }
+        return self.work.status(boot, seq, firsts)
 
     def load_told(self, replica, load):
         """Notes the ``model.Load`` that a replica told with an answer."""
@@ -326,7 +245,7 @@
         self.share.seen(own=sum(r.target.outstanding for r in replicas),
                         there=load.running + load.waiting,
                         replicas=len(replicas))
-        if self._peers is None or self._peers.members.alone:
+        if self.work.members.alone:
             replica.target.report(load.running, load.waiting, self.loop.now)
 
     def patience(self, service, kind):
--- a/gorsefall/relay/peers.py
+++ b/gorsefall/relay/peers.py
@@ -56,8 +56,6 @@
     name: str
     boot: int
     seq: int
-    version: int
-    current: bool
     firsts: dict[str, int]
     rows: list[_Row]
     uses: list[_Use]
@@ -76,8 +74,8 @@
     ]
     uses = [_Use(use.replica, list(use.parts)) for use in status.uses]
     return _ENCODER.encode(
-        _Message(status.name, status.boot, status.seq, status.version,
-                 status.current, status.firsts, rows, uses, hosts))
+        _Message(status.name, status.boot, status.seq, status.firsts, rows,
+                 uses, hosts))
 
 
 def _sane(raw):
@@ -104,8 +102,8 @@
         prompts.Use(u.replica, tuple(prompts.Part(*p)
                                      for p in u.parts))
         for u in raw.uses)
-    status = membership.Status(raw.name, raw.boot, raw.seq, raw.version,
-                               raw.current, raw.firsts, rows, uses)
+    status = membership.Status(raw.name, raw.boot, raw.seq, raw.firsts, rows,
+                               uses)
     return status, raw.hosts
 
 
@@ -120,7 +118,7 @@
         """Binds the socket; ``start`` begins to speak.
 
         Args:
-            node: The ``node.Node``; asked for ``status(boot, seq)``.
+            node: The ``node.Node``; has ``work`` and ``status(boot, seq)``.
             addr: ``(host, port)`` to bind; all entries use the same port.
             seeds: Hosts of some entries; may be stale.
         """
@@ -135,7 +133,7 @@
         self._log = logs.get('peers')
         self._faulty = set()
         self._live = 0
-        self.members = membership.Members(node.cfg.name)
+        self.members = node.work.members
         self._endpoint = datagrams.Endpoint(self._loop, addr, self._received)
 
     def start(self):
@@ -208,7 +206,7 @@
         self._faulty.discard(host)
         if not self.members.heard(host, status, now):
             return
-        self._node.told_uses(status.uses)
+        self._node.work.told_uses(status.uses)
         for other in hosts[:TOLD]:
             if other != self._host and datagrams.is_host(other):
                 self.members.told_of(other, now)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -10,9 +10,7 @@
 
 def _status(name, boot=1, seq=1, rows=None, **fields):
     rows = {r: membership.Row(n, n, 10 * n, 0) for r, n in (rows or {}).items()}
-    return membership.Status(name, boot, seq, fields.get('version', 0),
-                             fields.get('current', False),
-                             fields.get('firsts', {}), rows)
+    return membership.Status(name, boot, seq, fields.get('firsts', {}), rows)
 
 
 _WORDS = st.lists(st.tuples(
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -19,9 +19,8 @@
                            st.lists(_PART, max_size=3).map(tuple)),
                  max_size=3).map(tuple)
 _STATUS = st.builds(membership.Status, st.text(max_size=8), _COUNT, _COUNT,
-                    _COUNT, st.booleans(),
-                    st.dictionaries(st.text(max_size=8), _COUNT,
-                                    max_size=3), _ROWS, _USES)
+                    st.dictionaries(st.text(max_size=8), _COUNT, max_size=3),
+                    _ROWS, _USES)
 
 
 @given(_STATUS, st.lists(st.ip_addresses(v=4).map(str), max_size=6))
@@ -41,7 +40,7 @@
 def test_negative_counts_are_not_believed():
     """Symptom: a busy replica looks empty and is flooded. Sequence: an entry
     at fault tells less than nothing. Cause: any number was believed."""
-    status = membership.Status('a', 1, 1, 0, False, {},
+    status = membership.Status('a', 1, 1, {},
                                {'r': membership.Row(-5, 0, 0, 0)})
     with pytest.raises(msgspec.DecodeError):
         peers.decode(peers.encode(status, []))
@@ -68,9 +67,11 @@
     def __init__(self):
         self.loop = _Loop()
         self.uses = []
+        self.work = self
+        self.members = membership.Members('me')
 
     def status(self, boot, seq):
-        return membership.Status('me', boot, seq, 0, True, {}, {})
+        return membership.Status('me', boot, seq, {}, {})
 
     def told_uses(self, uses):
         self.uses += uses
@@ -91,7 +92,7 @@
 
 
 def test_a_message_tells_of_entries_that_were_not_known(talk):
-    status = membership.Status('a', 1, 1, 0, True, {}, {})
+    status = membership.Status('a', 1, 1, {}, {})
     data = peers.encode(status, ['10.0.0.9', 'no address', '127.0.0.1'])
     talk._received(data, '10.0.0.2')
     assert set(talk.members.addresses(0.0)) >= {'10.0.0.2', '10.0.0.9'}
@@ -100,7 +101,7 @@
 
 def test_a_replayed_message_tells_no_uses(talk):
     use = prompts.Use('r', (prompts.Part('p', 900),))
-    status = membership.Status('a', 1, 1, 0, True, {}, {}, (use,))
+    status = membership.Status('a', 1, 1, {}, {}, (use,))
     for _ in range(3):
         talk._received(peers.encode(status, []), '10.0.0.2')
     assert talk._node.uses == [use]
