--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -198,3 +198,21 @@
     assert not names(directory)
     directory.put(record('a'))
     assert names(directory) == {'a'}
+
+
+def test_a_replica_that_leaves_gets_no_work_through_an_outage():
+    """Work for a replica that left, beside an outage.
+
+    Symptom: requests reach a replica seconds after it said that it leaves.
+    Sequence: its record says so, the store goes away, the others' records
+    lapse, and it is the one whose record still stands. Cause it would have:
+    what is known before an outage counted for less than a last resort.
+    """
+    directory = _fleet(record('a', model.ReplicaStatus.DRAINING), record('b'))
+    directory.store_lost()
+    directory.remove('b', 0.0)
+    assert names(directory) == {'b'}
+    directory.remove('a', 0.0)
+    assert names(directory) == {'b'}
+    directory.store_back(1.0)
+    assert names(directory) == {'b'}
--- /dev/null
+++ b/tests/test_revocation.py
@@ -0,0 +1,96 @@
+"""Keys while the configuration cannot be confirmed, strict and not."""
+
+import types
+
+import pytest
+
+from gorsefall import errors
+from gorsefall.net import headers
+from gorsefall.policy import freshness
+from gorsefall.relay import grant
+from gorsefall.relay import model
+from gorsefall.relay import node
+from gorsefall.relay import routes
+from gorsefall.relay import settings
+from gorsefall.relay import topic
+
+ROUTE = model.Route(name='r',
+                    host='h',
+                    prefix='/',
+                    kind=model.Kind.IDEMPOTENT,
+                    timeout_s=1.0,
+                    target_s=0.2,
+                    priority=0,
+                    services=(('s', 1.0),))
+
+
+def _table(version, *keys):
+    account = model.Account(name='a')
+    return routes.Table(version=version,
+                        routes=[ROUTE],
+                        services={},
+                        limits=model.CallerLimits(),
+                        accounts=dict.fromkeys(keys, account),
+                        keyed=True)
+
+
+def _settings(**fields):
+    return settings.Relay(name='e',
+                          zone='z',
+                          callers='h:1',
+                          readiness='h:2',
+                          store='h:3',
+                          **fields)
+
+
+def _grant(table, key, *, strict):
+    entry = types.SimpleNamespace(table=table,
+                                  proof=freshness.Proof(1.0),
+                                  cfg=_settings(strict_revocation=strict))
+    req = model.CallerRequest(id='1',
+                              method=b'GET',
+                              target=b'/x',
+                              host='h',
+                              headers=headers.read([]),
+                              key=key)
+    return grant.Grant(entry, req)
+
+
+def test_known_keys_go_on_where_revocation_is_not_strict():
+    """Needless refusals.
+
+    Symptom: one request in nine of a day is refused. Sequence: the store is
+    away for eight seconds; the proof of the configuration ages. Cause: whether
+    revocation is strict was not read from the settings.
+    """
+    found = _grant(_table(1, 'k'), 'k', strict=False)
+    found.renew()
+    assert found.account.name == 'a'
+    with pytest.raises(errors.UnprovenError):
+        _grant(_table(1, 'k'), 'k', strict=True).renew()
+
+
+@pytest.mark.parametrize('strict', [True, False])
+def test_a_key_seen_to_be_taken_away_is_denied_at_once(strict):
+    with pytest.raises(errors.UnknownKeyError):
+        _grant(_table(2), 'k', strict=strict).renew()
+
+
+def test_a_lost_answer_is_noticed_before_the_configuration_is_overdue():
+    """Symptom: requests handled by an old configuration. Sequence: a channel
+    goes silent while a read of the configuration waits; a change comes when
+    the entry has settled. Cause it would have: a wait longer than both bounds.
+    """
+    for apply_s, settle_s in ((2.0, 3.0), (3.0, 4.0), (1.0, 0.5)):
+        cfg = _settings(strict_revocation=False,
+                        apply_s=apply_s,
+                        settle_s=settle_s)
+        wait_s = node.config_wait_s(cfg)
+        noticed_s = wait_s + topic.ANSWER_S
+        assert (noticed_s < apply_s + settle_s or
+                wait_s == node.CONFIG_WAIT_MIN_S)
+
+
+def test_waits_are_short_where_revocation_is_strict():
+    cfg = _settings(strict_revocation=True)
+    assert node.config_wait_s(cfg) <= node.CONFIG_WAIT_S
