An engine with nothing to do refuses nobody

A request without shared parts was counted as leaving a home.

Change: an idle engine is never taken for too full. A test that failed first.

--- a/gorsefall/policy/placement.py
+++ b/gorsefall/policy/placement.py
@@ -508,11 +508,13 @@
                 anew_ms = anew * self._read_ms(target)
             cost += REREAD * anew_ms
             # Away from home a request costs the pool its prompt once more, so
-            # it may leave only while the pool has room for that.
+            # it may leave only while the pool has room for that, or where
+            # nobody is.
             away_ms = fetching_ms
             if not at_home:
                 away_ms += anew_ms + (self.pool_ms if not fetched else 0.0)
-            if self.queue_ms(target) + away_ms > want.limit_ms:
+            idle = not target.outstanding and not target.others
+            if self.queue_ms(target) + away_ms > want.limit_ms and not idle:
                 cost += REFUSED_MS
             if want.writes:
                 chance = target.link.chance(want.tokens_out, self.now)
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -234,3 +234,23 @@
         silent = loads.means(load.changed(exchange_ms=0.0))
         assert telling.worth > silent.worth + more
         assert telling.on_time['query'] > 0.9
+
+
+def test_nobody_is_refused_while_an_engine_is_idle():
+    """Symptom: a request is refused though one of two engines has nothing to
+    do. Sequence: a long prompt is read at the engine for those that read; the
+    other is kept for requests that write, of which there are none; the next
+    long prompt shares nothing with others. Cause: it was counted as leaving a
+    home, which only costs where a prompt is read anew.
+    """
+    targets = [
+        placement.Target(name=f'e{i}', zone='z', slots=64, engine=True)
+        for i in range(2)
+    ]
+    service = placement.Service()
+    want = _want(tokens=14000, tokens_out=10, limit_ms=140.0)
+    first = placement.choose(targets, want, service, 0.0)
+    first.target.sent(first.tokens)
+    second = placement.choose(targets, want, service, 0.0)
+    assert second.target is not first.target
+    assert overload.refuse_for_s(second, want.limit_ms) is None
