--- a/gorsefall/publish.py
+++ b/gorsefall/publish.py
@@ -20,8 +20,23 @@
         errors.CatalogueError: Records expired and no snapshot covers them.
     """
     state = catalogue.State()
-    records, start, end = oplog.read_all(addr, STREAM)
-    if start > 0:
+    _advance(addr, state)
+    return state
+
+
+def _advance(addr, state):
+    """Brings ``state`` up to what the log service holds now.
+
+    It goes on from what it has: a snapshot is only asked for where records
+    that it lacks have expired. A snapshot does not say which change made which
+    version, so one that covered an operator's own change would hide it.
+
+    Raises:
+        errors.LogServiceError: The log service failed.
+        errors.CatalogueError: Records expired and no snapshot covers them.
+    """
+    records, start, end = oplog.read_all(addr, STREAM, state.offset)
+    if start > state.offset:
         snaps, _, _ = oplog.read_all(addr, SNAPSHOTS)
         for rec in snaps:
             state.restore(msgspec.convert(rec.data, catalogue.Snapshot))
@@ -32,7 +47,6 @@
     for rec in records:
         state.apply(rec.offset, rec.data)
     state.offset = max(state.offset, end)
-    return state
 
 
 def publish(addr, doc, author='', base=None):
@@ -67,21 +81,24 @@
                               customers=customers,
                               drop=drop,
                               author=author)
+    cause = None
     try:
         oplog.append(addr, STREAM, [msgspec.to_builtins(change)])
-    except errors.LogServiceError:
-        pass  # Maybe written anyway; the read below decides.
-    after = current(addr)
-    if change.id in after.accepted:
-        _write_snapshot(addr, after)
-        return after.accepted[change.id]
-    if change.id in after.rejected:
+    except errors.LogServiceError as exc:
+        # Maybe written anyway; the read below decides.
+        cause = exc
+    _advance(addr, state)
+    if change.id in state.accepted:
+        _write_snapshot(addr, state)
+        return state.accepted[change.id]
+    if change.id in state.rejected:
         raise errors.StaleVersionError(
             f'based on v{base}, but the same items have changed since '
-            f'(current: v{after.version}); re-read and publish again')
+            f'(current: v{state.version}); re-read and publish again')
     raise errors.LogServiceError(
-        'the change is not in the stream; it may still arrive if the log '
-        'service is slow: check with "catalogue show" before publishing again')
+        f'the change is not in the stream ({cause or "it was written"}); it '
+        'may still arrive if the log service is slow: check with "catalogue '
+        'show" before publishing again') from cause
 
 
 def _write_snapshot(addr, state):
