--- a/gorsefall/emulator/engine.py
+++ b/gorsefall/emulator/engine.py
@@ -4,8 +4,13 @@
 import dataclasses
 
 from gorsefall.emulator import site as sites
+from gorsefall.policy import knowledge
 from gorsefall.policy import placement
 
+RESENT_MS = 250.0
+"""How much later what a link lost arrives, ms: the shortest time-out of the
+usual TCP implementations is 200, and the next try may be lost too."""
+
 
 @dataclasses.dataclass(eq=False)
 class Request:
@@ -21,8 +26,10 @@
         to_read: Tokens that its engine has yet to read.
         written: Tokens written.
         heard_ms: When its caller last heard of it.
-        target: The entry's ``placement.Target`` of its engine.
-        tokens: Tokens that its entry expects to be read.
+        last_event_ms: When its last event came.
+        sent_ms: When its entry sent it.
+        target: The entry's ``knowledge.Target`` of its engine.
+        choice: The ``placement.Choice`` that its entry made.
         on_time: Whether it may still be on time.
         returned: Whether it was refused once and came back.
     """
@@ -37,7 +44,7 @@
     heard_ms: float = 0.0
     last_event_ms: float = 0.0
     sent_ms: float = 0.0
-    target: placement.Target | None = None
+    target: knowledge.Target | None = None
     choice: placement.Choice | None = None
     on_time: bool = True
     returned: bool = False
@@ -223,8 +230,3 @@
         req.target.link.came(1, now_ms / 1000, held_up=lost)
         req.target.pause.saw(gap_ms)
         req.last_event_ms = req.heard_ms = now_ms
-
-
-RESENT_MS = 250.0
-"""How much later what a link lost arrives, ms: the shortest time-out of the
-usual TCP implementations is 200, and the next try may be lost too."""
--- a/gorsefall/emulator/entries.py
+++ b/gorsefall/emulator/entries.py
@@ -1,28 +1,27 @@
 """Entries: what each knows of the engines, from itself and from the others."""
 
+import math
+
 from gorsefall.emulator import policies
-from gorsefall.policy import membership
+from gorsefall.policy import knowledge
+from gorsefall.policy import peerview
 from gorsefall.policy import placement
 from gorsefall.policy import prompts
 
-USES_MS = 500.0
-"""How long a use is told again and again, ms."""
-
 
 class Entry:
     """One entry's view.
 
     Attributes:
-        targets: ``engine name -> placement.Target``.
+        targets: ``engine name -> target.Target``.
         service: Its ``placement.Service``.
-        heard: The ``membership.Members`` it hears.
+        view: The ``peerview.PeerView`` of the other entries' work.
     """
 
     def __init__(self, number, site, names):
-        self.name = f'entry-{number}'
         self.targets = {
             name:
-                placement.Target(name=name,
+                knowledge.Target(name=name,
                                  zone='z',
                                  slots=site.engines.slots,
                                  engine=True,
@@ -30,48 +29,33 @@
             for name in names
         }
         self.service = placement.Service(fetch_ms=site.engines.fetch_ms)
-        self.heard = membership.Members(self.name)
+        self.view = peerview.PeerView(f'entry-{number}', self.targets.get)
         self._seq = 0
-        self._uses = []
 
     def status(self, now_ms):
         """Returns the ``membership.Status`` that it tells the others."""
         self._seq += 1
-        uses = [use for at_ms, use in self._uses if at_ms > now_ms - USES_MS]
-        self._uses = [u for u in self._uses if u[0] > now_ms - USES_MS]
-        rows = {n: t.row() for n, t in self.targets.items() if t.outstanding}
-        return membership.Status(self.name, 0, self._seq, {}, rows, tuple(uses))
+        return self.view.status(0, self._seq, self.targets.values(),
+                                now_ms / 1000)
 
     def hear(self, status, now_ms):
         """Takes in what another entry tells."""
-        if self.heard.heard(status.name, status, now_ms / 1000):
-            for use in status.uses:
-                self.targets[use.replica].kept.used(use.parts)
+        self.view.heard(status.name, status, now_ms / 1000)
 
     def decide(self, req, policy, limit_ms, now_ms, rng):
         """Returns a ``placement.Choice`` for ``req``, or ``Refused``."""
         now = now_ms / 1000
-        if not self.heard.alone:
-            for target in self.targets.values():
-                target.told(self.heard.row(target.name), now)
-        want = placement.Want(zone='z',
-                              parts=_parts(req),
-                              tokens=req.prompt,
-                              tokens_out=req.tokens_out,
-                              limit_ms=limit_ms,
-                              gap_ms=req.kind.gap_ms)
+        self.view.show(self.targets.values(), now)
         return policy(
-            policies.Ask(list(self.targets.values()), want, self.service,
-                         limit_ms, now, rng))
+            policies.Ask(list(self.targets.values()), _want(req, limit_ms),
+                         self.service, now, rng))
 
     def sent(self, req, choice, now_ms):
         """Notes that ``req`` went out."""
         req.target, req.choice, req.sent_ms = choice.target, choice, now_ms
         req.heard_ms = now_ms
-        req.target.kept.used(_parts(req))
-        self._uses.append((now_ms, prompts.Use(choice.target.name,
-                                               _parts(req))))
-        req.target.sent(choice.tokens, writes=writes(req))
+        self.view.prompt_sent(req.target, _want(req).parts, now_ms / 1000)
+        req.target.sent(choice.tokens, writes=_want(req).writes)
 
     def began(self, req, now_ms):
         """Notes the first event of ``req``."""
@@ -84,17 +68,16 @@
         """Notes that ``req`` is no longer at its engine."""
         if not req.written:
             req.target.began(req.choice.tokens)
-        req.target.ended(writes=writes(req))
+        req.target.ended(writes=_want(req).writes)
         if req.written >= req.tokens_out:
             self.service.speed.stay.ended(now_ms - req.sent_ms)
 
 
-def _parts(req):
-    return (prompts.Part(req.session, req.kind.shared),)
-
-
-def writes(req):
-    """Whether the time of ``req`` goes into writing."""
-    return placement.Want(zone='z',
+def _want(req, limit_ms=math.inf):
+    """Returns the ``knowledge.Want`` of ``req``."""
+    return knowledge.Want(zone='z',
+                          parts=(prompts.Part(req.session, req.kind.shared),),
                           tokens=req.prompt,
-                          tokens_out=req.tokens_out).writes
+                          tokens_out=req.tokens_out,
+                          limit_ms=limit_ms,
+                          gap_ms=req.kind.gap_ms)
--- a/gorsefall/emulator/policies.py
+++ b/gorsefall/emulator/policies.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from gorsefall.policy import knowledge
 from gorsefall.policy import overload
 from gorsefall.policy import placement
 
@@ -17,17 +18,15 @@
     """What a policy decides on.
 
     Attributes:
-        targets: The entry's ``placement.Target`` objects.
-        want: The ``placement.Want``.
+        targets: The entry's ``knowledge.Target`` objects.
+        want: The ``knowledge.Want``.
         service: The entry's ``placement.Service``.
-        limit_ms: Longest queue it may be put behind, ms.
         now: Time, s.
         rng: Source of lots.
     """
     targets: list
-    want: placement.Want
+    want: knowledge.Want
     service: placement.Service
-    limit_ms: float
     now: float
     rng: object
 
@@ -35,7 +34,7 @@
 def placed(ask):
     """The product's own way."""
     choice = unrefused(ask)
-    wait_s = overload.refuse_for_s(choice, ask.limit_ms, ask.rng)
+    wait_s = overload.refuse_for_s(choice, ask.want.limit_ms, ask.rng)
     return Refused(wait_s * 1000) if wait_s else choice
 
 
--- a/gorsefall/policy/budget.py
+++ b/gorsefall/policy/budget.py
@@ -10,8 +10,6 @@
 
 import msgspec
 
-from gorsefall.policy import share
-
 SHARE = 0.7
 """Part of the allowed ratio that is used: requests are counted by when they
 arrive, retries come later and may fall into a window with fewer requests."""
@@ -21,9 +19,10 @@
 traffic nothing is seen of the others, and the number is for just that."""
 
 MOST_OF_FIXED = 1 / 12
-"""Largest part of the fixed number that one entry takes: half of what it
-carries in today's deployments of 6 and 7, as restarted ones start afresh. With
-80 entries this alone would add up to seven times the number."""
+"""Largest part of the fixed number that an entry takes which hears no other:
+half of what it carries in today's deployments of 6 and 7, as restarted ones
+start afresh. With 80 entries this alone would add up to seven times the
+number."""
 
 
 class Allowance(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -51,7 +50,7 @@
 
         Args:
             allowance: The ``Allowance`` of all entries.
-            part: The ``share.Share`` of the entry.
+            part: The ``share.Share`` that it has as far as it can tell alone.
             others: Returns the requests that the other entries had in the
                 window; None while none is heard.
         """
@@ -87,11 +86,11 @@
         """
         slack = self.allowance.slack
         others = self._others()
-        if others is not None:
-            part = share.Share.among(len(self._firsts), others)
-            return max(LEAST_FIXED, SHARE * part * slack)
-        fixed = max(LEAST_FIXED, SHARE * self._part.value * slack)
-        return min(MOST_OF_FIXED * slack, fixed)
+        if others is None:
+            fixed = max(LEAST_FIXED, SHARE * self._part.value * slack)
+            return min(MOST_OF_FIXED * slack, fixed)
+        own = len(self._firsts)
+        return max(LEAST_FIXED, SHARE * slack * own / max(1, own + others))
 
     def take(self, now):
         """Takes one retry; returns whether it may be sent."""
--- /dev/null
+++ b/gorsefall/policy/costs.py
@@ -0,0 +1,258 @@
+"""What a request costs its callers at each replica, in ms of wait."""
+
+import dataclasses
+import statistics
+
+from gorsefall.policy import freshness
+from gorsefall.policy import knowledge
+from gorsefall.policy import pace
+
+REREAD = 16.0
+"""How many times over reading a shared part anew is counted beside the reading
+itself. It delays everybody there, and under a burst it feeds on itself: the
+busier the homes, the more is read anew elsewhere. Where there is room a
+request leaves its home by the limit on its queue, not by this. In the emulated
+bursts of long prompts with one and two of five engines lost 0.85 and 0.63 of
+the worth is earned, against 0.66 and 0.46 without it, 0.82 and 0.61 at 8."""
+
+FETCHED_MIN = 1000
+"""Fewest cached tokens worth fetching from another replica: reading them takes
+20 ms, as long as the fetch's own way there and back."""
+
+FETCH_BELOW = 0.5
+"""Part of the time to read a token that fetching it may take: transfers queue
+on the links, and are paid for."""
+
+FETCH_START_MS = 5.0
+"""What a fetch takes before its first token, ms: 2.5 at today's engines, and
+a way there and back."""
+
+OTHER_ZONE_TIMES = 2
+"""How many times longer a transfer takes between availability zones, as the
+engines' operators tell."""
+
+FETCH_WEIGHT = 3.0
+"""How many times over a transfer is counted beside a wait: it holds up those
+behind it on two links, and is paid for. At 1 the emulated bursts earn 0.003
+less, at 6 as much."""
+
+RUNNING_MS = 2.0
+"""What one more running request adds to the wait for a first token, ms: it
+lengthens each step by 0.03 to 0.1 ms, and about 20 steps pass."""
+
+OTHER_ZONE_MS = 5.0
+"""What leaving the zone weighs, ms: two passes of 0.5 to 1.4 ms, and bytes
+between zones are paid for."""
+
+REPORT_FADE_S = 3.0
+"""Time over which what a replica said of its load loses its weight, s. An
+entry hears from an engine about once a second, and a queue of long prompts
+lasts as long; at 1 s the emulated burst with one engine lost earns 0.64 of its
+worth instead of 0.75."""
+
+ERRORS_FORGIVEN = 0.3
+"""Share of answers that may be failures before a replica is avoided; some
+calls fail by themselves in one of seven."""
+
+ERRORS_MS = 2000.0
+"""What a replica that fails all requests weighs, ms."""
+
+REFUSED_MS = 2000.0
+"""What a place weighs where a request would be refused, or make answers late,
+ms: more than any other reason to leave a place, since others may have room. In
+the emulated flight bank 0.955 is earned against 0.939 at 0, with two engines
+left 0.75 against 0.52."""
+
+BORNE = 0.4
+"""Part of the pause that answers may have, up to which the prompts that are to
+be read beside them do no harm: a step or two beside it belong to it too."""
+
+HARMLESS_MS = 100.0
+"""How much longer the wait must be at its own places before a request that
+does no harm goes among those that write, ms. In the emulated bursts with one
+and two engines lost 0.85 and 0.63 are earned, against 0.77 and 0.50 where
+only requests that write go there."""
+
+MISPLACED_MS = 300.0
+"""How much longer the wait must be among its own kind before a request that
+writes goes to the others, ms: reading a prompt of 9,000 tokens takes 160 to
+210. In the emulated flight bank 0.96 of the chats are on time, 0.94 at 150; at
+600 the bursts with engines lost earn 0.02 less."""
+
+HELD_UP_BORNE = 0.3
+"""Chance that an answer is held up by a lossy link from which on it weighs."""
+
+HELD_UP_MS = 1200.0
+"""What an answer that is held up for certain weighs, ms. With the quiet engine
+behind a link that loses 3 or 10 in 100 packets, answers on time rise in the
+emulator from 0.49 and 0.30 to 0.71 and 0.72; at 300 they rose by a fifth of
+that, at 2,500 by 0.02 more. Loads without loss stay within 0.002."""
+
+
+def fresh(target, now):
+    """Returns how far to trust what was told of others' work there."""
+    return freshness.weight(now - target.reported_at, REPORT_FADE_S)
+
+
+@dataclasses.dataclass(frozen=True)
+class Place:
+    """One replica at one moment, for one request.
+
+    Attributes:
+        target: Its ``knowledge.Target``.
+        slowness: How many times slower than usual it is.
+        read_ms: Time to read a prompt token there, ms.
+        ahead: Prompt tokens that are to be read there before the request's.
+        queue_ms: Expected time that the request spends behind others, ms.
+        kept: Tokens of its prompt that are cached there.
+    """
+    target: knowledge.Target
+    slowness: float
+    read_ms: float
+    ahead: float
+    queue_ms: float
+    kept: int
+
+
+class Costs:
+    """What one request costs at the replicas of its service, at one moment.
+
+    Attributes:
+        places: ``Place`` objects of the replicas that may take it.
+    """
+
+    def __init__(self, want, service, candidates, now, *, sources=()):
+        """Looks at every replica once.
+
+        Args:
+            want: The ``knowledge.Want``.
+            service: The ``placement.Service``.
+            candidates: The ``knowledge.Target`` objects that may take it.
+            now: Time, s (monotonic).
+            sources: Others that prompts may be fetched from.
+        """
+        self._want = want
+        self._service = service
+        self._now = now
+        self._usual_ms = pace.usual_pause_ms(candidates)
+        self._source = self._best_source([*candidates, *sources])
+        self._pool_ms = 0.0
+        self.places = [self._place(t) for t in candidates]
+
+    def pool(self, names):
+        """Notes which replicas are the places of the request's own kind."""
+        self._pool_ms = statistics.fmean(
+            p.queue_ms for p in self.places if p.target.name in names)
+
+    def _place(self, target):
+        slowness = pace.slowness(target, self._usual_ms)
+        read_ms = self._service.speed.read_ms * slowness
+        trust = fresh(target, self._now)
+        ahead = target.pending_tokens + trust * target.others_tokens
+        busy = target.outstanding + trust * target.others
+        return Place(target=target,
+                     slowness=slowness,
+                     read_ms=read_ms,
+                     ahead=ahead,
+                     queue_ms=self._queue_ms(target, busy, ahead * read_ms),
+                     kept=target.kept.tokens(self._want.parts))
+
+    def _queue_ms(self, target, busy, reading_ms):
+        # One slot comes free in this time while all are taken.
+        slot_ms = self._service.speed.stay.ms / max(1, target.slots)
+        if not target.engine:
+            return busy * slot_ms
+        wait = reading_ms + busy * RUNNING_MS
+        if busy >= target.slots:
+            wait += (busy - target.slots + 1) * slot_ms
+        return wait
+
+    # -- fetching a prompt instead of reading it -------------------------------
+
+    def _best_source(self, candidates):
+        """Returns the sound target that keeps most of the prompt, or None."""
+        fit = [t for t in candidates if t.eject_until <= self._now]
+        usual = self._service.speed.read_ms
+        quick = 0 < self._service.fetch_ms < FETCH_BELOW * usual
+        if not fit or not quick or self._want.shared_tokens < FETCHED_MIN:
+            return None
+        return max(fit, key=lambda t: t.kept.tokens(self._want.parts))
+
+    def fetched(self, place):
+        """Returns ``(source, tokens)`` to fetch there; None and 0 for none."""
+        source = self._source
+        if source is None or source is place.target:
+            return None, 0
+        more = source.kept.tokens(self._want.parts) - place.kept
+        return (source, more) if more >= FETCHED_MIN else (None, 0)
+
+    def unread(self, place):
+        """Returns the tokens that are to be read for the request there."""
+        _, fetched = self.fetched(place)
+        return self._want.tokens - place.kept - fetched
+
+    def _fetching_ms(self, place):
+        source, tokens = self.fetched(place)
+        if source is None:
+            return 0.0
+        far = 1 if source.zone == place.target.zone else OTHER_ZONE_TIMES
+        return FETCH_START_MS + tokens * self._service.fetch_ms * far
+
+    # -- what it costs ---------------------------------------------------------
+
+    def total_ms(self, place, *, at_home=False):
+        """Returns what the request costs at a place, ms of wait.
+
+        Args:
+            place: The ``Place``.
+            at_home: Whether its prompt belongs there: what nobody keeps has to
+                be read once, and had better be read there.
+        """
+        target = place.target
+        cost = place.queue_ms
+        cost += 0.0 if target.zone == self._want.zone else OTHER_ZONE_MS
+        cost += ERRORS_MS * max(0.0, target.error_share - ERRORS_FORGIVEN)
+        if target.engine:
+            cost += self._prompt_ms(place, at_home) + self._held_up_ms(target)
+        return cost
+
+    def _prompt_ms(self, place, at_home):
+        unread = self.unread(place)
+        fetching_ms = self._fetching_ms(place)
+        anew = 0 if at_home else max(0, unread - self._want.own_tokens)
+        anew_ms = anew * place.read_ms
+        cost = (unread * place.read_ms + FETCH_WEIGHT * fetching_ms +
+                REREAD * anew_ms)
+        away_ms = fetching_ms + anew_ms
+        if not at_home and not fetching_ms:
+            # What is read there is read once more than need be, so the
+            # request may leave its home only while the pool has room.
+            away_ms += self._pool_ms
+        if self._too_long(place, away_ms):
+            cost += REFUSED_MS
+        return cost
+
+    def _too_long(self, place, away_ms):
+        """Whether the request would be refused there; never where nobody is."""
+        idle = not place.target.outstanding and not place.target.others
+        return not idle and place.queue_ms + away_ms > self._want.limit_ms
+
+    def _held_up_ms(self, target):
+        if not self._want.writes:
+            return 0.0
+        chance = target.link.chance(self._want.tokens_out, self._now)
+        return HELD_UP_MS * max(0.0, chance - HELD_UP_BORNE)
+
+    def misplaced_ms(self, place):
+        """Returns what it costs among requests of the other kind, ms.
+
+        One that reads holds up the answers there for as long as it is read.
+        As long as that is well within the pause that they bear, it does no
+        harm, and engines kept for writing have room for most prompts.
+        """
+        gap_ms = self._service.gap_ms
+        if self._want.writes or not gap_ms:
+            return MISPLACED_MS
+        tokens = place.ahead + self._want.tokens - place.kept
+        harmless = tokens * place.read_ms < BORNE * gap_ms
+        return HARMLESS_MS if harmless else REFUSED_MS
--- a/gorsefall/policy/membership.py
+++ b/gorsefall/policy/membership.py
@@ -9,14 +9,17 @@
 
 import collections
 import dataclasses
+import typing
+
+import msgspec
 
 from gorsefall import ids
 from gorsefall.policy import prompts
 
 SILENT_S = 1.2
-"""After this time without a word an entry's counts are left out, s. It speaks
-twice a second at least, so one lost message does not matter; a process that
-was killed has lost its requests by then."""
+"""After this time without a word an entry's counts are left out, s, where
+entries speak twice a second at least: one lost message does not matter, and a
+process that was killed has lost its requests by then."""
 
 FORGET_S = 15.0
 """After this time without a word an address is not tried any more, s: a VM
@@ -32,26 +35,25 @@
 MAX_ROWS = 4096
 """Replicas that one entry may tell of: twice those of two years hence."""
 
+Count = typing.Annotated[int, msgspec.Meta(ge=0)]
+"""A number of things; a message that tells of less than none is no message."""
+
 
-@dataclasses.dataclass(frozen=True)
-class Row:
+class Row(msgspec.Struct, frozen=True, array_like=True):
     """What one entry has under way at one replica.
 
     Attributes:
         requests: Requests sent there and not ended.
-        pending: Those of them whose first event has not come.
         tokens: Prompt tokens that are to be read for those.
         writing: Requests there that spend their time writing.
     """
-    requests: int = 0
-    pending: int = 0
-    tokens: int = 0
-    writing: int = 0
+    requests: Count = 0
+    tokens: Count = 0
+    writing: Count = 0
 
     def plus(self, other, sign=1):
         """Returns the sum with ``other``, or the difference."""
         return Row(self.requests + sign * other.requests,
-                   self.pending + sign * other.pending,
                    self.tokens + sign * other.tokens,
                    self.writing + sign * other.writing)
 
@@ -59,8 +61,7 @@
 NOTHING = Row()
 
 
-@dataclasses.dataclass(frozen=True)
-class Status:
+class Status(msgspec.Struct, frozen=True, array_like=True):
     """What an entry says of itself, whole.
 
     Attributes:
@@ -71,13 +72,15 @@
             window.
         rows: ``replica -> Row``; replicas without requests are left out.
         uses: The ``prompts.Use`` of its last requests.
+        hosts: Some of the entries that it hears.
     """
     name: str
     boot: int
     seq: int
-    firsts: dict[ids.ServiceName, int]
-    rows: dict[ids.ReplicaName, Row]
+    firsts: dict[ids.ServiceName, Count] = {}
+    rows: dict[ids.ReplicaName, Row] = {}
     uses: tuple[prompts.Use, ...] = ()
+    hosts: tuple[str, ...] = ()
 
 
 def _follows(status, last, *, silent):
@@ -105,10 +108,13 @@
 
     Attributes:
         name: This entry's name.
+        silent_s: Time without a word after which an entry is left out, s; it
+            has to be longer than two of the pauses in which entries speak.
     """
 
     def __init__(self, name):
         self.name = name
+        self.silent_s = SILENT_S
         self._members = {}
         self._rows = collections.defaultdict(lambda: NOTHING)
         self._firsts = collections.Counter()
@@ -136,7 +142,8 @@
                 return False
             member = self._members[host] = _Member(since=now)
         if member.status is not None and not _follows(
-                status, member.status, silent=now - member.heard > SILENT_S):
+                status, member.status, silent=now - member.heard
+                > self.silent_s):
             return False
         self._leave_out(member)
         if member.status is not None:
@@ -170,7 +177,7 @@
     def expire(self, now):
         """Leaves out who is silent."""
         for member in self._members.values():
-            if member.counted and now - member.heard > SILENT_S:
+            if member.counted and now - member.heard > self.silent_s:
                 self._leave_out(member)
 
     # -- what they say ---------------------------------------------------------
--- a/gorsefall/policy/prompts.py
+++ b/gorsefall/policy/prompts.py
@@ -8,6 +8,8 @@
 import collections
 import typing
 
+import msgspec
+
 KEPT_SHARE = 0.6
 """Part of a replica's memory that is taken for kept parts; the rest is for the
 requests that run. Parts beyond it, the longest unused first, count as gone."""
@@ -29,7 +31,7 @@
         tokens: Its size.
     """
     name: str
-    tokens: int
+    tokens: typing.Annotated[int, msgspec.Meta(ge=0)]
 
 
 class Use(typing.NamedTuple):
--- a/gorsefall/policy/share.py
+++ b/gorsefall/policy/share.py
@@ -1,8 +1,8 @@
-"""Which part of the traffic an entry carries.
+"""Which part of the traffic an entry carries that hears no other entry.
 
-Some allowances hold for all entries together. Entries that hear each other
-know how many requests each of them had. One that hears nobody knows how many
-it has under way itself, and replicas may say how many they have.
+Some allowances hold for all entries together, and nobody tells such an entry
+how many there are. It knows how many requests it has under way, and replicas
+may say how many they have.
 """
 
 DOUBT = 100.0
@@ -26,19 +26,9 @@
 
     @property
     def value(self):
-        """The part as far as learned from replicas, 0.0 to 1.0."""
+        """The part, 0.0 to 1.0."""
         return min(1.0, self._own / (self._all + DOUBT))
 
-    @staticmethod
-    def among(own, others):
-        """Returns the part by the requests of all entries.
-
-        Args:
-            own: Requests of this entry in a window.
-            others: Those of all others that are heard.
-        """
-        return own / max(1, own + others)
-
     def seen(self, own, there, replicas):
         """Notes what is under way at a service as a replica answers.
 
--- /dev/null
+++ b/gorsefall/policy/split.py
@@ -0,0 +1,60 @@
+"""Which engines of a service are kept for requests that write.
+
+A step that reads takes ten times as long as one that does not, and an event
+takes several steps, so one long prompt beside a stream makes it late.
+"""
+
+import math
+import statistics
+
+from gorsefall.policy import rendezvous
+
+PEAK = 1.0
+"""Standard deviations by which the requests that write may rise over their
+number now, while their engines have slots for them. At 3 a burst of long
+prompts with one engine lost earns 0.69 of its worth instead of 0.74."""
+
+LOWER_S = 20.0
+"""How long fewer engines have to do before one is given back to the others, s.
+Each change moves sessions, whose prompts are then read anew."""
+
+
+class Split:
+    """How many engines are kept: as many as the requests that write fill."""
+
+    def __init__(self):
+        self._count = 1
+        self._lower_at = None
+
+    def kept(self, engines, writing, now):
+        """Returns the names of the engines kept; half of all at most.
+
+        Args:
+            engines: The ``knowledge.Target`` objects of the service's engines.
+            writing: Requests that write, at all of them.
+            now: Time, s (monotonic).
+        """
+        most = len(engines) // 2
+        if not most:
+            return set()
+        slots = statistics.fmean(t.slots for t in engines)
+        peak = writing + PEAK * math.sqrt(writing)
+        needed = min(most, max(1, math.ceil(peak / slots)))
+        self._follow(needed, now)
+        return quiet(engines, min(self._count, most))
+
+    def _follow(self, needed, now):
+        if needed >= self._count:
+            self._count = needed
+            self._lower_at = None
+        elif self._lower_at is None:
+            self._lower_at = now + LOWER_S
+        elif now >= self._lower_at:
+            self._count -= 1
+            self._lower_at = None
+
+
+def quiet(engines, count):
+    """Returns the names of the ``count`` engines kept, the same everywhere."""
+    ordered = sorted(engines, key=lambda t: rendezvous.rank('quiet', t))
+    return {t.name for t in ordered[:count]}
--- /dev/null
+++ b/gorsefall/relay/ending.py
@@ -0,0 +1,64 @@
+"""What is counted and logged of a request's end."""
+
+import time
+
+from gorsefall import metrics
+from gorsefall.relay import outcomes
+
+
+def note(exchange, grant, outcome, exc, *, pause_s, last_event):
+    """Counts and logs the end of an exchange.
+
+    Args:
+        exchange: The ``exchange.Exchange`` that ended.
+        grant: Its ``grant.Grant``.
+        outcome: The ``outcomes.Outcome``.
+        exc: The error that its caller was told of, or None.
+        pause_s: Longest pause between events of its answer, s.
+        last_event: Id of the last event passed on, or None.
+    """
+    now = time.monotonic()
+    node = exchange.node
+    route = grant.route
+    account = grant.account.name if grant.account else ''
+    metrics.relayed(account, route.name if route else '', outcome.value)
+    if outcome is outcomes.Outcome.SERVED:
+        metrics.relay_times(route.name, exchange.first_at - exchange.arrived,
+                            now - exchange.arrived)
+    late = _late(exchange, grant, pause_s, now)
+    exchange.log.info('answered',
+                      outcome=outcome.value,
+                      error=str(exc) if exc else None,
+                      code=exc.code if exc else None,
+                      retry_after_s=outcomes.retry_after_s(exc),
+                      route=route.name if route else None,
+                      kind=route.kind.value if route else None,
+                      account=account,
+                      attempts=exchange.attempts.names,
+                      first_ms=_since_ms(exchange, exchange.first_at),
+                      ms=_since_ms(exchange, now),
+                      pause_ms=round(pause_s * 1000, 1),
+                      late=late.value if late else None,
+                      last_event=last_event,
+                      version=node.table.version if node.table else None,
+                      proof_age_s=node.proof.logged_age_s())
+
+
+def _late(exchange, grant, pause_s, now):
+    """Returns the ``outcomes.Late`` that kept it from full worth, or None."""
+    route = grant.route
+    if route is None or exchange.first_at is None:
+        return None
+    came = exchange.first_at if grant.streams else now
+    if route.target_s and came - exchange.arrived > route.target_s:
+        return outcomes.Late.START
+    if route.gap_s and pause_s > route.gap_s:
+        return outcomes.Late.PAUSE
+    return None
+
+
+def _since_ms(exchange, when):
+    """Returns the time from its arrival to ``when``, ms, or None."""
+    if when is None:
+        return None
+    return round((when - exchange.arrived) * 1000, 1)
--- a/gorsefall/relay/exchange.py
+++ b/gorsefall/relay/exchange.py
@@ -4,7 +4,6 @@
 
 from gorsefall import errors
 from gorsefall import logs
-from gorsefall import metrics
 from gorsefall import serving
 from gorsefall.net import outbound
 from gorsefall.policy import attempts
@@ -13,6 +12,7 @@
 from gorsefall.policy import placement
 from gorsefall.relay import copies
 from gorsefall.relay import delivery
+from gorsefall.relay import ending
 from gorsefall.relay import grant
 from gorsefall.relay import model
 from gorsefall.relay import outcomes
@@ -75,6 +75,10 @@
         """Returns the ``patience.Patience`` with its service's answers."""
         return self.node.patience(self._grant.service, self._grant.route.kind)
 
+    def _speed(self):
+        """Returns the ``pace.Pace`` of its service's replicas."""
+        return self.node.work.service(self._grant.service).speed
+
     def _time_left(self):
         return self._deadline - time.monotonic()
 
@@ -117,14 +121,14 @@
             backup=None if from_copy else self._order_copy(replica),
             copy_at=replica.record.addr if from_copy else None,
             resume_after=self._delivery.last_id,
-            fetch_from=self._source_addr(choice))
+            fetch_from=self.node.work.addr_of(choice.source))
         if self.req.prompt is not None:
-            self.node.work.prompt_sent(replica, self.req.prompt.parts[:-1])
+            self.node.work.prompt_sent(replica, self.req.prompt.shared)
         self._attempt = sending.Attempt(self,
                                         replica,
                                         order,
                                         choice,
-                                        writes=self._grant.writes)
+                                        writes=self._grant.want.writes)
         self._attempt.channel = replica.pool.send(self._attempt)
         self.log.info('sent',
                       replica=replica.record.id,
@@ -141,18 +145,9 @@
                       proof_age_s=self.node.proof.logged_age_s())
         self._watch_attempt()
 
-    def _source_addr(self, choice):
-        """Returns where the replica fetches cached parts from, or None."""
-        if choice.source is None:
-            return None
-        source = self.node.fleet.replicas.get(choice.source.name)
-        return source.record.addr if source is not None else None
-
     def _order_copy(self, replica):
         """Returns the address of the replica that copies the run, or None."""
-        service = self.node.table.services.get(self._grant.service)
-        if (service is None or not service.backups or not self._grant.streams or
-                not self._grant.writes):
+        if not self._grant.copied:
             return None
         others = self.node.fleet.candidates(self._grant.service,
                                             {replica.record.id})
@@ -206,8 +201,7 @@
         if not attempt.begun:
             attempt.begun = True
             self._note_wait(attempt)
-            attempt.note_start(
-                self.node.work.service(self._grant.service).speed)
+            attempt.note_start(self._speed())
         attempt.prompt_read()
         if self._delivery.streaming:
             self._pass_on(attempt, self._delivery.split(data))
@@ -242,7 +236,7 @@
             return
         health = attempt.replica.target
         health.succeeded()
-        attempt.note_end(self.node.work.service(self._grant.service).speed)
+        attempt.note_end(self._speed())
         health.answered(answer.status < INTERNAL or answer.status == TIME_UP)
         if answer.success and not answer.genuine:
             health.failed(time.monotonic())
@@ -391,50 +385,15 @@
         if self._deadline_timer is not None:
             self._deadline_timer.cancel()
         self._copy.cancel()
-        now = time.monotonic()
-        route = self._grant.route
-        account = self._grant.account.name if self._grant.account else ''
-        metrics.relayed(account, route.name if route else '', outcome.value)
-        if outcome is outcomes.Outcome.SERVED:
-            metrics.relay_times(route.name, self.first_at - self.arrived,
-                                now - self.arrived)
-        self.log.info(
-            'answered',
-            outcome=outcome.value,
-            error=str(exc) if exc else None,
-            code=exc.code if exc else None,
-            retry_after_s=outcomes.retry_after_s(exc),
-            route=route.name if route else None,
-            kind=route.kind.value if route else None,
-            account=account,
-            attempts=self.attempts.names,
-            first_ms=self._since(self.first_at),
-            ms=self._since(now),
-            pause_ms=round(self._longest_pause_s * 1000, 1),
-            late=self._late(now),
-            last_event=self._last_event(),
-            version=self.node.table.version if self.node.table else None,
-            proof_age_s=self.node.proof.logged_age_s())
+        ending.note(self,
+                    self._grant,
+                    outcome,
+                    exc,
+                    pause_s=self._longest_pause_s,
+                    last_event=self._last_event())
         self.node.exchange_done(self)
 
-    def _late(self, now):
-        """Returns what made it late, a ``Late``'s value, or None."""
-        route = self._grant.route
-        if route is None or self.first_at is None:
-            return None
-        came = self.first_at if self._grant.streams else now
-        if route.target_s and came - self.arrived > route.target_s:
-            return outcomes.Late.START.value
-        if route.gap_s and self._longest_pause_s > route.gap_s:
-            return outcomes.Late.PAUSE.value
-        return None
-
     def _last_event(self):
         """Returns the id of the last event passed on, or None."""
         last_id = self._delivery.last_id
         return None if last_id is None else last_id.decode('latin-1')
-
-    def _since(self, when):
-        if when is None:
-            return None
-        return round((when - self.arrived) * 1000, 1)
--- a/gorsefall/relay/fleet.py
+++ b/gorsefall/relay/fleet.py
@@ -5,7 +5,7 @@
 from gorsefall import directory
 from gorsefall import logs
 from gorsefall.net import outbound
-from gorsefall.policy import placement
+from gorsefall.policy import knowledge
 from gorsefall.policy import prompts
 from gorsefall.relay import model
 
@@ -27,7 +27,7 @@
 
     Attributes:
         record: Its newest ``model.ReplicaRecord``.
-        target: Its ``placement.Target``.
+        target: Its ``knowledge.Target``.
         pool: Its ``outbound.Pool``.
         doubtful: Its record lapsed while the store was away: it may have
             left, or may just not have been able to write.
@@ -39,7 +39,7 @@
         self._changed = changed
         self.doubtful = False
         self.spoilt = False
-        self.target = placement.Target(name=record.id,
+        self.target = knowledge.Target(name=record.id,
                                        zone=record.zone,
                                        slots=record.slots,
                                        engine=service.engine,
--- a/gorsefall/relay/grant.py
+++ b/gorsefall/relay/grant.py
@@ -6,6 +6,7 @@
 from gorsefall import errors
 from gorsefall import metrics
 from gorsefall.policy import comeback
+from gorsefall.policy import knowledge
 from gorsefall.policy import overload
 from gorsefall.policy import placement
 from gorsefall.relay import model
@@ -20,6 +21,7 @@
         account: The ``model.Account``; None on public routes.
         service: Name of the service it goes to.
         once: Whether any route it had forbids a second run.
+        want: The ``knowledge.Want`` that its last place was chosen for.
     """
 
     def __init__(self, node, req):
@@ -29,6 +31,7 @@
         self.account = None
         self.service = None
         self.once = False
+        self.want = knowledge.Want(zone=node.cfg.zone)
 
     def renew(self):
         """Finds route and account in the configuration in force now.
@@ -73,32 +76,31 @@
         """How urgent it is, 0 the most."""
         return self._node.table.rank(self.account, self.route)
 
-    @property
-    def writes(self):
-        """Whether its time goes into writing rather than into reading."""
-        return self._want().writes
-
-    def _want(self):
-        """Returns its ``placement.Want``."""
+    def _see(self):
+        """Returns its ``knowledge.Want`` on the terms granted now."""
         zone = self._node.cfg.zone
         prompt = self._req.prompt
         if prompt is None:
-            return placement.Want(zone=zone)
-        return placement.Want(zone=zone,
-                              parts=prompt.parts[:-1],
+            return knowledge.Want(zone=zone)
+        ranks = self._node.work.ranks(self.service)
+        return knowledge.Want(zone=zone,
+                              parts=prompt.shared,
                               tokens=prompt.tokens_in,
                               tokens_out=prompt.tokens_out,
-                              limit_ms=self._limit_ms,
+                              limit_ms=ranks.limit_ms(self.rank,
+                                                      self._target_ms),
                               gap_ms=self.route.gap_s * 1000)
 
     @property
-    def _target_ms(self):
-        return self.route.target_s * 1000
+    def copied(self):
+        """Whether another replica had better copy its run as it grows."""
+        service = self._node.table.services.get(self.service)
+        return (service is not None and service.backups and self.streams and
+                self.want.writes)
 
     @property
-    def _limit_ms(self):
-        return self._node.work.ranks(self.service).limit_ms(
-            self.rank, self._target_ms)
+    def _target_ms(self):
+        return self.route.target_s * 1000
 
     def asked(self):
         """Notes the request among those for its service."""
@@ -117,21 +119,22 @@
         Raises:
             errors.ShedError: It would only come late.
         """
-        targets = self._node.work.targets(self.service, tried)
-        choice = placement.choose(targets,
-                                  self._want(),
-                                  self._node.work.service(self.service),
+        work = self._node.work
+        self.want = self._see()
+        choice = placement.choose(work.targets(self.service, tried),
+                                  self.want,
+                                  work.service(self.service),
                                   time.monotonic(),
-                                  sources=self._node.work.sources(self.service))
+                                  sources=work.sources(self.service))
         if choice is None:
             return None
         metrics.QUEUE_MS.labels(self.service).set(choice.queue_ms)
-        if refuse and self._req.prompt is not None:
+        if refuse:
             self._refuse_late(choice)
         return choice
 
     def _refuse_late(self, choice):
-        limit_ms = self._limit_ms
+        limit_ms = self.want.limit_ms
         wait_s = overload.refuse_for_s(choice, limit_ms)
         if wait_s is not None:
             raise errors.ShedError(
--- a/gorsefall/relay/model.py
+++ b/gorsefall/relay/model.py
@@ -152,6 +152,11 @@
     tokens_in: int = 0
     tokens_out: int = 0
 
+    @property
+    def shared(self):
+        """Its parts that other requests may have too."""
+        return self.parts[:-1]
+
 
 @dataclasses.dataclass(kw_only=True)
 class CallerRequest:
--- a/gorsefall/relay/node.py
+++ b/gorsefall/relay/node.py
@@ -231,13 +231,13 @@
         if self._peers is not None:
             self._peers.changed()
 
-    def status(self, boot, seq):
+    def status(self, boot, seq, hosts):
         """Returns the ``membership.Status`` to tell the other entries."""
         firsts = {
             service: known.firsts(self.loop.now)
             for service, known in self._budgets.items()
         }
-        return self.work.status(boot, seq, firsts)
+        return self.work.status(boot, seq, hosts, firsts)
 
     def load_told(self, replica, load):
         """Notes the ``model.Load`` that a replica told with an answer."""
@@ -245,7 +245,7 @@
         self.share.seen(own=sum(r.target.outstanding for r in replicas),
                         there=load.running + load.waiting,
                         replicas=len(replicas))
-        if self.work.members.alone:
+        if self.work.view.members.alone:
             replica.target.report(load.running, load.waiting, self.loop.now)
 
     def patience(self, service, kind):
--- a/gorsefall/relay/peers.py
+++ b/gorsefall/relay/peers.py
@@ -14,7 +14,6 @@
 from gorsefall import logs
 from gorsefall.net import datagrams
 from gorsefall.policy import membership
-from gorsefall.policy import prompts
 
 PERIOD_S = 0.1
 """Shortest pause between two messages to an entry, s. Requests come to all
@@ -25,9 +24,16 @@
 left out."""
 
 MESSAGES_PER_S = 80.0
-"""Messages that an entry sends a second at most. Each costs sender and
-receiver 0.05 ms together, so this is under 1% of a core for both; with more
-than eight others the pause between two messages to one grows."""
+"""Messages that an entry sends a second at most, on the mean. Each costs
+sender and receiver 0.05 ms together, so this is under 1% of a core for both;
+with more than eight others, both pauses grow."""
+
+SPREAD = (0.8, 1.2)
+"""Range of a pause, in times of itself, so that entries do not all speak just
+after each other."""
+
+SILENT_BEATS = 2.4
+"""Heartbeats without a word after which an entry is left out."""
 
 TOLD = 6
 """Entries that a message tells of: in a second all know all, also of 80."""
@@ -35,90 +41,33 @@
 MAX_BYTES = 8192
 """Longest message, bytes; one of 60 replicas has 2,000."""
 
-SEEDS_S = 1.0
-"""How often the seeds are spoken to while they are silent, s."""
-
-
-class _Row(msgspec.Struct, array_like=True):
-    replica: str
-    requests: int
-    pending: int
-    tokens: int
-    writing: int
-
-
-class _Use(msgspec.Struct, array_like=True):
-    replica: str
-    parts: list[tuple[str, int]]
-
-
-class _Message(msgspec.Struct, array_like=True):
-    name: str
-    boot: int
-    seq: int
-    firsts: dict[str, int]
-    rows: list[_Row]
-    uses: list[_Use]
-    hosts: list[str]
-
-
 _ENCODER = msgspec.msgpack.Encoder()
-_DECODER = msgspec.msgpack.Decoder(_Message)
+_DECODER = msgspec.msgpack.Decoder(membership.Status)
 
 
-def encode(status, hosts):
-    """Returns the bytes of a ``membership.Status`` and of hosts known."""
-    rows = [
-        _Row(name, row.requests, row.pending, row.tokens, row.writing)
-        for name, row in status.rows.items()
-    ]
-    uses = [_Use(use.replica, list(use.parts)) for use in status.uses]
-    return _ENCODER.encode(
-        _Message(status.name, status.boot, status.seq, status.firsts, rows,
-                 uses, hosts))
-
-
-def _sane(raw):
-    """Whether all numbers are counts."""
-    numbers = [n for r in raw.rows for n in msgspec.structs.astuple(r)[1:]]
-    numbers += [tokens for use in raw.uses for _, tokens in use.parts]
-    return min((*numbers, *raw.firsts.values(), 0)) >= 0
+def encode(status):
+    """Returns the bytes of a ``membership.Status``."""
+    return _ENCODER.encode(status)
 
 
 def decode(data):
-    """Returns ``(membership.Status, hosts)``.
+    """Returns the ``membership.Status`` of a message.
 
     Raises:
         msgspec.DecodeError: It is no message of an entry.
     """
-    raw = _DECODER.decode(data)
-    if not _sane(raw):
-        raise msgspec.ValidationError('a count is below 0')
-    rows = {
-        r.replica: membership.Row(r.requests, r.pending, r.tokens, r.writing)
-        for r in raw.rows
-    }
-    uses = tuple(
-        prompts.Use(u.replica, tuple(prompts.Part(*p)
-                                     for p in u.parts))
-        for u in raw.uses)
-    status = membership.Status(raw.name, raw.boot, raw.seq, raw.firsts, rows,
-                               uses)
-    return status, raw.hosts
+    return _DECODER.decode(data)
 
 
 class Peers:
-    """Speaks to the other entries.
-
-    Attributes:
-        members: The ``membership.Members`` heard.
-    """
+    """Speaks to the other entries."""
 
     def __init__(self, node, addr, seeds):
         """Binds the socket; ``start`` begins to speak.
 
         Args:
-            node: The ``node.Node``; has ``work`` and ``status(boot, seq)``.
+            node: The ``node.Node``; has ``work`` and
+                ``status(boot, seq, hosts)``.
             addr: ``(host, port)`` to bind; all entries use the same port.
             seeds: Hosts of some entries; may be stale.
         """
@@ -129,17 +78,16 @@
         self._boot = time.time_ns() // 1_000_000
         self._seq = 0
         self._due = None
-        self._sent_at = float('-inf')
+        self._due_at = self._soonest = float('inf')
         self._log = logs.get('peers')
         self._faulty = set()
         self._live = 0
-        self.members = node.work.members
+        self._view = node.work.view
         self._endpoint = datagrams.Endpoint(self._loop, addr, self._received)
 
     def start(self):
         """Begins to speak to the others."""
-        self._seek()
-        self._beat()
+        self._speak()
 
     def seeds_changed(self, seeds):
         """Adopts the seeds of new settings."""
@@ -147,69 +95,66 @@
 
     def changed(self):
         """Has the others told soon that this entry's work has changed."""
-        if self._due is None and not self.members.alone:
-            wait_s = max(0.0, self._sent_at + self._pause_s() - self._now())
-            self._due = self._loop.later(wait_s, self._speak)
-
-    def _now(self):
-        return time.monotonic()
-
-    def _pause_s(self):
-        # Spread, so that entries do not all speak just after each other.
-        pause_s = max(PERIOD_S, self._live / MESSAGES_PER_S)
-        return pause_s * random.uniform(0.8, 1.2)
-
-    def _seek(self):
-        now = self._now()
-        for host in self._seeds:
-            if host != self._host:
-                self.members.told_of(host, now)
-        self._loop.later(SEEDS_S, self._seek)
-
-    def _beat(self):
-        self._loop.later(HEARTBEAT_S, self._beat)
-        self.members.expire(self._now())
-        if self._now() - self._sent_at >= HEARTBEAT_S * 0.9:
-            self._speak()
+        if not self._view.members.alone and self._due_at > self._soonest:
+            self._speak_at(self._soonest)
 
-    def _speak(self):
+    # -- when to speak ---------------------------------------------------------
+
+    def period_s(self):
+        """Returns the shortest pause between two messages to an entry, s."""
+        return max(PERIOD_S, self._live / MESSAGES_PER_S)
+
+    def heartbeat_s(self):
+        """Returns the longest such pause, s."""
+        return max(HEARTBEAT_S, self.period_s())
+
+    def _speak_at(self, when):
         if self._due is not None:
             self._due.cancel()
-            self._due = None
-        now = self._now()
-        self._sent_at = now
-        self._seq += 1
-        live = self.members.live(now)
+        self._due_at = when
+        delay_s = max(0.0, when - time.monotonic())
+        self._due = self._loop.later(delay_s, self._speak)
+
+    def _speak(self):
+        now = time.monotonic()
+        members = self._view.members
+        live = members.live(now)
         self._note_members(len(live))
+        self._soonest = now + self.period_s() * random.uniform(*SPREAD)
+        self._speak_at(now + self.heartbeat_s())
+        self._told_of(self._seeds, now)
+        self._seq += 1
         told = random.sample(live, min(TOLD, len(live)))
-        data = encode(self._node.status(self._boot, self._seq), told)
+        data = encode(self._node.status(self._boot, self._seq, told))
         if len(data) > MAX_BYTES:
             self._log.error('status_too_long', size=len(data))
             return
-        for host in self.members.addresses(now):
+        for host in members.addresses(now):
             self._endpoint.send(data, (host, self._port))
 
     def _note_members(self, live):
         if live != self._live:
             self._log.info('entries_heard', now=live, before=self._live)
             self._live = live
+            self._view.members.silent_s = SILENT_BEATS * self.heartbeat_s()
+
+    # -- what others say -------------------------------------------------------
+
+    def _told_of(self, hosts, now):
+        for host in hosts:
+            if host != self._host and datagrams.is_host(host):
+                self._view.members.told_of(host, now)
 
     def _received(self, data, host):
-        now = self._now()
-        if host == self._host:
-            return
+        now = time.monotonic()
         try:
-            status, hosts = decode(data)
+            status = decode(data)
         except msgspec.DecodeError as exc:
             self._unreadable(host, exc)
             return
         self._faulty.discard(host)
-        if not self.members.heard(host, status, now):
-            return
-        self._node.work.told_uses(status.uses)
-        for other in hosts[:TOLD]:
-            if other != self._host and datagrams.is_host(other):
-                self.members.told_of(other, now)
+        if self._view.heard(host, status, now):
+            self._told_of(status.hosts[:TOLD], now)
 
     def _unreadable(self, host, exc):
         # Logged once a host: a process at fault says the same ten times a
--- a/gorsefall/relay/workload.py
+++ b/gorsefall/relay/workload.py
@@ -1,28 +1,18 @@
 """What an entry knows of the work at replicas: its own and the others'."""
 
-import collections
 import time
 
-from gorsefall.policy import membership
 from gorsefall.policy import overload
+from gorsefall.policy import peerview
 from gorsefall.policy import placement
-from gorsefall.policy import prompts
 from gorsefall.relay import model
 
-USES_S = 0.4
-"""How long a use of a replica's cached prompts is told to the others, s: in a
-few messages, of which some may be lost."""
-
-MAX_USES = 64
-"""Most uses told in a message, the last ones; an entry has 16 requests a
-second at the size of two years hence."""
-
 
 class Workload:
     """Work at replicas, and what was learned of it by service.
 
     Attributes:
-        members: The ``membership.Members`` heard.
+        view: The ``peerview.PeerView`` of the others' work.
     """
 
     def __init__(self, name, fleet):
@@ -32,14 +22,14 @@
             name: This entry's name.
             fleet: The ``fleet.Fleet``.
         """
-        self._name = name
         self._fleet = fleet
         self._services = {}
         self._ranks = {}
-        self._uses = collections.deque(maxlen=MAX_USES)
-        self.members = membership.Members(name)
+        self.view = peerview.PeerView(name, self._find)
 
-    # -- what is known ---------------------------------------------------------
+    def _find(self, replica_id):
+        replica = self._fleet.replicas.get(replica_id)
+        return replica.target if replica is not None else None
 
     def service(self, name):
         """Returns the ``placement.Service`` of a service."""
@@ -55,10 +45,7 @@
     def targets(self, service, exclude):
         """Returns the targets that may take a request, with others' work."""
         targets = [r.target for r in self._fleet.candidates(service, exclude)]
-        if not self.members.alone:
-            now = time.monotonic()
-            for target in targets:
-                target.told(self.members.row(target.name), now)
+        self.view.show(targets, time.monotonic())
         return targets
 
     def sources(self, service):
@@ -69,50 +56,26 @@
             if r.record.status is model.ReplicaStatus.DRAINING
         ]
 
+    def addr_of(self, target):
+        """Returns the address of a target's replica; None if it is gone."""
+        replica = self._fleet.replicas.get(target.name) if target else None
+        return replica.record.addr if replica is not None else None
+
     def others_firsts(self, service):
         """Returns the others' requests in the retry window, None if alone."""
-        return None if self.members.alone else self.members.firsts(service)
-
-    # -- prompts that replicas keep --------------------------------------------
+        members = self.view.members
+        return None if members.alone else members.firsts(service)
 
     def prompt_sent(self, replica, parts):
         """Notes the shared parts that a replica reads for a request."""
-        replica.target.kept.used(parts)
-        known = tuple(p for p in parts if p.tokens >= prompts.PART_TOKENS_MIN)
-        if known:
-            self._uses.append(
-                (time.monotonic(), prompts.Use(replica.record.id, known)))
-
-    def told_uses(self, uses):
-        """Notes what other entries had read."""
-        for use in uses:
-            replica = self._fleet.replicas.get(use.replica)
-            if replica is not None:
-                replica.target.kept.used(use.parts)
-
-    # -- what the others are told ----------------------------------------------
-
-    def status(self, boot, seq, firsts):
-        """Returns the ``membership.Status`` to tell the other entries.
-
-        Args:
-            boot: When this process started, ms since 1970.
-            seq: Number of the message.
-            firsts: ``service -> requests`` in the retry window.
-        """
-        return membership.Status(name=self._name,
-                                 boot=boot,
-                                 seq=seq,
-                                 firsts=firsts,
-                                 rows={
-                                     r.record.id: r.target.row()
-                                     for r in self._fleet.replicas.values()
-                                     if r.target.outstanding
-                                 },
-                                 uses=self._last_uses())
-
-    def _last_uses(self):
-        oldest = time.monotonic() - USES_S
-        while self._uses and self._uses[0][0] < oldest:
-            self._uses.popleft()
-        return tuple(use for _, use in self._uses)
+        self.view.prompt_sent(replica.target, parts, time.monotonic())
+
+    def status(self, boot, seq, hosts, firsts):
+        """Returns the ``membership.Status`` to tell the other entries."""
+        targets = [r.target for r in self._fleet.replicas.values()]
+        return self.view.status(boot,
+                                seq,
+                                targets,
+                                time.monotonic(),
+                                firsts=firsts,
+                                hosts=hosts)
--- a/tests/test_fetching.py
+++ b/tests/test_fetching.py
@@ -3,11 +3,12 @@
 import loads
 import pytest
 
+from gorsefall.policy import knowledge
 from gorsefall.policy import placement
 from gorsefall.policy import prompts
 
 PARTS = (prompts.Part('doc', 2500), prompts.Part('session', 3800))
-WANT = placement.Want(zone='z',
+WANT = knowledge.Want(zone='z',
                       parts=PARTS,
                       tokens=9000,
                       tokens_out=50,
@@ -19,7 +20,7 @@
 
 def _targets(count=3):
     return [
-        placement.Target(name=f'r{i}', zone='z', slots=64, engine=True)
+        knowledge.Target(name=f'r{i}', zone='z', slots=64, engine=True)
         for i in range(count)
     ]
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -9,7 +9,7 @@
 
 
 def _status(name, boot=1, seq=1, rows=None, **fields):
-    rows = {r: membership.Row(n, n, 10 * n, 0) for r, n in (rows or {}).items()}
+    rows = {r: membership.Row(n, 10 * n, 0) for r, n in (rows or {}).items()}
     return membership.Status(name, boot, seq, fields.get('firsts', {}), rows)
 
 
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -9,8 +9,9 @@
 from hypothesis import strategies as st
 
 from gorsefall.emulator import policies
+from gorsefall.policy import costs
+from gorsefall.policy import knowledge
 from gorsefall.policy import overload
-from gorsefall.policy import pace
 from gorsefall.policy import placement
 
 
@@ -27,14 +28,17 @@
     callers do; what spills over makes the chats late as well. Cause: requests
     that can only come late were queued. Figures: the authority's load sheet,
     6 seeds; worth earned 0.75 with refusals against 0.40 without while entries
-    did not tell each other of their work. That they do must not cost any of
-    the 0.75, nor make refusals needless.
+    did not tell each other of their work, digests on time in 0.53 of cases
+    against 0.146 and chats in 0.90 against 0.358. Now that they do, queueing
+    alone fares better; what refusals bought over it then is still asked for,
+    and that they buy something now.
     """
     refusing = _means(loads.FLIGHT_BANK, policies.placed, 4)
     queueing = _means(loads.FLIGHT_BANK, policies.unrefused, 4)
     assert refusing.worth > max(0.75, queueing.worth + 0.05)
-    for name in ('digest', 'chat'):
-        assert refusing.on_time[name] > queueing.on_time[name]
+    for name, before in (('digest', 0.146), ('chat', 0.358)):
+        least = max(before + 0.25, queueing.on_time[name])
+        assert refusing.on_time[name] > least
 
 
 def test_two_engines_lost():
@@ -95,7 +99,7 @@
 
 
 def _target(**fields):
-    return placement.Target(name='e1',
+    return knowledge.Target(name='e1',
                             zone='z',
                             slots=64,
                             engine=True,
@@ -106,7 +110,7 @@
 
 
 def _want(**fields):
-    return placement.Want(zone='z', **fields)
+    return knowledge.Want(zone='z', **fields)
 
 
 def _choose(target, want, rng=random):
@@ -114,7 +118,8 @@
 
 
 def _queue_ms(target, now):
-    return placement.View(pace.Pace(), None, now).queue_ms(target)
+    cost = costs.Costs(_want(), placement.Service(), [target], now)
+    return cost.places[0].queue_ms
 
 
 def test_a_large_prompt_alone_is_not_refused():
@@ -226,10 +231,14 @@
     there for a slot, 1.5 to 2.2 s, while others had room. Sequence: no answer
     tells an engine's load, so each of nine entries saw its own few requests
     alone. Cause: entries did not tell each other. Figures: 6 seeds; worth
-    earned with the exchange, and without it.
+    earned 0.96 with the exchange and 0.94 without at the usual rates, in
+    bursts of queries 0.94 and 0.57, of dossiers 0.90 and 0.79. A gain counts
+    from 0.03 on, which is the noise of the figures that callers are measured
+    by.
     """
     usual = loads.VALUATION
-    for load, more in ((usual, 0.01), (usual.busier(query=2.2), 0.02)):
+    for load, more in ((usual, 0.01), (usual.busier(query=2.2), 0.03),
+                       (usual.busier(dossier=2.3), 0.03)):
         telling = loads.means(load)
         silent = loads.means(load.changed(exchange_ms=0.0))
         assert telling.worth > silent.worth + more
@@ -244,7 +253,7 @@
     home, which only costs where a prompt is read anew.
     """
     targets = [
-        placement.Target(name=f'e{i}', zone='z', slots=64, engine=True)
+        knowledge.Target(name=f'e{i}', zone='z', slots=64, engine=True)
         for i in range(2)
     ]
     service = placement.Service()
--- a/tests/test_pace.py
+++ b/tests/test_pace.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from gorsefall.policy import knowledge
 from gorsefall.policy import pace
 from gorsefall.policy import placement
 
@@ -31,7 +32,7 @@
 def _targets(pauses):
     targets = []
     for i, pause in enumerate(pauses):
-        target = placement.Target(name=f'r{i}', zone='z', slots=8, engine=True)
+        target = knowledge.Target(name=f'r{i}', zone='z', slots=8, engine=True)
         for _ in range(200 if pause else 0):
             target.pause.saw(pause)
         targets.append(target)
@@ -64,6 +65,6 @@
     service = placement.Service()
     slow = targets[-1]
     for i in range(50):
-        want = placement.Want(zone='z', tokens=9000 + i, tokens_out=50)
+        want = knowledge.Want(zone='z', tokens=9000 + i, tokens_out=50)
         choice = placement.choose(targets, want, service, 0.0)
         assert choice.target is not slow
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -1,31 +1,36 @@
 """Messages between entries: what is read, and what is not believed."""
 
+import time
+import types
+
 import msgspec
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
+from gorsefall.policy import knowledge
 from gorsefall.policy import membership
+from gorsefall.policy import peerview
 from gorsefall.policy import prompts
 from gorsefall.relay import peers
 
 _COUNT = st.integers(0, 1 << 40)
 _ROWS = st.dictionaries(st.text(max_size=8),
-                        st.builds(membership.Row, _COUNT, _COUNT, _COUNT,
-                                  _COUNT),
+                        st.builds(membership.Row, _COUNT, _COUNT, _COUNT),
                         max_size=5)
 _PART = st.builds(prompts.Part, st.text(max_size=8), _COUNT)
 _USES = st.lists(st.builds(prompts.Use, st.text(max_size=8),
                            st.lists(_PART, max_size=3).map(tuple)),
                  max_size=3).map(tuple)
+_HOSTS = st.lists(st.ip_addresses(v=4).map(str), max_size=6).map(tuple)
 _STATUS = st.builds(membership.Status, st.text(max_size=8), _COUNT, _COUNT,
                     st.dictionaries(st.text(max_size=8), _COUNT, max_size=3),
-                    _ROWS, _USES)
+                    _ROWS, _USES, _HOSTS)
 
 
-@given(_STATUS, st.lists(st.ip_addresses(v=4).map(str), max_size=6))
-def test_what_is_said_is_what_is_read(status, hosts):
-    assert peers.decode(peers.encode(status, hosts)) == (status, hosts)
+@given(_STATUS)
+def test_what_is_said_is_what_is_read(status):
+    assert peers.decode(peers.encode(status)) == status
 
 
 @given(st.binary(max_size=200))
@@ -40,17 +45,25 @@
 def test_negative_counts_are_not_believed():
     """Symptom: a busy replica looks empty and is flooded. Sequence: an entry
     at fault tells less than nothing. Cause: any number was believed."""
-    status = membership.Status('a', 1, 1, {},
-                               {'r': membership.Row(-5, 0, 0, 0)})
+    status = membership.Status('a', 1, 1, {}, {'r': membership.Row(-5, 0, 0)})
     with pytest.raises(msgspec.DecodeError):
-        peers.decode(peers.encode(status, []))
+        peers.decode(peers.encode(status))
+
+
+class _Timer:
+
+    def __init__(self, delay_s):
+        self.due = time.monotonic() + delay_s
+
+    def cancel(self):
+        pass
 
 
 class _Loop:
     """Timers that never come due."""
 
     def later(self, delay_s, callback):
-        return None
+        return _Timer(delay_s)
 
     def watch(self, sock, handler, *, read, write):
         pass
@@ -60,21 +73,19 @@
 
 
 class _Node:
-
-    class cfg:  # noqa: N801
-        name = 'me'
+    """An entry with one replica, and nothing under way."""
 
     def __init__(self):
         self.loop = _Loop()
-        self.uses = []
-        self.work = self
-        self.members = membership.Members('me')
-
-    def status(self, boot, seq):
-        return membership.Status('me', boot, seq, {}, {})
+        self.replica = knowledge.Target('r', 'z', slots=8, engine=True)
+        self.work = types.SimpleNamespace(
+            view=peerview.PeerView('me', {'r': self.replica}.get))
 
-    def told_uses(self, uses):
-        self.uses += uses
+    def status(self, boot, seq, hosts):
+        return self.work.view.status(boot,
+                                     seq, [self.replica],
+                                     0.0,
+                                     hosts=hosts)
 
 
 @pytest.fixture
@@ -88,20 +99,69 @@
     for i in range(1000):
         talk._received(b'\xc1', f'10.0.0.{i % 3 + 2}')
     assert capsys.readouterr().out.count('message_unreadable') == 3
-    assert talk.members.alone
+    assert talk._node.work.view.members.alone
 
 
 def test_a_message_tells_of_entries_that_were_not_known(talk):
-    status = membership.Status('a', 1, 1, {}, {})
-    data = peers.encode(status, ['10.0.0.9', 'no address', '127.0.0.1'])
-    talk._received(data, '10.0.0.2')
-    assert set(talk.members.addresses(0.0)) >= {'10.0.0.2', '10.0.0.9'}
-    assert 'no address' not in talk.members.addresses(0.0)
+    hosts = ('10.0.0.9', 'no address', '127.0.0.1')
+    status = membership.Status('a', 1, 1, hosts=hosts)
+    talk._received(peers.encode(status), '10.0.0.2')
+    known = talk._node.work.view.members.addresses(0.0)
+    assert set(known) == {'10.0.0.2', '10.0.0.9'}
+
+
+def _hear(talk, count):
+    """Has ``count`` other entries speak once."""
+    for i in range(count):
+        status = membership.Status(f'e{i}', 1, 1, {}, {})
+        talk._received(peers.encode(status), f'10.0.{i // 250}.{i % 250 + 2}')
+
+
+@pytest.mark.parametrize('others', [8, 40, 86, 300])
+def test_messages_are_held_to_their_rate_by_any_number_of_entries(talk, others):
+    """A large deployment whose days took too long to play.
+
+    Symptom: with 87 entries each sent 172 messages a second instead of 80,
+    twice the processor time that the rate was to bound. Sequence: nothing
+    changes at an entry, so it speaks at its heartbeat. Cause: the pause between
+    messages grew with the others heard, the heartbeat did not.
+    """
+    _hear(talk, others)
+    talk._speak()
+    assert others / talk.heartbeat_s() <= peers.MESSAGES_PER_S * 1.25
+    assert talk.heartbeat_s() >= talk.period_s()
+
+
+@pytest.mark.parametrize('others', [8, 40, 86, 300])
+def test_nobody_is_taken_for_silent_between_two_heartbeats(talk, others):
+    """Symptom: in a large deployment entries fall out of the sums by turns,
+    though all of them speak. Cause: the bound on silence was that of a small
+    one. One message in two may be lost."""
+    _hear(talk, others)
+    talk._speak()
+    assert talk._node.work.view.members.silent_s > 2 * talk.heartbeat_s()
 
 
 def test_a_replayed_message_tells_no_uses(talk):
-    use = prompts.Use('r', (prompts.Part('p', 900),))
-    status = membership.Status('a', 1, 1, {}, {}, (use,))
-    for _ in range(3):
-        talk._received(peers.encode(status, []), '10.0.0.2')
-    assert talk._node.uses == [use]
+    """Symptom: prompts believed kept that were pushed out long ago."""
+    parts = (prompts.Part('p', 900),)
+    status = membership.Status('a', 1, 1, uses=(prompts.Use('r', parts),))
+    kept = talk._node.replica.kept
+    talk._received(peers.encode(status), '10.0.0.2')
+    assert kept.tokens(parts) == 900
+    kept.used(tuple(prompts.Part(f'q{i}', 20000) for i in range(20)))
+    talk._received(peers.encode(status), '10.0.0.2')
+    assert kept.tokens(parts) == 0
+
+
+def test_work_is_told_soon_and_by_one_timer(talk):
+    """A change is told when the shortest pause is over, not at the heartbeat,
+    and each further change waits for the same message."""
+    _hear(talk, 3)
+    talk._speak()
+    beat = talk._due
+    talk.changed()
+    soon = talk._due
+    assert soon.due < beat.due
+    talk.changed()
+    assert talk._due is soon
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -6,8 +6,10 @@
 import pytest
 
 from gorsefall.emulator import policies
-from gorsefall.policy import pace
+from gorsefall.policy import costs
+from gorsefall.policy import knowledge
 from gorsefall.policy import placement
+from gorsefall.policy import split
 
 
 def test_long_answers_stay_on_time_beside_a_burst_of_long_prompts():
@@ -45,7 +47,7 @@
     bank = loads.FLIGHT_BANK.changed(fetch_ms=0.0)
     after = loads.means(bank, policies.unrefused).on_time
     worth = loads.means(bank).worth
-    monkeypatch.setattr(placement, 'REREAD', 0.0)
+    monkeypatch.setattr(costs, 'REREAD', 0.0)
     before = loads.means(bank, policies.unrefused).on_time
     assert after['chat'] > max(0.59 + 0.2, before['chat'] + 0.1)
     assert after['digest'] > max(0.65 + 0.1, before['digest'])
@@ -62,7 +64,7 @@
 
 def _targets(count, **fields):
     return [
-        placement.Target(name=f'r{i}', zone='z', slots=8, engine=True, **fields)
+        knowledge.Target(name=f'r{i}', zone='z', slots=8, engine=True, **fields)
         for i in range(count)
     ]
 
@@ -82,9 +84,8 @@
     targets = _targets(5)
     shuffled = random.Random(1).sample(targets, 5)
     for count in range(5):
-        assert placement.quiet(targets,
-                               count) == placement.quiet(shuffled, count)
-        assert len(placement.quiet(targets, count)) == count
+        assert split.quiet(targets, count) == split.quiet(shuffled, count)
+        assert len(split.quiet(targets, count)) == count
 
 
 def _chosen(targets, want, now):
@@ -94,7 +95,7 @@
 def test_a_failing_replica_is_left_and_tried_again():
     """Black hole: a replica that fails fast looks idle and draws all work."""
     targets = _targets(3)
-    want = placement.Want(zone='z')
+    want = knowledge.Want(zone='z')
     targets[0].failed(0.0)
     picked = {_chosen(targets, want, 0.1) for _ in range(50)}
     assert picked == {'r1', 'r2'}
@@ -110,20 +111,20 @@
         targets[0].answered(False)
         targets[1].answered(True)
         targets[2].answered(True)
-    want = placement.Want(zone='z')
+    want = knowledge.Want(zone='z')
     picked = {_chosen(targets, want, 0.0) for _ in range(50)}
     assert picked == {'r1', 'r2'}
 
 
 def _named(names):
     return [
-        placement.Target(name=n, zone='z', slots=64, engine=True) for n in names
+        knowledge.Target(name=n, zone='z', slots=64, engine=True) for n in names
     ]
 
 
 def _chats_behind(loss):
     """Returns the chats on time with the quiet engine behind a lossy link."""
-    quiet = placement.quiet(_named([f'e{i}' for i in range(5)]), 1)
+    quiet = split.quiet(_named([f'e{i}' for i in range(5)]), 1)
     return loads.means(loads.AUTHORITY,
                        loss=dict.fromkeys(quiet, loss)).on_time['chat']
 
@@ -140,16 +141,16 @@
     Figures: 6 seeds, on time in 0.71 and 0.72 of cases against 0.49 and 0.30.
     """
     after = _chats_behind(loss)
-    monkeypatch.setattr(placement, 'HELD_UP_MS', 0.0)
+    monkeypatch.setattr(costs, 'HELD_UP_MS', 0.0)
     assert after > _chats_behind(loss) + more
 
 
 def test_prompts_are_not_moved_by_a_lossy_link():
     """What reads for long bears a pause; moving it costs a prompt anew."""
-    want = placement.Want(zone='z', tokens=9000, tokens_out=60)
+    want = knowledge.Want(zone='z', tokens=9000, tokens_out=60)
     lossy, sound = _named(['e0', 'e1'])
     for _ in range(20):
         lossy.link.came(5, 5.0, held_up=True)
-    view = placement.View(pace.Pace(), None, 5.0)
-    costs = [view.cost_ms(t, want, at_home=True) for t in (lossy, sound)]
-    assert costs[0] == costs[1]
+    cost = costs.Costs(want, placement.Service(), [lossy, sound], 5.0)
+    at_lossy, at_sound = (cost.total_ms(p, at_home=True) for p in cost.places)
+    assert at_lossy == at_sound
--- a/tests/test_stalls.py
+++ b/tests/test_stalls.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from gorsefall.policy import placement
+from gorsefall.policy import knowledge
 from gorsefall.policy import stalls
 
 ANSWER = 300
@@ -17,7 +17,7 @@
 
 
 def _target():
-    return placement.Target(name='e', zone='z', slots=64, engine=True)
+    return knowledge.Target(name='e', zone='z', slots=64, engine=True)
 
 
 def _played(gaps, answers=4):
