Events of an answer are counted by what the service tells of its engines

A data sheet's 6 tokens an event stood in policy/stalls.py; engines of today hold 3 to 6. The configuration says how many.

--- a/gorsefall/emulator/entries.py
+++ b/gorsefall/emulator/entries.py
@@ -28,7 +28,8 @@
                                  kept=prompts.Kept(site.engines.kv_tokens))
             for name in names
         }
-        self.service = placement.Service(fetch_ms=site.engines.fetch_ms)
+        self.service = placement.Service(fetch_ms=site.engines.fetch_ms,
+                                         event_tokens=site.engines.stride)
         self.view = peerview.PeerView(f'entry-{number}', self.targets.get)
         self._seq = 0
 
--- a/gorsefall/policy/costs.py
+++ b/gorsefall/policy/costs.py
@@ -240,7 +240,8 @@
     def _held_up_ms(self, target):
         if not self._want.writes:
             return 0.0
-        chance = target.link.chance(self._want.tokens_out, self._now)
+        events = self._want.tokens_out / self._service.event_tokens
+        chance = target.link.chance(events, self._now)
         return HELD_UP_MS * max(0.0, chance - HELD_UP_BORNE)
 
     def misplaced_ms(self, place):
--- a/gorsefall/policy/placement.py
+++ b/gorsefall/policy/placement.py
@@ -44,12 +44,14 @@
         speed: The ``pace.Pace`` of its replicas.
         fetch_ms: Time in which a replica fetches one cached prompt token from
             another, ms; 0 where it cannot.
+        event_tokens: Tokens that an event of its streams holds.
         split: The ``split.Split`` of its engines.
         gap_ms: Longest pause that its requests that write bear, ms; 0 while
             none came.
     """
     speed: pace.Pace = dataclasses.field(default_factory=pace.Pace)
     fetch_ms: float = 0.0
+    event_tokens: int = 1
     split: splits.Split = dataclasses.field(default_factory=splits.Split)
     gap_ms: float = 0.0
 
--- a/gorsefall/policy/stalls.py
+++ b/gorsefall/policy/stalls.py
@@ -23,9 +23,6 @@
 """Events without a loss that are counted beside those seen: half of an answer,
 so that one loss is no sign yet, and a replica nobody was sent to is sound."""
 
-TOKENS_PER_EVENT = 6
-"""Tokens an event of a stream holds; 5 to 7 on the engines' data sheets."""
-
 
 class Link:
     """What the streams of one replica tell of the way to it."""
@@ -45,11 +42,11 @@
         self._held_up = self._held_up * kept + held_up
         self._at = now
 
-    def chance(self, tokens_out, now):
-        """Returns how likely an answer of that many tokens is held up."""
+    def chance(self, events, now):
+        """Returns how likely an answer of that many events is held up."""
         kept = self._kept(now)
         share = self._held_up * kept / (self._events * kept + DOUBT_EVENTS)
-        return 1.0 - (1.0 - min(1.0, share))**(tokens_out / TOKENS_PER_EVENT)
+        return 1.0 - (1.0 - min(1.0, share))**events
 
 
 class Pulse:
--- a/gorsefall/relay/model.py
+++ b/gorsefall/relay/model.py
@@ -74,6 +74,7 @@
         memory: Tokens that an engine has memory for; 0 if not told.
         fetch_ms: Time in which an engine fetches a cached prompt token from
             another, ms; 0 where it cannot.
+        event_tokens: Tokens that an event of a stream holds.
     """
     name: ids.ServiceName
     max_connections: int
@@ -81,6 +82,7 @@
     backups: bool = False
     memory: int = 0
     fetch_ms: float = 0.0
+    event_tokens: int = 1
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/gorsefall/relay/workload.py
+++ b/gorsefall/relay/workload.py
@@ -35,7 +35,9 @@
         """Returns the ``placement.Service`` of a service."""
         known = self._services.setdefault(name, placement.Service())
         described = self._fleet.service(name)
-        known.fetch_ms = described.fetch_ms if described else 0.0
+        if described is not None:
+            known.fetch_ms = described.fetch_ms
+            known.event_tokens = described.event_tokens
         return known
 
     def ranks(self, service):
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -154,3 +154,20 @@
     cost = costs.Costs(want, placement.Service(), [lossy, sound], 5.0)
     at_lossy, at_sound = (cost.total_ms(p, at_home=True) for p in cost.places)
     assert at_lossy == at_sound
+
+
+def test_an_answer_of_more_events_is_held_up_more_easily():
+    """Symptom: long answers stay behind a lossy link at a customer whose
+    events hold few tokens. Cause: an answer's events were counted by another
+    customer's data sheet."""
+    want = knowledge.Want(zone='z', tokens=600, tokens_out=300)
+    weights = []
+    for event_tokens in (6, 3):
+        lossy, = _named(['e0'])
+        for _ in range(100):
+            lossy.link.came(1, 5.0)
+        lossy.link.came(1, 5.0, held_up=True)
+        service = placement.Service(event_tokens=event_tokens)
+        cost = costs.Costs(want, service, [lossy], 5.0)
+        weights.append(cost.total_ms(cost.places[0]))
+    assert weights[1] > weights[0] + 100
--- a/tests/test_stalls.py
+++ b/tests/test_stalls.py
@@ -12,8 +12,8 @@
 from gorsefall.policy import knowledge
 from gorsefall.policy import stalls
 
-ANSWER = 300
-"""Tokens of a long answer: 50 events."""
+ANSWER = 50
+"""Events of a long answer."""
 
 
 def _target():
