A read of the store is given up for silence, not for its length

Cause: the bound of 0.9 s that is meant to notice a dead channel held for the whole answer. A configuration of 560 KB or more does not fit on 5 Mbit/s; it was cut off and asked for again without end, and filled the links besides. Ruled out: the store (no call refused, failed or unanswered), the processor (1 to 2%). Change: the bound counts from the last byte, in a watch that the own wire's calls share (they had it already). A dead channel still shows after 0.9 s; a long answer comes to its end, whatever its size and link.

--- a/gorsefall/net/links.py
+++ b/gorsefall/net/links.py
@@ -6,6 +6,7 @@
 from gorsefall import errors
 from gorsefall import metrics
 from gorsefall.net import outbound
+from gorsefall.net import silence
 
 CONNECT_TIMEOUT_S = 1.0
 """Longest time to connect, s; within a zone it takes under a ms, and a lost
@@ -54,11 +55,9 @@
         self._on_data = on_data
         self._on_end = on_end
         self._idle_s = idle_s
-        self._loop = loop
-        self._heard_at = loop.now
         self._framed = False
         self._channel = None
-        self._timer = loop.later(idle_s, self._check_idle)
+        self._watch = silence.Watch(loop, idle_s, self._silent)
 
     def begin(self, pool):
         """Sends the request on a channel of ``pool``."""
@@ -71,7 +70,7 @@
 
     def on_head(self, status, fields):
         """See ``outbound.Call``."""
-        self._heard()
+        self._watch.heard()
         self.sent = True
         self.status = status
         self._framed = any(name in fields.first for name in _FRAMED)
@@ -80,7 +79,7 @@
 
     def on_data(self, data):
         """See ``outbound.Call``."""
-        self._heard()
+        self._watch.heard()
         if self._on_data:
             self._on_data(data)
 
@@ -96,22 +95,12 @@
         self.sent = failure.sent
         self._end(failure.reason)
 
-    def _heard(self):
-        self._heard_at = self._loop.now
-
-    def _check_idle(self):
-        # A connection that something between the ends has lost track of
-        # shows no error of its own; this is how it is noticed.
-        silent_s = self._loop.now - self._heard_at
-        if silent_s < self._idle_s:
-            self._timer = self._loop.later(self._idle_s - silent_s,
-                                           self._check_idle)
-            return
+    def _silent(self):
         self._give_up()
         self._end(f'silent for {self._idle_s} s')
 
     def _give_up(self):
-        self._timer.cancel()
+        self._watch.cancel()
         channel, self._channel = self._channel, None
         if channel is not None:
             self._count(channel)
@@ -122,7 +111,7 @@
         metrics.LINK_BYTES.labels(self._route, 'in').inc(channel.bytes_in)
 
     def _end(self, why):
-        self._timer.cancel()
+        self._watch.cancel()
         channel, self._channel = self._channel, None
         if channel is not None:
             self._count(channel)
--- a/gorsefall/relay/node.py
+++ b/gorsefall/relay/node.py
@@ -82,7 +82,8 @@
     if cfg.strict_revocation:
         bound_s = cfg.revoke_s - PROOF_MARGIN_S
         return min(CONFIG_WAIT_S, bound_s / PROOF_READS)
-    longest = (cfg.apply_s + cfg.settle_s - topic.ANSWER_S - LOST_READ_MARGIN_S)
+    longest = (cfg.apply_s + cfg.settle_s - topic.SILENCE_S -
+               LOST_READ_MARGIN_S)
     return max(CONFIG_WAIT_MIN_S, longest)
 
 
--- a/gorsefall/relay/topic.py
+++ b/gorsefall/relay/topic.py
@@ -7,10 +7,10 @@
 from gorsefall import logs
 from gorsefall.policy import freshness
 
-ANSWER_S = 0.9
-"""Longest time for an answer of the store beyond the wait asked for, s. It
-answers in 4 ms, at times 60 times as slowly; a silent channel shows only by
-this, and two such waits stay well under the proof's bound."""
+SILENCE_S = 0.9
+"""Longest time without a byte of an answer beyond the wait asked for, s. The
+store answers in 4 ms, at times 60 times as slowly; a silent channel shows only
+by this, and two such waits stay well under the proof's bound."""
 
 RETRY_S = (0.05, 0.2)
 """Range of the pause after a failed call, s; spread, so that entries that
@@ -67,14 +67,15 @@
 class Source:
     """The seam to the store: reads of one keyed topic.
 
-    ``done(result, exc)`` gets the result or an ``errors.StoreError``.
+    ``done(result, exc)`` gets the result or an ``errors.StoreError``. A read
+    is given up after ``silence_s`` without a byte, not by how long it takes.
     """
 
-    def newest(self, after, timeout_s, done):
+    def newest(self, after, silence_s, done):
         """Reads a page of newest records, after the key ``after``."""
         raise NotImplementedError
 
-    def read(self, offset, wait_s, timeout_s, done):
+    def read(self, offset, wait_s, silence_s, done):
         """Reads from ``offset``, waiting up to ``wait_s`` for a record."""
         raise NotImplementedError
 
@@ -153,7 +154,7 @@
             self._listed = {}
             self._end = None
             self._listing_sent_at = freshness.clock()
-        self._source.newest(after, ANSWER_S, self._on_newest)
+        self._source.newest(after, SILENCE_S, self._on_newest)
 
     def _on_newest(self, page, exc):
         if self._stopped:
@@ -186,8 +187,7 @@
         # that the store is back, and renews the proof as much sooner.
         wait_s = 0.0 if self._failures else self._wait_s
         self._sent_at = freshness.clock()
-        self._source.read(self.offset, wait_s, wait_s + ANSWER_S,
-                          self._on_batch)
+        self._source.read(self.offset, wait_s, SILENCE_S, self._on_batch)
 
     def _on_batch(self, batch, exc):
         if self._stopped:
--- a/tests/test_revocation.py
+++ b/tests/test_revocation.py
@@ -86,7 +86,7 @@
                         apply_s=apply_s,
                         settle_s=settle_s)
         wait_s = node.config_wait_s(cfg)
-        noticed_s = wait_s + topic.ANSWER_S
+        noticed_s = wait_s + topic.SILENCE_S
         assert (noticed_s < apply_s + settle_s or
                 wait_s == node.CONFIG_WAIT_MIN_S)
 
--- a/tests/test_topic.py
+++ b/tests/test_topic.py
@@ -42,20 +42,20 @@
     def put(self, key, value):
         self.records.append(topic.Record(key, value, len(self.records)))
 
-    def _answer(self, make, timeout_s, done):
+    def _answer(self, make, silence_s, done):
         fault = next(self._faults, 'ok')
         if fault == 'late':
             # True when sent, on its way for long.
             result = make()
-            self._loop.later(timeout_s * 0.9, lambda: done(result, None))
+            self._loop.later(silence_s * 0.9, lambda: done(result, None))
         elif fault in ('lost', 'busy'):
-            after = timeout_s if fault == 'lost' else 0.004
+            after = silence_s if fault == 'lost' else 0.004
             self._loop.later(after,
                              lambda: done(None, errors.StoreError(fault)))
         else:
             self._loop.later(0.004, lambda: done(make(), None))
 
-    def newest(self, after, timeout_s, done):
+    def newest(self, after, silence_s, done):
 
         def make():
             newest = {r.key: r for r in self.records}
@@ -63,9 +63,9 @@
                 r for r in newest.values() if r.value and r.key > after)
             return topic.Newest(found[:2], len(found) > 2, len(self.records))
 
-        self._answer(make, timeout_s, done)
+        self._answer(make, silence_s, done)
 
-    def read(self, offset, wait_s, timeout_s, done):
+    def read(self, offset, wait_s, silence_s, done):
         if offset < self.first:
             self._loop.later(
                 0.004,
@@ -73,7 +73,7 @@
             return
         self._answer(
             lambda: topic.Batch(self.records[offset:], len(self.records)),
-            timeout_s, done)
+            silence_s, done)
 
 
 class Belief(topic.Listener):
