A read that does not reach the topic's end confirms nothing

Cause: each answer tells the topic's end, and the client threw it away. Change: the batch carries it; short of it the follower reads on at once and confirms nothing.

--- a/gorsefall/relay/topic.py
+++ b/gorsefall/relay/topic.py
@@ -59,9 +59,11 @@
     Attributes:
         records: List of ``Record``, in order.
         next: Offset to read from next.
+        end: Offset after the topic's last record.
     """
     records: list
     next: int
+    end: int
 
 
 class Source:
@@ -204,6 +206,11 @@
             if self._is_new(record):
                 self._listener.on_record(record)
         self.offset = max(self.offset, batch.next)
+        if self.offset < batch.end:
+            # A read holds only so much. Confirmed now, an old configuration
+            # would let in keys that a newer one takes away.
+            self._read()
+            return
         self._listener.on_confirmed(self._sent_at)
         if self._pause_s:
             self._loop.later(self._pause_s, self._read)
--- a/tests/test_topic.py
+++ b/tests/test_topic.py
@@ -72,8 +72,8 @@
                 lambda: done(None, errors.StoreError('gone', forgotten=True)))
             return
         self._answer(
-            lambda: topic.Batch(self.records[offset:], len(self.records)),
-            silence_s, done)
+            lambda: topic.Batch(self.records[offset:], len(self.records),
+                                len(self.records)), silence_s, done)
 
 
 class Belief(topic.Listener):
