--- a/tests/test_topic.py
+++ b/tests/test_topic.py
@@ -137,6 +137,24 @@
     assert belief.confirmed == sorted(belief.confirmed)
 
 
+def test_a_listing_goes_on_where_it_failed():
+    """An entry that never becomes ready.
+
+    Symptom: an entry starts beside a store that loses answers and stays
+    without replicas. Sequence: the listing has several pages, and one answer
+    in two is lost. Cause: each loss began the listing anew.
+    """
+    loop = Loop()
+    store = Store(loop, ['ok', 'lost'] * 10)
+    for key in 'abcdefgh':
+        store.put(key, key.encode())
+    belief = Belief()
+    topic.Follower(loop, store, belief, name='t', wait_s=0.0,
+                   pause_s=0.1).start()
+    loop.run(10.0)
+    assert sorted(belief.newest) == list('abcdefgh')
+
+
 def test_proof_dates_from_when_the_read_was_sent(monkeypatch):
     """Revoked key let in after a late answer.
 
