A listing of several pages goes on where it failed

What callers would see: an entry that starts beside a store that loses answers stays without replicas, as each lost page began the listing anew. Change: the page that failed is read again; reading on from the first page's end still passes over nothing that changed meanwhile, and the proof is dated from the first page. The follower's state that nobody read is gone.

--- a/gorsefall/relay/topic.py
+++ b/gorsefall/relay/topic.py
@@ -1,6 +1,5 @@
 """Following a topic that keeps the newest record of each key."""
 
-import enum
 import random
 import typing
 
@@ -108,11 +107,6 @@
         """Called once when it answers again."""
 
 
-class _State(enum.Enum):
-    LISTING = 'listing'
-    READING = 'reading'
-
-
 class Follower:
     """Keeps a listener up to date with one topic.
 
@@ -148,8 +142,8 @@
         self._wait_s = wait_s
         self._pause_s = pause_s
         self._most_kb = most_kb
-        self._state = _State.LISTING
         self._listed = {}
+        self._after = ''
         self._end = None
         self._failures = 0
         self._sent_at = None
@@ -169,8 +163,8 @@
     def _list(self, after):
         if self._stopped:
             return
+        self._after = after
         if not after:
-            self._state = _State.LISTING
             self._listed = {}
             self._end = None
             self._listing_sent_at = freshness.clock()
@@ -180,7 +174,9 @@
         if self._stopped:
             return
         if exc is not None:
-            self._failed(exc, lambda: self._list(''))
+            # On from this page: begun anew, a listing of several would
+            # seldom be whole beside a store that loses answers.
+            self._failed(exc, lambda: self._list(self._after))
             return
         if self._end is None:
             # Pages are read one after the other; reading on from the first
@@ -193,7 +189,6 @@
             return
         self._answered()
         self.offset = self._end
-        self._state = _State.READING
         records = [r for r in self._listed.values() if r.value or not r.whole]
         self._log.info('listed', keys=len(records), offset=self.offset)
         self._listener.on_listing([r for r in records if self._is_new(r)])
