--- a/gorsefall/relay/routes.py
+++ b/gorsefall/relay/routes.py
@@ -8,11 +8,24 @@
 """Ranks a replica tells apart, 0 the most urgent; more are put together."""
 
 
-def _pair(account, route):
+def _pair(account_priority, route_priority):
     """Returns the priorities of an account and a route, in their order."""
-    if account is None or account.priority is None:
-        return route.priority, route.priority
-    return account.priority, route.priority
+    if account_priority is None:
+        return route_priority, route_priority
+    return account_priority, route_priority
+
+
+def _ranks(of_routes, of_accounts):
+    """Returns the rank of each pair of priorities.
+
+    It goes by the few priorities there are. By each account with each route,
+    a table of thousands of both holds up every stream of the entry for as
+    long as a pause between events may last.
+    """
+    pairs = sorted(
+        {_pair(a, r) for a in (None, *of_accounts) for r in of_routes})
+    step = min(1.0, (RANKS - 1) / max(1, len(pairs) - 1))
+    return {pair: int(i * step) for i, pair in enumerate(pairs)}
 
 
 class Table:
@@ -38,11 +51,8 @@
         for route in routes:
             self._by_host.setdefault(route.host, {})[route.prefix] = route
 
-        kinds = {
-            _pair(a, r) for a in (None, *accounts.values()) for r in routes
-        }
-        step = min(1.0, (RANKS - 1) / max(1, len(kinds) - 1))
-        self._ranks = {p: int(i * step) for i, p in enumerate(sorted(kinds))}
+        self._ranks = _ranks({r.priority for r in routes},
+                             {a.priority for a in accounts.values()})
 
     def rank(self, account, route):
         """Returns how urgent a request is, 0 the most, below ``RANKS``.
@@ -52,7 +62,8 @@
         long digest on one level, and in an overload chats went without any
         answer while digests began.
         """
-        return self._ranks[_pair(account, route)]
+        priority = account.priority if account else None
+        return self._ranks[_pair(priority, route.priority)]
 
     def match(self, req):
         """Returns the route of ``req``: its host's longest matching prefix.
