--- a/tests/test_topic.py
+++ b/tests/test_topic.py
@@ -14,6 +14,9 @@
 READ_RECORDS = 3
 """Records that one read holds."""
 
+LONG_S = 4.0
+"""How long an answer takes on a slow link, s."""
+
 
 class Loop:
     """A clock and its timers, without sockets."""
@@ -54,6 +57,10 @@
             # True when sent, on its way for long.
             result = make()
             self._loop.later(silence_s * 0.9, lambda: done(result, None))
+        elif fault == 'long':
+            # Its bytes come one after the other, so it is never silent.
+            result = make()
+            self._loop.later(LONG_S, lambda: done(result, None))
         elif fault in ('lost', 'busy'):
             after = silence_s if fault == 'lost' else 0.004
             self._loop.later(after,
@@ -72,6 +79,11 @@
         self._answer(make, silence_s, done)
 
     def read(self, offset, wait_s, most_kb, silence_s, done):
+        if wait_s and offset >= len(self.records):
+            self._loop.later(
+                wait_s,
+                lambda: self.read(offset, 0.0, most_kb, silence_s, done))
+            return
         if offset < self.first:
             self._loop.later(
                 0.004,
@@ -182,6 +194,28 @@
     assert sorted(belief.newest) == list('abcdefgh')
 
 
+def test_a_long_answer_is_confirmed_anew_at_once():
+    """Requests refused as unproven right after a change.
+
+    Symptom: an entry on a slow link applies a large configuration and refuses
+    requests with a key for as long as its next read waits. Sequence: the
+    proof dates from before the transfer, which took nearly as long as a proof
+    holds. Cause: the next read waited as after any other.
+    """
+    loop = Loop()
+    store = Store(loop, ['ok', 'ok', 'long'])
+    store.put('a', b'1')
+    belief = Belief(store)
+    with mock.patch.object(freshness, 'clock', lambda: loop.now):
+        topic.Follower(loop, store, belief, name='t', wait_s=1.2).start()
+        loop.run(2.0)
+        store.put('a', b'2')
+        while belief.newest['a'] != b'2':
+            loop.run(loop.now + 0.01)
+        loop.run(loop.now + 0.05)
+        assert loop.now - belief.confirmed[-1] < 0.1
+
+
 def test_proof_dates_from_when_the_read_was_sent(monkeypatch):
     """Revoked key let in after a late answer.
 
