After a long answer the next read does not wait

What callers would see: requests with a key refused for up to 1.2 s after an entry on a slow link has applied a large configuration: its proof dates from before the transfer. Cause: the next read waited at the store as after any other. Change: an answer that took longer than a silent one would have been waited for is followed by a read without a wait, as a failure is. In the test the proof is 5.3 s old before, under 0.1 s after.

--- a/gorsefall/relay/topic.py
+++ b/gorsefall/relay/topic.py
@@ -146,6 +146,7 @@
         self._after = ''
         self._end = None
         self._failures = 0
+        self._overdue = False
         self._sent_at = None
         self._newest_seen = {}
         self._stopped = False
@@ -192,15 +193,17 @@
         records = [r for r in self._listed.values() if r.value or not r.whole]
         self._log.info('listed', keys=len(records), offset=self.offset)
         self._listener.on_listing([r for r in records if self._is_new(r)])
-        self._listener.on_confirmed(self._listing_sent_at)
+        self._confirmed(self._listing_sent_at)
         self._read()
 
     def _read(self):
         if self._stopped:
             return
         # After a failure the first read does not wait: it tells at once
-        # that the store is back, and renews the proof as much sooner.
-        wait_s = 0.0 if self._failures else self._wait_s
+        # that the store is back, and renews the proof as much sooner. Nor
+        # after an answer that took long, as it proves only what was true
+        # when it was asked for.
+        wait_s = 0.0 if self._failures or self._overdue else self._wait_s
         self._sent_at = freshness.clock()
         self._source.read(self.offset, wait_s, self._most_kb, SILENCE_S,
                           self._on_batch)
@@ -227,12 +230,17 @@
             # newest, which comes into force late behind them.
             self._list('')
             return
-        self._listener.on_confirmed(self._sent_at)
+        self._confirmed(self._sent_at)
         if self._pause_s:
             self._loop.later(self._pause_s, self._read)
         else:
             self._read()
 
+    def _confirmed(self, sent_at):
+        took_s = freshness.clock() - sent_at
+        self._overdue = took_s > self._wait_s + SILENCE_S
+        self._listener.on_confirmed(sent_at)
+
     def _is_new(self, record):
         # Answers may come late and listings overlap reads; what is known of
         # a key only goes forward.
