A whole answer that is still coming is no silent attempt

What callers would see: an idempotent request runs at two replicas, and the first answer is thrown away half read, where an answer takes longer to come than an attempt may be silent (0.4 of the time left). Found by looking for the cause of the configuration that is never in force elsewhere: a bound on silence that held for the whole answer. Change: each piece of a held answer starts the attempt's wait anew; streams had that. The new row of features/platform.feature (an answer of 0.8 s, in pieces) ran twice before and runs once after.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -28,6 +28,7 @@
       | idempotent     | answers twice          | 200    | whole    | 1    |
       | idempotent     | ends without length    | 200    | whole    | 1    |
       | idempotent     | hangs                  | 200    | whole    | 2    |
+      | idempotent     | answers slowly         | 200    | whole    | 1    |
       | non_idempotent | ok                     | 200    | whole    | 1    |
       | non_idempotent | refuses                | 503    | not run  | 0    |
       | non_idempotent | fails                  | 500    | whole    | 1    |
--- a/gorsefall/relay/exchange.py
+++ b/gorsefall/relay/exchange.py
@@ -205,12 +205,14 @@
         attempt.prompt_read()
         if self._delivery.streaming:
             self._pass_on(attempt, self._delivery.split(data))
-        elif not self._delivery.hold(data):
+        elif self._delivery.hold(data):
+            # Bounded in all, a long answer would be cut off and run anew.
+            self._watch_attempt()
+        else:
             attempt.channel.cancel()
-            self.attempt_failed(
-                attempt,
-                outbound.Failure(True,
-                                 f'answer over {delivery.MAX_HELD} bytes'))
+            failure = outbound.Failure(
+                True, f'answer over {delivery.MAX_HELD} bytes')
+            self.attempt_failed(attempt, failure)
 
     def _pass_on(self, attempt, data):
         if not data:
