A silent stream is given up only for a replica that there is

Cause: after a second of silence the attempt was cancelled and another replica looked for; none was left, so the caller's answer was broken off. A replica that puts a run back for more urgent work is silent for as long. The log of each: attempt_failed, "silent". Change: an attempt is given up for its silence only where another replica may be asked and there is one; else it is looked at again later. A dead channel still shows by TCP. The scenario failed before (broken after two events) and passes after.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -51,6 +51,16 @@
       | resumable      | breaks inside an event | 200    | events   | 2    |
       | resumable      | breaks before an event | 200    | events   | 2    |
 
+  # Symptom: answers end broken in the middle while their replica is at work.
+  # Sequence: one replica is left; what it runs is put back for more urgent
+  # work and goes on 1.4 s later. Cause: a silent stream was given up for
+  # another replica, though there was none.
+  Scenario: a stream that is silent for long at the only replica
+    Given only one pool replica is left
+    When a "resumable" request meets a replica that "is silent after two events"
+    Then the caller gets status 200 and "events"
+    And the request ran 1 times
+
   Scenario Outline: a long answer whose replica <fault>, its copy <copy>
     Given a third pool replica
     When a long answer's replica "<fault>" while its copy's replica is <copy>
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -20,6 +20,17 @@
         lambda: wire_callers.status(context.platform.readiness) == 200, 'ready')
 
 
+@given('only one pool replica is left')
+def step_one_left(context):
+    *gone, _ = platform_site.POOL
+    for name in gone:
+        context.platform.store.put('keyed.servers', name, None)
+    waiting.until(
+        lambda: sum(ln['event'] == 'replica_gone'
+                    for ln in context.platform.log()) == len(gone),
+        'the replicas that left')
+
+
 @when('a "{kind}" request meets a replica that "{fault}"')
 def step_meets(context, kind, fault):
     platform_site.script(context, kind, fault)
--- a/gorsefall/relay/exchange.py
+++ b/gorsefall/relay/exchange.py
@@ -176,15 +176,23 @@
         if self._restorable():
             self._look_after(attempt)
             return
-        if not self.attempts.may_repeat(self.terms):
-            return
-        if self._budget().room(time.monotonic()) < 1:
+        if not self._repeatable_elsewhere():
+            # What is put back for more urgent work is silent too, and goes on
+            # later; given up here, its answer would be lost.
+            self._watch_attempt()
             return
         attempt.channel.cancel()
         if not attempt.begun:
             self._note_wait(attempt)
         self.attempt_failed(attempt, outbound.Failure(True, 'silent'))
 
+    def _repeatable_elsewhere(self):
+        """Whether another replica may be asked, and there is one."""
+        return (self.attempts.may_repeat(self.terms) and
+                self._budget().room(time.monotonic()) >= 1 and bool(
+                    self.node.work.targets(self._grant.service,
+                                           self.attempts.tried)))
+
     def _note_wait(self, attempt):
         self._patience().began(time.monotonic() - attempt.began)
 
