--- a/gorsefall/net/outbound.py
+++ b/gorsefall/net/outbound.py
@@ -80,7 +80,7 @@
         bytes_out: Bytes handed to the kernel.
     """
 
-    def __init__(self, loop, addr, timeout_s, released):
+    def __init__(self, loop, addr, timeout_s, released, window_bytes=None):
         """Starts connecting.
 
         Args:
@@ -89,6 +89,7 @@
             timeout_s: Longest time to connect, s.
             released: Called with ``(channel, idle_s)`` when the channel can
                 be used again for ``idle_s``, with 0 when it is closed.
+            window_bytes: See ``tcp.Connection.connect``.
         """
         self._loop = loop
         self._released = released
@@ -99,7 +100,7 @@
         self._idle_s = DEFAULT_IDLE_S
         self._conn = tcp.Connection(loop, self)
         self._timer = loop.later(timeout_s, self._not_connected)
-        self._conn.connect(addr)
+        self._conn.connect(addr, window_bytes)
 
     @property
     def busy(self):
@@ -264,10 +265,17 @@
         cap: Most channels open at once.
     """
 
-    def __init__(self, loop, addr, *, cap, connect_timeout_s):
+    def __init__(self,
+                 loop,
+                 addr,
+                 *,
+                 cap,
+                 connect_timeout_s,
+                 window_bytes=None):
         self._loop = loop
         self._addr = addr
         self._connect_timeout_s = connect_timeout_s
+        self._window_bytes = window_bytes
         self._idle = collections.deque()
         self.cap = cap
         self.size = 0
@@ -284,7 +292,7 @@
             self.size += 1
             self.opened += 1
             channel = Channel(self._loop, self._addr, self._connect_timeout_s,
-                              self._on_released)
+                              self._on_released, self._window_bytes)
         channel.send(call)
         return channel
 
--- a/gorsefall/net/tcp.py
+++ b/gorsefall/net/tcp.py
@@ -70,10 +70,18 @@
         """See the class."""
         return len(self._out)
 
-    def connect(self, addr):
-        """Starts connecting to ``addr``; the outcome comes by callback."""
+    def connect(self, addr, window_bytes=None):
+        """Starts connecting to ``addr``; the outcome comes by callback.
+
+        Args:
+            addr: ``(host, port)``.
+            window_bytes: Most that the peer may send ahead; None leaves it to
+                the kernel.
+        """
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         _options(sock)
+        if window_bytes is not None:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, window_bytes)
         self._sock = sock
         self.open = True
         self._connecting = True
