--- /dev/null
+++ b/gorsefall/emulator/calls.py
@@ -0,0 +1,174 @@
+"""Plays the calls to plain replicas: who is asked, refused, and asked again."""
+
+from gorsefall.emulator import plain
+from gorsefall.emulator import policies
+from gorsefall.policy import budget
+from gorsefall.policy import comeback
+from gorsefall.policy import knowledge
+from gorsefall.policy import placement
+from gorsefall.policy import share
+
+
+class _Desk:
+    """What one entry knows of the plain replicas.
+
+    Attributes:
+        targets: ``replica name -> knowledge.Target``.
+        service: Its ``placement.Service``.
+        budget: Its ``budget.Budget``.
+    """
+
+    def __init__(self, sheet, names, others):
+        self.targets = {
+            name:
+                knowledge.Target(name=name,
+                                 zone='z',
+                                 slots=sheet.slots,
+                                 engine=False) for name in names
+        }
+        self.service = placement.Service()
+        self.budget = budget.Budget(sheet.retries, share.Share(), others)
+
+
+class Calls:
+    """The calls of one play.
+
+    Attributes:
+        arrivals: Calls that reached a replica, refused ones too.
+        again: Those beyond the first of each.
+        most_runs: ``call kind name -> most runs of one call``.
+    """
+
+    def __init__(self, site, policy, tally, at, rng):
+        """Creates them; ``begin`` lets them come.
+
+        Args:
+            site: The ``site.Site``.
+            policy: One of ``policies.POLICIES``.
+            tally: The ``play.Tally``.
+            at: Called with ``(at_ms, action, *args)``: has the play call
+                ``action(now_ms, *args)`` then.
+            rng: Source of all draws.
+        """
+        self._site = site
+        self._policy = policy
+        self._tally = tally
+        self._at = at
+        self._rng = rng
+        sheet = site.plain
+        names = [f'p{i}' for i in range(sheet.count)]
+        self._replicas = {
+            name:
+                plain.Replica(name, sheet, sheet.speeds[i % len(sheet.speeds)],
+                              sheet.failing[i % len(sheet.failing)])
+            for i, name in enumerate(names)
+        }
+        self._now_s = 0.0
+        self._desks = [
+            _Desk(sheet, names, self._others_of(i)) for i in range(site.entries)
+        ]
+        self.arrivals = self.again = 0
+        self.most_runs = dict.fromkeys((k.name for k in site.calls), 0)
+
+    def _others_of(self, number):
+        """Returns what tells an entry the others' first sends."""
+
+        def others():
+            if not self._site.exchange_ms:
+                return None
+            return sum(
+                desk.budget.firsts(self._now_s)
+                for i, desk in enumerate(self._desks)
+                if i != number)
+
+        return others
+
+    def begin(self, seconds):
+        """Draws the calls of ``seconds`` of load."""
+        for kind in self._site.calls:
+            at_ms = self._rng.expovariate(kind.per_s) * 1000
+            while at_ms <= seconds * 1000:
+                work_ms = kind.work_ms * self._rng.lognormvariate(
+                    -kind.spread**2 / 2, kind.spread)
+                run = plain.Run(kind,
+                                at_ms,
+                                entry=self._rng.randrange(self._site.entries),
+                                work_ms=work_ms,
+                                hopeless=self._rng.random() < kind.fails)
+                self._at(at_ms, self._arrive, run)
+                at_ms += self._rng.expovariate(kind.per_s) * 1000
+
+    def _arrive(self, now_ms, run):
+        self._now_s = now_ms / 1000
+        if not run.returned:
+            self._tally.asked(run.kind)
+        self._desks[run.entry].budget.first(self._now_s)
+        self._send(now_ms, run)
+
+    def _send(self, now_ms, run):
+        desk = self._desks[run.entry]
+        fit = [t for n, t in desk.targets.items() if n not in run.tried]
+        ask = policies.Ask(fit, knowledge.Want(zone='z'), desk.service,
+                           now_ms / 1000, self._rng)
+        target = run.target = self._policy(ask).target
+        run.tried.add(target.name)
+        run.sent_ms = now_ms
+        target.sent(0)
+        target.began(0)
+        self.arrivals += 1
+        replica = self._replicas[target.name]
+        offer = replica.offer(run)
+        if offer is plain.Offer.RUNS:
+            self._run(now_ms, replica, run)
+        elif offer is plain.Offer.REFUSED:
+            target.ended()
+            replica.tell(target, now_ms)
+            self._refused(now_ms, run)
+
+    def _run(self, now_ms, replica, run):
+        run.runs += 1
+        self.most_runs[run.kind.name] = max(self.most_runs[run.kind.name],
+                                            run.runs)
+        self._at(now_ms + run.work_ms * replica.times, self._done, replica, run)
+
+    def _done(self, now_ms, replica, run):
+        self._now_s = now_ms / 1000
+        ok = not run.hopeless and self._rng.random() >= replica.failing
+        run.target.ended()
+        run.target.answered(ok)
+        self._desks[run.entry].service.speed.stay.ended(now_ms - run.sent_ms)
+        following, gone = replica.next(now_ms)
+        replica.tell(run.target, now_ms)
+        for other in gone:
+            other.target.ended()
+        if following is not None:
+            self._run(now_ms, replica, following)
+        if run.left(now_ms):
+            return
+        if ok:
+            on_time = now_ms - run.at_ms <= run.kind.aim_ms
+            self._tally.served(run.kind, on_time=on_time)
+        elif run.kind.repeatable:
+            self._send_again(now_ms, run)
+
+    def _refused(self, now_ms, run):
+        if run.left(now_ms) or self._send_again(now_ms, run):
+            return
+        if run.returned or run.runs:
+            self._tally.refused(run.kind)
+            return
+        # Callers return once, to another entry, as a new request.
+        run.returned = True
+        run.tried.clear()
+        run.entry = self._rng.randrange(len(self._desks))
+        self._at(now_ms + comeback.soon_s(self._rng) * 1000, self._arrive, run)
+
+    def _send_again(self, now_ms, run):
+        """Asks another replica, if one is left and the allowance lets it."""
+        if len(run.tried) >= min(run.kind.attempts, len(self._replicas)):
+            return False
+        if not self._desks[run.entry].budget.take(now_ms / 1000):
+            return False
+        self.again += 1
+        self._send(now_ms, run)
+        return True
--- a/gorsefall/emulator/play.py
+++ b/gorsefall/emulator/play.py
@@ -6,6 +6,7 @@
 import itertools
 import random
 
+from gorsefall.emulator import calls
 from gorsefall.emulator import engine as engines
 from gorsefall.emulator import entries
 from gorsefall.emulator import policies
@@ -26,7 +27,7 @@
     worth: float
 
 
-class _Tally:
+class Tally:
     """Counts what was asked and what was served."""
 
     def __init__(self):
@@ -35,21 +36,22 @@
         self._refused = collections.Counter()
         self._owed = self._earned = 0.0
 
-    def asked(self, req):
-        self._asked[req.kind.name] += 1
-        self._owed += req.kind.worth
+    def asked(self, kind):
+        """Notes a request of ``kind``."""
+        self._asked[kind.name] += 1
+        self._owed += kind.worth
 
-    def refused(self, req):
-        self._refused[req.kind.name] += 1
+    def refused(self, kind):
+        """Notes a request that was refused for good."""
+        self._refused[kind.name] += 1
 
-    def ended(self, req):
-        if req.written < req.tokens_out:
-            return
-        if req.on_time:
-            self._on_time[req.kind.name] += 1
-        self._earned += (req.kind.worth if req.on_time else req.kind.late_worth)
+    def served(self, kind, *, on_time):
+        """Notes a whole answer."""
+        self._on_time[kind.name] += on_time
+        self._earned += kind.worth if on_time else kind.late_worth
 
     def result(self):
+        """Returns the ``Result``."""
         asked = self._asked
         return Result({n: self._on_time[n] / asked[n] for n in asked},
                       {n: self._refused[n] / asked[n] for n in asked},
@@ -75,7 +77,11 @@
 
 
 class Play:
-    """One play of a site; ``run`` it once."""
+    """One play of a site; ``run`` it once.
+
+    Attributes:
+        calls: The ``calls.Calls`` to its plain replicas.
+    """
 
     def __init__(self, site, policy, seed, loss):
         self._site = site
@@ -94,7 +100,9 @@
             entries.Entry(i, site, names) for i in range(site.entries)
         ]
         self._ranks = site.ranks()
-        self._tally = _Tally()
+        self._tally = Tally()
+        self.calls = calls.Calls(site, policy, self._tally, self._at,
+                                 random.Random(f'calls {seed}'))
         self._stepping = set()
         self._count = itertools.count()
         self._todo = []
@@ -106,6 +114,7 @@
         """Plays ``seconds`` of load to its end; returns the ``Result``."""
         for req in _arrivals(self._site, seconds, self._rng):
             self._at(req.at_ms, self._arrive, req)
+        self.calls.begin(seconds)
         for fault in self._site.faults:
             self._at(fault.at_s * 1000, self._strike, fault)
         if self._site.exchange_ms:
@@ -119,7 +128,7 @@
 
     def _arrive(self, now_ms, req):
         if not req.returned:
-            self._tally.asked(req)
+            self._tally.asked(req.kind)
         entry = self._entries[req.entry]
         limit_ms = self._ranks.limit_ms(req.kind.priority, req.kind.aim_ms)
         choice = entry.decide(req, self._policy, limit_ms, now_ms, self._rng)
@@ -136,7 +145,7 @@
 
     def _refuse(self, now_ms, req, refused):
         if req.returned:
-            self._tally.refused(req)
+            self._tally.refused(req.kind)
             return
         # Callers return once, to another entry.
         req.returned = True
@@ -145,8 +154,12 @@
 
     def _lose(self, now_ms, req):
         req.target.failed(now_ms / 1000)
+        self._ended(now_ms, req)
+
+    def _ended(self, now_ms, req):
         self._entries[req.entry].ended(req, now_ms)
-        self._tally.ended(req)
+        if req.written >= req.tokens_out:
+            self._tally.served(req.kind, on_time=req.on_time)
 
     def _go_on(self, now_ms, engine):
         if engine.busy and engine.name not in self._stepping:
@@ -160,8 +173,7 @@
         for req in engine.step(now_ms):
             if req.written >= req.tokens_out:
                 req.target.succeeded()
-            self._entries[req.entry].ended(req, now_ms)
-            self._tally.ended(req)
+            self._ended(now_ms, req)
         for req in engine.begun():
             self._entries[req.entry].began(req, now_ms)
         self._go_on(now_ms, engine)
--- a/gorsefall/emulator/site.py
+++ b/gorsefall/emulator/site.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from gorsefall import settingsfile
+from gorsefall.policy import budget
 from gorsefall.policy import overload
 
 
@@ -87,6 +88,64 @@
     fetch_ms: float = 0.0
 
 
+class Call(msgspec.Struct,
+           frozen=True,
+           kw_only=True,
+           forbid_unknown_fields=True):
+    """A kind of call to the plain replicas.
+
+    Attributes:
+        name: Its name.
+        per_s: Calls a second.
+        work_ms: Mean work of one, drawn log-normally.
+        spread: Sigma of that.
+        fails: Part of the calls that fail at every replica, after their work.
+        repeatable: Whether a second run does no harm.
+        attempts: Replicas that one call may be sent to.
+        aim_ms: Target for the answer.
+        patience_ms: How long its callers wait for it.
+        worth: What an answer on time is worth.
+        late_worth: What a later one is worth.
+    """
+    name: str
+    per_s: float
+    work_ms: float
+    spread: float = 0.5
+    fails: float = 0.0
+    repeatable: bool = False
+    attempts: int = 1
+    aim_ms: float
+    patience_ms: float
+    worth: float = 1.0
+    late_worth: float = 0.3
+
+
+class Plain(msgspec.Struct,
+            frozen=True,
+            kw_only=True,
+            forbid_unknown_fields=True):
+    """The plain replicas' data sheet.
+
+    Attributes:
+        count: Replicas.
+        slots: Calls that one runs at once.
+        queue: Calls that wait at one at most; it refuses others.
+        speeds: Times that their work takes, of the first, second and so on,
+            from the first again when used up.
+        failing: Part of its calls that one fails beside those that fail
+            everywhere; of the first, second and so on, likewise.
+        tells_load: Whether answers tell what runs and waits there.
+        retries: What all entries together may send a second time.
+    """
+    count: int = 3
+    slots: int = 6
+    queue: int = 24
+    speeds: tuple[float, ...] = (1.0,)
+    failing: tuple[float, ...] = (0.0,)
+    tells_load: bool = True
+    retries: budget.Allowance = budget.Allowance(ratio=0.2, slack=50.0)
+
+
 class Trouble(enum.Enum):
     """What happens to an engine."""
     CRASH = 'crash'
@@ -122,15 +181,19 @@
     Attributes:
         name: Its name.
         kinds: Its ``Kind`` objects.
+        calls: Its ``Call`` objects.
         engines: Its ``Engines``.
+        plain: Its ``Plain`` replicas.
         entries: Entries that place requests.
         exchange_ms: How long entries go without telling each other of their
             work, ms; 0 for entries that tell nothing.
         faults: Its ``Fault`` objects.
     """
     name: str
-    kinds: list[Kind]
+    kinds: list[Kind] = []
+    calls: list[Call] = []
     engines: Engines = Engines()
+    plain: Plain = Plain()
     entries: int = 6
     exchange_ms: float = 100.0
     faults: list[Fault] = []
@@ -158,13 +221,13 @@
 
 
 def _problems(site):
-    names = [k.name for k in site.kinds]
+    names = [k.name for k in (*site.kinds, *site.calls)]
     if not names:
-        yield 'kinds: at least one is needed'
+        yield 'kinds, calls: at least one is needed'
     if len(set(names)) < len(names):
-        yield 'kinds: two have one name'
-    if site.engines.count < 1 or site.entries < 1:
-        yield 'engines.count, entries: must be over 0'
+        yield 'kinds, calls: two have one name'
+    if min(site.engines.count, site.plain.count, site.entries) < 1:
+        yield 'engines.count, plain.count, entries: must be over 0'
     for fault in site.faults:
         if not 0 <= fault.engine < site.engines.count:
             yield f'faults: there is no engine {fault.engine}'
