Entries tell each other of answers that failed

Hypothesis and cause: entries told each other of their work, not of failures. Change: a message tells the answers of the last 1.5 s at replicas that fail calls, good and bad, numbered, so that each is counted once whatever messages are lost, late or doubled.

--- a/gorsefall/emulator/calls.py
+++ b/gorsefall/emulator/calls.py
@@ -5,9 +5,12 @@
 from gorsefall.policy import budget
 from gorsefall.policy import comeback
 from gorsefall.policy import knowledge
+from gorsefall.policy import peerview
 from gorsefall.policy import placement
 from gorsefall.policy import share
 
+_SERVICE = 'plain'
+
 
 class _Desk:
     """What one entry knows of the plain replicas.
@@ -16,9 +19,10 @@
         targets: ``replica name -> knowledge.Target``.
         service: Its ``placement.Service``.
         budget: Its ``budget.Budget``.
+        view: The ``peerview.PeerView`` of the other entries.
     """
 
-    def __init__(self, sheet, names, others):
+    def __init__(self, number, sheet, names):
         self.targets = {
             name:
                 knowledge.Target(name=name,
@@ -27,7 +31,23 @@
                                  engine=False) for name in names
         }
         self.service = placement.Service()
-        self.budget = budget.Budget(sheet.retries, share.Share(), others)
+        self.view = peerview.PeerView(f'entry-{number}', self.targets.get)
+        self.budget = budget.Budget(sheet.retries, share.Share(), self._others)
+        self._seq = 0
+
+    def _others(self):
+        """Returns the others' requests in the retry window, None if alone."""
+        members = self.view.members
+        return None if members.alone else members.firsts(_SERVICE)
+
+    def status(self, now):
+        """Returns the ``membership.Status`` that it tells the others."""
+        self._seq += 1
+        return self.view.status(0,
+                                self._seq,
+                                self.targets.values(),
+                                now,
+                                firsts={_SERVICE: self.budget.firsts(now)})
 
 
 class Calls:
@@ -63,28 +83,16 @@
                               sheet.failing[i % len(sheet.failing)])
             for i, name in enumerate(names)
         }
-        self._now_s = 0.0
-        self._desks = [
-            _Desk(sheet, names, self._others_of(i)) for i in range(site.entries)
-        ]
+        self._desks = [_Desk(i, sheet, names) for i in range(site.entries)]
         self.arrivals = self.again = 0
         self.most_runs = dict.fromkeys((k.name for k in site.calls), 0)
 
-    def _others_of(self, number):
-        """Returns what tells an entry the others' first sends."""
-
-        def others():
-            if not self._site.exchange_ms:
-                return None
-            return sum(
-                desk.budget.firsts(self._now_s)
-                for i, desk in enumerate(self._desks)
-                if i != number)
-
-        return others
-
     def begin(self, seconds):
         """Draws the calls of ``seconds`` of load."""
+        if self._site.calls and self._site.exchange_ms:
+            for desk in self._desks:
+                first_ms = self._rng.uniform(0, self._site.exchange_ms)
+                self._at(first_ms, self._speak, desk, seconds * 1000)
         for kind in self._site.calls:
             at_ms = self._rng.expovariate(kind.per_s) * 1000
             while at_ms <= seconds * 1000:
@@ -98,16 +106,25 @@
                 self._at(at_ms, self._arrive, run)
                 at_ms += self._rng.expovariate(kind.per_s) * 1000
 
+    def _speak(self, now_ms, desk, until_ms):
+        status = desk.status(now_ms / 1000)
+        for other in self._desks:
+            if other is not desk:
+                other.view.heard(status.name, status, now_ms / 1000)
+        if now_ms < until_ms:
+            self._at(now_ms + self._site.exchange_ms, self._speak, desk,
+                     until_ms)
+
     def _arrive(self, now_ms, run):
-        self._now_s = now_ms / 1000
         if not run.returned:
             self._tally.asked(run.kind)
-        self._desks[run.entry].budget.first(self._now_s)
+        self._desks[run.entry].budget.first(now_ms / 1000)
         self._send(now_ms, run)
 
     def _send(self, now_ms, run):
         desk = self._desks[run.entry]
         fit = [t for n, t in desk.targets.items() if n not in run.tried]
+        desk.view.show(fit, now_ms / 1000)
         ask = policies.Ask(fit, knowledge.Want(zone='z'), desk.service,
                            now_ms / 1000, self._rng)
         target = run.target = self._policy(ask).target
@@ -132,11 +149,11 @@
         self._at(now_ms + run.work_ms * replica.times, self._done, replica, run)
 
     def _done(self, now_ms, replica, run):
-        self._now_s = now_ms / 1000
         ok = not run.hopeless and self._rng.random() >= replica.failing
         run.target.ended()
-        run.target.answered(ok)
-        self._desks[run.entry].service.speed.stay.ended(now_ms - run.sent_ms)
+        desk = self._desks[run.entry]
+        desk.view.answered(run.target, ok, now_ms / 1000)
+        desk.service.speed.stay.ended(now_ms - run.sent_ms)
         following, gone = replica.next(now_ms)
         replica.tell(run.target, now_ms)
         for other in gone:
--- a/gorsefall/policy/membership.py
+++ b/gorsefall/policy/membership.py
@@ -61,6 +61,17 @@
 NOTHING = Row()
 
 
+class Answer(msgspec.Struct, frozen=True, array_like=True):
+    """What one answer told of its replica.
+
+    Attributes:
+        replica: The replica's id.
+        ok: Whether it was what the caller needed.
+    """
+    replica: ids.ReplicaName
+    ok: bool
+
+
 class Status(msgspec.Struct, frozen=True, array_like=True):
     """What an entry says of itself, whole.
 
@@ -73,6 +84,8 @@
         rows: ``replica -> Row``; replicas without requests are left out.
         uses: The ``prompts.Use`` of its last requests.
         hosts: Some of the entries that it hears.
+        answered: Answers that it had before ``answers``, their number.
+        answers: Its last ``Answer`` objects, in order.
     """
     name: str
     boot: int
@@ -81,6 +94,15 @@
     rows: dict[ids.ReplicaName, Row] = {}
     uses: tuple[prompts.Use, ...] = ()
     hosts: tuple[str, ...] = ()
+    answered: Count = 0
+    answers: tuple[Answer, ...] = ()
+
+    def answers_after(self, last):
+        """Returns the answers that ``last``, or None, did not tell of."""
+        if last is None or last.boot != self.boot:
+            return self.answers
+        known = last.answered + len(last.answers) - self.answered
+        return self.answers[max(0, known):]
 
 
 def _follows(status, last, *, silent):
@@ -127,6 +149,11 @@
         if host not in self._members and len(self._members) < MAX_MEMBERS:
             self._members[host] = _Member(since=now)
 
+    def last(self, host):
+        """Returns the last ``Status`` of an address, or None."""
+        member = self._members.get(host)
+        return member.status if member is not None else None
+
     def heard(self, host, status, now):
         """Takes in a ``Status``; returns whether it says something new.
 
--- a/gorsefall/policy/peerview.py
+++ b/gorsefall/policy/peerview.py
@@ -9,6 +9,16 @@
 """How long a use of a replica's cached prompts is told to the others, s: in a
 few messages, of which some may be lost."""
 
+ANSWERS_S = 1.5
+"""How long an answer is told of, s: to each of many entries once or twice."""
+
+TOLD_ERRORS = 0.02
+"""Share of failed answers of a replica from which on good ones are told too, so
+that it is believed sound again; of the others nothing need be said."""
+
+MAX_ANSWERS = 64
+"""Most answers told of in a message, the last ones; see ``MAX_USES``."""
+
 MAX_USES = 64
 """Most uses told in a message, the last ones; an entry has 16 requests a
 second at the size of two years hence."""
@@ -30,6 +40,8 @@
         """
         self._find = find
         self._uses = collections.deque(maxlen=MAX_USES)
+        self._answers = collections.deque(maxlen=MAX_ANSWERS)
+        self._answered = 0
         self.members = membership.Members(name)
 
     def prompt_sent(self, target, parts, now):
@@ -39,10 +51,27 @@
         if known:
             self._uses.append((now, prompts.Use(target.name, known)))
 
+    def answered(self, target, ok, now):
+        """Notes whether a replica's answer was what the caller needed.
+
+        The others are told: with many entries each has few calls, and one
+        that learns of a bad replica by itself alone loses several of them.
+        """
+        target.answered(ok)
+        if ok and target.error_share < TOLD_ERRORS:
+            return
+        self._answered += 1
+        self._answers.append((now, membership.Answer(target.name, ok)))
+
     def heard(self, host, status, now):
         """Takes in what another entry tells; returns whether it is news."""
+        last = self.members.last(host)
         if not self.members.heard(host, status, now):
             return False
+        for answer in status.answers_after(last):
+            target = self._find(answer.replica)
+            if target is not None:
+                target.answered(answer.ok)
         for use in status.uses:
             target = self._find(use.replica)
             if target is not None:
@@ -69,6 +98,8 @@
         """
         while self._uses and self._uses[0][0] < now - USES_S:
             self._uses.popleft()
+        while self._answers and self._answers[0][0] < now - ANSWERS_S:
+            self._answers.popleft()
         return membership.Status(
             name=self.members.name,
             boot=boot,
@@ -76,4 +107,6 @@
             firsts=firsts or {},
             rows={t.name: t.row() for t in targets if t.outstanding},
             uses=tuple(use for _, use in self._uses),
-            hosts=tuple(hosts))
+            hosts=tuple(hosts),
+            answered=self._answered - len(self._answers),
+            answers=tuple(answer for _, answer in self._answers))
--- a/gorsefall/relay/exchange.py
+++ b/gorsefall/relay/exchange.py
@@ -247,7 +247,9 @@
         health = attempt.replica.target
         health.succeeded()
         attempt.note_end(self._speed())
-        health.answered(answer.status < INTERNAL or answer.status == TIME_UP)
+        self.node.work.answered(
+            attempt.replica, answer.status < INTERNAL or
+            answer.status == TIME_UP)
         if answer.success and not answer.genuine:
             health.failed(time.monotonic())
             self._again_or_unknown('its answer is not its own')
--- a/gorsefall/relay/workload.py
+++ b/gorsefall/relay/workload.py
@@ -72,6 +72,10 @@
         """Notes the shared parts that a replica reads for a request."""
         self.view.prompt_sent(replica.target, parts, time.monotonic())
 
+    def answered(self, replica, ok):
+        """Notes whether a replica's answer was what the caller needed."""
+        self.view.answered(replica.target, ok, time.monotonic())
+
     def status(self, boot, seq, hosts, firsts):
         """Returns the ``membership.Status`` to tell the other entries."""
         targets = [r.target for r in self._fleet.replicas.values()]
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -23,9 +23,12 @@
                            st.lists(_PART, max_size=3).map(tuple)),
                  max_size=3).map(tuple)
 _HOSTS = st.lists(st.ip_addresses(v=4).map(str), max_size=6).map(tuple)
-_STATUS = st.builds(membership.Status, st.text(max_size=8), _COUNT, _COUNT,
-                    st.dictionaries(st.text(max_size=8), _COUNT, max_size=3),
-                    _ROWS, _USES, _HOSTS)
+_STATUS = st.builds(
+    membership.Status, st.text(max_size=8), _COUNT, _COUNT,
+    st.dictionaries(st.text(max_size=8), _COUNT, max_size=3), _ROWS, _USES,
+    _HOSTS, _COUNT,
+    st.lists(st.builds(membership.Answer, st.text(max_size=8), st.booleans()),
+             max_size=3).map(tuple))
 
 
 @given(_STATUS)
@@ -165,3 +168,56 @@
     assert soon.due < beat.due
     talk.changed()
     assert talk._due is soon
+
+
+class _Seen(knowledge.Target):
+    """Remembers the answers that were noted of it."""
+
+    def answered(self, ok):
+        self.seen.append(ok)
+
+
+def _seen():
+    target = _Seen(name='r', zone='z', slots=1, engine=False)
+    target.error_share = 1.0
+    target.seen = []
+    return target
+
+
+@given(
+    st.lists(st.tuples(st.booleans(),
+                       st.sampled_from(['told', 'twice', 'lost', 'late'])),
+             min_size=1,
+             max_size=peerview.MAX_ANSWERS))
+def test_each_answer_is_noted_once(steps):
+    """A sound replica that is avoided.
+
+    Symptom: one failed call counts several times at entries that were not
+    there. Sequence: an answer is told in several messages, of which some come
+    twice, late, or not at all. Cause it would have: each message's answers
+    were taken for new.
+    """
+    own, theirs = _seen(), _seen()
+    teller = peerview.PeerView('teller', {'r': own}.get)
+    hearer = peerview.PeerView('hearer', {'r': theirs}.get)
+    told = []
+
+    def tell(status):
+        hearer.heard('10.0.0.1', status, 0.0)
+
+    for seq, (ok, fate) in enumerate([*steps, (True, 'told')], 1):
+        teller.answered(own, ok, 0.0)
+        status = teller.status(1, seq, [own], 0.0)
+        if fate != 'lost':
+            tell(status)
+        if fate == 'twice':
+            tell(status)
+        if fate == 'late' and told:
+            tell(told[0])
+        told.append(status)
+    assert theirs.seen == own.seen[-len(theirs.seen):]
+    assert len(theirs.seen) >= len(steps)
+    again = peerview.PeerView('teller', {'r': own}.get)
+    again.answered(own, False, 0.0)
+    tell(again.status(2, 1, [own], 0.0))
+    assert theirs.seen[-1] is False
