--- a/tests/test_inbound.py
+++ b/tests/test_inbound.py
@@ -43,15 +43,18 @@
     return out + b'0\r\n\r\n'
 
 
-def converse(data, cuts, enough):
-    """Sends ``data`` in pieces; returns the server and what it answered."""
-    server = Server()
-    ours, theirs = socket.socketpair(socket.AF_UNIX, socket.SOCK_STREAM)
-    theirs.close()
+def _connected():
+    """Returns the two ends of a connection, the caller's first."""
     with socket.create_server(('127.0.0.1', 0)) as listener:
-        ours.close()
         client = socket.create_connection(listener.getsockname())
         accepted, _ = listener.accept()
+    return client, accepted
+
+
+def converse(data, cuts, enough):
+    """Sends ``data`` in pieces; returns the server and what it answered."""
+    server = Server()
+    client, accepted = _connected()
     got = bytearray()
     client.setblocking(False)
 
@@ -117,3 +120,59 @@
             b'Content-Length: 30\r\n\r\nabc')
     server, got = converse(data, [], lambda s, got: b' 400 ' in got)
     assert not server.seen
+
+
+class Streaming(Server):
+    """Begins an answer to the first request, and answers others whole."""
+
+    def __init__(self):
+        super().__init__()
+        self.reply = None
+
+    def begin(self, method, target, fields, body, reply):
+        self.seen.append((method, target, body))
+        if self.reply is not None:
+            reply.whole(200, [], body)
+            return
+        self.reply = reply
+        reply.head(200, [])
+
+
+def test_a_channel_whose_answer_ends_late_in_a_shutdown_is_closed():
+    """A stream that is cut at the end of a shutdown.
+
+    Symptom: a request that was sent 6.5 s after the stop signal is passed on
+    and its answer cut at the end of the grace time. Sequence: an answer began
+    before the signal, so its head announced no close; it ends late, and the
+    caller's next request comes before idle channels are looked for. Cause:
+    the channel stayed open after the answer.
+    """
+    server = Streaming()
+    with peers.loop() as loop:
+        client, accepted = _connected()
+        channel = inbound.Channel(loop, server, accepted)
+        client.sendall(encode(b'/long', b'', False))
+        peers.run(loop, lambda: server.reply)
+        server.draining = True
+        server.reply.end()
+        client.sendall(encode(b'/next', b'', False))
+        peers.run(loop, lambda: server.closed)
+        assert not channel.sending
+    client.close()
+    assert [target for _, target, _ in server.seen] == [b'/long']
+
+
+def test_what_came_before_the_answer_ended_is_served_in_a_shutdown():
+    """A request that was already here when the stream before it ended."""
+    server = Streaming()
+    with peers.loop() as loop:
+        client, accepted = _connected()
+        inbound.Channel(loop, server, accepted)
+        client.sendall(
+            encode(b'/long', b'', False) + encode(b'/next', b'', False))
+        peers.run(loop, lambda: server.reply)
+        server.draining = True
+        server.reply.end()
+        peers.run(loop, lambda: server.closed)
+    client.close()
+    assert [target for _, target, _ in server.seen] == [b'/long', b'/next']
