In a shutdown a channel is closed when its answer ends

Cause: the answer before it began before the signal, so its head announced no close; it ended late, and for up to 50 ms, until idle channels are looked for, the channel took one more. Change: while the entry stops, a channel is closed as its answer ends, unless the next request is already there.

--- a/gorsefall/relay/inbound.py
+++ b/gorsefall/relay/inbound.py
@@ -242,7 +242,11 @@
         self._exchange = None
         if not self._conn.open:
             return
-        if (self._closing or self._h11.our_state is not h11.DONE or
+        # In a shutdown an answer that began before it announced no close. A
+        # request that its caller sends next could not be finished in time;
+        # one that crosses the close was not read and is sent elsewhere.
+        last = self._server.draining and not self._h11.trailing_data[0]
+        if (last or self._closing or self._h11.our_state is not h11.DONE or
                 self._h11.their_state is not h11.DONE):
             self._closing = True
             if not self._conn.unsent:
