Where revocation is not strict, a lost answer is noticed in the time there is

Cause, by reading: the wait of a read was derived from the sum of the time to settle and of the bound on a configuration. They run side by side, so a lost answer was noticed after 4.7 s of the 3 there are. The check of tests/test_revocation.py had the same sum and is replaced by the stricter maximum; it failed before. Strict deployments read as before.

--- a/gorsefall/relay/node.py
+++ b/gorsefall/relay/node.py
@@ -80,15 +80,16 @@
 
     Where keys may go on without proof, a read waits as long as a lost answer
     is still noticed, and the next one read, before the configuration is
-    overdue: after a channel was lost that is the time to settle and the bound
-    on the configuration. Calls are paid for.
+    overdue: after a channel was lost that is the longer of the time to settle
+    and the bound on the configuration, which run side by side. Calls are paid
+    for.
     """
     if cfg.strict_revocation:
         bound_s = cfg.revoke_s - PROOF_MARGIN_S
         return min(CONFIG_WAIT_S, bound_s / PROOF_READS)
-    longest = (cfg.apply_s + cfg.settle_s - topic.SILENCE_S -
-               LOST_READ_MARGIN_S)
-    return max(CONFIG_WAIT_MIN_S, longest)
+    bound_s = max(cfg.apply_s, cfg.settle_s)
+    return max(CONFIG_WAIT_MIN_S,
+               bound_s - topic.SILENCE_S - LOST_READ_MARGIN_S)
 
 
 def replicas_pause_s(cfg):
--- a/tests/test_revocation.py
+++ b/tests/test_revocation.py
@@ -77,9 +77,13 @@
 
 
 def test_a_lost_answer_is_noticed_before_the_configuration_is_overdue():
-    """Symptom: requests handled by an old configuration. Sequence: a channel
-    goes silent while a read of the configuration waits; a change comes when
-    the entry has settled. Cause it would have: a wait longer than both bounds.
+    """A confirmed change that is not in force in time.
+
+    Symptom: a route that was added is denied 3.6 s after the change was
+    confirmed, of 2 s allowed. Sequence: a channel goes silent while a read of
+    the configuration waits at the store; a change comes soon after. Cause: the
+    wait was as long as the time to settle and the bound on a configuration
+    together, but they run side by side.
     """
     for apply_s, settle_s in ((2.0, 3.0), (3.0, 4.0), (1.0, 0.5)):
         cfg = _settings(strict_revocation=False,
@@ -87,7 +91,7 @@
                         settle_s=settle_s)
         wait_s = node.config_wait_s(cfg)
         noticed_s = wait_s + topic.SILENCE_S
-        assert (noticed_s < apply_s + settle_s or
+        assert (noticed_s < max(apply_s, settle_s) or
                 wait_s == node.CONFIG_WAIT_MIN_S)
 
 
