Status messages: an entry reports only the limits and exits that it saw itself

Cause: each entry repeated in each status message all limits and exits that it knew, those of other entries included, and a limit's age began anew with each answer anywhere. By the size of the encoded messages, at 87 entries and 80 messages a second: 431 bytes without trouble, 2,148 with 49 limited replicas (1.4 Mbit/s each way, and 0.3 s of a 5 Mbit/s link for each round of 86), 4,424 with 32 exits and 32 crashes as well (2.8 Mbit/s, 0.6 s). Configurations, callers' answers and the closing of connections to replicas wait behind it. With 200 limited replicas a message reaches the bound beyond which it isn't sent at all.

Change: an entry reports what a response to a request of its own said, and the exits that its own probes found, 16 limits at most, the newest. A limit reaches each other entry from the entries that send there, which hear it with each answer.

--- a/gorsefall/relay/fleet.py
+++ b/gorsefall/relay/fleet.py
@@ -198,20 +198,32 @@
             return
         self._drop(replica_id, 'record dropped')
 
-    def record_exit(self, replica, at):
+    def record_exit(self, replica, at, *, reported=False):
         """Records that a ``Replica`` was found to have crashed.
 
         Its record remains for some heartbeats. Without a report of the
         exit, each of many entries would detect it by a request of its own,
         which is refused if another replica already uses the address.
+
+        Args:
+            replica: The replica.
+            at: When it was found, s (monotonic).
+            reported: Whether another entry found it.
         """
         if replica.exited_at is None:
             replica.exited_at = at
-            self._exited_replicas[replica.record.id] = replica
-            self._log.info('replica_ended', replica=replica.record.id)
+            if not reported:
+                self._exited_replicas[replica.record.id] = replica
+            self._log.info('replica_ended',
+                           replica=replica.record.id,
+                           reported=reported)
 
     def recent_exits(self, now):
-        """Returns the ``membership.ReplicaExit`` objects for a status."""
+        """Returns the ``membership.ReplicaExit`` objects for a status.
+
+        Only exits that this entry found itself are included, so that a message
+        does not grow with the number of entries.
+        """
         self._exited_replicas = {
             name: rep
             for name, rep in self._exited_replicas.items()
@@ -230,7 +242,9 @@
             rep = self.replicas.get(exit_report.replica)
             if (rep is not None and
                     rep.record.started_at_ms == exit_report.started_at_ms):
-                self.record_exit(rep, now - exit_report.age_ms / 1000)
+                self.record_exit(rep,
+                                 now - exit_report.age_ms / 1000,
+                                 reported=True)
 
     def drop_replaced(self, replica_id):
         """Drops a replica at whose address another one responds.
--- a/gorsefall/relay/replicalimits.py
+++ b/gorsefall/relay/replicalimits.py
@@ -5,11 +5,15 @@
 from gorsefall import logs
 from gorsefall.policy import announced_limits
 from gorsefall.policy import membership
+from gorsefall.relay import fleet
 
 REPORT_WINDOW_S = 6.0
 """Time for which a limit is included in status messages, s: each of hundreds of
 entries receives it at least twice."""
 
+MAX_REPORTS = 16
+"""Maximum number of limits in a status message, the last ones announced."""
+
 SHARE_UPDATE_PERIOD_S = 0.5
 """Pause between updates of the entries that share a limit, s."""
 
@@ -19,21 +23,35 @@
     name: str
 
 
+class _Announcement(typing.NamedTuple):
+    """What a response to a request of this entry announced.
+
+    Attributes:
+        replica: The ``fleet.Replica``.
+        per_s: Its limit, requests per second; None for no limit any more.
+        at: When, s (monotonic).
+    """
+    replica: fleet.Replica
+    per_s: float | None
+    at: float
+
+
 class LimitTracker:
     """Updates the ``announced_limits.AnnouncedLimit`` of each replica."""
 
-    def __init__(self, loop, fleet, members):
+    def __init__(self, loop, replicas, members):
         """Creates a tracker without limits; ``start`` begins.
 
         Args:
             loop: The ``reactor.Reactor``.
-            fleet: The ``fleet.Fleet``.
+            replicas: The ``fleet.Fleet``.
             members: The ``membership.Members``; has this entry's ``name``.
         """
         self._loop = loop
-        self._fleet = fleet
+        self._fleet = replicas
         self._members = members
         self._limited_replicas = {}
+        self._announcements = {}
         self._log = logs.get('announcing')
 
     def start(self):
@@ -67,12 +85,17 @@
             replica: The replica.
             per_s: Requests a second of all entries; None if it announced none.
         """
-        self._update_limit(replica, per_s, self._loop.now)
+        now = self._loop.now
+        changed = self._update_limit(replica, per_s, now)
+        if per_s is not None or changed:
+            self._announcements[replica.record.id] = _Announcement(
+                replica, per_s, now)
 
     def _update_limit(self, replica, per_s, at):
+        """Updates a limit; returns whether it has changed."""
         before = replica.limit.per_s
         if not replica.limit.update(per_s, at):
-            return
+            return False
         self._limited_replicas[replica.record.id] = replica
         self._update_share(replica)
         self._log.info('limit_announced',
@@ -80,16 +103,28 @@
                        per_s=per_s,
                        before=before,
                        part=round(replica.limit.share, 3))
+        return True
 
     def recent_reports(self, now):
-        """Returns the ``membership.LimitReport`` objects for a status."""
+        """Returns the ``membership.LimitReport`` objects for a status.
+
+        Limits that other entries reported are left out. If every entry
+        repeated them, each message would hold all limits of the deployment,
+        and the messages of hundreds of entries would fill their links.
+        """
+        self._announcements = {
+            name: announcement
+            for name, announcement in self._announcements.items()
+            if now - announcement.at < REPORT_WINDOW_S
+        }
+        newest = sorted(self._announcements.values(),
+                        key=lambda announcement: announcement.at,
+                        reverse=True)[:MAX_REPORTS]
         return tuple(
-            membership.LimitReport(
-                name, replica.record.started_at_ms,
-                int((now - replica.limit.announced_at) *
-                    1000), replica.limit.per_s)
-            for name, replica in self._limited_replicas.items()
-            if now - replica.limit.announced_at < REPORT_WINDOW_S)
+            membership.LimitReport(a.replica.record.id, a.replica.record.
+                                   started_at_ms, int((now - a.at) *
+                                                      1000), a.per_s)
+            for a in newest)
 
     def handle_status(self, status):
         """Handles the ``membership.Status`` of another entry."""
--- a/tests/test_announced_limits.py
+++ b/tests/test_announced_limits.py
@@ -9,6 +9,9 @@
 
 from gorsefall.policy import announced_limits
 from gorsefall.policy import membership
+from gorsefall.relay import fleet
+from gorsefall.relay import messages
+from gorsefall.relay import model
 from gorsefall.relay import replicalimits
 
 WINDOW_S = 4.0
@@ -156,6 +159,55 @@
     assert same.limit.per_s is None
 
 
+def _entry_with_replicas(name, count):
+    directory = fleet.Fleet(_Loop())
+    directory.set_services({'s': model.Service(name='s', max_connections=9)})
+    for i in range(count):
+        directory.put(
+            model.ReplicaRecord(id=f'i-7a0079f9{i:02}',
+                                service='s',
+                                addr=('127.0.0.1', 1),
+                                zone='z',
+                                slots=4,
+                                status=model.ReplicaStatus.READY,
+                                started_at_ms=1764773806123))
+    return replicalimits.LimitTracker(_Loop(), directory,
+                                      membership.Members(name)), directory
+
+
+MAX_STATUS_BYTES = 800
+"""Size up to which a round of messages to 194 other entries leaves a link of
+5 Mbit/s within a quarter of a second, bytes."""
+
+
+def test_a_status_does_not_grow_with_the_troubles_of_the_deployment():
+    """Links of small entries are full of limits and exits that each entry
+    repeats in each message, and nothing else gets through."""
+    reporters = [_entry_with_replicas(f'e{i}', 49) for i in range(49)]
+    for i, (tracker, directory) in enumerate(reporters):
+        replica = directory.replicas[f'i-7a0079f9{i:02}']
+        tracker.record_response(replica, 1.9)
+        directory.record_exit(replica, 100.0)
+    own, directory = _entry_with_replicas('own', 49)
+    for tracker, theirs in reporters:
+        status = membership.Status('other',
+                                   1,
+                                   1,
+                                   limit_reports=tracker.recent_reports(100.0),
+                                   replica_exits=theirs.recent_exits(100.0))
+        own.handle_status(status)
+        directory.handle_status(status, 100.0)
+    assert all(r.limit.per_s == 1.9 for r in directory.replicas.values())
+    size = len(
+        messages.encode(
+            membership.Status('own',
+                              1,
+                              1,
+                              limit_reports=own.recent_reports(100.0),
+                              replica_exits=directory.recent_exits(100.0))))
+    assert size <= MAX_STATUS_BYTES
+
+
 def test_a_limit_does_not_outlive_its_incarnation():
     """A restarted replica gets no requests because of its earlier limit."""
     one, replica, _ = _entry('a')
