Announced limits: a late response does not lift a limit

Callers of a replica in need saw its limit exceeded: an answer that was made before the replica named its limit, and that arrives after one that names it (over a link that is full for a second, or at an entry that was frozen), lifted the limit at that entry, and its report, with the time at which the answer was read, lifted it at all others.

Cause: answers were ordered by the time at which they were read. Change: an answer raises or lifts a limit only from the time at which its request was sent, so that only a request sent after the limit was known can do so; it lowers one from the time at which it arrives. A stale answer is not reported either.

Tests: test_a_late_response_does_not_lift_a_limit failed before; an oracle over delays holds that no answer raises a limit that was known when its request was sent.

--- a/gorsefall/policy/announced_limits.py
+++ b/gorsefall/policy/announced_limits.py
@@ -64,6 +64,10 @@
     available: float = 0.0
     _refilled_at: float = 0.0
 
+    def is_loosened_by(self, per_s):
+        """Returns whether a new limit allows more than the current one."""
+        return self.per_s is not None and (per_s is None or per_s > self.per_s)
+
     def update(self, per_s, at):
         """Records the limit in a response; a stale one is ignored.
 
--- a/gorsefall/relay/replicalimits.py
+++ b/gorsefall/relay/replicalimits.py
@@ -78,18 +78,26 @@
                                            limit.per_s)
         limit.share = 1 / len(senders) if own in senders else 0.0
 
-    def record_response(self, replica, per_s):
+    def record_response(self, replica, per_s, sent_at):
         """Records the limit that a response of a ``fleet.Replica`` announced.
 
+        A response may have been under way since before the replica announced
+        its limit. So a limit is only raised or lifted by the response to a
+        request that was sent after the limit was known.
+
         Args:
             replica: The replica.
             per_s: Requests a second of all entries; None if it announced none.
+            sent_at: When the request was sent, s (monotonic).
         """
-        now = self._loop.now
-        changed = self._update_limit(replica, per_s, now)
-        if per_s is not None or changed:
+        at = self._loop.now
+        if replica.limit.is_loosened_by(per_s):
+            at = sent_at
+        changed = self._update_limit(replica, per_s, at)
+        is_stale = replica.limit.announced_at > at
+        if changed or (per_s is not None and not is_stale):
             self._announcements[replica.record.id] = _Announcement(
-                replica, per_s, now)
+                replica, per_s, at)
 
     def _update_limit(self, replica, per_s, at):
         """Updates a limit; returns whether it has changed."""
--- a/gorsefall/relay/sending.py
+++ b/gorsefall/relay/sending.py
@@ -103,7 +103,7 @@
             self._exchange.node.record_load(self.replica, load)
         if not self._response.misdirected:
             self._exchange.node.limit_tracker.record_response(
-                self.replica, self._response.limit_per_s)
+                self.replica, self._response.limit_per_s, self.sent_at)
         self._exchange.on_response_head(self._response)
 
     def on_data(self, data):
--- a/tests/test_announced_limits.py
+++ b/tests/test_announced_limits.py
@@ -150,11 +150,11 @@
     """Entries flood a replica because only one of them received its limit."""
     one, replica, own_loop = _entry('a')
     other, same, loop = _entry('b')
-    one.record_response(replica, 1.5)
+    one.record_response(replica, 1.5, 99.9)
     _send_status(one, other, 100.0)
     assert same.limit.per_s == 1.5
     own_loop.now = loop.now = 101.0
-    one.record_response(replica, None)
+    one.record_response(replica, None, 100.9)
     _send_status(one, other, 101.0)
     assert same.limit.per_s is None
 
@@ -186,7 +186,7 @@
     reporters = [_entry_with_replicas(f'e{i}', 49) for i in range(49)]
     for i, (tracker, directory) in enumerate(reporters):
         replica = directory.replicas[f'i-7a0079f9{i:02}']
-        tracker.record_response(replica, 1.9)
+        tracker.record_response(replica, 1.9, 99.9)
         directory.record_exit(replica, 100.0)
     own, directory = _entry_with_replicas('own', 49)
     for tracker, theirs in reporters:
@@ -208,11 +208,49 @@
     assert size <= MAX_STATUS_BYTES
 
 
+def test_a_late_response_does_not_lift_a_limit():
+    """All entries flood a replica that has announced a limit because one of
+    them receives an earlier response of it late."""
+    one, replica, own_loop = _entry('a')
+    other, same, loop = _entry('b')
+    one.record_response(replica, 1.5, 99.9)
+    own_loop.now = loop.now = 101.0
+    one.record_response(replica, None, 99.8)
+    one.record_response(replica, 20.0, 99.8)
+    _send_status(one, other, 101.0)
+    assert replica.limit.per_s == same.limit.per_s == 1.5
+    one.record_response(replica, 1.0, 99.8)
+    assert replica.limit.per_s == 1.0
+
+
+_RESPONSES = st.lists(st.tuples(st.integers(0, 20), st.integers(1, 4),
+                                st.integers(0, 6)),
+                      min_size=1,
+                      max_size=12)
+
+
+@given(_RESPONSES, st.lists(st.sampled_from([None, 0.5, 2.0]), min_size=26))
+def test_no_response_raises_a_limit_that_was_announced_after_it(
+        responses, limits):
+    """Delayed responses raise a limit although a later one was received."""
+    tracker, replica, loop = _entry('a')
+    events = sorted((sent + run_s + delay_s, sent, sent + run_s)
+                    for sent, run_s, delay_s in responses)
+    for arrived, sent, made in events:
+        before = replica.limit.per_s
+        known_at = replica.limit.announced_at
+        loop.now = 100.0 + arrived
+        tracker.record_response(replica, limits[made], 100.0 + sent)
+        if replica.limit.per_s != before and before is not None and (
+                replica.limit.per_s is None or replica.limit.per_s > before):
+            assert 100.0 + sent > known_at
+
+
 def test_a_limit_does_not_outlive_its_incarnation():
     """A restarted replica gets no requests because of its earlier limit."""
     one, replica, _ = _entry('a')
     other, same, _ = _entry('b')
-    one.record_response(replica, 1.5)
+    one.record_response(replica, 1.5, 99.9)
     same.record.started_at_ms = 8
     _send_status(one, other, 100.0)
     assert same.limit.per_s is None
