Announced limits: an entry that hears few others does not take their parts

Replicas got several times the limit that they had named while configurations filled the links of small entries for some seconds: an entry that had received no status for 2.6 s took itself for the only one and sent the whole limit, at all 87 entries at once.

Cause: who shares a limit was computed from the entries heard lately, so that not hearing was the same as being alone. Change: if most of the known entries are silent at once, all known ones count (they are forgotten after 15 s); if a minority is silent, it has probably exited, as before.

Ruled out: a share for life (a replica would get nothing from entries that are gone).

--- a/gorsefall/policy/membership.py
+++ b/gorsefall/policy/membership.py
@@ -302,6 +302,19 @@
             (host, self._members[host].status) for host in self.live_hosts(now)
         ]
 
+    def probable_names(self, now):
+        """Returns the names of the other entries that probably run, a list.
+
+        An entry that has gone silent has usually exited. If most of the known
+        entries are silent at once, it is more likely that their messages do
+        not arrive here.
+        """
+        self.expire(now)
+        known = [m for m in self._members.values() if m.status is not None]
+        if 2 * self._counted >= len(known):
+            known = [m for m in known if m.counted]
+        return [m.status.name for m in known]
+
     def mean_status_age_s(self, now):
         """Returns the mean age of the recent statuses, s; 0 for none."""
         ages = [
--- a/gorsefall/relay/replicalimits.py
+++ b/gorsefall/relay/replicalimits.py
@@ -70,10 +70,7 @@
         if limit.per_s is None:
             return
         own = _Sender(self._members.name)
-        others = [
-            _Sender(status.name)
-            for _, status in self._members.live_statuses(self._loop.now)
-        ]
+        others = map(_Sender, self._members.probable_names(self._loop.now))
         senders = announced_limits.senders(replica.record.id, [own, *others],
                                            limit.per_s)
         limit.share = 1 / len(senders) if own in senders else 0.0
--- a/tests/test_announced_limits.py
+++ b/tests/test_announced_limits.py
@@ -246,6 +246,39 @@
             assert 100.0 + sent > known_at
 
 
+@pytest.mark.parametrize('heard', [0, 1, 10])
+def test_entries_that_hear_few_others_keep_a_limit(heard):
+    """Entries whose links are full for some seconds take themselves for the
+    only ones, and each of them sends the whole limit."""
+    shares = []
+    for number in range(87):
+        tracker, replica, loop = _entry(f'e{number}')
+        others = [i for i in range(87) if i != number]
+        tracker.record_response(replica, 1.0, 99.9)
+        for seq, names in enumerate([others, others[:heard]], 1):
+            loop.now += 5.0
+            for i in names:
+                tracker._members.record_status(
+                    f'10.0.0.{i}', membership.Status(f'e{i}', 1, seq), loop.now)
+        tracker.start()
+        shares.append(replica.limit.share)
+    assert sum(shares) <= 1.0
+
+
+def test_entries_that_exited_leave_their_part_to_others():
+    """A replica gets no requests because most of its limit belongs to entries
+    that have exited."""
+    tracker, replica, loop = _entry('own')
+    tracker.record_response(replica, 1.0, 99.9)
+    for i in range(5):
+        tracker._members.record_status(f'10.0.0.{i}',
+                                       membership.Status(f'e{i}', 1, 1), 100.0)
+    loop.now = 100.0 + 2 * membership.ADDRESS_TTL_S
+    tracker._members.addresses(loop.now)
+    tracker.start()
+    assert replica.limit.share == 1.0
+
+
 def test_a_limit_does_not_outlive_its_incarnation():
     """A restarted replica gets no requests because of its earlier limit."""
     one, replica, _ = _entry('a')
