Shared reads: entries read a large configuration while another one still receives it

A confirmed change was not in force in time at entries with links of 5 Mbit/s (CONFIG): few entries read the store, the others were told of a change when one of these had received all of it, and then read it themselves. A configuration of 800 KB crosses such a link in 1.3 s, twice 2.6 s, and the bound is 3 s; beside status messages that take a quarter of the link it was over.

Change: the store's answer begins with the end of the topic. An entry that reads for others tells them of it 50 ms later if the answer is not complete by then, so that all links are used at the same time. What it answers to a question meanwhile says that there is more than it has.

Tests: test_a_large_configuration_is_in_force_in_time[0.7] and [0.55] failed before. The tests' store answers a waiting read when a record comes, and honours the size of a read, as the platform's does.

--- a/gorsefall/relay/sharing.py
+++ b/gorsefall/relay/sharing.py
@@ -376,9 +376,11 @@
         if not self.is_reader:
             return
         since = self._loop.now - HINT_WINDOW_S
-        hint = messages.Hint(self._store, {
-            name: t.follower.offset for name, t in self._topics.items()
-        })
+        hint = messages.Hint(
+            self._store, {
+                name: max(t.follower.offset, t.follower.known_end)
+                for name, t in self._topics.items()
+            })
         for host, at in self._query_times.items():
             if at > since:
                 self._send(hint, host)
--- a/gorsefall/relay/topic.py
+++ b/gorsefall/relay/topic.py
@@ -83,11 +83,12 @@
         """Appends a record; an empty ``value`` drops the key."""
         raise NotImplementedError
 
-    def read(self, offset, wait_s, max_kb, silence_s, done):
+    def read(self, offset, wait_s, max_kb, silence_s, done, *, on_begin=None):
         """Reads from ``offset``, waiting up to ``wait_s`` for a record.
 
         The response holds up to ``max_kb`` KB of records, or a single larger
-        one.
+        one. ``on_begin(end)`` is called when it begins, with the offset after
+        the topic's last record.
         """
         raise NotImplementedError
 
@@ -137,6 +138,10 @@
         return 2 * self.wait_s + self.pause_s
 
 
+LONG_READ_S = 0.05
+"""Time that a response with new records takes from which on other entries are
+told of them before it is complete, s."""
+
 CONTINUOUS_READS = ReadPace()
 """Each read is sent as soon as the one before has returned."""
 
@@ -146,6 +151,8 @@
 
     Attributes:
         offset: Offset the next read starts from.
+        known_end: Offset after the last record that is known to exist; records
+            from ``offset`` on are still to be read.
         confirmed_at: When the newest read that returned all records was sent,
             s (``freshness.clock``), by this entry or another one.
         has_snapshot: Whether a snapshot was read.
@@ -196,6 +203,7 @@
         self._log = logs.get('follower').bind(topic=name)
         self.pace = pace
         self.offset = 0
+        self.known_end = 0
         self.confirmed_at = float('-inf')
         self.has_snapshot = False
         self.failed_reads = 0
@@ -215,8 +223,10 @@
 
     def changes_since(self, offset, max_bytes=changes.MAX_SENT_BYTES):
         """Returns the ``changes.ChangeSet`` for a follower at ``offset``."""
-        return self.recent.changes_since(offset, max(0.0, self.age_s()),
-                                         self.offset, max_bytes)
+        age_s = max(0.0, self.age_s())
+        if self.offset < self.known_end:
+            return changes.ChangeSet(age_s, self.known_end, complete=False)
+        return self.recent.changes_since(offset, age_s, self.offset, max_bytes)
 
     # -- own reads and changes from other entries ------------------------------
 
@@ -327,9 +337,25 @@
         waits = (self._continuous and not self._failures and
                  not self._last_read_slow)
         self._sent_at = freshness.clock()
-        self._source.read(self.offset, self.pace.wait_s if waits else 0.0,
-                          self._max_kb, SILENCE_TIMEOUT_S,
-                          self._new_callback(self._on_batch))
+        callback = self._new_callback(self._on_batch)
+        self._source.read(self.offset,
+                          self.pace.wait_s if waits else 0.0,
+                          self._max_kb,
+                          SILENCE_TIMEOUT_S,
+                          callback,
+                          on_begin=functools.partial(self._on_read_begun,
+                                                     self._read_number))
+
+    def _on_read_begun(self, number, end):
+        if not self._stopped and number == self._read_number:
+            self.known_end = max(self.known_end, end)
+            self._loop.call_later(LONG_READ_S, self._announce_long_read)
+
+    def _announce_long_read(self):
+        # On a slow link a large record takes a second. Entries that only read
+        # it after this one has received it would have it twice as late.
+        if self.offset < self.known_end:
+            self._on_change()
 
     def _on_batch(self, batch, exc):
         if exc is not None:
--- a/tests/entries.py
+++ b/tests/entries.py
@@ -16,6 +16,9 @@
 MAX_CONFIRMATION_AGE_S = 4.6
 """Age up to which a confirmation is valid, s."""
 
+SNAPSHOT_FACTOR = 4 / 3
+"""Size of a snapshot in relation to its records, as it is encoded."""
+
 ALONE = topic.ReadPace(wait_s=1.15)
 SHARED = topic.ReadPace(wait_s=0.7)
 
@@ -75,28 +78,54 @@
 
 
 class StoreClient(topic.Source):
-    """The store as one entry reaches it."""
+    """The store as one entry reaches it, over a link that may be slow."""
 
-    def __init__(self, loop, store):
+    def __init__(self, loop, store, bytes_per_s=float('inf')):
         self._loop = loop
         self._store = store
+        self._bytes_per_s = bytes_per_s
+        self._link_free_at = 0.0
         self.unreachable = False
         self.calls = 0
 
     def read_snapshot(self, after, silence_s, done):
         self._call(self._store.read_snapshot, done, after, silence_s)
 
-    def read(self, offset, wait_s, max_kb, silence_s, done):
-        self._call(self._store.read, done, offset, wait_s, max_kb, silence_s)
+    def read(self, offset, wait_s, max_kb, silence_s, done, *, on_begin=None):
+        self._call(self._store.read,
+                   done,
+                   offset,
+                   wait_s,
+                   max_kb,
+                   silence_s,
+                   on_begin=on_begin)
 
-    def _call(self, call, done, *args):
+    def _call(self, call, done, *args, on_begin=None):
         self.calls += 1
         if self.unreachable:
             error = errors.StoreError('store unreachable')
             self._loop.call_later(0.004, lambda: done(None, error))
             return
-        call(*args,
-             lambda result, exc: self._loop.call(lambda: done(result, exc)))
+
+        def arrive(result, exc):
+            if isinstance(result, topic.Batch) and on_begin is not None:
+                self._loop.call(lambda: on_begin(result.end))
+            self._transfer(result,
+                           lambda: self._loop.call(lambda: done(result, exc)))
+
+        call(*args, arrive)
+
+    def _transfer(self, result, deliver):
+        """Calls ``deliver()`` once the link has carried the records."""
+        size = sum(len(r.value) for r in result.records) if result else 0
+        if isinstance(result, topic.SnapshotPage):
+            size *= SNAPSHOT_FACTOR
+        start = max(self._loop.now, self._link_free_at)
+        self._link_free_at = start + size / self._bytes_per_s
+        if size:
+            self._loop.call_later(self._link_free_at - self._loop.now, deliver)
+        else:
+            deliver()
 
 
 class Entry:
@@ -111,7 +140,8 @@
     def start(self):
         """Starts a process without any state."""
         self.loop = EntryLoop(self.site.loop)
-        self.client = StoreClient(self.loop, self.site.store)
+        self.client = StoreClient(self.loop, self.site.store,
+                                  self.site.bytes_per_s)
         self.observed = stores.ObservedState(self.site.store)
         self.sharing = sharing.SharedReads(
             self.loop, self.own, lambda: self.site.others(self),
@@ -140,7 +170,15 @@
 class Site:
     """Entries of some zones with one store."""
 
-    def __init__(self, per_zone, zones='ab', faults=(), outcomes=(), seed=1):
+    def __init__(self,
+                 per_zone,
+                 zones='ab',
+                 faults=(),
+                 outcomes=(),
+                 seed=1,
+                 *,
+                 bytes_per_s=float('inf')):
+        self.bytes_per_s = bytes_per_s
         self.loop = stores.Loop()
         self.rng = random.Random(seed)
         self.store = stores.Store(self.loop, faults)
--- a/tests/stores.py
+++ b/tests/stores.py
@@ -8,6 +8,9 @@
 READ_RECORDS = 3
 """Most records of one read."""
 
+WAIT_STEP_S = 0.05
+"""Pause between the checks of a waiting read for new records, s."""
+
 LONG_S = 4.0
 """How long a response takes on a slow link, s."""
 
@@ -56,20 +59,30 @@
 
         self._respond(make, silence_s, done)
 
-    def read(self, offset, wait_s, max_kb, silence_s, done):
-        if wait_s and offset >= len(self.records):
+    def read(self, offset, wait_s, max_kb, silence_s, done, *, on_begin=None):
+        if wait_s > 0 and offset >= len(self.records):
+            step_s = min(wait_s, WAIT_STEP_S)
             self._loop.call_later(
-                wait_s, lambda: self.read(offset, 0.0, max_kb, silence_s, done))
+                step_s, lambda: self.read(offset,
+                                          wait_s - step_s,
+                                          max_kb,
+                                          silence_s,
+                                          done,
+                                          on_begin=on_begin))
             return
         if offset < self.first:
             self._loop.call_later(
                 0.004, lambda: done(
                     None, errors.StoreError('gone', records_expired=True)))
             return
-        self._respond(
-            lambda: topic.Batch(self.records[offset:offset + READ_RECORDS],
-                                min(offset + READ_RECORDS, len(self.records)),
-                                len(self.records)), silence_s, done)
+        self._respond(lambda: self._batch(offset, max_kb), silence_s, done)
+
+    def _batch(self, offset, max_kb):
+        found = self.records[offset:offset + READ_RECORDS]
+        while len(found) > 1 and sum(
+                len(r.value) for r in found) > max_kb * 1024:
+            found.pop()
+        return topic.Batch(found, offset + len(found), len(self.records))
 
 
 class ObservedState(topic.Listener):
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -137,6 +137,29 @@
     assert all(e.observed.newest.get('b') == b'new' for e in site.entries)
 
 
+APPLY_S = 3.0
+"""Time within which a configuration has to be in force everywhere, s."""
+
+LARGE_BYTES = 800_000
+LINK_BYTES_PER_S = 625_000
+
+
+@pytest.mark.parametrize('link_share', [1.0, 0.7, 0.55])
+def test_a_large_configuration_is_in_force_in_time(link_share):
+    """Entries with small links begin to read a large configuration only when
+    another one has received it, and have it twice as late."""
+    site = _site(20, zones='abcd', bytes_per_s=link_share * LINK_BYTES_PER_S)
+    _run(site, 8.0)
+    noise = site.rng.randbytes(LARGE_BYTES)
+    for version in (b'1', b'2'):
+        site.store.put('a', version + noise)
+        _run(site, APPLY_S)
+        behind = [
+            e for e in site.entries if e.observed.newest['a'][:1] != version
+        ]
+        assert not behind
+
+
 def _killed(site, entry):
     entry.loop.dead = True
 
--- a/tests/test_topic.py
+++ b/tests/test_topic.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 
 from gorsefall.policy import freshness
+from gorsefall.relay import changes
 from gorsefall.relay import topic
 
 PACE = topic.ReadPace(pause_s=0.1)
