Shared reads: an own read in progress survives an entry that knows nothing new

An entry on a small link received a large configuration in vain, and began again: while its own read was under way it asked another entry, as each second, and that one, itself still reading, confirmed the state before it. Taking that in counted as newer than the read, whose answer was then ignored when it came.

Change: a read is superseded only by changes that bring something new. The confirmation counts as before.

test_a_read_continues_when_another_entry_knows_nothing_new failed before.

--- a/gorsefall/relay/topic.py
+++ b/gorsefall/relay/topic.py
@@ -256,10 +256,13 @@
         if self._continuous or not self.has_snapshot:
             return
         records = [changes.unpack(c) for c in change_set.changes]
-        # An own read in progress is older, and its response is ignored: a
-        # snapshot would revert what is applied here.
-        self._read_number += 1
-        self._idle = True
+        if change_set.end > self.offset:
+            # An own read in progress is older, and its response is ignored: a
+            # snapshot would revert what is applied here. If nothing is new,
+            # the read continues: it may be of a record that the other entry
+            # does not know yet.
+            self._read_number += 1
+            self._idle = True
         if sent_at - self.confirmed_at > RECORD_LAPSE_S:
             # The entry that reads could not reach the store in that time.
             # Nor could the replicas, so records of live replicas may have
--- a/tests/test_topic.py
+++ b/tests/test_topic.py
@@ -86,6 +86,48 @@
         assert loop.now - observed.confirmed[-1] < 0.1
 
 
+class _HeldSource(topic.Source):
+    """Keeps the callbacks of reads, which the test calls itself."""
+
+    def __init__(self):
+        self.snapshots = []
+        self.reads = []
+
+    def read_snapshot(self, after, silence_s, done):
+        self.snapshots.append(done)
+
+    def read(self, offset, wait_s, max_kb, silence_s, done, *, on_begin=None):
+        self.reads.append(done)
+
+
+def _passive_follower():
+    """Returns a follower that is at offset 1, its source and its values."""
+    source, values = _HeldSource(), []
+    listener = topic.Listener()
+    listener.on_record = lambda record: values.append(record.value)
+    follower = topic.Follower(stores.Loop(),
+                              source,
+                              listener,
+                              name='t',
+                              max_kb=1)
+    follower.set_continuous(False)
+    follower.start()
+    source.snapshots.pop()(topic.SnapshotPage([], False, 1), None)
+    return follower, source, values
+
+
+def test_a_read_continues_when_another_entry_knows_nothing_new():
+    """Entries receive a large record in vain, again and again, as others that
+    are still reading it confirm the state before it."""
+    follower, source, values = _passive_follower()
+    follower.read_once()
+    follower.apply_changes(freshness.clock(), changes.ChangeSet(0.0, 1))
+    source.reads.pop()(topic.Batch([changes.Record('a', b'new', 1)], 2, 2),
+                       None)
+    assert values == [b'new']
+    assert follower.offset == 2
+
+
 def test_a_confirmation_dates_from_when_the_read_was_sent(monkeypatch):
     """Guards against accepting a revoked key after a late response."""
     now = [100.0]
