Shared reads: of several large records only the newest is read

It now lists at once, if the entry that it asked says that more than one record is new and the last one was large. test_superseded_large_records_are_skipped failed before.

--- a/gorsefall/relay/sharing.py
+++ b/gorsefall/relay/sharing.py
@@ -335,7 +335,7 @@
         if change_set is None:
             return not followed.follower.has_snapshot
         if not change_set.complete:
-            followed.follower.read_once()
+            followed.follower.read_once(change_set.end)
             return True
         try:
             followed.follower.apply_changes(query.sent_at - change_set.age_s,
--- a/gorsefall/relay/topic.py
+++ b/gorsefall/relay/topic.py
@@ -204,6 +204,7 @@
         self.pace = pace
         self.offset = 0
         self.known_end = 0
+        self._last_record_kb = 0.0
         self.confirmed_at = float('-inf')
         self.has_snapshot = False
         self.failed_reads = 0
@@ -236,10 +237,20 @@
         if continuous:
             self.read_once()
 
-    def read_once(self):
-        """Reads now, unless a read is in progress."""
-        if self._idle:
-            self._idle = False
+    def read_once(self, end=0):
+        """Reads now, unless a read is in progress.
+
+        Args:
+            end: Offset after the last record, if another entry reported it.
+        """
+        if not self._idle:
+            return
+        self._idle = False
+        if end - self.offset > 1 and self._last_record_kb > self._max_kb:
+            # Each of several large records takes as long as the newest, and
+            # only that one is needed.
+            self._read_snapshot('')
+        else:
             self._read()
 
     def apply_changes(self, sent_at, change_set):
@@ -406,6 +417,7 @@
         """Applies a record; returns whether it changed the observed state."""
         if not self._is_new(record):
             return False
+        self._last_record_kb = len(record.value) / 1024
         changed = self._listener.on_record(record)
         if changed:
             self.recent.add(record)
--- a/tests/test_topic.py
+++ b/tests/test_topic.py
@@ -128,6 +128,19 @@
     assert follower.offset == 2
 
 
+def test_superseded_large_records_are_skipped():
+    """Entries that missed several large configurations receive each of them."""
+    follower, source, _ = _passive_follower()
+    follower.read_once()
+    large = changes.Record('a', b'x' * 2048, 1)
+    source.reads.pop()(topic.Batch([large], 2, 2), None)
+    follower.read_once(3)
+    assert len(source.reads) == 1
+    source.reads.pop()(topic.Batch([large._replace(offset=2)], 3, 3), None)
+    follower.read_once(6)
+    assert len(source.snapshots) == 1 and not source.reads
+
+
 def test_a_confirmation_dates_from_when_the_read_was_sent(monkeypatch):
     """Guards against accepting a revoked key after a late response."""
     now = [100.0]
