Crash reports: an entry answers ten queries for suspects a second

After a crash the summaries of all entries differ, and all others may query the entry whose status they receive first, at once: 86 answers of up to 3 KB are 250 KB, 0.4 s of a 5 Mbit/s link, behind which requests, cancels and events wait. The same class as the status messages: what others want to know at once fills the link of one entry. A query without answer goes to another entry a second later, as before. Found by reading; test_queries_of_all_entries_at_once_do_not_fill_the_link failed before (258 answers).

--- a/gorsefall/relay/crashes.py
+++ b/gorsefall/relay/crashes.py
@@ -25,6 +25,10 @@
 MIN_QUERY_PAUSE_S = 1.0
 """Shortest pause between two queries for the suspects of other entries, s."""
 
+MIN_RESPONSE_PAUSE_S = 0.1
+"""Shortest pause between two responses to such queries, s. All other entries
+query an entry at once after a status of it, and a response is 3 KB long."""
+
 EXPIRY_PERIOD_S = 30.0
 """Pause between removals of expired suspects, s."""
 
@@ -82,7 +86,7 @@
         self._clock = clock
         self._peers = None
         self._events = collections.deque(maxlen=MAX_REPORTS)
-        self._queried_at = float('-inf')
+        self._queried_at = self._responded_at = float('-inf')
         self._running_exchanges = {}
         self._parked_exchanges = collections.defaultdict(list)
         self._log = logs.get('crashes')
@@ -266,7 +270,14 @@
             self._peers.send(messages.AskSuspects(), host)
 
     def send_suspects(self, host):
-        """Sends an entry the reports of the suspects with the most weight."""
+        """Sends an entry the reports of the suspects with the most weight.
+
+        An entry that gets no response queries another one a second later.
+        """
+        now = self._clock()
+        if now - self._responded_at < MIN_RESPONSE_PAUSE_S:
+            return
+        self._responded_at = now
         digests_by_weight = sorted(self.suspects.reportable(),
                                    key=self.suspects.weight,
                                    reverse=True)
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -1,9 +1,12 @@
 """Detection of requests that crash replicas, at one entry and at many."""
 
+import types
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
+from gorsefall.emulator import clock
 from gorsefall.emulator import crashing
 from gorsefall.policy import suspects
 from gorsefall.relay import crashes
@@ -194,6 +197,20 @@
     assert site.entries[0].crashes.suspects.is_blocked(b'guilty', site.loop.now)
 
 
+def test_queries_of_all_entries_at_once_do_not_fill_the_link():
+    """An entry that all others query at once sends nothing else for a while."""
+    sent = []
+    peers = types.SimpleNamespace(send=lambda message, host: sent.append(host))
+    loop = clock.Loop()
+    tracker = crashes.CrashTracker(loop, None, None, lambda: loop.now)
+    tracker.start(peers)
+    for _ in range(3):
+        loop.run(loop.now + crashes.MIN_RESPONSE_PAUSE_S + 0.01)
+        for host in range(86):
+            tracker.send_suspects(host)
+    assert len(sent) == 3
+
+
 @pytest.mark.parametrize('copies', [2, 3, 5])
 def test_simultaneous_copies_are_blocked_in_time(copies):
     """Several callers that send the same request at once crash replicas."""
