Fleet: a replica that restarts while its record is lapsed is a new incarnation

During an outage of the store records lapse, and their replicas stay as a last resort. If such a replica restarted under its id, its new record was taken for the old incarnation's: failures, load, cached prompts and limits of the old one counted for the new one, and it was avoided, or got requests for prompts that it did not hold.

Cause: the last record was looked up among the records in the store only, where a lapsed one is not any more. test_a_replica_that_restarts_while_its_record_is_lapsed failed before.

--- a/gorsefall/relay/fleet.py
+++ b/gorsefall/relay/fleet.py
@@ -135,6 +135,10 @@
     def put(self, record):
         """Adds or updates a replica by its record."""
         old = self._records.get(record.id)
+        rep = self.replicas.get(record.id)
+        if old is None and rep is not None:
+            # Its record has lapsed, and may be written by a new incarnation.
+            old = rep.record
         if old is not None and not old.same_incarnation(record):
             if record.started_at_ms < old.started_at_ms:
                 self._log.warning('record_of_an_earlier_start',
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -223,6 +223,18 @@
     assert names(directory) == {'b'}
 
 
+def test_a_replica_that_restarts_while_its_record_is_lapsed():
+    """A restarted replica is avoided, as the failures of its earlier
+    incarnation count for it."""
+    directory = _fleet(record('a', started_at_ms=1), record('b'))
+    directory.replicas['a'].view.record_failure(0.0)
+    directory.on_store_lost()
+    directory.remove('a', 0.0)
+    directory.put(record('a', started_at_ms=2))
+    assert not directory.replicas['a'].view.failures
+    assert names(directory) == {'a', 'b'}
+
+
 def _status(*ended):
     return membership.Status('other', 1, 1, replica_exits=ended)
 
