Announced exits: what a replica says in an answer binds every later request to it

Callers' requests reached replicas that had said in an answer that they leave (DRAIN), up to 12.5 s later, when the store did not answer and their record, draining, could not be read.

Cause: the field was not read; what an entry believed of a replica came from its record in the store alone.

Change: what one incarnation of a replica has announced (policy/acceptance.py: limit, exit) is asked wherever a request is placed, retried, copied, or continued from a copy, and holds from the moment at which the head of the answer is read, interim answers included, whatever records, listings, outages or other entries say later. It outlives the record (a record that lapses and returns is the same incarnation) and ends with the next incarnation. Other entries are told, but a report only makes a replica a last resort, so that a false one cannot empty a service. A run whose copy is at a replica that takes nothing is tried elsewhere, where it may be resumed.

Ruled out: taking it from other entries as binding; asking the store for a proof.

--- /dev/null
+++ b/features/platform_announcements.feature
@@ -0,0 +1,37 @@
+@nosite @platform
+Feature: replicas that announce in their responses what they accept
+
+  Guards against requests to a replica that has announced that it is leaving,
+  although the entry cannot learn that from the store.
+
+  Scenario Outline: a replica announces its exit in <response> during an outage of the store
+    Given an entry on the platform with two plain and two pool replicas
+    When the store stops responding
+    And a replica announces its exit in <response>
+    Then it receives no further request and all requests are served
+    When the store responds again
+    Then it receives no further request and all requests are served
+
+    Examples:
+      | response                     |
+      | a response                   |
+      | a refusal                    |
+      | the head of a long stream    |
+      | an interim response          |
+
+  Scenario: an older record of the replica is written again
+    Given an entry on the platform with two plain and two pool replicas
+    When a replica announces its exit in a response
+    And its record is dropped and written again
+    Then it receives no further request and all requests are served
+
+  Scenario: the replica restarts under the same id
+    Given an entry on the platform with two plain and two pool replicas
+    When a replica announces its exit in a response
+    And it restarts under the same id
+    Then it receives requests again
+
+  Scenario: all replicas announce their exits
+    Given an entry on the platform with two plain and two pool replicas
+    When all replicas announce their exits in a response
+    Then requests are refused at once as not run
--- /dev/null
+++ b/features/steps/announcement_steps.py
@@ -0,0 +1,159 @@
+"""Steps of the feature on what replicas announce in their responses."""
+
+import threading
+import time
+
+from behave import then
+from behave import when
+from steps import platform_site
+
+import wire_callers
+
+from gorsefall.standins import waiting
+
+OBSERVED_S = 2.5
+"""Time for which requests are sent to see where they go, s."""
+
+PAUSE_S = 0.02
+"""Pause between two requests, s."""
+
+MAX_TRIGGERS = 40
+"""Requests of which at least one reaches a certain one of two replicas."""
+
+QUICK_S = 1.0
+"""Time within which a request that no replica accepts is refused, s."""
+
+PLAIN_PATH, STREAM_PATH = '/o/x', '/os/x'
+
+
+def _send(context, **kw):
+    return wire_callers.send_request(context.platform.callers,
+                                     context.path,
+                                     platform_site.new_rid(context),
+                                     key=None,
+                                     **kw)
+
+
+def _send_until_received(context, replica):
+    for _ in range(MAX_TRIGGERS):
+        _send(context)
+        if len(replica.received_requests) > context.received_before:
+            return
+    raise AssertionError(f'{replica.id} received no request')
+
+
+def _observe(context, replica, path):
+    """Chooses the replica that announces, and the path of the requests."""
+    context.replica = replica
+    context.path = path
+    context.received_before = len(replica.received_requests)
+
+
+@when('a replica announces its exit in a response')
+def step_response(context):
+    _observe(context, context.platform.replicas['p1'], PLAIN_PATH)
+    context.replica.leaving = True
+    _send_until_received(context, context.replica)
+
+
+@when('a replica announces its exit in a refusal')
+def step_refusal(context):
+    _observe(context, context.platform.replicas['p1'], PLAIN_PATH)
+    context.replica.leaving = True
+    context.replica.script.append('refuses')
+    _send_until_received(context, context.replica)
+
+
+@when('a replica announces its exit in an interim response')
+def step_interim(context):
+    _observe(context, context.platform.replicas['p1'], PLAIN_PATH)
+    context.replica.script.append('announces its exit first')
+    _send_until_received(context, context.replica)
+
+
+@when('a replica announces its exit in the head of a long stream')
+def step_stream(context):
+    _observe(context, context.platform.replicas['e1'], STREAM_PATH)
+    context.replica.script.append('announces its exit and streams')
+    context.replies = []
+
+    def send():
+        context.replies.append(_send(context))
+
+    def send_all():
+        for _ in range(MAX_TRIGGERS):
+            if len(context.replica.received_requests) > context.received_before:
+                return
+            context.callers.append(threading.Thread(target=send))
+            context.callers[-1].start()
+            time.sleep(PAUSE_S)
+
+    context.callers = []
+    send_all()
+    context.add_cleanup(lambda: [caller.join() for caller in context.callers])
+    # The head of the stream arrives while its events are still to come.
+    time.sleep(5 * PAUSE_S)
+
+
+@when('all replicas announce their exits in a response')
+def step_all(context):
+    for name in platform_site.PLAIN_REPLICAS:
+        _observe(context, context.platform.replicas[name], PLAIN_PATH)
+        context.replica.leaving = True
+        _send_until_received(context, context.replica)
+
+
+@when('its record is dropped and written again')
+def step_rewritten(context):
+    store, replica = context.platform.store, context.replica
+    store.put('keyed.servers', replica.id, None)
+    _wait_for(context, 'replica_gone')
+    store.put('keyed.servers', replica.id, replica.record())
+    _wait_for(context, 'replica_seen')
+
+
+def _wait_for(context, event):
+    waiting.until(
+        lambda: [
+            ln['event']
+            for ln in context.platform.log()
+            if ln.get('replica') == context.replica.id and ln['event'] in
+            ('replica_gone', 'replica_seen')
+        ][-1] == event, f'{event} of {context.replica.id}')
+
+
+@when('it restarts under the same id')
+def step_restart(context):
+    replica = context.replica
+    replica.leaving = False
+    context.received_before = len(replica.received_requests)
+    context.platform.store.put('keyed.servers', replica.id,
+                               replica.record() | {'born': 7})
+
+
+@then('it receives no further request and all requests are served')
+def step_unused(context):
+    received = len(context.replica.received_requests)
+    end = time.monotonic() + OBSERVED_S
+    statuses = []
+    while time.monotonic() < end:
+        statuses.append(_send(context).status)
+        time.sleep(PAUSE_S)
+    assert len(context.replica.received_requests) == received
+    assert set(statuses) == {200}, statuses
+
+
+@then('it receives requests again')
+def step_used(context):
+    waiting.until(
+        lambda: (_send(context).status == 200 and len(
+            context.replica.received_requests) > context.received_before),
+        'a request at the new incarnation')
+
+
+@then('requests are refused at once as not run')
+def step_refused(context):
+    started_at = time.monotonic()
+    reply = _send(context)
+    assert reply.status == 503 and 'retry-after' in reply.headers, reply
+    assert time.monotonic() - started_at < QUICK_S
--- a/gorsefall/metrics.py
+++ b/gorsefall/metrics.py
@@ -140,6 +140,11 @@
     'replicas crashed: seen, blamed, refused, parked, '
     'cleared.', ('what',),
     registry=REGISTRY)
+ANNOUNCEMENTS = prom.Counter(
+    'gorsefall_replica_announcements_total',
+    'Changes that replicas announced in their responses: limit, leaving, '
+    'pause.', ('what',),
+    registry=REGISTRY)
 LOG_LINES_DROPPED = prom.Counter('gorsefall_log_lines_left_out_total',
                                  'Log lines left out as their reader was slow.',
                                  registry=REGISTRY)
--- a/gorsefall/net/outbound.py
+++ b/gorsefall/net/outbound.py
@@ -65,6 +65,9 @@
         del status, fields
         return True
 
+    def on_interim(self, status, fields):
+        """Called with the head of each interim (1xx) response."""
+
     def on_head(self, status, fields):
         """Called with the status and ``headers.Headers`` of the response."""
 
@@ -213,6 +216,11 @@
             return False
         if isinstance(event, h11.Response):
             self._on_response(event)
+        elif isinstance(event, h11.InformationalResponse):
+            if not self._skipping_response:
+                self._call.on_interim(
+                    event.status_code,
+                    headers.from_items(event.headers.raw_items()))
         elif isinstance(event, h11.Data):
             if not self._skipping_response:
                 self._call.on_data(bytes(event.data))
--- a/gorsefall/policy/membership.py
+++ b/gorsefall/policy/membership.py
@@ -110,6 +110,18 @@
     age_ms: Count
 
 
+class LeavingReplica(msgspec.Struct, frozen=True, array_like=True):
+    """An incarnation of a replica that announced its exit in a response.
+
+    Attributes:
+        replica: The replica's id.
+        started_at_ms: When the incarnation started, ms since 1970; 0 if not
+            known.
+    """
+    replica: ids.ReplicaName
+    started_at_ms: Count
+
+
 class LimitReport(msgspec.Struct, frozen=True, array_like=True):
     """The rate limit that a replica announced last.
 
@@ -148,6 +160,8 @@
         suspects_summary: Its ``suspects.Suspects.summary``.
         limit_reports: The ``LimitReport`` objects that it received recently.
         replica_exits: The ``ReplicaExit`` objects that it detected recently.
+        leaving_replicas: The ``LeavingReplica`` objects whose responses it
+            received recently.
     """
     name: str
     started_at_ms: int
@@ -164,6 +178,7 @@
     suspects_summary: Count = 0
     limit_reports: tuple[LimitReport, ...] = ()
     replica_exits: tuple[ReplicaExit, ...] = ()
+    leaving_replicas: tuple[LeavingReplica, ...] = ()
 
     def responses_after(self, last):
         """Returns the responses that are not in the status ``last``.
--- a/gorsefall/policy/peerview.py
+++ b/gorsefall/policy/peerview.py
@@ -103,7 +103,8 @@
                      run_reports=(),
                      suspects_summary=0,
                      limit_reports=(),
-                     replica_exits=()):
+                     replica_exits=(),
+                     leaving_replicas=()):
         """Returns the ``membership.Status`` to send to other entries.
 
         Args:
@@ -119,6 +120,7 @@
             suspects_summary: See there.
             limit_reports: See there.
             replica_exits: See there.
+            leaving_replicas: See there.
         """
         while self._uses and self._uses[0][0] < now - PROMPT_USE_REPORT_S:
             self._uses.popleft()
@@ -140,4 +142,5 @@
             run_reports=run_reports,
             suspects_summary=suspects_summary,
             limit_reports=limit_reports,
-            replica_exits=replica_exits)
+            replica_exits=replica_exits,
+            leaving_replicas=leaving_replicas)
--- /dev/null
+++ b/gorsefall/relay/announcements.py
@@ -0,0 +1,92 @@
+"""Records what replicas announce in their responses about new requests."""
+
+from gorsefall import logs
+from gorsefall import metrics
+from gorsefall.policy import membership
+from gorsefall.relay import replicalimits
+
+REPORT_WINDOW_S = 6.0
+"""Time for which an announced exit is included in status messages, s: each of
+hundreds of entries receives it at least twice."""
+
+MAX_REPORTS = 16
+"""Maximum number of announced exits in a status message, the last ones."""
+
+
+class AnnouncementTracker:
+    """Updates the ``acceptance.Acceptance`` of each replica.
+
+    What a replica announced to this entry is binding. What another entry
+    reports only makes a replica a last resort, so that a false report cannot
+    leave a service without replicas.
+
+    Attributes:
+        limits: The ``replicalimits.LimitTracker``.
+    """
+
+    def __init__(self, loop, replicas, members):
+        """Creates a tracker without announcements; ``start`` begins.
+
+        Args:
+            loop: The ``reactor.Reactor``.
+            replicas: The ``fleet.Fleet``.
+            members: The ``membership.Members``; has this entry's ``name``.
+        """
+        self._loop = loop
+        self._fleet = replicas
+        self._leaving_since = {}
+        self._log = logs.get('announcing')
+        self.limits = replicalimits.LimitTracker(loop, replicas, members)
+
+    def start(self):
+        """Begins to update this entry's shares of limits."""
+        self.limits.start()
+
+    def record_response(self, replica, response, sent_at):
+        """Records the announcements in the head of a response.
+
+        Args:
+            replica: The ``fleet.Replica``.
+            response: The ``model.Response``. One for a request that was meant
+                for another replica says nothing of this one.
+            sent_at: When the request was sent, s (monotonic).
+        """
+        if response.misdirected:
+            return
+        self.limits.record_response(replica, response.limit_per_s, sent_at)
+        if response.leaving:
+            self.record_leaving(replica)
+
+    def record_leaving(self, replica):
+        """Records that a response of a replica announced its exit."""
+        if replica.acceptance.leaving:
+            return
+        replica.acceptance.leaving = True
+        self._leaving_since[replica] = self._loop.now
+        metrics.ANNOUNCEMENTS.labels('leaving').inc()
+        self._log.info('replica_leaving',
+                       replica=replica.record.id,
+                       record=replica.record.status.value)
+
+    def recent_leaving(self, now):
+        """Returns the ``membership.LeavingReplica`` objects for a status."""
+        self._leaving_since = {
+            replica: at
+            for replica, at in self._leaving_since.items()
+            if now - at < REPORT_WINDOW_S
+        }
+        return tuple(
+            membership.LeavingReplica(r.record.id, r.record.started_at_ms)
+            for r in list(self._leaving_since)[-MAX_REPORTS:])
+
+    def handle_status(self, status):
+        """Handles the ``membership.Status`` of another entry."""
+        self.limits.handle_status(status)
+        for report in status.leaving_replicas:
+            replica = self._fleet.replicas.get(report.replica)
+            if (replica is not None and not replica.reported_leaving and
+                    replica.record.started_at_ms == report.started_at_ms):
+                replica.reported_leaving = True
+                self._log.info('replica_reported_leaving',
+                               replica=report.replica,
+                               entry=status.name)
--- a/gorsefall/relay/backups.py
+++ b/gorsefall/relay/backups.py
@@ -64,11 +64,14 @@
         """Returns the ``fleet.Replica`` that holds the backup, or None.
 
         The backup is lost if the replica has left or restarted. After a
-        restart another ``Replica`` object has the same id.
+        restart another ``Replica`` object has the same id. A replica that
+        accepts no request does not continue the run either.
         """
         holder, self._holder = self._holder, None
         current = self._fleet.replicas.get(holder.record.id)
-        return holder if current is holder else None
+        if current is not holder or holder.refusal(time.monotonic()):
+            return None
+        return holder
 
     def cancel_probe(self):
         """Ignores the result of a probe that is in progress."""
--- a/gorsefall/relay/exchange.py
+++ b/gorsefall/relay/exchange.py
@@ -129,7 +129,7 @@
         if not self.attempts.replicas:
             self._budget().record_first_attempt(now)
         self.attempts.record_sent(replica.record.id)
-        replica.limit.record_sent(now)
+        replica.acceptance.record_sent(now)
         options = self._grant.attempt_options(
             replica.record,
             time_left_s=self._time_left(),
@@ -361,10 +361,14 @@
             self._close_attempt(attempt)
             attempt.replica.view.record_failure(time.monotonic())
         replica = self._backup.claim()
-        if (replica is None or not self._budget().acquire(time.monotonic())):
+        if replica is None:
+            self._retry_or_fail_unknown(
+                'its replica is gone, and no copy is left')
+            return
+        if not self._budget().acquire(time.monotonic()):
             self.fail(
                 self.attempts.outcome_unknown_error(
-                    'its replica is gone, and no copy is left'))
+                    'its replica is gone, and no retry is left'))
             return
         self.log.info('restored',
                       gone=attempt.replica.record.id,
--- a/gorsefall/relay/fleet.py
+++ b/gorsefall/relay/fleet.py
@@ -6,7 +6,7 @@
 from gorsefall import directory
 from gorsefall import logs
 from gorsefall.net import outbound
-from gorsefall.policy import announced_limits
+from gorsefall.policy import acceptance
 from gorsefall.policy import knowledge
 from gorsefall.policy import membership
 from gorsefall.policy import prompts
@@ -35,6 +35,10 @@
 MAX_EXIT_REPORTS = 32
 """Most exits in a status message."""
 
+MAX_RETAINED_ACCEPTANCES = 4096
+"""Incarnations of replicas whose announcements are retained at most: twice the
+replicas planned in two years."""
+
 
 class Replica:
     """A replica, its connections and what placement knows about it.
@@ -47,18 +51,20 @@
             unreachable: it may have left, or may have been unable to write.
         record_malformed: Whether its newest record cannot be decoded, so that
             its state is unknown.
-        limit: The ``announced_limits.AnnouncedLimit`` that it accepts.
+        acceptance: The ``acceptance.Acceptance`` that it has announced.
+        reported_leaving: Whether another entry reported that it is leaving.
         exited_at: When it was found to have crashed, s (monotonic); None while
             it is assumed to run.
     """
 
-    def __init__(self, loop, record, service, on_change):
+    def __init__(self, loop, record, service, on_change, accepts):
         self.record = record
         self._on_change = on_change
         self.record_lapsed = False
         self.record_malformed = False
         self.exited_at = None
-        self.limit = announced_limits.AnnouncedLimit()
+        self.acceptance = accepts
+        self.reported_leaving = False
         self.view = knowledge.ReplicaView(name=record.id,
                                           zone=record.zone,
                                           slots=record.slots,
@@ -71,6 +77,37 @@
                                   max_size=max_size,
                                   connect_timeout_s=CONNECT_TIMEOUT_S)
 
+    @property
+    def limit(self):
+        """The ``announced_limits.AnnouncedLimit`` of ``acceptance``."""
+        return self.acceptance.limit
+
+    @property
+    def is_leaving(self):
+        """Whether its record or one of its responses announced an exit."""
+        return (self.acceptance.leaving or
+                self.record.status is model.ReplicaStatus.DRAINING)
+
+    def refusal(self, now, *, urgent=True):
+        """Returns why it may not receive a request now.
+
+        Args:
+            now: Time, s (monotonic).
+            urgent: See ``Fleet.candidates``.
+
+        Returns:
+            An ``acceptance.Refusal``, or None if it may receive one.
+        """
+        if self.is_leaving:
+            return acceptance.Refusal.LEAVING
+        return self.acceptance.refusal(now, urgent=urgent)
+
+    @property
+    def is_doubtful(self):
+        """Whether it may be gone, and receives requests as a last resort."""
+        return (self.record_lapsed or self.exited_at is not None or
+                self.reported_leaving)
+
     def on_record_written(self, now):
         """Called when its record was written again."""
         if (self.exited_at is not None and
@@ -121,6 +158,7 @@
         self._records = {}
         self._replaced_ids = set()
         self._exited_replicas = {}
+        self._acceptances = {}
         self._services = {}
         self._store_lost = False
         self._grace_until = float('-inf')
@@ -180,7 +218,22 @@
               record.id not in self._replaced_ids):
             self.replicas[record.id] = Replica(self._loop, record,
                                                self._services[record.service],
-                                               self._on_change)
+                                               self._on_change,
+                                               self._acceptance_of(record))
+
+    def _acceptance_of(self, record):
+        """Returns the ``acceptance.Acceptance`` of a record's incarnation.
+
+        It is retained when the replica is dropped. If its record only lapsed
+        and is written again, or an older one is read, the same incarnation
+        would otherwise receive requests that it has refused.
+        """
+        key = record.id, record.started_at_ms, record.addr
+        found = self._acceptances.pop(key, None) or acceptance.Acceptance()
+        self._acceptances[key] = found
+        if len(self._acceptances) > MAX_RETAINED_ACCEPTANCES:
+            del self._acceptances[next(iter(self._acceptances))]
+        return found
 
     def remove(self, replica_id, now):
         """Removes a replica whose record was dropped from the store.
@@ -323,8 +376,6 @@
         live = [
             r for r in self.of_service(service)
             if r.record.id not in exclude and not r.record_malformed and
-            r.record.status is model.ReplicaStatus.READY and
-            not r.pool.is_full() and r.limit.allows(now, urgent=urgent)
+            not r.pool.is_full() and r.refusal(now, urgent=urgent) is None
         ]
-        return [r for r in live if not r.record_lapsed and r.exited_at is None
-               ] or live
+        return [r for r in live if not r.is_doubtful] or live
--- a/gorsefall/relay/grant.py
+++ b/gorsefall/relay/grant.py
@@ -167,7 +167,7 @@
                                   self.profile,
                                   work.service_state(self.service),
                                   time.monotonic(),
-                                  sources=work.draining_views(self.service))
+                                  sources=work.leaving_views(self.service))
         if choice is None:
             return None
         metrics.QUEUE_MS.labels(self.service).set(choice.queue_ms)
--- a/gorsefall/relay/model.py
+++ b/gorsefall/relay/model.py
@@ -229,6 +229,8 @@
         load: The replica's ``Load``, or None.
         limit_per_s: Requests per second that the replica currently accepts
             from all entries together; None for no limit.
+        leaving: Whether the replica announces that it will exit and wants no
+            new requests.
     """
     status: int
     headers: headers.Headers
@@ -238,6 +240,7 @@
     misdirected: bool
     load: Load | None
     limit_per_s: float | None = None
+    leaving: bool = False
 
     @property
     def success(self):
--- a/gorsefall/relay/node.py
+++ b/gorsefall/relay/node.py
@@ -14,6 +14,7 @@
 from gorsefall.policy import budget
 from gorsefall.policy import freshness
 from gorsefall.policy import traffic_share
+from gorsefall.relay import announcements
 from gorsefall.relay import crashes
 from gorsefall.relay import crashstore
 from gorsefall.relay import exchange
@@ -24,7 +25,6 @@
 from gorsefall.relay import pacing
 from gorsefall.relay import peers
 from gorsefall.relay import prober
-from gorsefall.relay import replicalimits
 from gorsefall.relay import servers
 from gorsefall.relay import settings
 from gorsefall.relay import workload
@@ -62,7 +62,8 @@
         prober: The ``prober.ReplicaProber`` of its replicas.
         crashes: The ``crashes.CrashTracker`` of its replicas.
         work: The ``workload.Workload`` at its replicas.
-        limit_tracker: The ``replicalimits.LimitTracker`` of its replicas.
+        announcements: The ``announcements.AnnouncementTracker`` of its
+            replicas.
         share: The ``traffic_share.TrafficShare`` of this entry.
         replicas_known: Whether a snapshot of the replicas was read.
     """
@@ -91,7 +92,7 @@
         self.crashes = crashes.CrashTracker(self.loop, self.prober, self.fleet)
         self.work = workload.Workload(self.cfg.name, self.fleet,
                                       self.cfg.retries.window_s)
-        self.limit_tracker = replicalimits.LimitTracker(
+        self.announcements = announcements.AnnouncementTracker(
             self.loop, self.fleet, self.work.peer_view.members)
         self._peers = None
         self.replicas_known = False
@@ -127,7 +128,7 @@
             self._peers.start()
         self._followers.start(self._peers)
         self.crashes.start(self._peers)
-        self.limit_tracker.start()
+        self.announcements.start()
         self._crash_store.start(
             lambda: self._followers.is_reader,
             self._peers.heartbeat_s if self._peers else lambda: 0.0)
@@ -148,7 +149,7 @@
 
     def _handle_status(self, status, host):
         self.crashes.handle_status(status, host)
-        self.limit_tracker.handle_status(status)
+        self.announcements.handle_status(status)
         self.fleet.handle_status(status, self.loop.now)
 
     # -- observed state --------------------------------------------------------
@@ -227,8 +228,10 @@
             not self.draining,
             run_reports=self.crashes.recent_reports(self.loop.now),
             suspects_summary=self.crashes.suspects.summary,
-            limit_reports=self.limit_tracker.recent_reports(self.loop.now),
-            replica_exits=self.fleet.recent_exits(self.loop.now))
+            limit_reports=self.announcements.limits.recent_reports(
+                self.loop.now),
+            replica_exits=self.fleet.recent_exits(self.loop.now),
+            leaving_replicas=self.announcements.recent_leaving(self.loop.now))
 
     def record_load(self, replica, load):
         """Records the ``model.Load`` that a replica sent with a response."""
--- a/gorsefall/relay/replicalimits.py
+++ b/gorsefall/relay/replicalimits.py
@@ -3,6 +3,7 @@
 import typing
 
 from gorsefall import logs
+from gorsefall import metrics
 from gorsefall.policy import announced_limits
 from gorsefall.policy import membership
 from gorsefall.relay import fleet
@@ -103,6 +104,7 @@
             return False
         self._limited_replicas[replica.record.id] = replica
         self._update_share(replica)
+        metrics.ANNOUNCEMENTS.labels('limit').inc()
         self._log.info('limit_announced',
                        replica=replica.record.id,
                        per_s=per_s,
--- a/gorsefall/relay/sending.py
+++ b/gorsefall/relay/sending.py
@@ -96,14 +96,19 @@
             status, fields)
         return self._response.request_id in (None, self._exchange.req.id)
 
+    def on_interim(self, status, fields):
+        """See ``outbound.Call``."""
+        node = self._exchange.node
+        if node.codec.decode_response(status, fields).leaving:
+            node.announcements.record_leaving(self.replica)
+
     def on_head(self, status, fields):
         """See ``outbound.Call``; ``matches_response`` has decoded it."""
         load = self._response.load
         if load is not None:
             self._exchange.node.record_load(self.replica, load)
-        if not self._response.misdirected:
-            self._exchange.node.limit_tracker.record_response(
-                self.replica, self._response.limit_per_s, self.sent_at)
+        self._exchange.node.announcements.record_response(
+            self.replica, self._response, self.sent_at)
         self._exchange.on_response_head(self._response)
 
     def on_data(self, data):
--- a/gorsefall/relay/workload.py
+++ b/gorsefall/relay/workload.py
@@ -6,7 +6,6 @@
 from gorsefall.policy import peerview
 from gorsefall.policy import placement
 from gorsefall.policy import unreported
-from gorsefall.relay import model
 
 
 class Workload:
@@ -69,16 +68,12 @@
         self.peer_view.update_views(views, time.monotonic())
         return views
 
-    def draining_views(self, service):
-        """Returns the views of draining replicas.
+    def leaving_views(self, service):
+        """Returns the views of replicas that are leaving.
 
         Others can still fetch cached prompts from them.
         """
-        return [
-            r.view
-            for r in self._fleet.of_service(service)
-            if r.record.status is model.ReplicaStatus.DRAINING
-        ]
+        return [r.view for r in self._fleet.of_service(service) if r.is_leaving]
 
     def replica_addr(self, view):
         """Returns the address of a view's replica; None if it was dropped."""
