Announced pauses: a replica that asks for rest gets it from each entry that it asked

Cause: the field was not read, and a replica that states that it has not run a request stays a candidate like any other.

Change: such a replica takes no request of this entry until the latest end of all pauses that it asked for, an hour at most; what is due there goes elsewhere. Then requests are sent one at a time, the most urgent first, until one is accepted or answered with a new pause, so that no queue of callers meets it at that moment. It is neither a failure nor spare room. If all replicas of a service refuse, callers get 503 with the time until the first of them accepts again; the error, and explain with it, names the replicas and why.

Ruled out: telling other entries (a replica asks each for itself; what it wants of others it tells them).

--- a/features/platform_announcements.feature
+++ b/features/platform_announcements.feature
@@ -35,3 +35,21 @@
     Given an entry on the platform with two plain and two pool replicas
     When all replicas announce their exits in a response
     Then requests are refused at once as not run
+
+  Scenario Outline: a replica asks for a pause of <pause> s
+    Given an entry on the platform with two plain and two pool replicas
+    When a replica refuses requests and asks for a pause of <pause> s
+    Then it receives no request until the pause is over
+    And afterwards one at a time until it accepts one
+
+    Examples:
+      | pause |
+      | 3     |
+      | 1.5   |
+
+  Scenario: all replicas ask for a pause
+    Given an entry on the platform with two plain and two pool replicas
+    When all replicas refuse requests and ask for a pause of 3 s
+    Then requests are refused at once as not run
+    And callers are told to return when the pause is over
+    And callers that return then are served
--- a/features/steps/announcement_steps.py
+++ b/features/steps/announcement_steps.py
@@ -157,3 +157,69 @@
     reply = _send(context)
     assert reply.status == 503 and 'retry-after' in reply.headers, reply
     assert time.monotonic() - started_at < QUICK_S
+
+
+@when('a replica refuses requests and asks for a pause of {pause_s:g} s')
+def step_pause(context, pause_s):
+    _observe(context, context.platform.replicas['p1'], PLAIN_PATH)
+    context.replica.pause_s = context.pause_s = pause_s
+    _send_until_received(context, context.replica)
+    context.paused_at = context.replica.refusals[0][0].at
+
+
+@when('all replicas refuse requests and ask for a pause of {pause_s:g} s')
+def step_pause_all(context, pause_s):
+    context.pause_s = pause_s
+    for name in platform_site.PLAIN_REPLICAS:
+        _observe(context, context.platform.replicas[name], PLAIN_PATH)
+        context.replica.pause_s = pause_s
+        _send_until_received(context, context.replica)
+    context.paused_at = context.replica.refusals[0][0].at
+
+
+def _send_for(context, until):
+    """Sends requests and returns their statuses."""
+    statuses = []
+    while time.monotonic() < until:
+        statuses.append(_send(context).status)
+        time.sleep(PAUSE_S)
+    return statuses
+
+
+@then('it receives no request until the pause is over')
+def step_paused(context):
+    statuses = _send_for(context, context.paused_at + context.pause_s - 0.1)
+    assert set(statuses) == {200}, statuses
+    assert len(context.replica.refusals) == 1, context.replica.refusals
+
+
+@then('afterwards one at a time until it accepts one')
+def step_trial(context):
+    _send_for(context, context.paused_at + 1.5 * context.pause_s)
+    assert len(context.replica.refusals) == 2, context.replica.refusals
+    context.replica.pause_s = None
+    _send_for(context, context.paused_at + 2.5 * context.pause_s)
+    received = len(context.replica.received_requests)
+    statuses = _send_for(context, time.monotonic() + 1.0)
+    share = (len(context.replica.received_requests) - received) / len(statuses)
+    assert set(statuses) == {200}
+    assert share > 0.25, share
+
+
+@then('callers are told to return when the pause is over')
+def step_retry_after(context):
+    at = time.monotonic()
+    retry_after_s = float(_send(context).headers['retry-after'])
+    first_end = min(r.refusals[0][0].at
+                    for r in context.platform.replicas.values()
+                    if r.refusals) + context.pause_s
+    assert 0 <= at + retry_after_s - first_end < 0.5, retry_after_s
+    context.return_at = at + retry_after_s
+
+
+@then('callers that return then are served')
+def step_return(context):
+    for replica in context.platform.replicas.values():
+        replica.pause_s = None
+    time.sleep(context.return_at - time.monotonic())
+    assert _send(context).status == 200
--- a/gorsefall/policy/announced_limits.py
+++ b/gorsefall/policy/announced_limits.py
@@ -101,6 +101,21 @@
         self._refill(now)
         return self.available >= 1.0 + (0.0 if urgent else URGENT_RESERVE)
 
+    def allows_in_s(self, now):
+        """Returns the time until a request may be sent, s.
+
+        Returns:
+            0 if one may be sent now; None if none may until the entries that
+            share the limit change.
+        """
+        if self.allows(now):
+            return 0.0
+        return (1.0 - self.available) / self._rate() if self.share else None
+
+    def _rate(self):
+        """Returns the requests per second that this entry may send."""
+        return USED_SHARE * max(MIN_PER_S, self.per_s) * self.share
+
     def record_sent(self, now):
         """Records a request that is sent now."""
         if self.per_s is not None:
@@ -108,7 +123,7 @@
             self.available -= 1.0
 
     def _refill(self, now):
-        per_s = USED_SHARE * max(MIN_PER_S, self.per_s) * self.share
+        per_s = self._rate()
         refill = per_s * max(0.0, now - self._refilled_at)
         capacity = max(MAX_BURST_REQUESTS, MAX_BURST_S * per_s)
         self.available = min(capacity, self.available + refill)
--- a/gorsefall/relay/announcements.py
+++ b/gorsefall/relay/announcements.py
@@ -2,6 +2,7 @@
 
 from gorsefall import logs
 from gorsefall import metrics
+from gorsefall.policy import acceptance
 from gorsefall.policy import membership
 from gorsefall.relay import replicalimits
 
@@ -56,6 +57,21 @@
         self.limits.record_response(replica, response.limit_per_s, sent_at)
         if response.leaving:
             self.record_leaving(replica)
+        if response.pause_s is not None:
+            self._record_pause(replica, response.pause_s)
+        else:
+            replica.acceptance.record_accepted(sent_at)
+
+    def _record_pause(self, replica, asked_s):
+        now = self._loop.now
+        pause_s = min(asked_s, acceptance.MAX_PAUSE_S)
+        if now >= replica.acceptance.paused_until:
+            metrics.ANNOUNCEMENTS.labels('pause').inc()
+            self._log.info('replica_paused',
+                           replica=replica.record.id,
+                           for_s=round(pause_s, 3),
+                           asked_s=asked_s)
+        replica.acceptance.pause(now + pause_s)
 
     def record_leaving(self, replica):
         """Records that a response of a replica announced its exit."""
--- a/gorsefall/relay/exchange.py
+++ b/gorsefall/relay/exchange.py
@@ -120,10 +120,16 @@
             least_loaded=self.node.crashes.suspects.must_serialize(self.digest))
         if choice is None:
             raise errors.NoReplicaError(
-                f'no replica of {self._grant.service} is left',
-                retry_after=retry_delay.short_delay_s())
+                f'no replica of {self._grant.service} is left '
+                f'({self.node.fleet.describe_refusals(self._grant.service)})',
+                retry_after=self._retry_after_s())
         self._send(self.node.fleet.replicas[choice.target.name], choice)
 
+    def _retry_after_s(self):
+        """Returns the delay after which a caller should retry, s."""
+        return (self.node.fleet.accepts_in_s(self._grant.service) +
+                retry_delay.short_delay_s())
+
     def _send(self, replica, choice, *, from_backup=False):
         now = time.monotonic()
         if not self.attempts.replicas:
@@ -281,11 +287,12 @@
         self.log.info('not_run',
                       replica=attempt.replica.record.id,
                       status=response.status,
+                      pause_s=response.pause_s,
                       load=response.load)
         self.retry_or_fail(
             errors.ReplicaRefusedError(
                 f'the replica refused it ({response.status})',
-                retry_after=retry_delay.short_delay_s()), 'not run')
+                retry_after=self._retry_after_s()), 'not run')
 
     def on_attempt_failed(self, attempt, failure):
         """Called when an attempt ended without a complete response."""
--- a/gorsefall/relay/fleet.py
+++ b/gorsefall/relay/fleet.py
@@ -35,6 +35,9 @@
 MAX_EXIT_REPORTS = 32
 """Most exits in a status message."""
 
+MAX_DESCRIBED_REFUSALS = 6
+"""Replicas that an error message lists at most."""
+
 MAX_RETAINED_ACCEPTANCES = 4096
 """Incarnations of replicas whose announcements are retained at most: twice the
 replicas planned in two years."""
@@ -363,6 +366,29 @@
             r for r in self.replicas.values() if r.record.service == service
         ]
 
+    def accepts_in_s(self, service):
+        """Returns the time until a replica of a service accepts requests, s.
+
+        Returns:
+            0 if one accepts them now, or if that time is not known.
+        """
+        now = time.monotonic()
+        waits_s = [
+            0.0 if r.refusal(now) is None else r.acceptance.accepts_in_s(now)
+            for r in self.of_service(service)
+            if not r.record_malformed
+        ]
+        return min((s for s in waits_s if s is not None), default=0.0)
+
+    def describe_refusals(self, service):
+        """Returns which replicas of a service accept no requests, str."""
+        now = time.monotonic()
+        reasons = [
+            f'{r.record.id} {refusal.value}' for r in self.of_service(service)
+            if (refusal := r.refusal(now)) is not None
+        ]
+        return ', '.join(reasons[:MAX_DESCRIBED_REFUSALS])
+
     def candidates(self, service, exclude, *, urgent=True):
         """See ``directory.Directory``.
 
--- a/gorsefall/relay/model.py
+++ b/gorsefall/relay/model.py
@@ -231,6 +231,8 @@
             from all entries together; None for no limit.
         leaving: Whether the replica announces that it will exit and wants no
             new requests.
+        pause_s: Time for which the replica wants no requests from this entry,
+            s; None if it asks for no pause.
     """
     status: int
     headers: headers.Headers
@@ -241,6 +243,7 @@
     load: Load | None
     limit_per_s: float | None = None
     leaving: bool = False
+    pause_s: float | None = None
 
     @property
     def success(self):
