--- a/features/environment.py
+++ b/features/environment.py
@@ -10,12 +10,14 @@
 from gorsefall import settings
 from gorsefall import settingsfile
 from gorsefall.standins import launch
+from gorsefall.standins import logcheck
 from gorsefall.standins import ports
 
 SITE = pathlib.Path(__file__).parent / 'site'
 
 
 def before_feature(context, feature):
+    context.known_exceptions = 0
     context.tmp = tempfile.mkdtemp(prefix='gorsefall-test-')
     context.site_stack = contextlib.ExitStack()
     context.site = context.site_stack.enter_context(
@@ -44,12 +46,21 @@
     common.wait_replicas(context)
 
 
+def _check_logs(context):
+    """Fails a scenario in which an entry logged an exception."""
+    found = list(logcheck.exceptions(context.tmp))
+    new = found[context.known_exceptions:]
+    context.known_exceptions = len(found)
+    assert not new, new[0]
+
+
 def after_scenario(context, scenario):
     # A failed scenario may leave processes frozen, dead or faulty, which must
     # not fail the next scenario.
     if scenario.status == 'failed' and context.procs is not None:
         from steps import common
         common.restore_site(context)
+    _check_logs(context)
 
 
 def after_feature(context, feature):
