Shared reads: entries without the store do not read because others ask them

Cause, traced by half seconds: after 7 s, when the last entries had given up, all 120 read at once. The stand-in left out of an entry's candidates those that do not reach the store, so that each saw nobody and took itself for the only one; the platform's entries (relay/followers.py) know them, marked as unable to read, and let three of them go on. Bound and durations of the test are as they were.

--- a/gorsefall/relay/sharing.py
+++ b/gorsefall/relay/sharing.py
@@ -181,9 +181,11 @@
     def _should_read(self, others):
         # Entries whose sets of known entries differ choose different readers.
         # An entry that others query therefore reads too; otherwise they would
-        # receive stale data.
+        # receive stale data. Without the store it has nothing better to send:
+        # during an outage entries query ever others, and all would read.
         return (self._selector.is_reader(others) or
-                bool(self._recent_queriers(READ_AFTER_QUERY_S)))
+                (self.reaches_store() and
+                 bool(self._recent_queriers(READ_AFTER_QUERY_S))))
 
     def _recent_queriers(self, for_s):
         """Returns the hosts that sent a query within ``for_s``, a list."""
--- a/tests/entries.py
+++ b/tests/entries.py
@@ -193,10 +193,11 @@
         return list(self.network.entries.values())
 
     def others(self, entry):
+        """Returns the candidates that an entry knows from others' statuses."""
         return [
-            e.own
+            e.own._replace(can_read=e.sharing.reaches_store())
             for e in self.entries
-            if e is not entry and not e.loop.dead and e.sharing.reaches_store()
+            if e is not entry and not e.loop.dead
         ]
 
     def run(self, for_s):
