Status messages: one that is too long is sent without its reports

It now leaves out what is repeated elsewhere or later (reports, responses, prompts) and keeps the counts that others add up.

--- a/gorsefall/policy/membership.py
+++ b/gorsefall/policy/membership.py
@@ -180,6 +180,23 @@
     replica_exits: tuple[ReplicaExit, ...] = ()
     leaving_replicas: tuple[LeavingReplica, ...] = ()
 
+    def without_reports(self):
+        """Returns a copy without what may be left out of a message.
+
+        The counts that others add up remain.
+        """
+        return Status(self.name,
+                      self.started_at_ms,
+                      self.seq,
+                      self.first_attempts,
+                      self.in_flight,
+                      known_hosts=self.known_hosts,
+                      responses_before=self.responses_before +
+                      len(self.responses),
+                      zone=self.zone,
+                      can_read_store=self.can_read_store,
+                      suspects_summary=self.suspects_summary)
+
     def responses_after(self, last):
         """Returns the responses that are not in the status ``last``.
 
--- a/gorsefall/relay/peers.py
+++ b/gorsefall/relay/peers.py
@@ -126,11 +126,12 @@
         self._add_hosts(self._seeds, now)
         self._seq += 1
         hosts = self._choose_hosts(live, now)
-        data = messages.encode(
-            self._node.status(self._started_at_ms, self._seq, hosts))
+        status = self._node.status(self._started_at_ms, self._seq, hosts)
+        data = messages.encode(status)
         if len(data) > MAX_MESSAGE_BYTES:
+            # Without any status the others would take this entry for gone.
             self._log.error('status_too_long', size=len(data))
-            return
+            data = messages.encode(status.without_reports())
         for host in members.addresses(now):
             self._endpoint.send(data, (host, self._port))
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -140,6 +140,27 @@
             > 2 * entry.heartbeat_s())
 
 
+def test_a_status_that_is_too_long_leaves_out_reports(entry):
+    """Entries take one for gone that has too much to report."""
+    view = entry._node.work.peer_view
+    status = entry._node.status(1, 1, ())
+    long_status = msgspec.structs.replace(
+        status,
+        first_attempts={'s': 7},
+        responses=(membership.Response('r', False),) * 3000,
+        replica_exits=(membership.ReplicaExit('r', 1, 1),) * 3000)
+    entry._node.status = lambda started_at_ms, seq, hosts: long_status
+    sent = []
+    entry._endpoint.send = lambda data, addr: sent.append(data)
+    _receive_statuses(entry, 2)
+    entry._send_status()
+    assert len(sent) == 2 and len(sent[0]) <= peers.MAX_MESSAGE_BYTES
+    received = messages.decode(sent[0])
+    assert received.first_attempts == {'s': 7}
+    assert received.responses_before == 3000
+    assert view.members.name == received.name
+
+
 def test_a_replayed_message_reports_no_prompt_uses(entry):
     """Guards against counting prompts as cached that were evicted since."""
     parts = (prompts.Part('p', 900),)
