Explain: replicas that accept no requests, and what they announced

From a request that was refused as no replica accepted it, explain now shows which replica left, asked for a pause or named a limit, from the lines that each such change writes and the replicas that the error names.

--- a/gorsefall/explain.py
+++ b/gorsefall/explain.py
@@ -5,6 +5,7 @@
 """
 
 import functools
+import re
 
 from gorsefall import errors
 from gorsefall import loglines
@@ -70,6 +71,10 @@
         'the record of {0.replica} expired during a store outage',
     loglines.ReplicaGone:
         '{0.replica} received no more requests ({0.reason})',
+    loglines.ReplicaLeaving:
+        '{0.replica} announced its exit in a response',
+    loglines.ReplicaPaused:
+        '{0.replica} refused a request and asked for a pause of {0.for_s:g} s',
     loglines.Started:
         'the process started',
     loglines.Stopping:
@@ -107,6 +112,13 @@
             f'{_confirmed(event)}')
 
 
+@describe.register
+def _(event: loglines.LimitAnnounced):
+    limit = ('no limit any more'
+             if event.per_s is None else f'{event.per_s:g} requests a second')
+    return f'{event.replica} announced {limit}'
+
+
 @describe.register
 def _(event: loglines.AttemptFailed):
     reached = ('may have received the request'
@@ -141,6 +153,10 @@
             event, loglines.ReplicaSeen | loglines.ReplicaDoubtful |
             loglines.ReplicaGone):
         return f'replica {event.replica}'
+    if isinstance(
+            event, loglines.ReplicaLeaving | loglines.ReplicaPaused |
+            loglines.LimitAnnounced):
+        return f'{type(event).__name__} {event.replica}'
     return 'process'
 
 
@@ -150,6 +166,8 @@
     for line in own:
         if isinstance(line.event, loglines.Answered):
             replicas.update(line.event.attempts)
+            # The error names the replicas that accept no requests.
+            replicas.update(re.findall(r'[^\s(),]+', line.event.error or ''))
         elif isinstance(line.event, loglines.Sent):
             replicas.add(line.event.replica)
     latest = {}
@@ -165,8 +183,8 @@
             latest.pop(subject, None)
             latest[subject] = line
     return [
-        line for subject, line in latest.items()
-        if not subject.startswith('replica ') or line.event.replica in replicas
+        line for line in latest.values()
+        if getattr(line.event, 'replica', None) in (None, *replicas)
     ]
 
 
--- a/gorsefall/loglines.py
+++ b/gorsefall/loglines.py
@@ -147,6 +147,23 @@
     reason: str
 
 
+class ReplicaLeaving(ObservedState, tag='replica_leaving'):
+    """A replica announced its exit in a response."""
+    replica: str
+
+
+class ReplicaPaused(ObservedState, tag='replica_paused'):
+    """A replica refused a request and asked for a pause."""
+    replica: str
+    for_s: float
+
+
+class LimitAnnounced(ObservedState, tag='limit_announced'):
+    """A replica announced another limit, or none any more."""
+    replica: str
+    per_s: float | None = None
+
+
 class Started(ObservedState, tag='started'):
     """The process started."""
 
@@ -162,7 +179,8 @@
 _EventType = (Sent | AttemptFailed | NotRun | Retry | Parked | Restored |
               Answered | Configuration | ProofLost | ProofRegained | StoreLost |
               StoreRegained | ReplicaSeen | ReplicaDoubtful | ReplicaGone |
-              Started | Stopping | Stopped)
+              ReplicaLeaving | ReplicaPaused | LimitAnnounced | Started |
+              Stopping | Stopped)
 _decoder = msgspec.json.Decoder(_EventType)
 
 
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -47,6 +47,24 @@
     assert replicas[-1] in text.split('cause: ')[1]
 
 
+def test_replicas_that_accept_no_requests_are_explained(tmp_path):
+    """An engineer on call cannot tell which replica asked for what."""
+    (tmp_path / 'a.log').write_text(
+        '{"event": "replica_leaving", "replica": "i-1"}\n'
+        '{"event": "replica_paused", "replica": "i-2", "for_s": 2.5}\n'
+        '{"event": "limit_announced", "replica": "i-3", "per_s": 0.5}\n'
+        '{"event": "replica_paused", "replica": "i-9", "for_s": 9}\n'
+        '{"event": "answered", "rid": "r1", "outcome": "refused", '
+        '"code": "no_replica", "error": "no replica of s is left '
+        '(i-1 leaving, i-2 paused, i-3 limited)", "retry_after_s": 2.6}\n')
+    text = explain.explain(loglines.read_files([tmp_path / 'a.log']), 'r1')
+    state = text.split('decisions:')[0]
+    assert 'i-1 announced its exit' in state
+    assert 'i-2 refused a request and asked for a pause of 2.5 s' in state
+    assert 'i-3 announced 0.5 requests a second' in state
+    assert 'i-9' not in text
+
+
 def test_observed_state_is_of_the_same_process_since_its_start(tmp_path):
     """Lines of other processes must not be mixed in.
 
