Crash reports: the exit of a replica that announced it is no crash

A replica that had said in an answer that it leaves, while its record still said ready, ended under requests that were still running there, and its exit was counted against them; three such exits block a good request.

--- a/gorsefall/emulator/crashing.py
+++ b/gorsefall/emulator/crashing.py
@@ -41,6 +41,8 @@
     """One incarnation of a replica, with what ``crashes`` uses of it."""
     record: object
     record_lapsed: bool = False
+    is_leaving: bool = False
+    reported_leaving: bool = False
     exited_at: float | None = None
     up: bool = True
     runs: set = dataclasses.field(default_factory=set)
--- a/gorsefall/relay/crashes.py
+++ b/gorsefall/relay/crashes.py
@@ -12,7 +12,6 @@
 from gorsefall.policy import membership
 from gorsefall.policy import suspects
 from gorsefall.relay import messages
-from gorsefall.relay import model
 from gorsefall.relay import prober
 
 REPORT_WINDOW_S = 6.0
@@ -165,7 +164,7 @@
 
     def _expected_up(self, replica):
         """Returns whether the replica should run: its exit is then a crash."""
-        return (replica.record.status is model.ReplicaStatus.READY and
+        return (not replica.is_leaving and not replica.reported_leaving and
                 not replica.record_lapsed and
                 self._fleet.replicas.get(replica.record.id) is replica)
 
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -10,6 +10,7 @@
 from gorsefall.emulator import crashing
 from gorsefall.policy import suspects
 from gorsefall.relay import crashes
+from gorsefall.relay import model
 
 YOUNG, OLD = suspects.CrashWeight.YOUNG, suspects.CrashWeight.OLD
 CONTACT_S = 5.0
@@ -197,6 +198,37 @@
     assert site.entries[0].crashes.suspects.is_blocked(b'guilty', site.loop.now)
 
 
+def _tracker_of(*replicas):
+    """Returns a loop, a tracker of ``replicas``, and the probes it asks for."""
+    loop = clock.Loop()
+    probes = []
+    directory = types.SimpleNamespace(
+        replicas={r.record.id: r for r in replicas},
+        record_exit=lambda replica, at: setattr(replica, 'exited_at', at))
+    prober = types.SimpleNamespace(
+        probe=lambda replica, done: probes.append(done))
+    return loop, crashes.CrashTracker(loop, prober, directory,
+                                      lambda: loop.now), probes
+
+
+def _replica(name):
+    return crashing.Replica(
+        types.SimpleNamespace(id=name,
+                              started_at_ms=0,
+                              status=model.ReplicaStatus.READY))
+
+
+def test_the_exit_of_a_replica_that_announced_it_is_no_crash():
+    """Good requests are blocked that ran at replicas as these left."""
+    leaving, reported = _replica('r1'), _replica('r2')
+    leaving.is_leaving = reported.reported_leaving = True
+    _, tracker, probes = _tracker_of(leaving, reported)
+    for replica in (leaving, reported):
+        tracker.handle_broken_run(replica, crashes.BrokenRun(b'x', 0.0, None),
+                                  lambda: None)
+    assert not probes
+
+
 def test_queries_of_all_entries_at_once_do_not_fill_the_link():
     """An entry that all others query at once sends nothing else for a while."""
     sent = []
