Crash reports: a crash is dated by the break of its connection, not by the probe

Each crash is now dated by the break of the connection under the request, which both have at the same moment. test_simultaneous_exits_are_recognized_however_late_they_are_probed failed before (weight 2 instead of 1).

--- a/gorsefall/relay/crashes.py
+++ b/gorsefall/relay/crashes.py
@@ -158,7 +158,9 @@
         if self._expected_up(replica):
             done = on_result if must_wait else lambda: None
             self._prober.probe(
-                replica, functools.partial(self._on_probed, replica, run, done))
+                replica,
+                functools.partial(self._on_probed, replica, run, self._clock(),
+                                  done))
         if not must_wait:
             on_result()
 
@@ -168,13 +170,14 @@
                 not replica.record_lapsed and
                 self._fleet.replicas.get(replica.record.id) is replica)
 
-    def _on_probed(self, replica, run, done, verdict):
-        now = self._clock()
+    def _on_probed(self, replica, run, broken_at, done, verdict):
         if verdict is prober.Verdict.EXITED:
-            self._fleet.record_exit(replica, now)
+            self._fleet.record_exit(replica, self._clock())
             # A run that was sent after the exit reached no process.
             if run.sent_at < replica.exited_at:
-                self._record_crash(replica.record, run, now)
+                # Replicas that exit together are probed one after the other,
+                # and a busy entry gets the verdicts far apart.
+                self._record_crash(replica.record, run, broken_at)
         done()
 
     def _record_crash(self, record, run, now):
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -11,6 +11,7 @@
 from gorsefall.policy import suspects
 from gorsefall.relay import crashes
 from gorsefall.relay import model
+from gorsefall.relay import prober
 
 YOUNG, OLD = suspects.CrashWeight.YOUNG, suspects.CrashWeight.OLD
 CONTACT_S = 5.0
@@ -205,9 +206,9 @@
     directory = types.SimpleNamespace(
         replicas={r.record.id: r for r in replicas},
         record_exit=lambda replica, at: setattr(replica, 'exited_at', at))
-    prober = types.SimpleNamespace(
+    probe = types.SimpleNamespace(
         probe=lambda replica, done: probes.append(done))
-    return loop, crashes.CrashTracker(loop, prober, directory,
+    return loop, crashes.CrashTracker(loop, probe, directory,
                                       lambda: loop.now), probes
 
 
@@ -218,6 +219,22 @@
                               status=model.ReplicaStatus.READY))
 
 
+def test_simultaneous_exits_are_recognized_however_late_they_are_probed():
+    """Good requests are blocked after bursts of crashes because a busy entry
+    sees the crashes of one burst far apart."""
+    first, second = _replica('r1'), _replica('r2')
+    loop, tracker, probes = _tracker_of(first, second)
+    tracker.handle_broken_run(first, crashes.BrokenRun(b'x', 0.0, None),
+                              lambda: None)
+    tracker.handle_broken_run(second, crashes.BrokenRun(b'y', 0.0, None),
+                              lambda: None)
+    for done in probes:
+        loop.run(loop.now + 0.3)
+        done(prober.Verdict.EXITED)
+    assert tracker.suspects.weight(b'x') == int(OLD)
+    assert tracker.suspects.weight(b'y') == int(OLD)
+
+
 def test_the_exit_of_a_replica_that_announced_it_is_no_crash():
     """Good requests are blocked that ran at replicas as these left."""
     leaving, reported = _replica('r1'), _replica('r2')
