Reading the change: reports of exits expire, draining replicas don't hide a pause, one report window

Another entry's report of an exit is believed for 30 s, so that a false one is forgotten. A replica that drains by its record no longer makes the time until others accept requests look like now. Tests: test_a_false_report_of_an_exit_is_forgotten and the extended test_callers_are_told_when_the_first_replica_accepts_requests.

--- a/gorsefall/emulator/crashing.py
+++ b/gorsefall/emulator/crashing.py
@@ -42,11 +42,15 @@
     record: object
     record_lapsed: bool = False
     is_leaving: bool = False
-    reported_leaving: bool = False
     exited_at: float | None = None
     up: bool = True
     runs: set = dataclasses.field(default_factory=set)
 
+    def is_reported_leaving(self, now):
+        """See ``fleet.Replica``."""
+        del now
+        return False
+
 
 class Entry:
     """An entry, which is also the peers and prober of its ``CrashTracker``."""
--- a/gorsefall/policy/membership.py
+++ b/gorsefall/policy/membership.py
@@ -35,6 +35,10 @@
 """Time for which an address counts as new, s. Others receive it at least twice
 if entries send a status every 2.4 s."""
 
+REPORT_WINDOW_S = 6.0
+"""Time for which an observation is included in status messages, s: each of
+hundreds of entries receives it at least twice."""
+
 MAX_MEMBERS = 1024
 """Maximum number of addresses: three times the entries planned in two years."""
 
--- a/gorsefall/relay/announcements.py
+++ b/gorsefall/relay/announcements.py
@@ -6,9 +6,9 @@
 from gorsefall.policy import membership
 from gorsefall.relay import replicalimits
 
-REPORT_WINDOW_S = 6.0
-"""Time for which an announced exit is included in status messages, s: each of
-hundreds of entries receives it at least twice."""
+REPORT_TRUST_S = 30.0
+"""Time after another entry's last report of an exit for which it is believed,
+s. Leaving replicas have exited by then, and a false report is forgotten."""
 
 MAX_REPORTS = 16
 """Maximum number of announced exits in a status message, the last ones."""
@@ -89,7 +89,7 @@
         self._leaving_since = {
             replica: at
             for replica, at in self._leaving_since.items()
-            if now - at < REPORT_WINDOW_S
+            if now - at < membership.REPORT_WINDOW_S
         }
         return tuple(
             membership.LeavingReplica(r.record.id, r.record.started_at_ms)
@@ -100,9 +100,14 @@
         self.limits.handle_status(status)
         for report in status.leaving_replicas:
             replica = self._fleet.replicas.get(report.replica)
-            if (replica is not None and not replica.reported_leaving and
+            if (replica is not None and
                     replica.record.started_at_ms == report.started_at_ms):
-                replica.reported_leaving = True
-                self._log.info('replica_reported_leaving',
-                               replica=report.replica,
-                               entry=status.name)
+                self._record_report(replica, status.name)
+
+    def _record_report(self, replica, entry):
+        now = self._loop.now
+        if not replica.is_reported_leaving(now):
+            self._log.info('replica_reported_leaving',
+                           replica=replica.record.id,
+                           entry=entry)
+        replica.reported_leaving_until = now + REPORT_TRUST_S
--- a/gorsefall/relay/crashes.py
+++ b/gorsefall/relay/crashes.py
@@ -14,10 +14,6 @@
 from gorsefall.relay import messages
 from gorsefall.relay import prober
 
-REPORT_WINDOW_S = 6.0
-"""Time for which a crash is included in status messages, s: each of hundreds of
-entries receives it at least twice."""
-
 MAX_REPORTS = 32
 """Most reports in a status message, together 2 KB; the newest are sent."""
 
@@ -166,7 +162,8 @@
 
     def _expected_up(self, replica):
         """Returns whether the replica should run: its exit is then a crash."""
-        return (not replica.is_leaving and not replica.reported_leaving and
+        return (not replica.is_leaving and
+                not replica.is_reported_leaving(self._clock()) and
                 not replica.record_lapsed and
                 self._fleet.replicas.get(replica.record.id) is replica)
 
@@ -226,7 +223,8 @@
 
     def recent_reports(self, now):
         """Returns the ``membership.RunReport`` objects for a status message."""
-        while self._events and self._events[0][0] < now - REPORT_WINDOW_S:
+        while self._events and self._events[0][
+                0] < now - membership.REPORT_WINDOW_S:
             self._events.popleft()
         return tuple(
             report for _, digest, crash in self._events
--- a/gorsefall/relay/fleet.py
+++ b/gorsefall/relay/fleet.py
@@ -28,10 +28,6 @@
 """Time after a replica's exit from which a newly read record shows that the
 replica is alive, s: one written before the exit has been read by then."""
 
-EXIT_REPORT_WINDOW_S = 6.0
-"""Time for which an exit is included in status messages, s: each of hundreds of
-entries receives it at least twice."""
-
 MAX_EXIT_REPORTS = 32
 """Most exits in a status message."""
 
@@ -55,7 +51,8 @@
         record_malformed: Whether its newest record cannot be decoded, so that
             its state is unknown.
         acceptance: The ``acceptance.Acceptance`` that it has announced.
-        reported_leaving: Whether another entry reported that it is leaving.
+        reported_leaving_until: Time until which it is taken to be leaving, as
+            other entries reported, s (monotonic).
         exited_at: When it was found to have crashed, s (monotonic); None while
             it is assumed to run.
     """
@@ -67,7 +64,7 @@
         self.record_malformed = False
         self.exited_at = None
         self.acceptance = accepts
-        self.reported_leaving = False
+        self.reported_leaving_until = float('-inf')
         self.view = knowledge.ReplicaView(name=record.id,
                                           zone=record.zone,
                                           slots=record.slots,
@@ -105,11 +102,14 @@
             return acceptance.Refusal.LEAVING
         return self.acceptance.refusal(now, urgent=urgent)
 
-    @property
-    def is_doubtful(self):
-        """Whether it may be gone, and receives requests as a last resort."""
+    def is_reported_leaving(self, now):
+        """Returns whether other entries reported that it is leaving."""
+        return now < self.reported_leaving_until
+
+    def is_doubtful(self, now):
+        """Returns whether it may be gone, and is used as a last resort."""
         return (self.record_lapsed or self.exited_at is not None or
-                self.reported_leaving)
+                self.is_reported_leaving(now))
 
     def on_record_written(self, now):
         """Called when its record was written again."""
@@ -288,7 +288,7 @@
             name: rep
             for name, rep in self._exited_replicas.items()
             if rep.exited_at is not None and now -
-            rep.exited_at < EXIT_REPORT_WINDOW_S
+            rep.exited_at < membership.REPORT_WINDOW_S
         }
         return tuple(
             membership.ReplicaExit(name, rep.record.started_at_ms,
@@ -374,9 +374,9 @@
         """
         now = time.monotonic()
         waits_s = [
-            0.0 if r.refusal(now) is None else r.acceptance.accepts_in_s(now)
+            r.acceptance.accepts_in_s(now)
             for r in self.of_service(service)
-            if not r.record_malformed
+            if not r.record_malformed and not r.is_leaving
         ]
         return min((s for s in waits_s if s is not None), default=0.0)
 
@@ -404,4 +404,4 @@
             if r.record.id not in exclude and not r.record_malformed and
             not r.pool.is_full() and r.refusal(now, urgent=urgent) is None
         ]
-        return [r for r in live if not r.is_doubtful] or live
+        return [r for r in live if not r.is_doubtful(now)] or live
--- a/gorsefall/relay/replicalimits.py
+++ b/gorsefall/relay/replicalimits.py
@@ -8,10 +8,6 @@
 from gorsefall.policy import membership
 from gorsefall.relay import fleet
 
-REPORT_WINDOW_S = 6.0
-"""Time for which a limit is included in status messages, s: each of hundreds of
-entries receives it at least twice."""
-
 MAX_REPORTS = 16
 """Maximum number of limits in a status message, the last ones announced."""
 
@@ -122,7 +118,7 @@
         self._announcements = {
             name: announcement
             for name, announcement in self._announcements.items()
-            if now - announcement.at < REPORT_WINDOW_S
+            if now - announcement.at < membership.REPORT_WINDOW_S
         }
         newest = sorted(self._announcements.values(),
                         key=lambda announcement: announcement.at,
--- a/tests/test_acceptance.py
+++ b/tests/test_acceptance.py
@@ -119,10 +119,24 @@
                                leaving_replicas=tuple(
                                    membership.LeavingReplica(n, born)
                                    for n, born in (('a', 1), ('b', 0))))
-    site.tracker.handle_status(status)
-    assert site.names() == {'b'}
-    site.respond(site.fleet.replicas['b'], leaving=True)
-    assert site.names() == {'a'}
+    site.loop.run(10.0)
+    with mock.patch('time.monotonic', lambda: site.loop.now):
+        site.tracker.handle_status(status)
+        assert site.names() == {'b'}
+        site.respond(site.fleet.replicas['b'], leaving=True)
+        assert site.names() == {'a'}
+
+
+def test_a_false_report_of_an_exit_is_forgotten():
+    """A replica that was reported by mistake is avoided for ever."""
+    site = _Site()
+    report = membership.LeavingReplica('a', 1)
+    with mock.patch('time.monotonic', lambda: site.loop.now):
+        site.tracker.handle_status(
+            membership.Status('other', 1, 1, leaving_replicas=(report,)))
+        assert site.names() == {'b'}
+        site.loop.run(announcements.REPORT_TRUST_S + 1.0)
+        assert site.names() == {'a', 'b'}
 
 
 def test_an_announced_exit_is_reported_by_the_entry_that_received_it():
@@ -134,10 +148,11 @@
                                1,
                                1,
                                leaving_replicas=one.tracker.recent_leaving(0.0))
-    other.tracker.handle_status(status)
-    assert other.names() == {'b'}
+    with mock.patch('time.monotonic', lambda: other.loop.now):
+        other.tracker.handle_status(status)
+        assert other.names() == {'b'}
     assert not other.tracker.recent_leaving(0.0)
-    assert not one.tracker.recent_leaving(announcements.REPORT_WINDOW_S + 1)
+    assert not one.tracker.recent_leaving(membership.REPORT_WINDOW_S + 1)
 
 
 def test_announcements_of_former_incarnations_are_bounded():
@@ -249,6 +264,6 @@
         site.respond(other, status=503, not_run=True, pause_s=2.0)
         site.loop.run(0.5)
         assert site.fleet.accepts_in_s('s') == 1.5
-        site.respond(other, leaving=True)
+        site.put('b', 1, model.ReplicaStatus.DRAINING)
         assert site.fleet.accepts_in_s('s') == 2.5
         assert site.fleet.describe_refusals('s') == 'a paused, b leaving'
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -238,7 +238,8 @@
 def test_the_exit_of_a_replica_that_announced_it_is_no_crash():
     """Good requests are blocked that ran at replicas as these left."""
     leaving, reported = _replica('r1'), _replica('r2')
-    leaving.is_leaving = reported.reported_leaving = True
+    leaving.is_leaving = True
+    reported.is_reported_leaving = lambda now: True
     _, tracker, probes = _tracker_of(leaving, reported)
     for replica in (leaving, reported):
         tracker.handle_broken_run(replica, crashes.BrokenRun(b'x', 0.0, None),
