--- a/gorsefall/relay/topic.py
+++ b/gorsefall/relay/topic.py
@@ -37,10 +37,6 @@
 """Time between two confirmations after which records may have lapsed, s: three
 heartbeats of a replica, each longer than a second."""
 
-MAX_LOGGED_FAULTS = 1000
-"""Most keys whose last fault is remembered: a few times the number of replicas
-of a large deployment, at some 100 bytes each."""
-
 
 class SnapshotPage(typing.NamedTuple):
     """A page of the newest records of all keys.
@@ -463,32 +459,3 @@
         number = self._read_number
         self._loop.call_later(
             pause, lambda: retry() if number == self._read_number else None)
-
-
-class MalformedRecords:
-    """Logs records that cannot be decoded, once for each key and error.
-
-    A faulty writer repeats its record, and a log line for each would bury all
-    others.
-    """
-
-    def __init__(self, log):
-        self._log = log
-        self._errors = {}
-
-    def record_fault(self, record, exc):
-        """Logs that ``record`` could not be decoded, with the error ``exc``."""
-        if self._errors.get(record.key) == str(exc):
-            return
-        if len(self._errors) >= MAX_LOGGED_FAULTS:
-            self._errors.clear()
-        self._errors[record.key] = str(exc)
-        self._log.error('record_spoilt',
-                        key=record.key,
-                        offset=record.offset,
-                        error=str(exc))
-
-    def record_valid(self, key):
-        """Logs that a key's newest record is valid again, or dropped."""
-        if self._errors.pop(key, None) is not None:
-            self._log.info('record_mended', key=key)
--- a/gorsefall/relay/topiclisteners.py
+++ b/gorsefall/relay/topiclisteners.py
@@ -4,6 +4,7 @@
 
 from gorsefall import errors
 from gorsefall import logs
+from gorsefall.relay import malformed
 from gorsefall.relay import topic
 
 
@@ -13,7 +14,7 @@
     def __init__(self, node, records):
         self._node = node
         self._records = records
-        self._malformed = topic.MalformedRecords(logs.get('configuration'))
+        self._malformed = malformed.MalformedRecords(logs.get('configuration'))
 
     def on_snapshot(self, records):
         """See ``topic.Listener``."""
@@ -51,7 +52,7 @@
         self._node = node
         self._records = records
         self._observed_states = {}
-        self._malformed = topic.MalformedRecords(logs.get('replicas'))
+        self._malformed = malformed.MalformedRecords(logs.get('replicas'))
 
     def on_snapshot(self, records):
         """See ``topic.Listener``."""
