Shared reads: only a large record is announced before it has arrived

On a slow or lossy way any answer with a record took over 50 ms, so that a reader told all entries of each heartbeat of a replica, and they asked it, heard that there is more, and read the store themselves.

--- a/gorsefall/relay/topic.py
+++ b/gorsefall/relay/topic.py
@@ -79,12 +79,12 @@
         """Appends a record; an empty ``value`` drops the key."""
         raise NotImplementedError
 
-    def read(self, offset, wait_s, max_kb, silence_s, done, *, on_begin=None):
+    def read(self, offset, wait_s, max_kb, silence_s, done, *, on_large=None):
         """Reads from ``offset``, waiting up to ``wait_s`` for a record.
 
         The response holds up to ``max_kb`` KB of records, or a single larger
-        one. ``on_begin(end)`` is called when it begins, with the offset after
-        the topic's last record.
+        one. In that case ``on_large(end)`` is called when ``max_kb`` KB have
+        arrived, with the offset after the topic's last record.
         """
         raise NotImplementedError
 
@@ -134,10 +134,6 @@
         return 2 * self.wait_s + self.pause_s
 
 
-LONG_READ_S = 0.05
-"""Time that a response with new records takes from which on other entries are
-told of them before it is complete, s."""
-
 CONTINUOUS_READS = ReadPace()
 """Each read is sent as soon as the one before has returned."""
 
@@ -353,18 +349,14 @@
                           self._max_kb,
                           SILENCE_TIMEOUT_S,
                           callback,
-                          on_begin=functools.partial(self._on_read_begun,
+                          on_large=functools.partial(self._on_large_record,
                                                      self._read_number))
 
-    def _on_read_begun(self, number, end):
-        if not self._stopped and number == self._read_number:
-            self.known_end = max(self.known_end, end)
-            self._loop.call_later(LONG_READ_S, self._announce_long_read)
-
-    def _announce_long_read(self):
+    def _on_large_record(self, number, end):
         # On a slow link a large record takes a second. Entries that only read
         # it after this one has received it would have it twice as late.
-        if self.offset < self.known_end:
+        if not self._stopped and number == self._read_number:
+            self.known_end = max(self.known_end, end)
             self._on_change()
 
     def _on_batch(self, batch, exc):
--- a/tests/entries.py
+++ b/tests/entries.py
@@ -16,6 +16,9 @@
 MAX_CONFIRMATION_AGE_S = 4.6
 """Age up to which a confirmation is valid, s."""
 
+LARGE_RECORD_BYTES = 65536
+"""Size above which a single record is announced before it has arrived."""
+
 SNAPSHOT_FACTOR = 4 / 3
 """Size of a snapshot in relation to its records, as it is encoded."""
 
@@ -91,16 +94,16 @@
     def read_snapshot(self, after, silence_s, done):
         self._call(self._store.read_snapshot, done, after, silence_s)
 
-    def read(self, offset, wait_s, max_kb, silence_s, done, *, on_begin=None):
+    def read(self, offset, wait_s, max_kb, silence_s, done, *, on_large=None):
         self._call(self._store.read,
                    done,
                    offset,
                    wait_s,
                    max_kb,
                    silence_s,
-                   on_begin=on_begin)
+                   on_large=on_large)
 
-    def _call(self, call, done, *args, on_begin=None):
+    def _call(self, call, done, *args, on_large=None):
         self.calls += 1
         if self.unreachable:
             error = errors.StoreError('store unreachable')
@@ -108,13 +111,18 @@
             return
 
         def arrive(result, exc):
-            if isinstance(result, topic.Batch) and on_begin is not None:
-                self._loop.call(lambda: on_begin(result.end))
+            if isinstance(result, topic.Batch) and self._is_large(result):
+                self._loop.call(lambda: on_large(result.end))
             self._transfer(result,
                            lambda: self._loop.call(lambda: done(result, exc)))
 
         call(*args, arrive)
 
+    @staticmethod
+    def _is_large(batch):
+        return (len(batch.records) == 1 and
+                len(batch.records[0].value) > LARGE_RECORD_BYTES)
+
     def _transfer(self, result, deliver):
         """Calls ``deliver()`` once the link has carried the records."""
         size = sum(len(r.value) for r in result.records) if result else 0
--- a/tests/stores.py
+++ b/tests/stores.py
@@ -59,7 +59,7 @@
 
         self._respond(make, silence_s, done)
 
-    def read(self, offset, wait_s, max_kb, silence_s, done, *, on_begin=None):
+    def read(self, offset, wait_s, max_kb, silence_s, done, *, on_large=None):
         if wait_s > 0 and offset >= len(self.records):
             step_s = min(wait_s, WAIT_STEP_S)
             self._loop.call_later(
@@ -68,7 +68,7 @@
                                           max_kb,
                                           silence_s,
                                           done,
-                                          on_begin=on_begin))
+                                          on_large=on_large))
             return
         if offset < self.first:
             self._loop.call_later(
--- a/tests/test_topic.py
+++ b/tests/test_topic.py
@@ -96,7 +96,7 @@
     def read_snapshot(self, after, silence_s, done):
         self.snapshots.append(done)
 
-    def read(self, offset, wait_s, max_kb, silence_s, done, *, on_begin=None):
+    def read(self, offset, wait_s, max_kb, silence_s, done, *, on_large=None):
         self.reads.append(done)
 
 
