Reading the change: one way from a report to the incarnation that it is about; 195 entries on small links

Limits, exits found and exits announced each looked up a reported replica and compared its start: Fleet.find does it.

--- a/gorsefall/emulator/announcing.py
+++ b/gorsefall/emulator/announcing.py
@@ -96,6 +96,10 @@
         self.tracker = replicalimits.LimitTracker(site.loop, self, self.members)
         self.tracker.start()
 
+    def find(self, report):
+        """See ``fleet.Fleet``; the replicas never restart."""
+        return self.replicas.get(report.replica)
+
     def freeze(self, for_s):
         """Stops the process for a while; what arrives then waits for it."""
         self._frozen_until = self.site.loop.now + for_s
--- a/gorsefall/relay/announcements.py
+++ b/gorsefall/relay/announcements.py
@@ -99,9 +99,8 @@
         """Handles the ``membership.Status`` of another entry."""
         self.limits.handle_status(status)
         for report in status.leaving_replicas:
-            replica = self._fleet.replicas.get(report.replica)
-            if (replica is not None and
-                    replica.record.started_at_ms == report.started_at_ms):
+            replica = self._fleet.find(report)
+            if replica is not None:
                 self._record_report(replica, status.name)
 
     def _record_report(self, replica, entry):
--- a/gorsefall/relay/fleet.py
+++ b/gorsefall/relay/fleet.py
@@ -298,13 +298,25 @@
 
     def handle_status(self, status, now):
         """Handles the ``membership.Status`` of another entry."""
-        for exit_report in status.replica_exits:
-            rep = self.replicas.get(exit_report.replica)
-            if (rep is not None and
-                    rep.record.started_at_ms == exit_report.started_at_ms):
-                self.record_exit(rep,
-                                 now - exit_report.age_ms / 1000,
-                                 reported=True)
+        for report in status.replica_exits:
+            rep = self.find(report)
+            if rep is not None:
+                self.record_exit(rep, now - report.age_ms / 1000, reported=True)
+
+    def find(self, report):
+        """Returns the ``Replica`` that another entry's report is about.
+
+        Args:
+            report: Has a ``replica`` id and the ``started_at_ms`` of its
+                incarnation.
+
+        Returns:
+            The replica; None if it is not known, or restarted in between.
+        """
+        rep = self.replicas.get(report.replica)
+        if rep is None or rep.record.started_at_ms != report.started_at_ms:
+            return None
+        return rep
 
     def drop_replaced(self, replica_id):
         """Drops a replica at whose address another one responds.
--- a/gorsefall/relay/replicalimits.py
+++ b/gorsefall/relay/replicalimits.py
@@ -132,8 +132,7 @@
     def handle_status(self, status):
         """Handles the ``membership.Status`` of another entry."""
         for limit in status.limit_reports:
-            replica = self._fleet.replicas.get(limit.replica)
-            if (replica is not None and
-                    replica.record.started_at_ms == limit.started_at_ms):
+            replica = self._fleet.find(limit)
+            if replica is not None:
                 self._update_limit(replica, limit.per_s,
                                    self._loop.now - limit.age_ms / 1000)
--- a/tests/test_announced_limits.py
+++ b/tests/test_announced_limits.py
@@ -135,9 +135,10 @@
     replica = types.SimpleNamespace(record=types.SimpleNamespace(
         id='r', started_at_ms=7),
                                     limit=announced_limits.AnnouncedLimit())
-    fleet = types.SimpleNamespace(replicas={'r': replica})
+    directory = fleet.Fleet(_Loop())
+    directory.replicas['r'] = replica
     loop = _Loop()
-    own = replicalimits.LimitTracker(loop, fleet, membership.Members(name))
+    own = replicalimits.LimitTracker(loop, directory, membership.Members(name))
     return own, replica, loop
 
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -241,10 +241,7 @@
 
 def test_a_replica_that_another_entry_found_exited_receives_no_requests():
     """Guards against each of many entries sending to a crashed replica."""
-    directory = fleet.Fleet(Loop())
-    directory.set_services(SERVICES)
-    for name in 'ab':
-        directory.put(record(name, started_at_ms=5))
+    directory = _fleet(*(record(name, started_at_ms=5) for name in 'ab'))
     now = time.monotonic()
     directory.handle_status(_status(membership.ReplicaExit('a', 4, 0)), now)
     assert names(directory) == {'a', 'b'}
@@ -254,10 +251,7 @@
 
 def test_an_exit_is_reported_by_the_entry_that_found_it():
     """Messages that repeat what others reported fill the links of entries."""
-    directory = fleet.Fleet(Loop())
-    directory.set_services(SERVICES)
-    for name in 'ab':
-        directory.put(record(name, started_at_ms=5))
+    directory = _fleet(*(record(name, started_at_ms=5) for name in 'ab'))
     now = time.monotonic()
     directory.handle_status(_status(membership.ReplicaExit('a', 5, 100)), now)
     directory.record_exit(directory.replicas['b'], now)
--- a/tests/test_small_links.py
+++ b/tests/test_small_links.py
@@ -32,7 +32,7 @@
             at, lambda: site.grow_configuration(CONFIGURATION_BYTES))
 
 
-@pytest.mark.parametrize('entries, seed', [(9, 1), (87, 2)])
+@pytest.mark.parametrize('entries, seed', [(9, 1), (87, 2), (195, 4)])
 def test_a_limit_is_kept_while_configurations_fill_all_links(entries, seed):
     """Entries that receive no status for some seconds each send the whole
     limit of a replica."""
