--- a/gorsefall/policy/peerview.py
+++ b/gorsefall/policy/peerview.py
@@ -90,21 +90,7 @@
         for view in views:
             view.record_others(self.members.in_flight(view.name), now)
 
-    def build_status(self,
-                     started_at_ms,
-                     seq,
-                     views,
-                     now,
-                     *,
-                     first_attempts=None,
-                     known_hosts=(),
-                     zone='',
-                     can_read_store=False,
-                     run_reports=(),
-                     suspects_summary=0,
-                     limit_reports=(),
-                     replica_exits=(),
-                     leaving_replicas=()):
+    def build_status(self, started_at_ms, seq, views, now, **fields):
         """Returns the ``membership.Status`` to send to other entries.
 
         Args:
@@ -112,15 +98,8 @@
             seq: Number of the message.
             views: All ``knowledge.ReplicaView`` objects.
             now: Time, s (monotonic).
-            first_attempts: ``service -> requests`` in the retry window.
-            known_hosts: Hosts of some live entries.
-            zone: This entry's availability zone.
-            can_read_store: Whether it can read the store for others.
-            run_reports: See ``membership.Status``.
-            suspects_summary: See there.
-            limit_reports: See there.
-            replica_exits: See there.
-            leaving_replicas: See there.
+            **fields: The fields of the status that do not concern the work at
+                the replicas.
         """
         while self._uses and self._uses[0][0] < now - PROMPT_USE_REPORT_S:
             self._uses.popleft()
@@ -131,16 +110,8 @@
             name=self.members.name,
             started_at_ms=started_at_ms,
             seq=seq,
-            first_attempts=first_attempts or {},
             in_flight={v.name: v.in_flight() for v in views if v.outstanding},
             prompt_uses=tuple(use for _, use in self._uses),
-            known_hosts=tuple(known_hosts),
             responses_before=self._response_count - len(self._responses),
             responses=tuple(response for _, response in self._responses),
-            zone=zone,
-            can_read_store=can_read_store,
-            run_reports=run_reports,
-            suspects_summary=suspects_summary,
-            limit_reports=limit_reports,
-            replica_exits=replica_exits,
-            leaving_replicas=leaving_replicas)
+            **fields)
--- a/gorsefall/relay/node.py
+++ b/gorsefall/relay/node.py
@@ -212,7 +212,7 @@
         Args:
             started_at_ms: See ``workload.Workload.status``.
             seq: See there.
-            known_hosts: See there.
+            known_hosts: Hosts of some live entries.
         """
         first_attempts = {
             service: service_budget.first_attempts(self.loop.now)
@@ -221,7 +221,7 @@
         return self.work.status(
             started_at_ms,
             seq,
-            known_hosts,
+            known_hosts=tuple(known_hosts),
             first_attempts=first_attempts,
             zone=self.cfg.zone,
             can_read_store=self._followers.can_read_for_others and
--- a/gorsefall/relay/workload.py
+++ b/gorsefall/relay/workload.py
@@ -96,19 +96,14 @@
         """Records whether a replica's response was what the caller needed."""
         self.peer_view.record_response(replica.view, ok, time.monotonic())
 
-    def status(self, started_at_ms, seq, known_hosts, **fields):
+    def status(self, started_at_ms, seq, **fields):
         """Returns the ``membership.Status`` to send to the other entries.
 
         Args:
             started_at_ms: See ``peerview.PeerView.build_status``.
             seq: See there.
-            known_hosts: See there.
-            **fields: Its other keywords.
+            **fields: See there.
         """
         views = [r.view for r in self._fleet.replicas.values()]
-        return self.peer_view.build_status(started_at_ms,
-                                           seq,
-                                           views,
-                                           time.monotonic(),
-                                           known_hosts=known_hosts,
-                                           **fields)
+        return self.peer_view.build_status(started_at_ms, seq, views,
+                                           time.monotonic(), **fields)
