--- a/features/platform_announcements.feature
+++ b/features/platform_announcements.feature
@@ -47,6 +47,31 @@
       | 3     |
       | 1.5   |
 
+  Scenario: a replica asks for a pause during an outage of the store
+    Given an entry on the platform with two plain and two pool replicas
+    When the store stops responding
+    And a replica refuses requests and asks for a pause of 3 s
+    Then it receives no request until the pause is over
+    And afterwards one at a time until it accepts one
+
+  Scenario: a request that a replica refuses, asking for a pause, is sent elsewhere
+    Given an entry on the platform with two plain and two pool replicas
+    When a replica refuses retryable requests and asks for a pause of 2 s
+    Then all of them were served
+    And it receives no request until the pause is over
+
+  Scenario: a replica that asked for a pause restarts under the same id
+    Given an entry on the platform with two plain and two pool replicas
+    When a replica refuses requests and asks for a pause of 60 s
+    And it restarts under the same id
+    Then it receives requests again
+
+  Scenario: its record is dropped and written again during a pause
+    Given an entry on the platform with two plain and two pool replicas
+    When a replica refuses requests and asks for a pause of 6 s
+    And its record is dropped and written again
+    Then it receives no request until the pause is over
+
   Scenario: all replicas ask for a pause
     Given an entry on the platform with two plain and two pool replicas
     When all replicas refuse requests and ask for a pause of 3 s
--- a/features/steps/announcement_steps.py
+++ b/features/steps/announcement_steps.py
@@ -126,6 +126,7 @@
 def step_restart(context):
     replica = context.replica
     replica.leaving = False
+    replica.pause_s = None
     context.received_before = len(replica.received_requests)
     context.platform.store.put('keyed.servers', replica.id,
                                replica.record() | {'born': 7})
@@ -167,6 +168,24 @@
     context.paused_at = context.replica.refusals[0][0].at
 
 
+@when(
+    'a replica refuses retryable requests and asks for a pause of {pause_s:g} '
+    's')
+def step_pause_retryable(context, pause_s):
+    context.replica = context.platform.replicas['p1']
+    context.replica.pause_s = context.pause_s = pause_s
+    context.path = PLAIN_PATH
+    context.statuses = []
+    while not context.replica.refusals:
+        context.statuses.append(platform_site.send_request(context).status)
+    context.paused_at = context.replica.refusals[0][0].at
+
+
+@then('all of them were served')
+def step_all_served(context):
+    assert set(context.statuses) == {200}, context.statuses
+
+
 @when('all replicas refuse requests and ask for a pause of {pause_s:g} s')
 def step_pause_all(context, pause_s):
     context.pause_s = pause_s
