--- a/gorsefall/emulator/crashing.py
+++ b/gorsefall/emulator/crashing.py
@@ -47,7 +47,7 @@
     runs: set = dataclasses.field(default_factory=set)
 
     def is_reported_leaving(self, now):
-        """See ``fleet.Replica``."""
+        """See ``replicas.Replica``."""
         del now
         return False
 
--- a/gorsefall/relay/announcements.py
+++ b/gorsefall/relay/announcements.py
@@ -25,19 +25,19 @@
         limits: The ``replicalimits.LimitTracker``.
     """
 
-    def __init__(self, loop, replicas, members):
+    def __init__(self, loop, fleet, members):
         """Creates a tracker without announcements; ``start`` begins.
 
         Args:
             loop: The ``reactor.Reactor``.
-            replicas: The ``fleet.Fleet``.
+            fleet: The ``fleet.Fleet``.
             members: The ``membership.Members``; has this entry's ``name``.
         """
         self._loop = loop
-        self._fleet = replicas
+        self._fleet = fleet
         self._leaving_since = {}
         self._log = logs.get('announcing')
-        self.limits = replicalimits.LimitTracker(loop, replicas, members)
+        self.limits = replicalimits.LimitTracker(loop, fleet, members)
 
     def start(self):
         """Begins to update this entry's shares of limits."""
@@ -47,7 +47,7 @@
         """Records the announcements in the head of a response.
 
         Args:
-            replica: The ``fleet.Replica``.
+            replica: The ``replicas.Replica``.
             response: The ``model.Response``. One for a request that was meant
                 for another replica says nothing of this one.
             sent_at: When the request was sent, s (monotonic).
--- a/gorsefall/relay/backups.py
+++ b/gorsefall/relay/backups.py
@@ -30,7 +30,7 @@
         """Chooses the replica that receives the backup.
 
         Args:
-            candidates: List of ``fleet.Replica`` without the one that runs
+            candidates: List of ``replicas.Replica`` without the one that runs
                 the request.
             request_id: The request's id.
 
@@ -61,7 +61,7 @@
             done(verdict is prober.Verdict.ALIVE)
 
     def claim(self):
-        """Returns the ``fleet.Replica`` that holds the backup, or None.
+        """Returns the ``replicas.Replica`` that holds the backup, or None.
 
         The backup is lost if the replica has left or restarted. After a
         restart another ``Replica`` object has the same id. A replica that
--- a/gorsefall/relay/crashes.py
+++ b/gorsefall/relay/crashes.py
@@ -138,7 +138,7 @@
     # -- crashes observed here -------------------------------------------------
 
     def handle_broken_run(self, replica, run, on_result):
-        """Determines whether a ``fleet.Replica`` crashed under a ``BrokenRun``.
+        """Determines whether a ``replicas.Replica`` crashed under a run.
 
         If the request is already a suspect, ``on_result`` is called only after
         the probe: another attempt of a request that crashes replicas would
--- a/gorsefall/relay/fleet.py
+++ b/gorsefall/relay/fleet.py
@@ -1,33 +1,17 @@
 """The replicas that an entry may send to, from the records that they write."""
 
-import contextlib
 import time
 
 from gorsefall import directory
 from gorsefall import logs
-from gorsefall.net import outbound
 from gorsefall.policy import acceptance
-from gorsefall.policy import knowledge
 from gorsefall.policy import membership
-from gorsefall.policy import prompts
-from gorsefall.relay import model
-
-CONNECT_TIMEOUT_S = 0.25
-"""Longest time to connect to a replica, s: a round trip takes 2 ms, and the
-shortest caller timeout is 600 ms."""
-
-CONNECTION_SHARE = 1 / 6
-"""Part of a replica's connections that one entry may open. There are 6 to 7
-entries, which rarely reach their limits at the same time."""
+from gorsefall.relay import replicas
 
 REWRITE_GRACE_S = 2.2
 """Time after the store's return until replicas whose records lapsed have
 written them again, s; the store's operators state 2 s."""
 
-EXIT_RECORD_LAG_S = 3.0
-"""Time after a replica's exit from which a newly read record shows that the
-replica is alive, s: one written before the exit has been read by then."""
-
 MAX_EXIT_REPORTS = 32
 """Most exits in a status message."""
 
@@ -39,113 +23,11 @@
 replicas planned in two years."""
 
 
-class Replica:
-    """A replica, its connections and what placement knows about it.
-
-    Attributes:
-        record: Its newest ``model.ReplicaRecord``.
-        view: Its ``knowledge.ReplicaView``.
-        pool: Its ``outbound.Pool``.
-        record_lapsed: Whether its record lapsed while the store was
-            unreachable: it may have left, or may have been unable to write.
-        record_malformed: Whether its newest record cannot be decoded, so that
-            its state is unknown.
-        acceptance: The ``acceptance.Acceptance`` that it has announced.
-        reported_leaving_until: Time until which it is taken to be leaving, as
-            other entries reported, s (monotonic).
-        exited_at: When it was found to have crashed, s (monotonic); None while
-            it is assumed to run.
-    """
-
-    def __init__(self, loop, record, service, on_change, accepts):
-        self.record = record
-        self._on_change = on_change
-        self.record_lapsed = False
-        self.record_malformed = False
-        self.exited_at = None
-        self.acceptance = accepts
-        self.reported_leaving_until = float('-inf')
-        self.view = knowledge.ReplicaView(name=record.id,
-                                          zone=record.zone,
-                                          slots=record.slots,
-                                          engine=service.engine,
-                                          prompt_cache=prompts.PromptCache(
-                                              service.kv_tokens))
-        max_size = max(2, int(service.max_connections * CONNECTION_SHARE))
-        self.pool = outbound.Pool(loop,
-                                  record.addr,
-                                  max_size=max_size,
-                                  connect_timeout_s=CONNECT_TIMEOUT_S)
-
-    @property
-    def limit(self):
-        """The ``announced_limits.AnnouncedLimit`` of ``acceptance``."""
-        return self.acceptance.limit
-
-    @property
-    def is_leaving(self):
-        """Whether its record or one of its responses announced an exit."""
-        return (self.acceptance.leaving or
-                self.record.status is model.ReplicaStatus.DRAINING)
-
-    def refusal(self, now, *, urgent=True):
-        """Returns why it may not receive a request now.
-
-        Args:
-            now: Time, s (monotonic).
-            urgent: See ``Fleet.candidates``.
-
-        Returns:
-            An ``acceptance.Refusal``, or None if it may receive one.
-        """
-        if self.is_leaving:
-            return acceptance.Refusal.LEAVING
-        return self.acceptance.refusal(now, urgent=urgent)
-
-    def is_reported_leaving(self, now):
-        """Returns whether other entries reported that it is leaving."""
-        return now < self.reported_leaving_until
-
-    def is_doubtful(self, now):
-        """Returns whether it may be gone, and is used as a last resort."""
-        return (self.record_lapsed or self.exited_at is not None or
-                self.is_reported_leaving(now))
-
-    def on_record_written(self, now):
-        """Called when its record was written again."""
-        if (self.exited_at is not None and
-                now - self.exited_at > EXIT_RECORD_LAG_S):
-            self.exited_at = None
-
-    @contextlib.contextmanager
-    def in_flight(self, tokens, *, decode_heavy=False):
-        """Counts one request in flight; ``tokens`` of its prompt need prefill.
-
-        Yields:
-            A function to call at the first event: prefill is complete.
-        """
-        pending = [tokens]
-
-        def prefill_done():
-            if pending:
-                self.view.record_prefilled(pending.pop())
-                self._on_change()
-
-        self.view.record_sent(tokens, decode_heavy=decode_heavy)
-        self._on_change()
-        try:
-            yield prefill_done
-        finally:
-            prefill_done()
-            self.view.record_end(decode_heavy=decode_heavy)
-            self._on_change()
-
-
 class Fleet(directory.Directory):
     """All replicas by id.
 
     Attributes:
-        replicas: ``id -> Replica``.
+        replicas: ``id -> replicas.Replica``.
     """
 
     def __init__(self, loop, on_change=lambda: None):
@@ -219,10 +101,9 @@
             rep.on_record_written(time.monotonic())
         elif (record.service in self._services and
               record.id not in self._replaced_ids):
-            self.replicas[record.id] = Replica(self._loop, record,
-                                               self._services[record.service],
-                                               self._on_change,
-                                               self._acceptance_of(record))
+            self.replicas[record.id] = replicas.Replica(
+                self._loop, record, self._services[record.service],
+                self._on_change, self._acceptance_of(record))
 
     def _acceptance_of(self, record):
         """Returns the ``acceptance.Acceptance`` of a record's incarnation.
@@ -259,7 +140,7 @@
         self._drop(replica_id, 'record dropped')
 
     def record_exit(self, replica, at, *, reported=False):
-        """Records that a ``Replica`` was found to have crashed.
+        """Records that a ``replicas.Replica`` was found to have crashed.
 
         Its record remains for some heartbeats. Without a report of the
         exit, each of many entries would detect it by a request of its own,
@@ -304,7 +185,7 @@
                 self.record_exit(rep, now - report.age_ms / 1000, reported=True)
 
     def find(self, report):
-        """Returns the ``Replica`` that another entry's report is about.
+        """Returns the ``replicas.Replica`` of another entry's report.
 
         Args:
             report: Has a ``replica`` id and the ``started_at_ms`` of its
--- a/gorsefall/relay/prober.py
+++ b/gorsefall/relay/prober.py
@@ -4,7 +4,7 @@
 
 from gorsefall import logs
 from gorsefall.net import tcp
-from gorsefall.relay import fleet
+from gorsefall.relay import replicas
 
 
 class Verdict(enum.Enum):
@@ -68,13 +68,13 @@
         self._log = logs.get('ends')
 
     def probe(self, replica, done):
-        """Calls ``done(verdict)`` with the state of a ``fleet.Replica``."""
+        """Calls ``done(verdict)`` with the state of a ``replicas.Replica``."""
         callbacks = self._callbacks.get(replica)
         if callbacks is not None:
             callbacks.append(done)
             return
         self._callbacks[replica] = [done]
-        _Probe(self._loop, replica.record.addr, fleet.CONNECT_TIMEOUT_S,
+        _Probe(self._loop, replica.record.addr, replicas.CONNECT_TIMEOUT_S,
                lambda verdict: self._on_verdict(replica, verdict))
 
     def _on_verdict(self, replica, verdict):
--- a/gorsefall/relay/replicalimits.py
+++ b/gorsefall/relay/replicalimits.py
@@ -6,7 +6,7 @@
 from gorsefall import metrics
 from gorsefall.policy import announced_limits
 from gorsefall.policy import membership
-from gorsefall.relay import fleet
+from gorsefall.relay import replicas
 
 MAX_REPORTS = 16
 """Maximum number of limits in a status message, the last ones announced."""
@@ -24,11 +24,11 @@
     """What a response to a request of this entry announced.
 
     Attributes:
-        replica: The ``fleet.Replica``.
+        replica: The ``replicas.Replica``.
         per_s: Its limit, requests per second; None for no limit any more.
         at: When, s (monotonic).
     """
-    replica: fleet.Replica
+    replica: replicas.Replica
     per_s: float | None
     at: float
 
@@ -36,16 +36,16 @@
 class LimitTracker:
     """Updates the ``announced_limits.AnnouncedLimit`` of each replica."""
 
-    def __init__(self, loop, replicas, members):
+    def __init__(self, loop, fleet, members):
         """Creates a tracker without limits; ``start`` begins.
 
         Args:
             loop: The ``reactor.Reactor``.
-            replicas: The ``fleet.Fleet``.
+            fleet: The ``fleet.Fleet``.
             members: The ``membership.Members``; has this entry's ``name``.
         """
         self._loop = loop
-        self._fleet = replicas
+        self._fleet = fleet
         self._members = members
         self._limited_replicas = {}
         self._announcements = {}
@@ -73,7 +73,7 @@
         limit.share = 1 / len(senders) if own in senders else 0.0
 
     def record_response(self, replica, per_s, sent_at):
-        """Records the limit that a response of a ``fleet.Replica`` announced.
+        """Records the limit in a response of a ``replicas.Replica``.
 
         A response may have been under way since before the replica announced
         its limit. So a limit is only raised or lifted by the response to a
--- a/gorsefall/relay/sending.py
+++ b/gorsefall/relay/sending.py
@@ -12,7 +12,7 @@
     """Sends the request of an exchange to one replica.
 
     Attributes:
-        replica: The ``fleet.Replica``.
+        replica: The ``replicas.Replica``.
         sent_at: When the request was sent, s (monotonic).
         first_byte_at: When the first body bytes of the response arrived, s;
             None before.
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -10,6 +10,7 @@
 from gorsefall.relay import backups
 from gorsefall.relay import fleet
 from gorsefall.relay import model
+from gorsefall.relay import replicas
 
 SERVICES = {
     name: model.Service(name=name, max_connections=60) for name in ('s', 't')
@@ -269,7 +270,7 @@
     directory.handle_status(_status(membership.ReplicaExit('a', 0, 0)), now)
     directory.put(record('a'))
     assert names(directory) == {'b'}
-    directory.replicas['a'].exited_at = now - fleet.EXIT_RECORD_LAG_S - 1
+    directory.replicas['a'].exited_at = now - replicas.EXIT_RECORD_LAG_S - 1
     directory.put(record('a'))
     assert names(directory) == {'a', 'b'}
 
