--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -158,7 +158,7 @@
 @then('the replica sees the request\'s connection close')
 def step_close_seen(context):
     waiting.until(
-        lambda: any(context.rid in r.abandoned_ids
+        lambda: any(context.rid in r.abandoned_at
                     for r in context.platform.replicas.values()),
         'the replica to see the closed connection')
 
