Scenario of a class over its limits: a class whose rate a busy machine exceeds too

Traced beside 14 busy processes, where it failed in four of eight runs: the callers sent all 60 within 0.3 s, but the entries, short of processor time, took them in over 0.9 to 1.5 s (job_done less e2e_ms), and admitted 42 to 56 of them by then, as 40 a second with one second's saving allow; when they had time, 25 to 29 in 0.25 to 0.43 s. So the limit held, and the scenario asked for more than the machine could offer.

--- a/features/service_levels.feature
+++ b/features/service_levels.feature
@@ -28,8 +28,8 @@
     And the site is restored
 
   Scenario: A class over its limits is refused and its peers are not
-    When "kiosk" sends 60 seat requests at once and "staff" sends 6
-    Then some of "kiosk" are refused as "rate_limited" with a retry time
+    When "trial-app" sends 60 seat requests at once and "staff" sends 6
+    Then some of "trial-app" are refused as "rate_limited" with a retry time
     And all of "staff" are answered
 
   Scenario Outline: Routing when <what>
