Duties: one holder by conditional claims, fenced; usage counted once and reported

The change: gorsefall/duties. A claim is appended to a topic of its own on the condition that the topic ends where its holder knows it to end; its offset is the fencing token. A holder claims anew before each action and acts for 0.4 of the lease after it; a successor may claim a whole lease after it first knew of the last claim. What is about to be told (counts of a window, orders) is in the claim before the call is made, so that a successor repeats exactly that.

Counts in each status to all: 88 times the bytes of a report to the holder alone; counts through the store: 88 appends a window.

--- /dev/null
+++ b/gorsefall/duties/coordinator.py
@@ -0,0 +1,352 @@
+"""One entry's part in the duties: candidate, reporter or holder."""
+
+import msgspec
+
+from gorsefall import logs
+from gorsefall import metrics
+from gorsefall.duties import demand
+from gorsefall.duties import kinds
+from gorsefall.duties import reports
+from gorsefall.duties import usage
+from gorsefall.policy import membership
+from gorsefall.policy import rendezvous
+
+TICK_S = 0.25
+"""Period of the checks whether something is due, s."""
+
+START_DELAY_S = 4.0
+"""Time after the start before which no entry becomes a candidate, s: by then
+entries that started together know each other, so that few ask the store."""
+
+TURN_S = 2.0
+"""Time by which each candidate waits longer than the one before it, s."""
+
+REPORT_PERIOD_S = 1.0
+"""Period of the reports to the holder, s; longer with many entries."""
+
+MAX_REPORTS_PER_S = 80.0
+"""Most reports that the holder receives a second, as with status messages."""
+
+MAX_WINDOW_WAIT_S = 2.6
+"""Longest time after the end of a usage window, and after it took over, for
+which the holder waits for reports of it, s: two periods with hundreds of
+entries."""
+
+CALL_PAUSE_S = 0.6
+"""Pause after a failed call to the platform, s."""
+
+MAX_CLOUD_SILENCE_S = 4.0
+"""Time for which all calls to the platform may fail before the holder hands the
+duties over, s: another entry may reach it."""
+
+
+class Coordinator:
+    """Takes part in the duties of one entry's deployment.
+
+    Attributes:
+        lease: The ``lease.Lease``.
+        true_time: The ``truetime.TrueTime``.
+    """
+
+    def __init__(self,
+                 node,
+                 cfg,
+                 *,
+                 lease,
+                 client,
+                 true_time,
+                 tracker,
+                 reports_usage,
+                 scaler=None):
+        """Creates a coordinator; ``start`` begins.
+
+        Args:
+            node: The ``node.Node``.
+            cfg: The ``settings.Duties``.
+            lease: The ``lease.Lease``.
+            client: The ``kinds.Client``.
+            true_time: The ``truetime.TrueTime``.
+            tracker: The ``demand.DemandTracker``.
+            reports_usage: Whether usage is reported.
+            scaler: The ``orders.Scaler``; None without that duty.
+        """
+        self._node = node
+        self._loop = node.loop
+        self._cfg = cfg
+        self._client = client
+        self._scaler = scaler
+        self._members = node.work.peer_view.members
+        self._log = logs.get('duties')
+        self._send = None
+        self._started_at_ms = true_time.own_clock_ms()
+        self._counter = usage.UsageCounter()
+        self._collector = usage.UsageCollector()
+        self._demand = demand.DemandCounter()
+        self._vacant_since = None
+        self._report_at = 0.0
+        self._held_since = 0.0
+        self._settled = set()
+        self._open_calls = 0
+        self._call_at = float('-inf')
+        self._cloud_failing_since = None
+        self._reports_usage = reports_usage
+        self._tracker = tracker
+        self.lease = lease
+        self.true_time = true_time
+        lease.on_confirmed = self._send_calls
+        lease.on_taken = self._on_taken
+
+    def start(self, peers):
+        """Begins to take part.
+
+        Args:
+            peers: The ``peers.Peers``; None if this entry runs alone.
+        """
+        if peers is not None:
+            self._send = peers.send
+            peers.register_handler(reports.EntryReport,
+                                   lambda report, host: self._record(report))
+        self._vacant_since = self._loop.now + START_DELAY_S
+        self._loop.call_every(TICK_S, self._tick)
+
+    # -- what this entry observes ----------------------------------------------
+
+    def record_run(self, account, *, ago_s=0.0):
+        """Counts a request that a replica has begun to run.
+
+        Args:
+            account: Name of the client account.
+            ago_s: Time since it began, s.
+        """
+        if self._reports_usage:
+            self._counter.record(self._window_at(self.true_time.now() - ago_s),
+                                 account)
+
+    def record_demand(self, service, prefill_tokens):
+        """Records a request of a caller and the prefill that it needs."""
+        self._demand.record(service, prefill_tokens)
+
+    def _window_at(self, true_s):
+        return int(true_s // self._cfg.report_window_s)
+
+    def status_fields(self):
+        """Returns the fields of this entry's status that concern duties."""
+        held = None
+        if self.lease.held:
+            held = membership.DutiesHeld(
+                self.lease.token, max(0, int(self.lease.claim_age_s() * 1000)),
+                self.lease.claim.decided_through)
+        return {'clock_ms': self.true_time.own_clock_ms(), 'duties': held}
+
+    def handle_status(self, status, host):
+        """Handles the ``membership.Status`` of another entry."""
+        if status.clock_ms:
+            self.true_time.record_clock(host, status.clock_ms / 1000)
+        if status.duties is not None:
+            self.lease.record_claim(status.duties.token,
+                                    status.duties.age_ms / 1000)
+
+    # -- following -------------------------------------------------------------
+
+    def _tick(self):
+        now = self._loop.now
+        if self.lease.held:
+            self._record(self._build_report(0))
+            self._perform()
+            return
+        holder = self._find_holder(now)
+        if holder is not None:
+            self._vacant_since = None
+            self.lease.abandon_takeover()
+            self._report_to(holder, now)
+            return
+        if self._vacant_since is None:
+            self._vacant_since = now
+        if (self.lease.fit and self._node.can_read_store and
+                now - self._vacant_since >= self._turn(now) * TURN_S):
+            self.lease.take_over()
+
+    def _find_holder(self, now):
+        """Returns ``(host, status)`` of the holder, None if none is known."""
+        found = [(host, status)
+                 for host, status in self._members.live_statuses(now)
+                 if status.duties is not None]
+        return max(found, key=lambda f: f[1].duties.token, default=None)
+
+    def _turn(self, now):
+        """Returns how many candidates come before this entry."""
+        own = rendezvous.rank('duties', self._node.cfg)
+        return sum(
+            rendezvous.rank('duties', status) > own
+            for _, status in self._members.live_statuses(now)
+            if status.can_read_store)
+
+    def _report_to(self, holder, now):
+        if now < self._report_at:
+            return
+        host, status = holder
+        self._report_at = now + max(
+            REPORT_PERIOD_S,
+            len(self._members.live_hosts(now)) / MAX_REPORTS_PER_S)
+        report = self._build_report(status.duties.decided_through + 1)
+        self._send(report, host)
+
+    def stop(self):
+        """Reports for the last time, because the process ends."""
+        holder = self._find_holder(self._loop.now)
+        if holder is not None:
+            self._report_at = 0.0
+            self._report_to(holder, self._loop.now)
+
+    def _build_report(self, first_window):
+        return reports.EntryReport(self._node.cfg.name, self._started_at_ms,
+                                   self._window_at(self.true_time.now()),
+                                   self._counter.since(first_window),
+                                   self._demand.totals())
+
+    def _record(self, report):
+        self._collector.record(report)
+        self._tracker.record((report.name, report.started_at_ms), report.totals,
+                             self._loop.now)
+
+    # -- holding ---------------------------------------------------------------
+
+    def _perform(self):
+        if (self._open_calls or not self.lease.idle or
+                self._loop.now < self._call_at):
+            return
+        if self._cloud_is_silent():
+            self._log.warning('platform_silent')
+            self._cloud_failing_since = None
+            self.lease.release()
+            return
+        claim = self._decide_windows(self.lease.claim)
+        if self._scaler is not None:
+            changes = self._scaler.plan(claim)
+            if changes:
+                claim = claim.with_orders(changes)
+        if self._unsettled(claim) or self._undelivered(claim):
+            self.lease.renew(
+                msgspec.structs.replace(
+                    claim, settled_through=self._settled_through(claim)))
+
+    def _settled_through(self, claim):
+        """Returns the last window up to which no report is to be made."""
+        unsettled = [w.window for w in self._unsettled(claim)]
+        return min(unsettled) - 1 if unsettled else claim.decided_through
+
+    def _on_taken(self):
+        self._held_since = self._loop.now
+        self.lease.claim = self._normalized(self.lease.claim)
+        if self._scaler is not None:
+            self._scaler.reset()
+
+    def _cloud_is_silent(self):
+        return (self._cloud_failing_since is not None and
+                self._loop.now - self._cloud_failing_since
+                > MAX_CLOUD_SILENCE_S)
+
+    def _normalized(self, claim):
+        """Returns a claim of another holder without windows to come.
+
+        Those were decided by a wrong clock, or by a claim that is unreadable,
+        and would not be reported for as long.
+        """
+        current = self._window_at(self.true_time.now())
+        if claim.decided_through < current:
+            return claim
+        return msgspec.structs.replace(claim, decided_through=current - 1)
+
+    def _decide_windows(self, claim):
+        """Returns ``claim`` with the counts of windows that have ended."""
+        if not self._reports_usage:
+            return claim
+        now = self.true_time.now()
+        current = self._window_at(now)
+        names = [s.name for _, s in self._members.live_statuses(self._loop.now)]
+        held_s = self._loop.now - self._held_since
+        first = max(claim.decided_through + 1, current - usage.MAX_WINDOWS + 1)
+        for window in range(first, current):
+            ended_s = now - (window + 1) * self._cfg.report_window_s
+            if (min(ended_s, held_s) < MAX_WINDOW_WAIT_S and
+                    not self._collector.is_complete(window, names)):
+                break
+            if claim.counts_of(window) is None:
+                claim = self._fix(claim, window, ended_s)
+        return claim
+
+    def _fix(self, claim, window, ended_s):
+        counts = self._collector.total(window)
+        if not counts:
+            return msgspec.structs.replace(claim, decided_through=window)
+        self._log.info('usage_counted',
+                       window=window,
+                       requests=sum(counts.values()),
+                       accounts=len(counts),
+                       after_s=round(ended_s, 2))
+        return claim.with_window(window, counts)
+
+    def _unsettled(self, claim):
+        """Returns the windows whose reports are due and not accepted yet."""
+        now = self.true_time.now()
+        return [
+            w for w in claim.windows if w.window not in self._settled and
+            w.window > claim.settled_through and now -
+            (w.window + 1) * self._cfg.report_window_s < self._cfg.report_due_s
+        ]
+
+    def _undelivered(self, claim):
+        """Returns the orders that the platform has not accepted yet."""
+        if self._scaler is None:
+            return []
+        return self._scaler.undelivered(claim)
+
+    def _send_calls(self):
+        """Makes the calls of a claim that was just confirmed."""
+        claim, token = self.lease.claim, self.lease.token
+        for counts in self._unsettled(claim):
+            if not self.lease.may_act():
+                return
+            self._open_calls += 1
+            self._client.report_usage(
+                token,
+                counts.window,
+                counts.counts,
+                lambda answer, w=counts.window: self._on_reported(w, answer))
+        for order in self._undelivered(claim):
+            if not self.lease.may_act():
+                return
+            self._open_calls += 1
+            self._client.order(
+                token,
+                order.pool,
+                order.count,
+                lambda answer, o=order: self._on_ordered(o, answer))
+
+    def _on_reported(self, window, answer):
+        self._log.info('usage_reported', window=window, answer=answer.value)
+        self._on_answer(answer)
+        if answer is kinds.Answer.ACCEPTED:
+            self._settled.add(window)
+            metrics.USAGE_WINDOW.set(window)
+        elif answer is kinds.Answer.CONFLICT:
+            self.lease.lose('the platform saw a later token')
+
+    def _on_ordered(self, order, answer):
+        self._log.info('replicas_ordered',
+                       service=order.service,
+                       zone=order.zone,
+                       spot=order.spot,
+                       count=order.count,
+                       answer=answer.value)
+        self._on_answer(answer)
+        self._scaler.record_answer(order, answer)
+
+    def _on_answer(self, answer):
+        self._open_calls -= 1
+        if answer is kinds.Answer.UNKNOWN:
+            self._call_at = self._loop.now + CALL_PAUSE_S
+            if self._cloud_failing_since is None:
+                self._cloud_failing_since = self._loop.now
+        else:
+            self._cloud_failing_since = None
--- /dev/null
+++ b/gorsefall/duties/lease.py
@@ -0,0 +1,316 @@
+"""The lease on the duties: one holder at a time, agreed in the store.
+
+A holder appends a claim on the condition that the topic still ends where it
+knows it to end. The offset of the claim is its fencing token. It appends a new
+one before each action, and acts only for a part of the lease after it. Another
+entry may claim once the whole lease has passed since it first knew of the last
+claim. So the store is asked only when there is something to do, and no holder
+acts after a successor may have claimed.
+"""
+
+import enum
+import random
+import typing
+
+import msgspec
+
+from gorsefall import errors
+from gorsefall import logs
+from gorsefall import metrics
+from gorsefall.duties import claims
+from gorsefall.policy import freshness
+
+CLAIM_KEY = 'holder'
+"""Key of the only record of the topic."""
+
+ACTION_SHARE = 0.4
+"""Part of the lease in which a confirmed claim allows calls to be sent. The
+rest covers the time that they take to arrive."""
+
+CALL_TIMEOUT_S = 0.9
+"""Longest time without a byte of a response of the store, s."""
+
+RETRY_PAUSE_RANGE_S = (0.3, 0.8)
+"""Range of the pause after a failed call, s: candidates that lost the store
+together do not return to it together."""
+
+MAX_STORE_SILENCE_S = 1.6
+"""Time for which the calls of a holder may fail before it gives the duties up,
+s: another entry may reach the store."""
+
+UNFIT_S = 5.0
+"""Time for which an entry that gave up the duties is no candidate, s."""
+
+
+class State(enum.Enum):
+    """Whether an entry holds the duties."""
+    FOLLOWER = 'follower'
+    HOLDER = 'holder'
+
+
+class _Known(typing.NamedTuple):
+    """The newest claim that is known.
+
+    Attributes:
+        token: Its offset; -1 before the first.
+        since: When it was sent, or first seen if that is not known, s.
+    """
+    token: int = -1
+    since: float = float('-inf')
+
+
+class _Snapshot(typing.NamedTuple):
+    """What a read of the topic found; offsets are -1 without a record."""
+    offset: int
+    end: int
+
+
+class Lease:
+    """One entry's part in the agreement on the holder.
+
+    Attributes:
+        state: The ``State``.
+        token: Fencing token of the last confirmed claim; None for a follower.
+        claim: The newest ``claims.Claim`` that this entry knows. A holder's
+            may not have been confirmed yet.
+        on_taken: Called when this entry has become the holder.
+        on_confirmed: Called when a claim of the holder was confirmed.
+    """
+
+    def __init__(self,
+                 loop,
+                 source,
+                 name,
+                 lease_s,
+                 *,
+                 clock=freshness.clock,
+                 rng=random):
+        """Creates a follower.
+
+        Args:
+            loop: The ``reactor.Reactor``.
+            source: The ``topic.Source`` of the topic.
+            name: Name of this entry.
+            lease_s: Duration of the lease, s.
+            clock: Returns a steady time that also counts while the VM is
+                suspended, s.
+            rng: A ``random.Random``.
+        """
+        self._loop = loop
+        self._source = source
+        self._name = name
+        self._lease_s = lease_s
+        self._clock = clock
+        self._rng = rng
+        self._log = logs.get('duties')
+        self.state = State.FOLLOWER
+        self.token = None
+        self.claim = claims.Claim()
+        self.on_taken = lambda: None
+        self.on_confirmed = lambda: None
+        self._nonces = set()
+        self._known = _Known()
+        self._end = None
+        self._snapshot = None
+        self._sent_at = float('-inf')
+        self._failing_since = None
+        self._busy = False
+        self._retry_at = self._unfit_until = float('-inf')
+        self._ending = False
+
+    # -- state -----------------------------------------------------------------
+
+    @property
+    def held(self):
+        """Whether this entry is the holder as far as it knows."""
+        return self.state is State.HOLDER
+
+    @property
+    def idle(self):
+        """Whether a call to the store may be made now."""
+        return not self._busy and self._clock() >= self._retry_at
+
+    @property
+    def fit(self):
+        """Whether this entry may become the holder."""
+        return not self._ending and self._clock() >= self._unfit_until
+
+    def claim_age_s(self):
+        """Returns the time since the last confirmed claim was sent, s."""
+        return self._clock() - self._sent_at
+
+    def may_act(self):
+        """Returns whether a call with ``token`` may be sent now.
+
+        Asked before each call: the process may have been suspended since the
+        claim was confirmed.
+        """
+        return (self.held and self._end is not None and
+                self.claim_age_s() < ACTION_SHARE * self._lease_s)
+
+    def record_claim(self, token, age_s):
+        """Records the claim of a holder as its status describes it.
+
+        Args:
+            token: Its offset.
+            age_s: Time since it was sent, s.
+        """
+        self._record_known(token, self._clock() - age_s)
+        if self.held and token > self.token:
+            self.lose('another entry has a later claim')
+
+    def _record_known(self, token, since):
+        if token > self._known.token:
+            self._known = _Known(token, since)
+
+    def lose(self, reason):
+        """Stops at once; the token is never used again."""
+        if not self.held:
+            return
+        self._log.warning('duties_lost', token=self.token, reason=reason)
+        self.state, self.token, self._end = State.FOLLOWER, None, None
+        self._nonces.clear()
+        self._unfit_until = self._clock() + UNFIT_S
+        metrics.DUTIES_HELD.set(0)
+
+    # -- claiming --------------------------------------------------------------
+
+    def take_over(self):
+        """Takes the next step to become the holder; called periodically."""
+        if self.held or not self.idle:
+            return
+        if self._end is None:
+            self._read()
+        elif self._clock() >= self._free_at():
+            self._append(self.claim, self._end)
+
+    def abandon_takeover(self):
+        """Called when there is another holder: what was read is outdated."""
+        if not self.held and not self._busy:
+            self._end = None
+
+    def _free_at(self):
+        """Returns when the lease of the last holder is over, s."""
+        if self.claim.released or self.claim.holder in ('', self._name):
+            # An earlier process of the same VM has ended.
+            return float('-inf')
+        return self._known.since + self._lease_s
+
+    def renew(self, claim):
+        """Appends a claim as the holder; ``on_confirmed`` follows.
+
+        Args:
+            claim: The ``claims.Claim`` with what is about to be done.
+        """
+        if not self.held or not self.idle:
+            return
+        # Kept from now on: the append may be carried out even if its answer
+        # is lost, and no later claim may contradict it.
+        self.claim = claim
+        if self._end is None:
+            self._read()
+        else:
+            self._append(claim, self._end)
+
+    def release(self, *, for_good=False):
+        """Hands the duties over to another entry.
+
+        Args:
+            for_good: Whether this process ends.
+        """
+        self._ending = self._ending or for_good
+        if not self.held:
+            return
+        end = self._end
+        self.lose('released')
+        if end is not None and not self._busy:
+            self._append(self.claim, end, released=True)
+
+    def _append(self, claim, end, *, released=False):
+        claim = msgspec.structs.replace(claim,
+                                        holder=self._name,
+                                        released=released,
+                                        nonce=self._rng.getrandbits(48))
+        self._nonces.add(claim.nonce)
+        self._busy = True
+        sent_at = self._clock()
+        self._source.append_at(
+            CLAIM_KEY, claims.encode(claim), end, CALL_TIMEOUT_S,
+            lambda offset, exc: self._on_appended(claim, sent_at, offset, exc))
+
+    def _on_appended(self, claim, sent_at, offset, exc):
+        self._busy = False
+        if exc is not None:
+            # The topic has to be read before the next append: another claim
+            # may be there, or this one although its answer was lost.
+            self._end = None
+            if isinstance(exc, errors.ConflictError):
+                self._log.info('claim_refused', held=self.held)
+            else:
+                self._record_failure('claim_failed', exc)
+            return
+        self._record_success()
+        if claim.released:
+            return
+        self.claim, self._end, self._sent_at = claim, offset + 1, sent_at
+        self._record_known(offset, sent_at)
+        taken = not self.held
+        if taken:
+            self.state = State.HOLDER
+            metrics.DUTIES_HELD.set(1)
+        self._log.info('claimed', token=offset, before=self.token)
+        self.token = offset
+        metrics.DUTIES_TOKEN.set(offset)
+        if taken:
+            self.on_taken()
+        self.on_confirmed()
+
+    # -- reading ---------------------------------------------------------------
+
+    def _read(self):
+        self._busy = True
+        self._source.read_snapshot('', CALL_TIMEOUT_S, self._on_read)
+
+    def _on_read(self, page, exc):
+        self._busy = False
+        if exc is not None:
+            self._record_failure('claim_not_read', exc)
+            return
+        self._record_success()
+        record = next((r for r in page.records if r.key == CLAIM_KEY), None)
+        found = _Snapshot(record.offset if record else -1, page.end)
+        if found.offset + 1 != found.end and found != self._snapshot:
+            # A claim may have been appended while the page was built. Only if
+            # the next read finds the same is there no such claim.
+            self._snapshot = found
+            return
+        self._snapshot = None
+        self._record_known(found.offset, self._clock())
+        claim = self._decode(record) if record else claims.Claim()
+        if self.held and claim.nonce not in self._nonces:
+            self.lose('another claim was found')
+            return
+        if not self.held:
+            self.claim = claim
+        self._end = found.end
+
+    def _decode(self, record):
+        try:
+            return claims.decode(record.value)
+        except errors.RecordError as exc:
+            self._log.error('claim_unreadable', error=str(exc))
+            return claims.UNREADABLE
+
+    # -- failures --------------------------------------------------------------
+
+    def _record_success(self):
+        self._failing_since = None
+
+    def _record_failure(self, event, exc):
+        now = self._clock()
+        self._retry_at = now + self._rng.uniform(*RETRY_PAUSE_RANGE_S)
+        self._log.warning(event, error=str(exc), held=self.held)
+        if self._failing_since is None:
+            self._failing_since = now
+        if self.held and now - self._failing_since > MAX_STORE_SILENCE_S:
+            self.lose('the store confirms no claim')
--- /dev/null
+++ b/gorsefall/duties/usage.py
@@ -0,0 +1,82 @@
+"""Counts the requests of each client account by window of true time."""
+
+import collections
+
+import msgspec
+
+from gorsefall.policy import membership
+
+MAX_WINDOWS = 4
+"""Windows that an entry counts, the last ones: reports are due before a later
+one begins."""
+
+MAX_REPORTERS = 2 * membership.MAX_MEMBERS
+"""Maximum number of processes whose counts are kept: each entry may restart."""
+
+
+class UsageCounter:
+    """Counts the requests that replicas began to run for this entry."""
+
+    def __init__(self):
+        self._counts = {}
+
+    def record(self, window, account):
+        """Counts one request of an account in a window."""
+        counts = self._counts.get(window)
+        if counts is None:
+            counts = self._counts[window] = collections.Counter()
+            for old in sorted(self._counts)[:-MAX_WINDOWS]:
+                del self._counts[old]
+        counts[account] += 1
+
+    def since(self, window):
+        """Returns the counts since a window; see ``reports.EntryReport``."""
+        return {
+            w: dict(counts) for w, counts in self._counts.items() if w >= window
+        }
+
+
+class UsageCollector:
+    """Adds up the counts of all processes."""
+
+    def __init__(self):
+        self._reports = {}
+
+    def record(self, report):
+        """Records a ``reports.EntryReport``; a later one replaces it.
+
+        Windows that a later report leaves out keep their counts: the process
+        no longer sends those that are settled, or that it no longer keeps.
+        """
+        key = report.name, report.started_at_ms
+        last = self._reports.pop(key, None)
+        if last is not None and last.window > report.window:
+            report, last = last, report
+        if last is not None:
+            merged = {
+                w: c
+                for w, c in last.counts.items()
+                if w > report.window - MAX_WINDOWS
+            }
+            report = msgspec.structs.replace(report,
+                                             counts=merged | report.counts)
+        self._reports[key] = report
+        while len(self._reports) > MAX_REPORTERS:
+            del self._reports[next(iter(self._reports))]
+
+    def is_complete(self, window, names):
+        """Returns whether the counts of a window are final.
+
+        Args:
+            window: Its number.
+            names: Names of the entries that are live.
+        """
+        done = {n for (n, _), r in self._reports.items() if r.window > window}
+        return done.issuperset(names)
+
+    def total(self, window):
+        """Returns the sum for a window, ``account -> requests``."""
+        total = collections.Counter()
+        for report in self._reports.values():
+            total.update(report.counts.get(window, {}))
+        return dict(sorted(total.items()))
--- a/gorsefall/errors.py
+++ b/gorsefall/errors.py
@@ -83,6 +83,11 @@
         self.records_expired = records_expired
 
 
+class ConflictError(StoreError):
+    """A conditional append was refused: the topic does not end there."""
+    code = 'conflict'
+
+
 class NotRunError(GorsefallError):
     """The request was refused and has certainly not run.
 
--- a/gorsefall/metrics.py
+++ b/gorsefall/metrics.py
@@ -145,6 +145,34 @@
     'Changes that replicas announced in their responses: limit, leaving, '
     'pause.', ('what',),
     registry=REGISTRY)
+DUTIES_HELD = prom.Gauge('gorsefall_duties_held',
+                         'Whether this entry holds the duties.',
+                         registry=REGISTRY)
+DUTIES_TOKEN = prom.Gauge('gorsefall_duties_token',
+                          'Last fencing token of this entry.',
+                          registry=REGISTRY)
+DUTIES_CLAIM_AGE = prom.Gauge('gorsefall_duties_claim_age_seconds',
+                              'Time since the last confirmed claim, s.',
+                              registry=REGISTRY)
+USAGE_WINDOW = prom.Gauge('gorsefall_usage_window',
+                          'Last window whose usage report was accepted.',
+                          registry=REGISTRY)
+USAGE_MISSED = prom.Counter('gorsefall_usage_windows_missed_total',
+                            'Windows whose report was not accepted in time.',
+                            registry=REGISTRY)
+REPLICAS_NEEDED = prom.Gauge('gorsefall_replicas_needed',
+                             'Replicas that the demand needed at most of late.',
+                             ('service',),
+                             registry=REGISTRY)
+_POOL_LABELS = ('service', 'zone', 'kind')
+REPLICAS_ORDERED = prom.Gauge('gorsefall_replicas_ordered',
+                              'Replicas that are planned.',
+                              _POOL_LABELS,
+                              registry=REGISTRY)
+REPLICAS_READY = prom.Gauge('gorsefall_replicas_ready',
+                            'Replicas that serve.',
+                            _POOL_LABELS,
+                            registry=REGISTRY)
 LOG_LINES_DROPPED = prom.Counter('gorsefall_log_lines_left_out_total',
                                  'Log lines left out as their reader was slow.',
                                  registry=REGISTRY)
--- a/gorsefall/policy/membership.py
+++ b/gorsefall/policy/membership.py
@@ -142,6 +142,20 @@
     per_s: typing.Annotated[float, msgspec.Meta(ge=0)] | None = None
 
 
+class DutiesHeld(msgspec.Struct, frozen=True, array_like=True):
+    """The claim of the entry that performs the duties.
+
+    Attributes:
+        token: Its fencing token.
+        age_ms: Time since the claim was sent, ms.
+        decided_through: Number of the last usage window whose counts are
+            fixed.
+    """
+    token: Count
+    age_ms: Count
+    decided_through: int = 0
+
+
 class Status(msgspec.Struct, frozen=True, array_like=True, tag='status'):
     """The complete status of an entry.
 
@@ -166,6 +180,8 @@
         replica_exits: The ``ReplicaExit`` objects that it detected recently.
         leaving_replicas: The ``LeavingReplica`` objects whose responses it
             received recently.
+        clock_ms: Its time of day, ms since 1970; 0 if nobody needs it.
+        duties: The ``DutiesHeld`` of the holder, else None.
     """
     name: str
     started_at_ms: int
@@ -183,6 +199,8 @@
     limit_reports: tuple[LimitReport, ...] = ()
     replica_exits: tuple[ReplicaExit, ...] = ()
     leaving_replicas: tuple[LeavingReplica, ...] = ()
+    clock_ms: Count = 0
+    duties: DutiesHeld | None = None
 
     def without_reports(self):
         """Returns a copy without what may be left out of a message.
@@ -199,7 +217,9 @@
                       len(self.responses),
                       zone=self.zone,
                       can_read_store=self.can_read_store,
-                      suspects_summary=self.suspects_summary)
+                      suspects_summary=self.suspects_summary,
+                      clock_ms=self.clock_ms,
+                      duties=self.duties)
 
     def responses_after(self, last):
         """Returns the responses that are not in the status ``last``.
@@ -345,12 +365,17 @@
         entries are silent at once, it is more likely that their messages do
         not arrive here.
         """
-        self.expire(now)
         known = [m for m in self._members.values() if m.status is not None]
-        if 2 * self._counted >= len(known):
+        if self.hears_most(now):
             known = [m for m in known if m.counted]
         return [m.status.name for m in known]
 
+    def hears_most(self, now):
+        """Returns whether half of the known entries or more are live."""
+        self.expire(now)
+        known = sum(m.status is not None for m in self._members.values())
+        return 2 * self._counted >= known
+
     def mean_status_age_s(self, now):
         """Returns the mean age of the recent statuses, s; 0 for none."""
         ages = [
--- a/gorsefall/relay/exchange.py
+++ b/gorsefall/relay/exchange.py
@@ -50,6 +50,7 @@
         self._deadline_timer = None
         self._attempt_timer = None
         self._longest_pause_s = 0.0
+        self._counted = False
         self._backup = backups.KvBackup(node.prober, node.fleet)
 
     # -- limits ----------------------------------------------------------------
@@ -134,6 +135,9 @@
         now = time.monotonic()
         if not self.attempts.replicas:
             self._budget().record_first_attempt(now)
+            if self.node.duties is not None:
+                self.node.duties.record_demand(self._grant.service,
+                                               choice.prefill_tokens)
         self.attempts.record_sent(replica.record.id)
         replica.acceptance.record_sent(now)
         options = self._grant.attempt_options(
@@ -204,6 +208,14 @@
                     self.node.work.candidate_views(self._grant.service,
                                                    self.attempts.tried)))
 
+    def _record_run(self):
+        """Counts the request for its client account, once."""
+        account = self._grant.account
+        if (self._counted or account is None or self.node.duties is None):
+            return
+        self._counted = True
+        self.node.duties.record_run(account.name)
+
     def _record_wait(self, attempt):
         self._start_latency().record(time.monotonic() - attempt.sent_at)
 
@@ -211,6 +223,8 @@
 
     def on_response_head(self, response):
         """Called with the head of a response."""
+        if not response.not_run and not self._grant.streams:
+            self._record_run()
         self._delivery.begin(response, streams=self._grant.streams)
 
     def on_response_data(self, attempt, data):
@@ -221,6 +235,8 @@
             attempt.first_byte_at = time.monotonic()
             self._record_wait(attempt)
             attempt.record_response_start(self._speed())
+            if self._grant.streams:
+                self._record_run()
         attempt.prefill_done()
         if self._delivery.streaming:
             self._forward(attempt, self._delivery.split_events(data))
--- a/gorsefall/relay/fleet.py
+++ b/gorsefall/relay/fleet.py
@@ -225,6 +225,11 @@
         for replica_id in set(self._records) - names:
             self.remove(replica_id, now)
 
+    @property
+    def store_lost(self):
+        """Whether the store does not respond, so that records are outdated."""
+        return self._store_lost
+
     def on_store_lost(self):
         """Called when the store does not respond."""
         self._store_lost = True
--- a/gorsefall/relay/messages.py
+++ b/gorsefall/relay/messages.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from gorsefall.duties import reports
 from gorsefall.policy import membership
 from gorsefall.relay import changes
 
@@ -65,7 +66,8 @@
     """Requests the ``Suspects`` with the highest weights."""
 
 
-Message = membership.Status | Ask | Told | Hint | Suspects | AskSuspects
+Message = (membership.Status | Ask | Told | Hint | Suspects | AskSuspects |
+           reports.EntryReport)
 
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER = msgspec.msgpack.Decoder(Message)
--- a/gorsefall/relay/model.py
+++ b/gorsefall/relay/model.py
@@ -63,6 +63,25 @@
         return self.kind is RouteKind.IDEMPOTENT or self.resumable
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Scaling:
+    """Within which limits replicas of a service may be ordered.
+
+    Attributes:
+        min: Fewest replicas in each zone, of both kinds together.
+        max: Most replicas in each zone, of both kinds together.
+        boot_s: Time until a new replica serves, s.
+        spot_price: Price of a spot replica, which the platform may reclaim, in
+            relation to a regular one; 1 if there are none.
+        zone_prices: ``zone -> price`` of a regular replica's second.
+    """
+    min: int
+    max: int
+    boot_s: float
+    spot_price: float
+    zone_prices: dict[ids.ZoneName, float]
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Service:
     """A group of replicas.
@@ -77,6 +96,7 @@
         fetch_ms: Time an engine takes to fetch one cached prompt token from
             another engine, ms; 0 if it can't.
         event_tokens: Tokens per event of a stream.
+        scaling: The ``Scaling`` of its replicas; None if none can be ordered.
     """
     name: ids.ServiceName
     max_connections: int
@@ -85,6 +105,7 @@
     kv_tokens: int = 0
     fetch_ms: float = 0.0
     event_tokens: int = 1
+    scaling: Scaling | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -129,6 +150,7 @@
         started_at_ms: When this incarnation of the replica started, ms since
             1970 by its own clock; 0 where it does not report it. Tells
             incarnations apart.
+        spot: Whether the platform may reclaim it at short notice.
     """
     id: ids.ReplicaName
     service: ids.ServiceName
@@ -137,6 +159,7 @@
     slots: int
     status: ReplicaStatus
     started_at_ms: int = 0
+    spot: bool = False
 
     def same_incarnation(self, other):
         """Whether ``other`` describes the same incarnation of the replica."""
--- a/gorsefall/relay/node.py
+++ b/gorsefall/relay/node.py
@@ -8,6 +8,7 @@
 from gorsefall import logs
 from gorsefall import metrics
 from gorsefall import settingsfile
+from gorsefall.duties import setup
 from gorsefall.net import reactor
 from gorsefall.net import tcp
 from gorsefall.policy import attempt_timeouts
@@ -64,6 +65,8 @@
         work: The ``workload.Workload`` at its replicas.
         announcements: The ``announcements.AnnouncementTracker`` of its
             replicas.
+        duties: The ``coordinator.Coordinator`` of the duties; None if the
+            deployment has none.
         share: The ``traffic_share.TrafficShare`` of this entry.
         replicas_known: Whether a snapshot of the replicas was read.
     """
@@ -76,8 +79,10 @@
             path: Settings file.
             adapter: Provides ``codec``, ``records`` and
                 ``source(loop, addr, topic)`` of the wire, and the names of
-                the topics: ``configuration_topic``, ``replicas_topic`` and
-                ``crashes_topic``.
+                the topics: ``configuration_topic``, ``replicas_topic``,
+                ``crashes_topic`` and ``duties_topic``; for the duties
+                ``duty_kinds``, ``name -> kinds.Kind``, and
+                ``duty_client(loop, addr, holder)``.
         """
         self.cfg = settings.load(path)
         super().__init__(logs.get('node').bind(entry=self.cfg.name))
@@ -105,6 +110,7 @@
             self.loop,
             adapter.source(self.loop, settingsfile.split_addr(self.cfg.store),
                            adapter.crashes_topic), self.crashes)
+        self.duties = setup.create_coordinator(self, adapter)
         self._exchanges = set()
         self._settings_version = self._read_settings_version()
 
@@ -129,6 +135,8 @@
         self._followers.start(self._peers)
         self.crashes.start(self._peers)
         self.announcements.start()
+        if self.duties is not None:
+            self.duties.start(self._peers)
         self._crash_store.start(
             lambda: self._followers.is_reader,
             self._peers.heartbeat_s if self._peers else lambda: 0.0)
@@ -151,6 +159,8 @@
         self.crashes.handle_status(status, host)
         self.announcements.handle_status(status)
         self.fleet.handle_status(status, self.loop.now)
+        if self.duties is not None:
+            self.duties.handle_status(status, host)
 
     # -- observed state --------------------------------------------------------
 
@@ -218,20 +228,26 @@
             service: service_budget.first_attempts(self.loop.now)
             for service, service_budget in self._budgets.items()
         }
+        duties = self.duties.status_fields() if self.duties is not None else {}
         return self.work.status(
             started_at_ms,
             seq,
             known_hosts=tuple(known_hosts),
             first_attempts=first_attempts,
             zone=self.cfg.zone,
-            can_read_store=self._followers.can_read_for_others and
-            not self.draining,
+            can_read_store=self.can_read_store,
             run_reports=self.crashes.recent_reports(self.loop.now),
             suspects_summary=self.crashes.suspects.summary,
             limit_reports=self.announcements.limits.recent_reports(
                 self.loop.now),
             replica_exits=self.fleet.recent_exits(self.loop.now),
-            leaving_replicas=self.announcements.recent_leaving(self.loop.now))
+            leaving_replicas=self.announcements.recent_leaving(self.loop.now),
+            **duties)
+
+    @property
+    def can_read_store(self):
+        """Whether others can rely on this entry to reach the store."""
+        return self._followers.can_read_for_others and not self.draining
 
     def record_load(self, replica, load):
         """Records the ``model.Load`` that a replica sent with a response."""
@@ -336,6 +352,8 @@
 
     def on_drain(self):
         """See ``daemon.Daemon``."""
+        if self.duties is not None:
+            self.duties.lease.release(for_good=True)
         self.loop.call_later(LAME_DUCK_S, self._close_listener)
 
     def _close_listener(self):
@@ -365,6 +383,8 @@
         # No request may be read between here and the exit: it would be sent
         # to a replica and then aborted.
         self._callers.close_all()
+        if self.duties is not None:
+            self.duties.stop()
         self.log.info('stopped')
         self.stop()
 
--- a/gorsefall/relay/settings.py
+++ b/gorsefall/relay/settings.py
@@ -9,6 +9,33 @@
 """Maximum key length of the keyed hash that computes the digests."""
 
 
+class Duties(msgspec.Struct,
+             frozen=True,
+             kw_only=True,
+             forbid_unknown_fields=True):
+    """Settings of the duties that one entry at a time performs for all.
+
+    Attributes:
+        address: ``host:port`` of the platform that the calls go to.
+        names: Names of the duties as the platform has them, separated by
+            commas; empty for none.
+        lease_s: Time for which a holder excludes others, s.
+        report_window_s: Length of a window of the usage reports, s.
+        report_due_s: Time after its end until which a window may be reported,
+            s.
+    """
+    address: str = ''
+    names: str = ''
+    lease_s: float = 3.0
+    report_window_s: float = 5.0
+    report_due_s: float = 10.0
+
+    @property
+    def name_list(self):
+        """The names, a list."""
+        return [n.strip() for n in self.names.split(',') if n.strip()]
+
+
 class Relay(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
     """Settings of a relay entry process.
 
@@ -37,6 +64,7 @@
             most 64 bytes. Without the key nobody can check from a log line
             whether a guessed request was sent.
         retries: Retries that all entries together may send, per service.
+        duties: The duties of the deployment.
     """
     name: str
     zone: str
@@ -54,6 +82,7 @@
     grace_s: float = 8.0
     digest_key: str = ''
     retries: budget.Allowance = budget.Allowance()
+    duties: Duties = Duties()
 
     @property
     def seed_hosts(self):
@@ -68,8 +97,20 @@
 _ADDRESSES = ('callers', 'readiness', 'store')
 _POSITIVE = ('revoke_s', 'apply_s', 'settle_s', 'leave_s', 'grace_s')
 
+_POSITIVE_DUTIES = ('lease_s', 'report_window_s', 'report_due_s')
+
+
+def _duties_problems(cfg):
+    if not cfg.name_list:
+        return
+    yield from settingsfile.addr_problems([('duties.address', cfg.address)])
+    for key in _POSITIVE_DUTIES:
+        if getattr(cfg, key) <= 0:
+            yield f'duties.{key}: must be greater than 0'
+
 
 def _problems(cfg):
+    yield from _duties_problems(cfg.duties)
     yield from settingsfile.addr_problems(
         (key, getattr(cfg, key)) for key in _ADDRESSES)
     yield from settingsfile.addr_problems(
--- a/gorsefall/relay/topic.py
+++ b/gorsefall/relay/topic.py
@@ -79,6 +79,15 @@
         """Appends a record; an empty ``value`` drops the key."""
         raise NotImplementedError
 
+    def append_at(self, key, value, end, silence_s, done):
+        """Appends a record if the topic ends at the offset ``end``.
+
+        ``done(offset, exc)`` receives the offset of the record, or an
+        ``errors.ConflictError`` if the topic ends elsewhere. After any other
+        error the record may have been appended, or may still be.
+        """
+        raise NotImplementedError
+
     def read(self, offset, wait_s, max_kb, silence_s, done, *, on_large=None):
         """Reads from ``offset``, waiting up to ``wait_s`` for a record.
 
