Scaling: spot replicas hold the reserve, ordered from what all entries see

The change: duties/scaling.py plans the replicas of each kind and zone from the prompt tokens that arrive and the decode-heavy requests in flight, times what may come within a boot; spot replicas are spread so that the loss of any zone's leaves the total; regular ones leave as spots take over and replace spots that are not to be had. duties/orders.py repeats orders until the platform accepts them, after a takeover, and when replicas are missing for longer than a boot.

--- /dev/null
+++ b/gorsefall/duties/orders.py
@@ -0,0 +1,178 @@
+"""Orders of replicas: what is planned, what the platform has accepted."""
+
+from gorsefall import logs
+from gorsefall import metrics
+from gorsefall.duties import demand
+from gorsefall.duties import kinds
+from gorsefall.duties import scaling
+
+PLAN_PERIOD_S = 0.5
+"""Pause between two plans, s."""
+
+OBSERVE_S = 6.0
+"""Time for which a new holder observes before it judges the demand, s: the
+reports of all entries, and the window of a rate."""
+
+REPEAT_MARGIN_S = 4.0
+"""Time beyond a boot after which an accepted order is repeated if replicas are
+missing, s."""
+
+
+class Scaler:
+    """Plans and tracks the orders of all services that can be scaled."""
+
+    def __init__(self, node, tuning, tracker):
+        """Creates a scaler.
+
+        Args:
+            node: The ``node.Node``.
+            tuning: The ``scaling.Tuning``.
+            tracker: The ``demand.DemandTracker``.
+        """
+        self._node = node
+        self._tuning = tuning
+        self._tracker = tracker
+        self._log = logs.get('scaling')
+        self._planners = {}
+        self._accepted = {}
+        self._refused_at = {}
+        self._plan_at = float('-inf')
+        self._held_since = float('-inf')
+
+    def reset(self):
+        """Called when this entry becomes the holder.
+
+        An order of the last holder may not have been carried out, so all of
+        them are repeated with the new token.
+        """
+        self._accepted.clear()
+        self._refused_at.clear()
+        self._held_since = self._node.loop.now
+
+    # -- planning --------------------------------------------------------------
+
+    def plan(self, claim):
+        """Returns the orders to change, ``kinds.Pool -> number``.
+
+        Args:
+            claim: The ``claims.Claim`` with the orders in force.
+        """
+        now = self._node.loop.now
+        if now < self._plan_at or not self._sees_enough(now):
+            return {}
+        self._plan_at = now + PLAN_PERIOD_S
+        ordered = {o.pool: o.count for o in claim.orders}
+        changes = {}
+        for name, service in self._node.table.services.items():
+            if service.scaling is not None:
+                changes |= self._plan_service(name, service.scaling, ordered,
+                                              now)
+        if self._tuning.observe_only:
+            return {}
+        return changes
+
+    def _sees_enough(self, now):
+        """Returns whether replicas and most other entries are observed."""
+        node = self._node
+        return (node.table is not None and node.replicas_known and
+                not node.fleet.store_lost and
+                node.work.peer_view.members.hears_most(now))
+
+    def _plan_service(self, name, terms, ordered, now):
+        planner = self._planners.setdefault(name,
+                                            scaling.Planner(name, self._tuning))
+        seen = self._observe(name, ordered, now)
+        plan = planner.plan(terms, seen)
+        changes = {
+            pool: count
+            for pool, count in plan.items()
+            if count != ordered.get(pool, seen.ready.get(pool, 0))
+        }
+        metrics.REPLICAS_NEEDED.labels(name).set(planner.needed)
+        for pool, count in plan.items():
+            metrics.REPLICAS_ORDERED.labels(*_labels(pool)).set(count)
+            metrics.REPLICAS_READY.labels(*_labels(pool)).set(
+                seen.ready.get(pool, 0))
+        if changes:
+            self._log.info('replicas_planned',
+                           service=name,
+                           needed=round(planner.needed, 1),
+                           demand=seen.demand and str(seen.demand),
+                           ready=sum(seen.ready.values()),
+                           changes=[
+                               (p.zone, p.spot, n) for p, n in changes.items()
+                           ],
+                           ordering=not self._tuning.observe_only)
+        return changes
+
+    def _observe(self, name, ordered, now):
+        reps = self._node.fleet.of_service(name)
+        ready = {}
+        for rep in reps:
+            if rep.is_leaving or rep.record_malformed or rep.is_doubtful(now):
+                continue
+            pool = kinds.Pool(name, rep.record.zone, rep.record.spot)
+            ready[pool] = ready.get(pool, 0) + 1
+        slots = [rep.record.slots for rep in reps]
+        speed = scaling.EngineSpeed(
+            self._node.work.service_state(name).speed.prefill_ms_per_token,
+            sum(slots) / len(slots) if slots else 1.0)
+        return scaling.Observation(now, self._demand(
+            name, reps, now), speed, ready, {
+                p: n for p, n in ordered.items() if p.service == name
+            })
+
+    def _demand(self, name, reps, now):
+        """Returns the ``demand.Demand``, None while it is not known."""
+        if now - self._held_since < OBSERVE_S:
+            return None
+        members = self._node.work.peer_view.members
+        requests, tokens = self._tracker.rates(name, now)
+        return demand.Demand(
+            requests_per_s=requests,
+            prefill_tokens_per_s=tokens,
+            decode_heavy=sum(rep.view.decode_heavy +
+                             members.in_flight(rep.record.id).decode_heavy
+                             for rep in reps))
+
+    # -- orders ----------------------------------------------------------------
+
+    def undelivered(self, claim):
+        """Returns the ``claims.Order`` objects to send, a list."""
+        now = self._node.loop.now
+        return [o for o in claim.orders if self._is_due(o, now)]
+
+    def _is_due(self, order, now):
+        refused_at = self._refused_at.get(order.pool, float('-inf'))
+        if now - refused_at < scaling.UNAVAILABLE_S:
+            return False
+        count, accepted_at = self._accepted.get(order.pool, (None, 0.0))
+        if count != order.count:
+            return True
+        service = self._node.table.services.get(order.service)
+        if service is None or service.scaling is None:
+            return False
+        return (now - accepted_at > service.scaling.boot_s + REPEAT_MARGIN_S and
+                self._ready(order.pool, now) < order.count)
+
+    def _ready(self, pool, now):
+        return sum(
+            1 for rep in self._node.fleet.of_service(pool.service)
+            if rep.record.zone == pool.zone and rep.record.spot == pool.spot and
+            not rep.is_leaving and not rep.is_doubtful(now))
+
+    def record_answer(self, order, answer):
+        """Records the platform's ``kinds.Answer`` to an order."""
+        now = self._node.loop.now
+        if answer is kinds.Answer.ACCEPTED:
+            self._accepted[order.pool] = order.count, now
+            self._refused_at.pop(order.pool, None)
+        elif answer is kinds.Answer.CONFLICT:
+            self._refused_at[order.pool] = now
+            planner = self._planners.get(order.service)
+            if planner is not None:
+                planner.record_refusal(order.pool, now)
+
+
+def _labels(pool):
+    return pool.service, pool.zone, 'spot' if pool.spot else 'regular'
--- a/gorsefall/duties/setup.py
+++ b/gorsefall/duties/setup.py
@@ -6,6 +6,7 @@
 from gorsefall.duties import demand
 from gorsefall.duties import kinds
 from gorsefall.duties import lease
+from gorsefall.duties import orders
 from gorsefall.duties import truetime
 
 
@@ -31,6 +32,9 @@
     source = adapter.source(node.loop, settingsfile.split_addr(node.cfg.store),
                             adapter.duties_topic)
     tracker = demand.DemandTracker()
+    scaler = None
+    if kinds.Kind.SCALING in known:
+        scaler = orders.Scaler(node, cfg.autoscaling, tracker)
     return coordinator.Coordinator(
         node,
         cfg,
@@ -40,4 +44,5 @@
                                    node.cfg.name),
         true_time=truetime.TrueTime(),
         tracker=tracker,
-        reports_usage=kinds.Kind.USAGE in known)
+        reports_usage=kinds.Kind.USAGE in known,
+        scaler=scaler)
--- a/gorsefall/relay/settings.py
+++ b/gorsefall/relay/settings.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from gorsefall import settingsfile
+from gorsefall.duties import scaling
 from gorsefall.policy import budget
 
 MAX_DIGEST_KEY_BYTES = 64
@@ -23,12 +24,14 @@
         report_window_s: Length of a window of the usage reports, s.
         report_due_s: Time after its end until which a window may be reported,
             s.
+        autoscaling: How replicas are ordered.
     """
     address: str = ''
     names: str = ''
     lease_s: float = 3.0
     report_window_s: float = 5.0
     report_due_s: float = 10.0
+    autoscaling: scaling.Tuning = scaling.Tuning()
 
     @property
     def name_list(self):
@@ -107,6 +110,13 @@
     for key in _POSITIVE_DUTIES:
         if getattr(cfg, key) <= 0:
             yield f'duties.{key}: must be greater than 0'
+    for key in ('utilisation', 'decode_fill'):
+        if not 0 < getattr(cfg.autoscaling, key) <= 1:
+            yield f'duties.autoscaling.{key}: must be between 0 and 1'
+    if cfg.autoscaling.burst < 1:
+        yield 'duties.autoscaling.burst: must be at least 1'
+    if cfg.autoscaling.regular_per_zone < 0:
+        yield 'duties.autoscaling.regular_per_zone: must not be negative'
 
 
 def _problems(cfg):
