--- a/features/steps/platform_site.py
+++ b/features/steps/platform_site.py
@@ -45,7 +45,7 @@
     return site
 
 
-def new_sites(context, count, revoke_s):
+def new_sites(context, count, revoke_s, duties=''):
     """Returns sites of one entry each, which are peers and share a store."""
     resources = context.site_resources = contextlib.ExitStack()
     context.add_cleanup(resources.close)
@@ -56,7 +56,8 @@
                             resources.enter_context(ports.allocator()),
                             store=sites[0].store if sites else None,
                             peers=f'127.0.0.{i + 2}:{port}',
-                            revoke_s=revoke_s)
+                            revoke_s=revoke_s,
+                            duties=duties)
         resources.callback(site.close)
         sites.append(site)
     return sites
