Usage: a request whose response was lost with its connection counts as begun

The cause: only a response counted. The change: a connection that breaks later than the usual time to a start counts as a run; one that breaks at once does not, since such a request was most likely still in the queue.

--- a/gorsefall/policy/attempt_timeouts.py
+++ b/gorsefall/policy/attempt_timeouts.py
@@ -54,6 +54,15 @@
         self._deviation_s += DEVIATION_SMOOTHING * (gap - self._deviation_s)
         self._mean_s += SMOOTHING * (after_s - self._mean_s)
 
+    def covers(self, after_s):
+        """Returns whether a usual response has started by then.
+
+        Args:
+            after_s: Time since the request was sent, s.
+        """
+        return (self._mean_s is not None and
+                after_s >= self._mean_s - self._deviation_s)
+
     def timeout_s(self, floor_s):
         """Returns the estimated timeout, at least ``floor_s``."""
         if self._mean_s is None:
--- a/gorsefall/relay/exchange.py
+++ b/gorsefall/relay/exchange.py
@@ -320,6 +320,10 @@
                       reason=failure.reason,
                       sent=failure.sent,
                       after_ms=round((now - attempt.sent_at) * 1000, 1))
+        if failure.connection_lost and self._start_latency().covers(
+                now - attempt.sent_at):
+            # A response that was lost on its way: the replica ran it.
+            self._record_run()
         if not failure.sent:
             self.attempts.record_unreached()
             self.restart()
--- a/tests/test_attempt_timeouts.py
+++ b/tests/test_attempt_timeouts.py
@@ -30,3 +30,13 @@
     for i in range(100):
         latency.record(1.2 if i % 7 == 0 else 0.07)
     assert latency.timeout_s(1.2) < 2.5
+
+
+def test_a_usual_start_is_covered():
+    """A response that was lost on its way counts as not begun."""
+    latency = attempt_timeouts.StartLatency()
+    assert not latency.covers(1.0)
+    for _ in range(50):
+        latency.record(0.1)
+    assert latency.covers(0.11)
+    assert not latency.covers(0.02)
