Scaling: the reserve follows the mean demand; nothing is ordered twice over

Regular replicas were ordered in a burst though as many spot ones were booting, for a demand at 0.4 of an engine's time; a new holder took what ran for what was needed and ordered less than its predecessor; twice the peak was held for 30 s, and half as much again for the loss of a zone.

The change: the reserve is 2.5 times the mean need, or the peak of the last 30 s; regular replicas are ordered beyond 0.75 of an engine's time only, less what boots; other zones take the share of one without spot replicas; what was ordered stands while the demand is not known; plans within a tenth of the orders change nothing; no regular replica is kept for good.

--- a/gorsefall/duties/coordinator.py
+++ b/gorsefall/duties/coordinator.py
@@ -14,10 +14,14 @@
 TICK_S = 0.25
 """Period of the checks whether something is due, s."""
 
-START_DELAY_S = 4.0
+START_DELAY_S = 3.0
 """Time after the start before which no entry becomes a candidate, s: by then
 entries that started together know each other, so that few ask the store."""
 
+VACANCY_S = 1.0
+"""Time for which no holder is heard of before the first candidate acts, s: a
+few messages of the holder may be lost."""
+
 TURN_S = 2.0
 """Time by which each candidate waits longer than the one before it, s."""
 
@@ -27,15 +31,15 @@
 MAX_REPORTS_PER_S = 80.0
 """Most reports that the holder receives a second, as with status messages."""
 
-MAX_WINDOW_WAIT_S = 2.6
+WINDOW_WAIT_SHARE = 0.45
 """Longest time after the end of a usage window, and after it took over, for
-which the holder waits for reports of it, s: two periods with hundreds of
-entries."""
+which the holder waits for reports of it, as a part of the time until its own
+report is due: several datagrams may be lost."""
 
 CALL_PAUSE_S = 0.6
 """Pause after a failed call to the platform, s."""
 
-MAX_CLOUD_SILENCE_S = 4.0
+MAX_CLOUD_SILENCE_S = 2.5
 """Time for which all calls to the platform may fail before the holder hands the
 duties over, s: another entry may reach it."""
 
@@ -83,6 +87,7 @@
         self._collector = usage.UsageCollector()
         self._demand = demand.DemandCounter()
         self._vacant_since = None
+        self._last_holder = None
         self._report_at = 0.0
         self._held_since = 0.0
         self._settled = set()
@@ -157,13 +162,15 @@
         holder = self._find_holder(now)
         if holder is not None:
             self._vacant_since = None
+            self._last_holder = holder[1].name
             self.lease.abandon_takeover()
             self._report_to(holder, now)
             return
         if self._vacant_since is None:
             self._vacant_since = now
         if (self.lease.fit and self._node.can_read_store and
-                now - self._vacant_since >= self._turn(now) * TURN_S):
+                now - self._vacant_since
+                >= VACANCY_S + self._turn(now) * TURN_S):
             self.lease.take_over()
 
     def _find_holder(self, now):
@@ -174,12 +181,15 @@
         return max(found, key=lambda f: f[1].duties.token, default=None)
 
     def _turn(self, now):
-        """Returns how many candidates come before this entry."""
+        """Returns how many candidates come before this entry.
+
+        The last holder is not among them: it gave the duties up.
+        """
         own = rendezvous.rank('duties', self._node.cfg)
         return sum(
             rendezvous.rank('duties', status) > own
             for _, status in self._members.live_statuses(now)
-            if status.can_read_store)
+            if status.can_read_store and status.name != self._last_holder)
 
     def _report_to(self, holder, now):
         if now < self._report_at:
@@ -220,6 +230,7 @@
             self._cloud_failing_since = None
             self.lease.release()
             return
+        self._count_missed(self.lease.claim)
         claim = self._decide_windows(self.lease.claim)
         if self._scaler is not None:
             changes = self._scaler.plan(claim)
@@ -265,10 +276,11 @@
         current = self._window_at(now)
         names = [s.name for _, s in self._members.live_statuses(self._loop.now)]
         held_s = self._loop.now - self._held_since
+        wait_s = WINDOW_WAIT_SHARE * self._cfg.report_due_s
         first = max(claim.decided_through + 1, current - usage.MAX_WINDOWS + 1)
         for window in range(first, current):
             ended_s = now - (window + 1) * self._cfg.report_window_s
-            if (min(ended_s, held_s) < MAX_WINDOW_WAIT_S and
+            if (min(ended_s, held_s) < wait_s and
                     not self._collector.is_complete(window, names)):
                 break
             if claim.counts_of(window) is None:
@@ -295,6 +307,21 @@
             (w.window + 1) * self._cfg.report_window_s < self._cfg.report_due_s
         ]
 
+    def _count_missed(self, claim):
+        """Counts and logs the windows whose reports are overdue, once each."""
+        now = self.true_time.now()
+        for counts in claim.windows:
+            window = counts.window
+            overdue_s = (now - (window + 1) * self._cfg.report_window_s -
+                         self._cfg.report_due_s)
+            if (overdue_s >= 0 and window > claim.settled_through and
+                    window not in self._settled):
+                self._settled.add(window)
+                metrics.USAGE_MISSED.inc()
+                self._log.error('usage_missed',
+                                window=window,
+                                overdue_s=round(overdue_s, 2))
+
     def _undelivered(self, claim):
         """Returns the orders that the platform has not accepted yet."""
         if self._scaler is None:
--- a/gorsefall/duties/scaling.py
+++ b/gorsefall/duties/scaling.py
@@ -17,9 +17,8 @@
 """Time for which the highest need counts, s: bursts come in waves, and each
 change moves sessions, whose prompts are then prefilled again."""
 
-STABLE_S = 1.2
-"""Time for which the number of running replicas must not change before the
-first plan, s: a heartbeat of a replica."""
+SMOOTHING_S = 20.0
+"""Time constant of the mean need, s: longer than a burst."""
 
 REGULAR_HOLD_S = 6.0
 """Time for which regular replicas that replace missing spot ones are kept, s:
@@ -32,6 +31,10 @@
 """Largest part of the ordered replicas of a service that one step down takes
 away, so that a wrong signal shows in the latencies before much is lost."""
 
+TOLERANCE = 0.1
+"""Part of the ordered spot replicas by which a plan has to differ to change the
+order: each change moves sessions."""
+
 STEP_DOWN_S = 5.0
 """Pause between two steps down, s."""
 
@@ -45,16 +48,19 @@
     Attributes:
         utilisation: Part of an engine's time that prefill may take, 0 to 1. A
             stream waits for each prefill beside it.
+        critical_utilisation: The same while replicas are missing: beyond it
+            regular replicas are ordered where spot ones are not to be had.
         decode_fill: Part of an engine's slots that decode-heavy requests may
             take, 0 to 1.
-        burst: How many times the present demand may come within a boot.
+        burst: How many times the mean demand may come within a boot.
         regular_per_zone: Regular replicas that are kept in each zone.
         observe_only: Whether to log what would be ordered, and order nothing.
     """
     utilisation: float = 0.4
+    critical_utilisation: float = 0.75
     decode_fill: float = 0.5
-    burst: float = 2.0
-    regular_per_zone: int = 1
+    burst: float = 2.5
+    regular_per_zone: int = 0
     observe_only: bool = False
 
 
@@ -89,33 +95,61 @@
     ordered: dict
 
 
-def engines_needed(demand, speed, tuning):
+def engines_needed(demand, speed, utilisation, decode_fill):
     """Returns the number of engines that carry a demand, float.
 
     Args:
         demand: A ``demand.Demand``.
         speed: The ``EngineSpeed``.
-        tuning: The ``Tuning``.
+        utilisation: Part of an engine's time that prefill may take.
+        decode_fill: Part of its slots that decode-heavy requests may take.
     """
-    prefill = (demand.prefill_tokens_per_s * speed.prefill_ms_per_token / 1000)
+    prefill = demand.prefill_tokens_per_s * speed.prefill_ms_per_token / 1000
     decode = demand.decode_heavy / max(1.0, speed.slots)
-    return prefill / tuning.utilisation + decode / tuning.decode_fill
+    return prefill / utilisation + decode / decode_fill
+
+
+class _Needs:
+    """The engines that the demand has needed of late.
+
+    Attributes:
+        mean: Smoothed number, float.
+    """
+
+    def __init__(self, initial, now):
+        # Pairs of time and number, the highest first, all within HOLD_S.
+        self._highest = [(now, initial)]
+        self._at = now
+        self.mean = initial
+
+    def record(self, need, now):
+        """Records the need at a time, s."""
+        weight = 1.0 - math.exp((self._at - now) / SMOOTHING_S)
+        self.mean += weight * (need - self.mean)
+        self._at = now
+        self._highest = [
+            (at, n) for at, n in self._highest if now - at < HOLD_S and n > need
+        ]
+        self._highest.append((now, need))
+
+    @property
+    def highest(self):
+        """The highest number within ``HOLD_S``, float."""
+        return self._highest[0][1]
 
 
 class Planner:
     """Plans the replicas of one service.
 
     Attributes:
-        needed: Engines that the demand needed at most of late, float.
+        needed: Engines that are held for the demand and its bursts, float.
     """
 
     def __init__(self, service, tuning):
         self._service = service
         self._tuning = tuning
-        # Pairs of time and need, the highest need first, all within HOLD_S.
-        self._needs = []
-        self._running = 0
-        self._running_since = float('-inf')
+        self._needs = None
+        self._cold_regulars = 0
         self._unavailable = {}
         self._refused_at = float('-inf')
         self._lowered_at = float('-inf')
@@ -138,69 +172,99 @@
         """
         if not terms.zone_prices or terms.max <= 0:
             return {}
-        if not self._needs and not self._begin(seen):
-            return {}
-        if seen.demand is not None and seen.demand.requests_per_s:
-            need = engines_needed(seen.demand, seen.speed, self._tuning)
-            self._record_need(need, seen.now)
+        zones = sorted(terms.zone_prices,
+                       key=lambda z: (terms.zone_prices[z], z))
+        if seen.demand is None or not seen.demand.requests_per_s:
+            return self._plan_blind(zones, terms, seen)
+        need, critical = (
+            engines_needed(seen.demand, seen.speed, utilisation,
+                           self._tuning.decode_fill)
+            for utilisation in (self._tuning.utilisation,
+                                self._tuning.critical_utilisation))
+        if self._needs is None:
+            self._needs = _Needs(
+                max(need,
+                    self._running(seen) / self._tuning.burst), seen.now)
+        self._needs.record(need, seen.now)
+        self.needed = max(self._needs.highest,
+                          self._needs.mean * self._tuning.burst)
+        target = self._allocate(zones, terms, seen, critical)
+        if self._is_close(target, seen):
+            plan = target | {p: n for p, n in seen.ordered.items() if p.spot}
         else:
-            # Nothing is heard of callers, which may be a fault of the signal:
-            # the capacity of late is kept.
-            need = self._needs[0][1] * self._tuning.burst
-            self._needs[0] = seen.now, self._needs[0][1]
-        self.needed = self._needs[0][1]
-        target = self._allocate(terms, seen, need)
-        return self._limit_loss(target, terms, seen)
-
-    def _begin(self, seen):
-        """Takes what runs for what is needed, until the demand is known.
-
-        Returns:
-            False until the number of replicas has been the same for a while:
-            after a start their records arrive one by one.
+            plan = self._limit_loss(target, seen)
+        return self._clamp_spots(plan, terms)
+
+    def _clamp_spots(self, plan, terms):
+        """Returns ``plan`` with both kinds together within the limits."""
+        clamped = dict(plan)
+        for pool in plan:
+            if pool.spot:
+                others = plan[pool._replace(spot=False)]
+                clamped[pool] = max(terms.min - others,
+                                    min(plan[pool], terms.max - others))
+        return clamped
+
+    def _plan_blind(self, zones, terms, seen):
+        """Plans while nothing is heard of callers.
+
+        That may be a fault of the signal, so the capacity stays as it is: what
+        was ordered, or what ran before anything was ordered.
         """
-        running = sum(seen.ready.values())
-        if running != self._running:
-            self._running, self._running_since = running, seen.now
-        if not running or seen.now - self._running_since < STABLE_S:
-            return False
-        self._needs.append((seen.now, running / self._tuning.burst))
-        return True
-
-    def _record_need(self, need, now):
-        """Adds a need; drops those that are over or were exceeded since."""
-        self._needs = [
-            (at, n) for at, n in self._needs if now - at < HOLD_S and n > need
-        ]
-        self._needs.append((now, need))
+        began = any(p.spot for p in seen.ordered) and not self._cold_regulars
+        if self._needs is not None or began:
+            return dict(seen.ordered)
+        # After a start the records of replicas arrive one by one.
+        self._cold_regulars = max(
+            self._cold_regulars,
+            sum(n for p, n in seen.ready.items() if not p.spot))
+        self.needed = float(self._cold_regulars)
+        plan = self._allocate(zones, terms, seen, self.needed)
+        return self._clamp_spots(plan, terms)
+
+    def _running(self, seen):
+        return max(sum(seen.ready.values()), sum(seen.ordered.values()))
 
     def _pool(self, zone, spot):
         return kinds.Pool(self._service, zone, spot)
 
-    def _allocate(self, terms, seen, need):
-        zones = sorted(terms.zone_prices,
-                       key=lambda z: (terms.zone_prices[z], z))
-        total = self.needed * self._tuning.burst
+    def _allocate(self, zones, terms, seen, critical):
         if terms.spot_price >= 1:
-            counts = _spread(math.ceil(total), zones)
+            counts = _spread(math.ceil(self.needed), zones)
             return {
                 self._pool(z, False): _clamp(counts[z], terms) for z in zones
             }
-        base = max(self._tuning.regular_per_zone, terms.min)
-        # The loss of one zone's spot replicas leaves the total.
-        survivors = max(1, len(zones) - 1)
-        spots = _spread(
-            math.ceil((total - base * len(zones)) * len(zones) / survivors),
-            zones)
-        regulars = self._regular_counts(zones, base, seen, need)
+        base = self._tuning.regular_per_zone
+        regulars = self._regular_counts(zones, base, seen, critical)
+        spots = self._spot_counts(zones, base, seen.now, critical)
         plan = {}
         for zone in zones:
             count = min(terms.max, regulars[zone])
             plan[self._pool(zone, False)] = count
-            plan[self._pool(zone, True)] = min(spots[zone], terms.max - count)
+            plan[self._pool(zone,
+                            True)] = max(terms.min - count,
+                                         min(spots[zone], terms.max - count))
         return plan
 
-    def _regular_counts(self, zones, base, seen, need):
+    def _spot_counts(self, zones, base, now, critical):
+        """Returns ``zone -> spot replicas`` to run."""
+        # The loss of one zone's spot replicas must leave the critical number.
+        survivors = max(1, len(zones) - 1)
+        count = max(self.needed - base * len(zones),
+                    critical * len(zones) / survivors)
+        counts = _spread(math.ceil(count), zones)
+        available = [
+            z for z in zones if self.is_available(self._pool(z, True), now)
+        ]
+        if available:
+            # The order of a zone without any stands, to be repeated, and
+            # others have its share meanwhile.
+            absent = sum(counts[z] for z in zones if z not in available)
+            for zone, extra in _spread(absent, available).items():
+                counts[zone] += extra
+        return counts
+
+    def _regular_counts(self, zones, base, seen, critical):
         """Returns ``zone -> regular replicas`` to run.
 
         They leave as spot replicas take over, and replace spot replicas that
@@ -212,21 +276,41 @@
                                  seen.ready.get(self._pool(z, False), 0))
             for z in zones
         }
-        spots = sum(n for p, n in seen.ready.items() if p.spot)
-        missing = math.ceil(need - spots) - base * len(zones)
-        extra = _spread(missing, zones)
-        target = {z: base + extra[z] for z in zones}
+        ready = sum(n for p, n in seen.ready.items() if p.spot)
+        missing = math.ceil(critical) - ready - base * len(zones)
         if self._some_refused(seen.now):
             self._refused_at = seen.now
-            return {z: max(kept[z], target[z]) for z in zones}
+            extra = _spread(missing - self._coming(seen), zones)
+            return {z: max(kept[z], base + extra[z]) for z in zones}
         if seen.now - self._refused_at < REGULAR_HOLD_S:
             return kept
-        return {z: max(base, min(kept[z], target[z])) for z in zones}
+        extra = _spread(missing, zones)
+        return {z: max(base, min(kept[z], base + extra[z])) for z in zones}
+
+    def _coming(self, seen):
+        """Returns how many spot replicas boot."""
+        return sum(
+            max(0, n - seen.ready.get(p, 0))
+            for p, n in seen.ordered.items()
+            if p.spot and self.is_available(p, seen.now))
 
     def _some_refused(self, now):
         return any(not self.is_available(p, now) for p in self._unavailable)
 
-    def _limit_loss(self, target, terms, seen):
+    def _is_close(self, target, seen):
+        """Returns whether the spot replicas may stay as ordered."""
+        if self._some_refused(seen.now):
+            return False
+        ordered = {p: n for p, n in seen.ordered.items() if p.spot}
+        regulars_rise = any(
+            n > seen.ordered.get(p, 0) for p, n in target.items() if not p.spot)
+        before = sum(ordered.values())
+        after = sum(n for p, n in target.items() if p.spot)
+        return (bool(ordered) and not regulars_rise and
+                self._needs.highest <= before and
+                abs(after - before) <= TOLERANCE * before)
+
+    def _limit_loss(self, target, seen):
         """Returns ``target`` with at most one small step down from orders."""
         lowered = {
             p: seen.ordered[p] - n
@@ -243,8 +327,7 @@
         for pool, loss in sorted(lowered.items(), key=lambda i: -i[1]):
             taken = min(loss, budget)
             budget -= taken
-            most = terms.max - target[self._pool(pool.zone, False)]
-            limited[pool] = min(most, seen.ordered[pool] - taken)
+            limited[pool] = seen.ordered[pool] - taken
         return limited
 
 
--- a/gorsefall/policy/membership.py
+++ b/gorsefall/policy/membership.py
@@ -376,6 +376,14 @@
         known = sum(m.status is not None for m in self._members.values())
         return 2 * self._counted >= known
 
+    def known_names(self):
+        """Returns the names of all entries heard of, also of silent ones."""
+        return [
+            m.status.name
+            for m in self._members.values()
+            if m.status is not None
+        ]
+
     def mean_status_age_s(self, now):
         """Returns the mean age of the recent statuses, s; 0 for none."""
         ages = [
--- a/gorsefall/relay/node.py
+++ b/gorsefall/relay/node.py
@@ -292,6 +292,8 @@
             for service in self.table.services:
                 metrics.USABLE_REPLICAS.labels(service).set(
                     len(self.fleet.candidates(service, ())))
+        if self.duties is not None and self.duties.lease.held:
+            metrics.DUTIES_CLAIM_AGE.set(self.duties.lease.claim_age_s())
         now = self.loop.now
         for service, service_budget in self._budgets.items():
             metrics.RETRIES_LEFT.labels(service).set(
--- a/gorsefall/relay/settings.py
+++ b/gorsefall/relay/settings.py
@@ -110,7 +110,7 @@
     for key in _POSITIVE_DUTIES:
         if getattr(cfg, key) <= 0:
             yield f'duties.{key}: must be greater than 0'
-    for key in ('utilisation', 'decode_fill'):
+    for key in ('utilisation', 'critical_utilisation', 'decode_fill'):
         if not 0 < getattr(cfg.autoscaling, key) <= 1:
             yield f'duties.autoscaling.{key}: must be between 0 and 1'
     if cfg.autoscaling.burst < 1:
