--- a/gorsefall/cmdline.py
+++ b/gorsefall/cmdline.py
@@ -108,6 +108,20 @@
     return 0
 
 
+def _emulate_scaling(args):
+    from gorsefall.emulator import scaling
+    results = []
+    for seed in range(args.seeds):
+        for name in scaling.POLICIES:
+            results.append(scaling.simulate(name, seed))
+            print(scaling.format_result(results[-1]), flush=True)
+    if args.out:
+        pathlib.Path(args.out).write_bytes(msgspec.json.encode(results))
+    if args.plot:
+        scaling.plot(results, args.plot)
+    return 0
+
+
 def _explain(args):
     *files, request = args.files_and_id
     if not files:
@@ -184,6 +198,15 @@
     m.add_argument('--plot', help='PNG file for a plot of the value earned')
     m.set_defaults(func=_emulate)
 
+    z = sub.add_parser('emulate-scaling',
+                       help='compare ways of ordering replicas by simulation')
+    z.add_argument('--seeds', type=int, default=5)
+    z.add_argument('--out', help='JSON file for the results')
+    z.add_argument('--plot',
+                   help='PNG file for a plot of the first day: replicas, load '
+                   'and wait over time')
+    z.set_defaults(func=_emulate_scaling)
+
     b = sub.add_parser('bench',
                        help='send a load with a burst, report by class')
     b.add_argument('scenario', help='scenario TOML file')
--- a/gorsefall/duties/scaling.py
+++ b/gorsefall/duties/scaling.py
@@ -239,7 +239,10 @@
         spots = self._spot_counts(zones, base, seen.now, critical)
         plan = {}
         for zone in zones:
-            count = min(terms.max, regulars[zone])
+            # Spot replicas that serve do not leave for regular ones that boot.
+            serving = min(spots[zone],
+                          seen.ready.get(self._pool(zone, True), 0))
+            count = min(terms.max - serving, regulars[zone])
             plan[self._pool(zone, False)] = count
             plan[self._pool(zone,
                             True)] = max(terms.min - count,
--- a/gorsefall/policy/membership.py
+++ b/gorsefall/policy/membership.py
@@ -182,6 +182,8 @@
             received recently.
         clock_ms: Its time of day, ms since 1970; 0 if nobody needs it.
         duties: The ``DutiesHeld`` of the holder, else None.
+        decode_engines: ``service -> engines`` that it would use for
+            decode-heavy requests.
     """
     name: str
     started_at_ms: int
@@ -201,6 +203,7 @@
     leaving_replicas: tuple[LeavingReplica, ...] = ()
     clock_ms: Count = 0
     duties: DutiesHeld | None = None
+    decode_engines: dict[ids.ServiceName, Count] = {}
 
     def without_reports(self):
         """Returns a copy without what may be left out of a message.
@@ -219,7 +222,8 @@
                       can_read_store=self.can_read_store,
                       suspects_summary=self.suspects_summary,
                       clock_ms=self.clock_ms,
-                      duties=self.duties)
+                      duties=self.duties,
+                      decode_engines=self.decode_engines)
 
     def responses_after(self, last):
         """Returns the responses that are not in the status ``last``.
@@ -384,6 +388,14 @@
             if m.status is not None
         ]
 
+    def decode_engines(self, service):
+        """Returns the sizes of a decode partition as others report them."""
+        return [
+            m.status.decode_engines[service]
+            for m in self._members.values()
+            if m.counted and service in m.status.decode_engines
+        ]
+
     def mean_status_age_s(self, now):
         """Returns the mean age of the recent statuses, s; 0 for none."""
         ages = [
--- a/gorsefall/policy/partition.py
+++ b/gorsefall/policy/partition.py
@@ -13,6 +13,14 @@
 """Standard deviations by which the number of decode-heavy requests may rise
 while the partition still has slots for all of them."""
 
+FILL = 0.5
+"""Part of the slots of the partition that the decode-heavy requests may take.
+With hundreds of entries their counts are a second old, and a burst begins
+meanwhile."""
+
+AGREED_QUANTILE = 0.75
+"""Quantile of the sizes that all entries report at which they agree."""
+
 SHRINK_DELAY_S = 20.0
 """Time for which fewer engines must be sufficient before the partition shrinks
 by one, s. Each change moves sessions, whose prompts are then prefilled
@@ -25,6 +33,26 @@
     def __init__(self):
         self._count = 1
         self._shrink_at = None
+        self._reported = ()
+
+    @property
+    def own_count(self):
+        """The size that this entry would choose alone."""
+        return self._count
+
+    def record_reports(self, counts):
+        """Records the sizes that the other entries report."""
+        self._reported = tuple(counts)
+
+    def _agreed_count(self):
+        """Returns the size that all entries use.
+
+        Each entry knows the requests of others as of another time. If each
+        used its own size, prompts of some would go to the engines that others
+        use for decode-heavy requests, whose events would be late.
+        """
+        counts = sorted([self._count, *self._reported])
+        return counts[math.ceil(AGREED_QUANTILE * (len(counts) - 1))]
 
     def decode_engines(self, engines, requests, now, unreported=0.0):
         """Returns the names of its engines, at most half of all engines.
@@ -42,9 +70,9 @@
             return set()
         slots = statistics.fmean(v.slots for v in engines)
         peak = requests + PEAK_DEVIATIONS * math.sqrt(requests) + unreported
-        needed = min(limit, max(1, math.ceil(peak / slots)))
+        needed = min(limit, max(1, math.ceil(peak / (FILL * slots))))
         self._adapt(needed, now)
-        return select_engines(engines, min(self._count, limit))
+        return select_engines(engines, min(self._agreed_count(), limit))
 
     def _adapt(self, needed, now):
         if needed >= self._count:
--- a/gorsefall/relay/workload.py
+++ b/gorsefall/relay/workload.py
@@ -7,6 +7,9 @@
 from gorsefall.policy import placement
 from gorsefall.policy import unreported
 
+PARTITION_REFRESH_S = 0.25
+"""Period in which the reported sizes of a decode partition are read, s."""
+
 
 class Workload:
     """Requests in flight at replicas, and statistics by service.
@@ -28,6 +31,7 @@
         self._window_s = window_s
         self._services = {}
         self._ranks = {}
+        self._partition_read_at = {}
         self.peer_view = peerview.PeerView(name, self._find_view)
 
     def _find_view(self, replica_id):
@@ -41,12 +45,21 @@
         state.unreported.arrivals = unreported.Arrivals(
             per_s=members.first_attempts(name) / self._window_s,
             age_s=members.mean_status_age_s(time.monotonic()))
+        self._update_partition(name, state.partition)
         service = self._fleet.service(name)
         if service is not None:
             state.fetch_ms = service.fetch_ms
             state.event_tokens = service.event_tokens
         return state
 
+    def _update_partition(self, name, partition):
+        now = time.monotonic()
+        read_at = self._partition_read_at.get(name, float('-inf'))
+        if now - read_at >= PARTITION_REFRESH_S:
+            self._partition_read_at[name] = now
+            partition.record_reports(
+                self.peer_view.members.decode_engines(name))
+
     def ranks(self, service):
         """Returns the ``overload.RankStats`` of a service."""
         return self._ranks.setdefault(service, overload.RankStats())
@@ -105,5 +118,10 @@
             **fields: See there.
         """
         views = [r.view for r in self._fleet.replicas.values()]
+        fields['decode_engines'] = {
+            name: state.partition.own_count
+            for name, state in self._services.items()
+            if state.gap_ms
+        }
         return self.peer_view.build_status(started_at_ms, seq, views,
                                            time.monotonic(), **fields)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -82,6 +82,28 @@
             assert placement.affinity_replica(left, session).name == name
 
 
+def test_entries_with_other_views_agree_on_the_partition():
+    """Entries whose counts are of other times use other engines for chats, and
+    their prompts delay each other's streams."""
+    targets = _named([f'e{i}' for i in range(30)])
+    parts = [partition.DecodePartition() for _ in range(9)]
+    for step in range(2):
+        chosen = []
+        for i, part in enumerate(parts):
+            chosen.append(part.decode_engines(targets, 60 + 12 * i, 0.0))
+        for part in parts:
+            part.record_reports(p.own_count for p in parts if p is not part)
+        assert (len({frozenset(c) for c in chosen}) == 1) == (step == 1)
+
+
+def test_a_partition_has_slots_for_a_burst():
+    """Chats of a burst wait for slots while most engines have some."""
+    targets = _named([f'e{i}' for i in range(30)])
+    slots = targets[0].slots
+    names = partition.DecodePartition().decode_engines(targets, 4 * slots, 0.0)
+    assert len(names) >= 8
+
+
 def test_every_entry_computes_the_same_partition():
     """Two entries disagree and mix long prompts with long responses."""
     targets = _targets(5)
