--- a/gorsefall/duties/coordinator.py
+++ b/gorsefall/duties/coordinator.py
@@ -1,9 +1,12 @@
 """One entry's part in the duties: candidate, reporter or holder."""
 
+import collections
+
 import msgspec
 
 from gorsefall import logs
 from gorsefall import metrics
+from gorsefall.duties import claims
 from gorsefall.duties import demand
 from gorsefall.duties import kinds
 from gorsefall.duties import reports
@@ -90,7 +93,7 @@
         self._last_holder = None
         self._report_at = 0.0
         self._held_since = 0.0
-        self._settled = set()
+        self._settled = collections.deque(maxlen=2 * claims.RETAINED_WINDOWS)
         self._open_calls = 0
         self._call_at = float('-inf')
         self._cloud_failing_since = None
@@ -116,16 +119,10 @@
 
     # -- what this entry observes ----------------------------------------------
 
-    def record_run(self, account, *, ago_s=0.0):
-        """Counts a request that a replica has begun to run.
-
-        Args:
-            account: Name of the client account.
-            ago_s: Time since it began, s.
-        """
+    def record_run(self, account):
+        """Counts a request of an account that a replica has begun to run."""
         if self._reports_usage:
-            self._counter.record(self._window_at(self.true_time.now() - ago_s),
-                                 account)
+            self._counter.record(self._window_at(self.true_time.now()), account)
 
     def record_demand(self, service, prefill_tokens):
         """Records a request of a caller and the prefill that it needs."""
@@ -316,7 +313,7 @@
                          self._cfg.report_due_s)
             if (overdue_s >= 0 and window > claim.settled_through and
                     window not in self._settled):
-                self._settled.add(window)
+                self._settled.append(window)
                 metrics.USAGE_MISSED.inc()
                 self._log.error('usage_missed',
                                 window=window,
@@ -354,7 +351,7 @@
         self._log.info('usage_reported', window=window, answer=answer.value)
         self._on_answer(answer)
         if answer is kinds.Answer.ACCEPTED:
-            self._settled.add(window)
+            self._settled.append(window)
             metrics.USAGE_WINDOW.set(window)
         elif answer is kinds.Answer.CONFLICT:
             self.lease.lose('the platform saw a later token')
--- a/gorsefall/duties/demand.py
+++ b/gorsefall/duties/demand.py
@@ -11,6 +11,9 @@
 """Time over which a rate is taken, s: entries report at most every second or
 two, and a burst shall show within this time."""
 
+MAX_REPORTERS = 2 * membership.MAX_MEMBERS
+"""Maximum number of processes whose totals are kept: each entry may restart."""
+
 
 class Totals(msgspec.Struct, frozen=True, array_like=True):
     """What one process has received for a service since its start.
@@ -80,26 +83,28 @@
             totals: ``service -> Totals``.
             now: Time, s (monotonic).
         """
-        before = self._last.get(reporter)
+        before = self._last.pop(reporter, None)
         self._last[reporter] = totals
+        if len(self._last) > MAX_REPORTERS:
+            del self._last[next(iter(self._last))]
         if before is None:
             # Its totals may be hours old.
             return
         for service, total in totals.items():
             added = total.minus(before.get(service, NOTHING))
+            self._drop_old_seconds(service, now)
             sums = self._seconds[service][int(now)]
             sums[0] += added.requests
             sums[1] += added.prefill_tokens
 
-    def reporters(self):
-        """Returns the number of processes that have reported."""
-        return len(self._last)
-
-    def rates(self, service, now):
-        """Returns ``(requests, prefill tokens)`` per second, floats."""
+    def _drop_old_seconds(self, service, now):
         seconds = self._seconds[service]
         for second in [s for s in seconds if s < int(now) - RATE_WINDOW_S]:
             del seconds[second]
-        recent = [v for s, v in seconds.items() if s < int(now)]
+
+    def rates(self, service, now):
+        """Returns ``(requests, prefill tokens)`` per second, floats."""
+        self._drop_old_seconds(service, now)
+        recent = [v for s, v in self._seconds[service].items() if s < int(now)]
         return (sum(v[0] for v in recent) / RATE_WINDOW_S,
                 sum(v[1] for v in recent) / RATE_WINDOW_S)
--- a/gorsefall/duties/lease.py
+++ b/gorsefall/duties/lease.py
@@ -8,6 +8,7 @@
 acts after a successor may have claimed.
 """
 
+import collections
 import enum
 import random
 import typing
@@ -41,6 +42,10 @@
 UNFIT_S = 5.0
 """Time for which an entry that gave up the duties is no candidate, s."""
 
+MAX_OWN_CLAIMS = 32
+"""Own claims by which a holder recognises its claim in the store: more than
+those whose appends may still be carried out."""
+
 
 class State(enum.Enum):
     """Whether an entry holds the duties."""
@@ -108,7 +113,7 @@
         self.claim = claims.Claim()
         self.on_taken = lambda: None
         self.on_confirmed = lambda: None
-        self._nonces = set()
+        self._nonces = collections.deque(maxlen=MAX_OWN_CLAIMS)
         self._known = _Known()
         self._end = None
         self._snapshot = None
@@ -231,7 +236,7 @@
                                         holder=self._name,
                                         released=released,
                                         nonce=self._rng.getrandbits(48))
-        self._nonces.add(claim.nonce)
+        self._nonces.append(claim.nonce)
         self._busy = True
         sent_at = self._clock()
         self._source.append_at(
--- a/gorsefall/duties/scaling.py
+++ b/gorsefall/duties/scaling.py
@@ -240,8 +240,8 @@
         plan = {}
         for zone in zones:
             # Spot replicas that serve do not leave for regular ones that boot.
-            serving = min(spots[zone],
-                          seen.ready.get(self._pool(zone, True), 0))
+            serving = min(spots[zone], seen.ready.get(self._pool(zone, True),
+                                                      0))
             count = min(terms.max - serving, regulars[zone])
             plan[self._pool(zone, False)] = count
             plan[self._pool(zone,
--- a/tests/test_relay_settings.py
+++ b/tests/test_relay_settings.py
@@ -32,6 +32,16 @@
     (('zone = "z1"', 'zone = "z1"\nleave_s = -1'), 'leave_s'),
     (('zone = "z1"', 'zone = '), 'TOML'),
     (('zone = "z1"', 'zone = "z1"\nmetrics_port = 70000'), 'metrics_port'),
+    (('zone = "z1"', 'zone = "z1"\nduties = { names = "usage" }'),
+     'duties.address'),
+    (('zone = "z1"', 'zone = "z1"\nduties = { names = "usage", '
+      'address = "10.0.0.8:1", lease_s = 0 }'), 'duties.lease_s'),
+    (('zone = "z1"', 'zone = "z1"\nduties = { names = "usage", '
+      'address = "10.0.0.8:1", autoscaling = { burst = 0.5 } }'),
+     'duties.autoscaling.burst'),
+    (('zone = "z1"', 'zone = "z1"\nduties = { names = "usage", '
+      'address = "10.0.0.8:1", autoscaling = { utilisation = 1.5 } }'),
+     'duties.autoscaling.utilisation'),
 ])
 def test_an_error_names_its_field(change, named):
     """An entry must not start with incomplete or invalid settings."""
