Placement: prompts that are to be refused do not go to the engines for chats

Half of the requests at the engines kept for chats were prompts.

The cause: where all other engines would refuse a long prompt (2,000 ms each), an engine for chats cost as much, and its queue is short, so that the prompt was let in there. A short prompt 'does no harm' there alone; with 88 entries, whose reports are a second old, dozens see the same idle engine at once. And each entry used a partition of its own size.

The change: a prompt that would delay streams costs 8,000 ms there; one is harmless only if it is together with as many as other entries are expected to send meanwhile; all entries use the upper quartile of the sizes that they report.

--- a/gorsefall/duties/scaling.py
+++ b/gorsefall/duties/scaling.py
@@ -57,7 +57,7 @@
         observe_only: Whether to log what would be ordered, and order nothing.
     """
     utilisation: float = 0.4
-    critical_utilisation: float = 0.75
+    critical_utilisation: float = 0.6
     decode_fill: float = 0.5
     burst: float = 2.5
     regular_per_zone: int = 0
--- a/gorsefall/emulator/entries.py
+++ b/gorsefall/emulator/entries.py
@@ -10,6 +10,9 @@
 from gorsefall.policy import unreported
 
 
+SERVICE = 's'
+
+
 class Entry:
     """One entry.
 
@@ -40,12 +43,18 @@
     def status(self, now_ms):
         """Returns the ``membership.Status`` to send to the other entries."""
         self._seq += 1
-        return self.view.build_status(0, self._seq, self.targets.values(),
-                                      now_ms / 1000)
+        return self.view.build_status(
+            0,
+            self._seq,
+            self.targets.values(),
+            now_ms / 1000,
+            decode_engines={SERVICE: self.service.partition.own_count})
 
     def receive_status(self, status, now_ms):
         """Records the ``membership.Status`` of another entry."""
         self.view.record_status(status.name, status, now_ms / 1000)
+        self.service.partition.record_reports(
+            self.view.members.decode_engines(SERVICE))
 
     def decide(self, req, policy, limit_ms, now_ms, rng):
         """Returns the ``placement.Choice`` or ``policies.Refusal``."""
--- a/gorsefall/policy/costs.py
+++ b/gorsefall/policy/costs.py
@@ -73,6 +73,12 @@
 to the other engines, ms: longer than the prefill of a long prompt, shorter than
 the delay at which a response is far too late."""
 
+HARMFUL_MISPLACEMENT_MS = 8000.0
+"""Cost of a prefill in the decode partition that would delay its streams, ms:
+more than that of a replica that would refuse the request. Otherwise, in an
+overload, the prompts that are to be refused go there, as its queues are
+short."""
+
 TOLERATED_STALL_PROBABILITY = 0.3
 """Probability that a lossy link stalls a response from which on it has a
 cost."""
@@ -281,8 +287,12 @@
         gap_ms = self._service.gap_ms
         if self._profile.decode_heavy or not gap_ms:
             return MISPLACEMENT_MS
-        tokens = (candidate.prefill_tokens_ahead + self._profile.tokens -
-                  candidate.cached_tokens)
+        own = self._profile.tokens - candidate.cached_tokens
+        # Other entries see the same short queue, and send as much there.
+        others = (self._service.unreported.prefill() /
+                  max(1, self._service.partition.size))
+        tokens = candidate.prefill_tokens_ahead + (1 + others) * own
         harmless = (tokens * candidate.prefill_ms_per_token
                     < HARMLESS_GAP_SHARE * gap_ms)
-        return HARMLESS_MISPLACEMENT_MS if harmless else REFUSAL_MS
+        return (HARMLESS_MISPLACEMENT_MS
+                if harmless else HARMFUL_MISPLACEMENT_MS)
--- a/gorsefall/policy/partition.py
+++ b/gorsefall/policy/partition.py
@@ -13,11 +13,6 @@
 """Standard deviations by which the number of decode-heavy requests may rise
 while the partition still has slots for all of them."""
 
-FILL = 0.5
-"""Part of the slots of the partition that the decode-heavy requests may take.
-With hundreds of entries their counts are a second old, and a burst begins
-meanwhile."""
-
 AGREED_QUANTILE = 0.75
 """Quantile of the sizes that all entries report at which they agree."""
 
@@ -28,12 +23,17 @@
 
 
 class DecodePartition:
-    """Adapts the size of the decode partition to the decode-heavy requests."""
+    """Adapts the size of the decode partition to the decode-heavy requests.
+
+    Attributes:
+        size: Number of its engines as of the last request.
+    """
 
     def __init__(self):
         self._count = 1
         self._shrink_at = None
         self._reported = ()
+        self.size = 1
 
     @property
     def own_count(self):
@@ -70,9 +70,10 @@
             return set()
         slots = statistics.fmean(v.slots for v in engines)
         peak = requests + PEAK_DEVIATIONS * math.sqrt(requests) + unreported
-        needed = min(limit, max(1, math.ceil(peak / (FILL * slots))))
+        needed = min(limit, max(1, math.ceil(peak / slots)))
         self._adapt(needed, now)
-        return select_engines(engines, min(self._agreed_count(), limit))
+        self.size = min(self._agreed_count(), limit)
+        return select_engines(engines, self.size)
 
     def _adapt(self, needed, now):
         if needed >= self._count:
--- a/gorsefall/policy/unreported.py
+++ b/gorsefall/policy/unreported.py
@@ -45,7 +45,13 @@
         self._decode_heavy_share += SMOOTHING * (decode_heavy -
                                                  self._decode_heavy_share)
 
+    def _expected(self):
+        return self.arrivals.per_s * self.arrivals.age_s
+
     def decode_heavy(self):
         """Returns the expected number of unreported decode-heavy requests."""
-        expected = self.arrivals.per_s * self.arrivals.age_s
-        return expected * self._decode_heavy_share
+        return self._expected() * self._decode_heavy_share
+
+    def prefill(self):
+        """Returns the expected number of other unreported requests."""
+        return self._expected() * (1 - self._decode_heavy_share)
