--- a/gorsefall/emulator/entries.py
+++ b/gorsefall/emulator/entries.py
@@ -9,7 +9,6 @@
 from gorsefall.policy import prompts
 from gorsefall.policy import unreported
 
-
 SERVICE = 's'
 
 
