Duties: an entry that hears few others neither holds nor seeks them; windows wait for all that were heard of

What was seen: tests/test_duties_lease.py, a holder cut off from its peers alone took the duties back each time the lease of its successor was over, with the counts of itself alone. Readiness of replicas is counted in one place.

--- a/gorsefall/duties/coordinator.py
+++ b/gorsefall/duties/coordinator.py
@@ -34,7 +34,7 @@
 MAX_REPORTS_PER_S = 80.0
 """Most reports that the holder receives a second, as with status messages."""
 
-WINDOW_WAIT_SHARE = 0.45
+WINDOW_WAIT_SHARE = 0.35
 """Longest time after the end of a usage window, and after it took over, for
 which the holder waits for reports of it, as a part of the time until its own
 report is due: several datagrams may be lost."""
@@ -166,7 +166,7 @@
         if self._vacant_since is None:
             self._vacant_since = now
         if (self.lease.fit and self._node.can_read_store and
-                now - self._vacant_since
+                self._members.hears_most(now) and now - self._vacant_since
                 >= VACANCY_S + self._turn(now) * TURN_S):
             self.lease.take_over()
 
@@ -219,8 +219,11 @@
     # -- holding ---------------------------------------------------------------
 
     def _perform(self):
-        if (self._open_calls or not self.lease.idle or
-                self._loop.now < self._call_at):
+        now = self._loop.now
+        if (self._open_calls or not self.lease.idle or now < self._call_at or
+                not self._members.hears_most(now)):
+            # An entry that is cut off from most others knows their counts and
+            # their load no more; one of them takes over.
             return
         if self._cloud_is_silent():
             self._log.warning('platform_silent')
@@ -271,7 +274,8 @@
             return claim
         now = self.true_time.now()
         current = self._window_at(now)
-        names = [s.name for _, s in self._members.live_statuses(self._loop.now)]
+        # Entries that are silent for a moment report later.
+        names = self._members.known_names()
         held_s = self._loop.now - self._held_since
         wait_s = WINDOW_WAIT_SHARE * self._cfg.report_due_s
         first = max(claim.decided_through + 1, current - usage.MAX_WINDOWS + 1)
--- a/gorsefall/duties/orders.py
+++ b/gorsefall/duties/orders.py
@@ -1,5 +1,7 @@
 """Orders of replicas: what is planned, what the platform has accepted."""
 
+import collections
+
 from gorsefall import logs
 from gorsefall import metrics
 from gorsefall.duties import demand
@@ -107,18 +109,12 @@
 
     def _observe(self, name, ordered, now):
         reps = self._node.fleet.of_service(name)
-        ready = {}
-        for rep in reps:
-            if rep.is_leaving or rep.record_malformed or rep.is_doubtful(now):
-                continue
-            pool = kinds.Pool(name, rep.record.zone, rep.record.spot)
-            ready[pool] = ready.get(pool, 0) + 1
         slots = [rep.record.slots for rep in reps]
         speed = scaling.EngineSpeed(
             self._node.work.service_state(name).speed.prefill_ms_per_token,
             sum(slots) / len(slots) if slots else 1.0)
         return scaling.Observation(now, self._demand(
-            name, reps, now), speed, ready, {
+            name, reps, now), speed, self._count_ready(name, now), {
                 p: n for p, n in ordered.items() if p.service == name
             })
 
@@ -153,13 +149,15 @@
         if service is None or service.scaling is None:
             return False
         return (now - accepted_at > service.scaling.boot_s + REPEAT_MARGIN_S and
-                self._ready(order.pool, now) < order.count)
-
-    def _ready(self, pool, now):
-        return sum(
-            1 for rep in self._node.fleet.of_service(pool.service)
-            if rep.record.zone == pool.zone and rep.record.spot == pool.spot and
-            not rep.is_leaving and not rep.is_doubtful(now))
+                self._count_ready(order.service, now)[order.pool] < order.count)
+
+    def _count_ready(self, service, now):
+        """Returns ``kinds.Pool -> replicas`` that serve."""
+        return collections.Counter(
+            kinds.Pool(service, rep.record.zone, rep.record.spot)
+            for rep in self._node.fleet.of_service(service)
+            if not (
+                rep.is_leaving or rep.record_malformed or rep.is_doubtful(now)))
 
     def record_answer(self, order, answer):
         """Records the platform's ``kinds.Answer`` to an order."""
--- a/gorsefall/duties/scaling.py
+++ b/gorsefall/duties/scaling.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from gorsefall.duties import demand as demands
 from gorsefall.duties import kinds
 
 HOLD_S = 30.0
@@ -82,14 +83,14 @@
 
     Attributes:
         now: The time, s (monotonic).
-        demand: The ``demand.Demand``; None if it is not known.
+        demand: The demand; None if it is not known.
         speed: The ``EngineSpeed``.
         ready: ``kinds.Pool -> replicas`` that serve.
         ordered: ``kinds.Pool -> replicas`` of the orders in force; empty if
             nothing was ordered yet.
     """
     now: float
-    demand: object
+    demand: demands.Demand | None
     speed: EngineSpeed
     ready: dict
     ordered: dict
@@ -244,9 +245,7 @@
                                                       0))
             count = min(terms.max - serving, regulars[zone])
             plan[self._pool(zone, False)] = count
-            plan[self._pool(zone,
-                            True)] = max(terms.min - count,
-                                         min(spots[zone], terms.max - count))
+            plan[self._pool(zone, True)] = spots[zone]
         return plan
 
     def _spot_counts(self, zones, base, now, critical):
