Duties: an order that the platform does not accept does not pass the duties round

The cause, by reading: both kinds of a zone change in one claim, and the one that rises was sent before the other was accepted, so that both together exceeded the maximum for a moment; an order for a service that a later configuration does not have would have been rejected for ever. Either counted as a silent platform, and after 2.5 s the duties were handed over.

--- a/gorsefall/duties/coordinator.py
+++ b/gorsefall/duties/coordinator.py
@@ -357,6 +357,10 @@
         if answer is kinds.Answer.ACCEPTED:
             self._settled.append(window)
             metrics.USAGE_WINDOW.set(window)
+        elif answer is kinds.Answer.REJECTED:
+            # It would be rejected again.
+            self._settled.append(window)
+            metrics.USAGE_MISSED.inc()
         elif answer is kinds.Answer.CONFLICT:
             self.lease.lose('the platform saw a later token')
 
--- a/gorsefall/duties/kinds.py
+++ b/gorsefall/duties/kinds.py
@@ -24,10 +24,12 @@
         ACCEPTED: The platform carried it out.
         CONFLICT: It was refused: a higher token was used, or, for an order,
             no such replica can be had at present.
+        REJECTED: It is not valid, and would not be if it were repeated.
         UNKNOWN: It failed or got no answer; it may be carried out later.
     """
     ACCEPTED = 'accepted'
     CONFLICT = 'conflict'
+    REJECTED = 'rejected'
     UNKNOWN = 'unknown'
 
 
--- a/gorsefall/duties/orders.py
+++ b/gorsefall/duties/orders.py
@@ -139,18 +139,33 @@
         return [o for o in claim.orders if self._is_due(o, now)]
 
     def _is_due(self, order, now):
+        service = self._node.table and self._node.table.services.get(
+            order.service)
+        if (service is None or service.scaling is None or
+                order.zone not in service.scaling.zone_prices):
+            # The configuration has no such service or zone any more.
+            return False
+        if self._exceeds_maximum(order, service.scaling):
+            return False
         refused_at = self._refused_at.get(order.pool, float('-inf'))
         if now - refused_at < scaling.UNAVAILABLE_S:
             return False
         count, accepted_at = self._accepted.get(order.pool, (None, 0.0))
         if count != order.count:
             return True
-        service = self._node.table.services.get(order.service)
-        if service is None or service.scaling is None:
-            return False
         return (now - accepted_at > service.scaling.boot_s + REPEAT_MARGIN_S and
                 self._count_ready(order.service, now)[order.pool] < order.count)
 
+    def _exceeds_maximum(self, order, terms):
+        """Returns whether replicas of the other kind have to leave first.
+
+        Both orders of a zone change in one claim, and the platform rejects one
+        that exceeds the maximum together with the order before it.
+        """
+        sibling = order.pool._replace(spot=not order.spot)
+        count, _ = self._accepted.get(sibling, (0, 0.0))
+        return order.count + count > terms.max
+
     def _count_ready(self, service, now):
         """Returns ``kinds.Pool -> replicas`` that serve."""
         return collections.Counter(
@@ -165,6 +180,8 @@
         if answer is kinds.Answer.ACCEPTED:
             self._accepted[order.pool] = order.count, now
             self._refused_at.pop(order.pool, None)
+        elif answer is kinds.Answer.REJECTED:
+            self._refused_at[order.pool] = now
         elif answer is kinds.Answer.CONFLICT:
             self._refused_at[order.pool] = now
             planner = self._planners.get(order.service)
--- a/tests/duty_site.py
+++ b/tests/duty_site.py
@@ -193,6 +193,10 @@
         answers = {200: kinds.Answer.ACCEPTED, 409: kinds.Answer.CONFLICT}
         if not self.up or not self._platform.up:
             fault = 'dropped'
+        if fault == 'rejected':
+            self._loop.call_later(LATENCY_S,
+                                  lambda: done(kinds.Answer.REJECTED))
+            return
         if fault == 'late':
             self._platform.loop.call_later(
                 4.0, lambda: self._platform.execute(subject, token, action))
--- a/tests/test_duties_usage.py
+++ b/tests/test_duties_usage.py
@@ -124,6 +124,16 @@
     assert not old.lease.held
 
 
+def test_a_rejected_report_is_not_repeated():
+    """A report that the platform does not understand is sent without end."""
+    site = _site()
+    holder, = site.holders()
+    holder.client.faults.extend(['rejected'] * 50)
+    _Traffic(site).run(22.0)
+    assert len(holder.client.faults) >= 45
+    assert holder.lease.held
+
+
 _REPORTS = st.lists(
     st.tuples(st.sampled_from('pq'), st.integers(1, 2), st.integers(5, 9),
               st.integers(0, 40)))
