Placement: prompts are kept from the engines for chats only where many entries send unseen

The change: the higher cost holds where eight prompts or more are expected to be on their way unseen to each of these engines (by the age of reports and the arrivals).

--- a/gorsefall/policy/costs.py
+++ b/gorsefall/policy/costs.py
@@ -74,10 +74,15 @@
 the delay at which a response is far too late."""
 
 HARMFUL_MISPLACEMENT_MS = 8000.0
-"""Cost of a prefill in the decode partition that would delay its streams, ms:
-more than that of a replica that would refuse the request. Otherwise, in an
-overload, the prompts that are to be refused go there, as its queues are
-short."""
+"""Cost of a prefill in the decode partition that would delay its streams, ms,
+where many entries send at once: more than that of a replica that would refuse
+the request. Otherwise, in an overload, the prompts that all of them would
+refuse go there, as its queues look short."""
+
+MANY_UNREPORTED_PREFILLS = 8
+"""Prefills that other entries are expected to have sent unseen to each engine
+of the decode partition from which on they count as many. With fresh reports
+one prompt is seen by all others, and the next one is refused."""
 
 TOLERATED_STALL_PROBABILITY = 0.3
 """Probability that a lossy link stalls a response from which on it has a
@@ -294,5 +299,7 @@
         tokens = candidate.prefill_tokens_ahead + (1 + others) * own
         harmless = (tokens * candidate.prefill_ms_per_token
                     < HARMLESS_GAP_SHARE * gap_ms)
-        return (HARMLESS_MISPLACEMENT_MS
-                if harmless else HARMFUL_MISPLACEMENT_MS)
+        if harmless:
+            return HARMLESS_MISPLACEMENT_MS
+        return (HARMFUL_MISPLACEMENT_MS
+                if others >= MANY_UNREPORTED_PREFILLS else REFUSAL_MS)
