--- a/gorsefall/duties/demand.py
+++ b/gorsefall/duties/demand.py
@@ -42,12 +42,10 @@
         requests_per_s: Requests that arrive per second.
         prefill_tokens_per_s: Prompt tokens to be prefilled per second.
         decode_heavy: Requests in flight that mostly decode.
-        pending_prefill_tokens: Prompt tokens in flight that are not prefilled.
     """
     requests_per_s: float = 0.0
     prefill_tokens_per_s: float = 0.0
     decode_heavy: int = 0
-    pending_prefill_tokens: int = 0
 
 
 class DemandCounter:
