--- a/gorsefall/duties/coordinator.py
+++ b/gorsefall/duties/coordinator.py
@@ -136,6 +136,11 @@
     def _window_at(self, true_s):
         return int(true_s // self._cfg.report_window_s)
 
+    def _since_end_s(self, window):
+        """Returns the time since the end of a window, s; negative before."""
+        end_s = (window + 1) * self._cfg.report_window_s
+        return self.true_time.now() - end_s
+
     def status_fields(self):
         """Returns the fields of this entry's status that concern duties."""
         held = None
@@ -277,15 +282,14 @@
         """Returns ``claim`` with the counts of windows that have ended."""
         if not self._reports_usage:
             return claim
-        now = self.true_time.now()
-        current = self._window_at(now)
+        current = self._window_at(self.true_time.now())
         # Entries that are silent for a moment report later.
         names = self._members.known_names()
         held_s = self._loop.now - self._held_since
         wait_s = WINDOW_WAIT_SHARE * self._cfg.report_due_s
         first = max(claim.decided_through + 1, current - self._max_windows + 1)
         for window in range(first, current):
-            ended_s = now - (window + 1) * self._cfg.report_window_s
+            ended_s = self._since_end_s(window)
             if (min(ended_s, held_s) < wait_s and
                     not self._collector.is_complete(window, names)):
                 break
@@ -305,28 +309,30 @@
         return claim.with_window(
             window, counts, max(claims.RETAINED_WINDOWS, self._max_windows + 2))
 
+    def _open_windows(self, claim):
+        """Returns the ``claims.WindowCounts`` that are not accepted yet."""
+        return [
+            w for w in claim.windows if w.window > claim.settled_through and
+            w.window not in self._settled
+        ]
+
     def _unsettled(self, claim):
-        """Returns the windows whose reports are due and not accepted yet."""
-        now = self.true_time.now()
+        """Returns the windows whose reports are still to be made."""
         return [
-            w for w in claim.windows if w.window not in self._settled and
-            w.window > claim.settled_through and now -
-            (w.window + 1) * self._cfg.report_window_s < self._cfg.report_due_s
+            w for w in self._open_windows(claim)
+            if self._since_end_s(w.window) < self._cfg.report_due_s
         ]
 
     def _count_missed(self, claim):
         """Counts and logs the windows whose reports are overdue, once each."""
-        now = self.true_time.now()
-        for counts in claim.windows:
-            window = counts.window
-            overdue_s = (now - (window + 1) * self._cfg.report_window_s -
+        for counts in self._open_windows(claim):
+            overdue_s = (self._since_end_s(counts.window) -
                          self._cfg.report_due_s)
-            if (overdue_s >= 0 and window > claim.settled_through and
-                    window not in self._settled):
-                self._settled.append(window)
+            if overdue_s >= 0:
+                self._settled.append(counts.window)
                 metrics.USAGE_MISSED.inc()
                 self._log.error('usage_missed',
-                                window=window,
+                                window=counts.window,
                                 overdue_s=round(overdue_s, 2))
 
     def _undelivered(self, claim):
--- a/gorsefall/duties/demand.py
+++ b/gorsefall/duties/demand.py
@@ -11,9 +11,6 @@
 """Time over which a rate is taken, s: entries report at most every second or
 two, and a burst shall show within this time."""
 
-MAX_REPORTERS = 2 * membership.MAX_MEMBERS
-"""Maximum number of processes whose totals are kept: each entry may restart."""
-
 
 class Totals(msgspec.Struct, frozen=True, array_like=True):
     """What one process has received for a service since its start.
@@ -83,7 +80,7 @@
         """
         before = self._last.pop(reporter, None)
         self._last[reporter] = totals
-        if len(self._last) > MAX_REPORTERS:
+        if len(self._last) > membership.MAX_PROCESSES:
             del self._last[next(iter(self._last))]
         if before is None:
             # Its totals may be hours old.
--- a/gorsefall/duties/usage.py
+++ b/gorsefall/duties/usage.py
@@ -10,9 +10,6 @@
 MIN_WINDOWS = 4
 """Windows that are kept at least: the present one, and some that ended."""
 
-MAX_REPORTERS = 2 * membership.MAX_MEMBERS
-"""Maximum number of processes whose counts are kept: each entry may restart."""
-
 
 def windows_kept(window_s, due_s):
     """Returns how many windows are kept, so that none is lost before it is due.
@@ -73,7 +70,7 @@
             report = msgspec.structs.replace(report,
                                              counts=merged | report.counts)
         self._reports[key] = report
-        while len(self._reports) > MAX_REPORTERS:
+        while len(self._reports) > membership.MAX_PROCESSES:
             del self._reports[next(iter(self._reports))]
 
     def is_complete(self, window, names):
--- a/gorsefall/policy/membership.py
+++ b/gorsefall/policy/membership.py
@@ -45,6 +45,10 @@
 MAX_REPLICAS_PER_STATUS = 4096
 """Maximum number of replicas in a status: twice those planned in two years."""
 
+MAX_PROCESSES = 2 * MAX_MEMBERS
+"""Maximum number of processes of other entries whose reports are kept: each
+entry may restart."""
+
 Count = typing.Annotated[int, msgspec.Meta(ge=0)]
 """A count; a message with a negative one is rejected as malformed."""
 
