--- a/gorsefall/duties/coordinator.py
+++ b/gorsefall/duties/coordinator.py
@@ -50,7 +50,40 @@
 duties over, s: another entry may reach it."""
 
 
-class Coordinator:
+class NoDuties:
+    """The part of an entry whose deployment has no duties: it does nothing."""
+
+    def start(self, peers):
+        """Begins to take part.
+
+        Args:
+            peers: The ``peers.Peers``; None if this entry runs alone.
+        """
+
+    def record_run(self, account):
+        """Counts a request of an account that a replica has begun to run."""
+
+    def record_demand(self, service, prefill_tokens):
+        """Records a request of a caller and the prefill that it needs."""
+
+    def status_fields(self):
+        """Returns the fields of this entry's status that concern duties."""
+        return {}
+
+    def handle_status(self, status, host):
+        """Handles the ``membership.Status`` of another entry."""
+
+    def update_gauges(self):
+        """Sets the gauges to the current state."""
+
+    def hand_over(self):
+        """Called when the process begins to stop."""
+
+    def stop(self):
+        """Called when the process ends."""
+
+
+class Coordinator(NoDuties):
     """Takes part in the duties of one entry's deployment.
 
     Attributes:
@@ -110,11 +143,7 @@
         lease.on_taken = self._on_taken
 
     def start(self, peers):
-        """Begins to take part.
-
-        Args:
-            peers: The ``peers.Peers``; None if this entry runs alone.
-        """
+        """See ``NoDuties``."""
         if peers is not None:
             self._send = peers.send
             peers.register_handler(reports.EntryReport,
@@ -125,12 +154,12 @@
     # -- what this entry observes ----------------------------------------------
 
     def record_run(self, account):
-        """Counts a request of an account that a replica has begun to run."""
+        """See ``NoDuties``."""
         if self._reports_usage:
             self._counter.record(self._window_at(self.true_time.now()), account)
 
     def record_demand(self, service, prefill_tokens):
-        """Records a request of a caller and the prefill that it needs."""
+        """See ``NoDuties``."""
         self._demand.record(service, prefill_tokens)
 
     def _window_at(self, true_s):
@@ -142,7 +171,7 @@
         return self.true_time.now() - end_s
 
     def status_fields(self):
-        """Returns the fields of this entry's status that concern duties."""
+        """See ``NoDuties``."""
         held = None
         if self.lease.held:
             held = membership.DutiesHeld(
@@ -151,7 +180,7 @@
         return {'clock_ms': self.true_time.own_clock_ms(), 'duties': held}
 
     def handle_status(self, status, host):
-        """Handles the ``membership.Status`` of another entry."""
+        """See ``NoDuties``."""
         if status.clock_ms:
             self.true_time.record_clock(host, status.clock_ms / 1000)
         if status.duties is not None:
@@ -208,8 +237,17 @@
         report = self._build_report(status.duties.decided_through + 1)
         self._send(report, host)
 
+    def update_gauges(self):
+        """See ``NoDuties``."""
+        if self.lease.held:
+            metrics.DUTIES_CLAIM_AGE.set(self.lease.claim_age_s())
+
+    def hand_over(self):
+        """See ``NoDuties``."""
+        self.lease.release(for_good=True)
+
     def stop(self):
-        """Reports for the last time, because the process ends."""
+        """Reports for the last time; see ``NoDuties``."""
         holder = self._find_holder(self._loop.now)
         if holder is not None:
             self._report_at = 0.0
--- a/gorsefall/duties/lease.py
+++ b/gorsefall/duties/lease.py
@@ -83,7 +83,6 @@
     """
 
     def __init__(self,
-                 loop,
                  source,
                  name,
                  lease_s,
@@ -93,7 +92,6 @@
         """Creates a follower.
 
         Args:
-            loop: The ``reactor.Reactor``.
             source: The ``topic.Source`` of the topic.
             name: Name of this entry.
             lease_s: Duration of the lease, s.
@@ -101,7 +99,6 @@
                 suspended, s.
             rng: A ``random.Random``.
         """
-        self._loop = loop
         self._source = source
         self._name = name
         self._lease_s = lease_s
--- a/gorsefall/duties/setup.py
+++ b/gorsefall/duties/setup.py
@@ -11,14 +11,15 @@
 
 
 def create_coordinator(node, adapter):
-    """Returns the ``coordinator.Coordinator`` of an entry.
+    """Returns the part of an entry in the duties.
 
     Args:
         node: The ``node.Node``.
         adapter: See ``node.Node``.
 
     Returns:
-        None if the settings name no duty that this version knows.
+        A ``coordinator.NoDuties`` if the settings name no duty that this
+        version knows.
     """
     cfg = node.cfg.duties
     known = {
@@ -28,21 +29,22 @@
         if name not in adapter.duty_kinds:
             logs.get('duties').error('duty_unknown', duty=name)
     if not known:
-        return None
+        return coordinator.NoDuties()
     source = adapter.source(node.loop, settingsfile.split_addr(node.cfg.store),
                             adapter.duties_topic)
     tracker = demand.DemandTracker()
     scaler = None
     if kinds.Kind.SCALING in known:
         scaler = orders.Scaler(node, cfg.autoscaling, tracker)
-    return coordinator.Coordinator(
-        node,
-        cfg,
-        lease=lease.Lease(node.loop, source, node.cfg.name, cfg.lease_s),
-        client=adapter.duty_client(node.loop,
-                                   settingsfile.split_addr(cfg.address),
-                                   node.cfg.name),
-        true_time=truetime.TrueTime(),
-        tracker=tracker,
-        reports_usage=kinds.Kind.USAGE in known,
-        scaler=scaler)
+    return coordinator.Coordinator(node,
+                                   cfg,
+                                   lease=lease.Lease(source, node.cfg.name,
+                                                     cfg.lease_s),
+                                   client=adapter.duty_client(
+                                       node.loop,
+                                       settingsfile.split_addr(cfg.address),
+                                       node.cfg.name),
+                                   true_time=truetime.TrueTime(),
+                                   tracker=tracker,
+                                   reports_usage=kinds.Kind.USAGE in known,
+                                   scaler=scaler)
--- a/gorsefall/relay/exchange.py
+++ b/gorsefall/relay/exchange.py
@@ -135,9 +135,8 @@
         now = time.monotonic()
         if not self.attempts.replicas:
             self._budget().record_first_attempt(now)
-            if self.node.duties is not None:
-                self.node.duties.record_demand(self._grant.service,
-                                               choice.prefill_tokens)
+            self.node.duties.record_demand(self._grant.service,
+                                           choice.prefill_tokens)
         self.attempts.record_sent(replica.record.id)
         replica.acceptance.record_sent(now)
         options = self._grant.attempt_options(
@@ -211,10 +210,9 @@
     def _record_run(self):
         """Counts the request for its client account, once."""
         account = self._grant.account
-        if (self._counted or account is None or self.node.duties is None):
-            return
-        self._counted = True
-        self.node.duties.record_run(account.name)
+        if account is not None and not self._counted:
+            self._counted = True
+            self.node.duties.record_run(account.name)
 
     def _record_wait(self, attempt):
         self._start_latency().record(time.monotonic() - attempt.sent_at)
--- a/gorsefall/relay/grant.py
+++ b/gorsefall/relay/grant.py
@@ -179,9 +179,8 @@
         limit_ms = self.profile.queue_limit_ms
         wait_s = overload.retry_after_s(choice, limit_ms)
         if wait_s is not None:
-            if self._node.duties is not None:
-                self._node.duties.record_demand(self.service,
-                                                self.profile.own_tokens)
+            self._node.duties.record_demand(self.service,
+                                            self.profile.own_tokens)
             raise errors.ShedError(
                 f'{choice.queue_ms:.0f} ms of work wait at '
                 f'{choice.target.name}, the best replica; {limit_ms:.0f} ms '
--- a/gorsefall/relay/node.py
+++ b/gorsefall/relay/node.py
@@ -65,8 +65,7 @@
         work: The ``workload.Workload`` at its replicas.
         announcements: The ``announcements.AnnouncementTracker`` of its
             replicas.
-        duties: The ``coordinator.Coordinator`` of the duties; None if the
-            deployment has none.
+        duties: This entry's part in the duties, a ``coordinator.NoDuties``.
         share: The ``traffic_share.TrafficShare`` of this entry.
         replicas_known: Whether a snapshot of the replicas was read.
     """
@@ -135,8 +134,7 @@
         self._followers.start(self._peers)
         self.crashes.start(self._peers)
         self.announcements.start()
-        if self.duties is not None:
-            self.duties.start(self._peers)
+        self.duties.start(self._peers)
         self._crash_store.start(
             lambda: self._followers.is_reader,
             self._peers.heartbeat_s if self._peers else lambda: 0.0)
@@ -159,8 +157,7 @@
         self.crashes.handle_status(status, host)
         self.announcements.handle_status(status)
         self.fleet.handle_status(status, self.loop.now)
-        if self.duties is not None:
-            self.duties.handle_status(status, host)
+        self.duties.handle_status(status, host)
 
     # -- observed state --------------------------------------------------------
 
@@ -228,7 +225,6 @@
             service: service_budget.first_attempts(self.loop.now)
             for service, service_budget in self._budgets.items()
         }
-        duties = self.duties.status_fields() if self.duties is not None else {}
         return self.work.status(
             started_at_ms,
             seq,
@@ -242,7 +238,7 @@
                 self.loop.now),
             replica_exits=self.fleet.recent_exits(self.loop.now),
             leaving_replicas=self.announcements.recent_leaving(self.loop.now),
-            **duties)
+            **self.duties.status_fields())
 
     @property
     def can_read_store(self):
@@ -292,8 +288,7 @@
             for service in self.table.services:
                 metrics.USABLE_REPLICAS.labels(service).set(
                     len(self.fleet.candidates(service, ())))
-        if self.duties is not None and self.duties.lease.held:
-            metrics.DUTIES_CLAIM_AGE.set(self.duties.lease.claim_age_s())
+        self.duties.update_gauges()
         now = self.loop.now
         for service, service_budget in self._budgets.items():
             metrics.RETRIES_LEFT.labels(service).set(
@@ -354,8 +349,7 @@
 
     def on_drain(self):
         """See ``daemon.Daemon``."""
-        if self.duties is not None:
-            self.duties.lease.release(for_good=True)
+        self.duties.hand_over()
         self.loop.call_later(LAME_DUCK_S, self._close_listener)
 
     def _close_listener(self):
@@ -385,8 +379,7 @@
         # No request may be read between here and the exit: it would be sent
         # to a replica and then aborted.
         self._callers.close_all()
-        if self.duties is not None:
-            self.duties.stop()
+        self.duties.stop()
         self.log.info('stopped')
         self.stop()
 
--- a/tests/duty_site.py
+++ b/tests/duty_site.py
@@ -237,8 +237,7 @@
             work=types.SimpleNamespace(peer_view=peer_view),
             can_read_store=True)
         tracker = demand.DemandTracker()
-        self.lease = lease.Lease(self.loop,
-                                 self.source,
+        self.lease = lease.Lease(self.source,
                                  self.name,
                                  LEASE_S,
                                  clock=lambda: self.site.loop.now,
