--- a/gorsefall/emulator/scaling.py
+++ b/gorsefall/emulator/scaling.py
@@ -4,6 +4,7 @@
 the running engines waits; work that would wait too long is refused.
 """
 
+import collections
 import dataclasses
 import math
 import random
@@ -118,95 +119,145 @@
         ordered: ``kinds.Pool -> replicas`` of the orders in force.
     """
 
-    def __init__(self, regulars_per_zone):
-        self.ready = {
-            kinds.Pool(SERVICE, z, False): regulars_per_zone for z in ZONES
-        }
+    def __init__(self, regulars_per_zone, terms=TERMS):
+        """Creates a fleet.
+
+        Args:
+            regulars_per_zone: Regular replicas that run at the start.
+            terms: The ``model.Scaling`` of the service.
+        """
+        self.ready = collections.Counter(
+            {kinds.Pool(SERVICE, z, False): regulars_per_zone for z in ZONES})
         self.ordered = {}
+        self._terms = terms
         self._booting = []
         self._absent_until = {}
 
     def order(self, pool, count, now):
         """Carries an order out; returns whether it was accepted."""
-        running = self.ready.get(pool, 0)
+        # One that is refused stays in force, to be repeated.
+        self.ordered[pool] = count
+        running = self.ready[pool]
         coming = sum(p == pool for _, p in self._booting)
         if count > running and now < self._absent_until.get(
                 pool, float('-inf')):
             return False
-        self.ordered[pool] = count
-        self._booting += [(now + TERMS.boot_s, pool)] * max(
+        self._booting += [(now + self._terms.boot_s, pool)] * max(
             0, count - running - coming)
         self.ready[pool] = min(running, count)
         return True
 
-    def reclaim(self, event):
-        """Takes the spot replicas of a zone away."""
-        pool = kinds.Pool(SERVICE, event.zone, True)
+    def apply(self, plan, now, record_refusal):
+        """Carries out the orders of a plan that change something.
+
+        Args:
+            plan: ``kinds.Pool -> replicas``.
+            now: Time, s.
+            record_refusal: Called with the pool and the time of each order
+                that is refused.
+        """
+        for pool, count in plan.items():
+            known = self.ordered.get(pool, self.ready[pool])
+            missing = self.ready[pool] < known
+            if ((count != known or missing) and
+                    not self.order(pool, count, now)):
+                record_refusal(pool, now)
+
+    def reclaim(self, zone, until, *, everywhere=False):
+        """Takes the spot replicas of a zone away.
+
+        Args:
+            zone: The zone.
+            until: Time until which no more are to be had there, s.
+            everywhere: Whether none are to be had in any zone.
+        """
+        pool = kinds.Pool(SERVICE, zone, True)
         self.ready[pool] = 0
         self._booting = [b for b in self._booting if b[1] != pool]
-        for zone in ZONES if event.everywhere else (event.zone,):
-            absent = kinds.Pool(SERVICE, zone, True)
-            self._absent_until[absent] = event.at_s + event.for_s
+        for absent in ZONES if everywhere else (zone,):
+            self._absent_until[kinds.Pool(SERVICE, absent, True)] = until
+
+    def end_absences(self):
+        """Makes spot replicas available in all zones."""
+        self._absent_until.clear()
 
     def advance(self, now):
         """Lets replicas that have booted serve."""
         for due, pool in self._booting:
-            if due <= now and self.ready.get(pool, 0) < self.ordered[pool]:
-                self.ready[pool] = self.ready.get(pool, 0) + 1
+            if due <= now and self.ready[pool] < self.ordered[pool]:
+                self.ready[pool] += 1
         self._booting = [b for b in self._booting if b[0] > now]
 
+    def count(self, *, spot):
+        """Returns the number of replicas of one kind that serve."""
+        return sum(n for p, n in self.ready.items() if p.spot == spot)
+
     def cost_per_s(self):
         """Returns the price of all replicas, regular ones of price 1."""
-        return sum(n * TERMS.zone_prices[p.zone] *
-                   (TERMS.spot_price if p.spot else 1.0)
+        return sum(n * self._terms.zone_prices[p.zone] *
+                   (self._terms.spot_price if p.spot else 1.0)
                    for p, n in self.ready.items())
 
 
-def keep(tuning):
-    """Orders nothing."""
-    del tuning
-    return lambda seen: {}
+class Policy:
+    """A way of ordering replicas; this one orders nothing."""
+
+    def __init__(self, tuning):
+        self._tuning = tuning
 
+    def plan(self, seen):
+        """Returns ``kinds.Pool -> replicas`` for a ``scaling.Observation``."""
+        del seen
+        return {}
 
-def track_utilisation(tuning):
+    def record_refusal(self, pool, now):
+        """Records that no replicas of a pool are to be had."""
+
+
+class TrackUtilisation(Policy):
     """Orders regular replicas for a utilisation, down after a pause."""
-    lowered_at = [0.0]
 
-    def plan(seen):
+    def __init__(self, tuning):
+        super().__init__(tuning)
+        self._lowered_at = 0.0
+
+    def plan(self, seen):
+        """See ``Policy``."""
         if seen.demand is None:
             return {}
-        need = scaling.engines_needed(seen.demand, SPEED, tuning.utilisation,
-                                      tuning.decode_fill)
+        need = scaling.engines_needed(seen.demand, SPEED,
+                                      self._tuning.utilisation,
+                                      self._tuning.decode_fill)
         count = max(TERMS.min, min(TERMS.max, math.ceil(need / len(ZONES))))
         running = max(seen.ordered.values(), default=max(seen.ready.values()))
         if count < running:
-            if seen.now - lowered_at[0] < scaling.STEP_DOWN_S:
+            if seen.now - self._lowered_at < scaling.STEP_DOWN_S:
                 return {}
             count = running - 1
-            lowered_at[0] = seen.now
+            self._lowered_at = seen.now
         return {kinds.Pool(SERVICE, z, False): count for z in ZONES}
 
-    return plan
 
-
-class _Reserve:
+class Reserve(Policy):
     """Orders as entries do; see ``duties.scaling``."""
 
     def __init__(self, tuning):
-        self.planner = scaling.Planner(SERVICE, tuning)
+        super().__init__(tuning)
+        self._planner = scaling.Planner(SERVICE, tuning)
 
-    def __call__(self, seen):
-        return self.planner.plan(TERMS, seen)
+    def plan(self, seen):
+        """See ``Policy``."""
+        return self._planner.plan(TERMS, seen)
 
     def record_refusal(self, pool, now):
-        """See ``scaling.Planner``."""
-        self.planner.record_refusal(pool, now)
+        """See ``Policy``."""
+        self._planner.record_refusal(pool, now)
 
 
 POLICIES = {
-    'keep': keep,
-    'utilisation': track_utilisation,
-    'reserve': _Reserve,
+    'keep': Policy,
+    'utilisation': TrackUtilisation,
+    'reserve': Reserve,
 }
 
 
@@ -277,9 +328,13 @@
         now = step * STEP_S - LEAD_S
         fleet.advance(now)
         while reclaims and reclaims[0].at_s <= now:
-            fleet.reclaim(reclaims.pop(0))
+            event = reclaims.pop(0)
+            fleet.reclaim(event.zone,
+                          event.at_s + event.for_s,
+                          everywhere=event.everywhere)
         if step % int(PLAN_PERIOD_S / STEP_S) == 0:
-            _apply(policy, policy(_observe(day, fleet, now)), fleet, now)
+            fleet.apply(policy.plan(_observe(day, fleet, now)), now,
+                        policy.record_refusal)
         capacity = sum(fleet.ready.values())
         load = day.load(now)
         wait_s = backlog / max(1, capacity)
@@ -292,18 +347,11 @@
         backlog = max(0.0, backlog - capacity * STEP_S)
         cost += fleet.cost_per_s() * STEP_S
         samples.append(
-            Sample(now, load,
-                   sum(n for p, n in fleet.ready.items() if not p.spot),
-                   sum(n for p, n in fleet.ready.items() if p.spot), wait_s))
+            Sample(now, load, fleet.count(spot=False), fleet.count(spot=True),
+                   wait_s))
     return Result(name, seed, cost, late / work, refused / work, samples)
 
 
-def _apply(policy, plan, fleet, now):
-    for pool, count in plan.items():
-        if not fleet.order(pool, count, now):
-            policy.record_refusal(pool, now)
-
-
 def format_result(result):
     """Returns a table line for a ``Result``."""
     return (f'{result.policy:12} seed {result.seed}  cost {result.cost:7.1f}  '
--- a/tests/test_duties_scaling.py
+++ b/tests/test_duties_scaling.py
@@ -1,7 +1,5 @@
 """How many replicas are ordered, by the pattern of the load."""
 
-import collections
-
 import pytest
 from hypothesis import given
 from hypothesis import settings as hypothesis_settings
@@ -10,41 +8,37 @@
 from gorsefall.duties import demand
 from gorsefall.duties import kinds
 from gorsefall.duties import scaling
+from gorsefall.emulator import scaling as emulated
 from gorsefall.relay import model
 
-ZONES = ('z1', 'z2', 'z3')
-TERMS = model.Scaling(min=1,
-                      max=20,
-                      boot_s=4.0,
-                      spot_price=0.15,
-                      zone_prices={
-                          'z1': 0.85,
-                          'z2': 1.2,
-                          'z3': 1.0
-                      })
-SPEED = scaling.EngineSpeed(prefill_ms_per_token=0.0176, slots=64)
+ZONES = emulated.ZONES
+TERMS = emulated.TERMS
+SPEED = emulated.SPEED
 STEP_S = 0.5
 
 
 class _Service:
-    """A service whose replicas boot, are reclaimed and drain as ordered."""
+    """A service whose replicas boot, are reclaimed and leave as ordered."""
 
     def __init__(self, running=10, terms=TERMS, tuning=None):
         self.terms = terms
         self.tuning = tuning or scaling.Tuning()
         self.planner = scaling.Planner('s', self.tuning)
         self.now = 0.0
-        self.ordered = {}
-        self.ready = collections.Counter(
-            {kinds.Pool('s', z, False): running for z in ZONES})
-        self.booting = []
-        self.refused = set()
-        self.history = []
+        self.fleet = emulated.Fleet(running, terms)
+
+    @property
+    def ready(self):
+        return self.fleet.ready
+
+    @property
+    def ordered(self):
+        return self.fleet.ordered
 
     def step(self, tokens_per_s=0.0, requests_per_s=1.0, decode_heavy=0):
         """Advances by one plan under a demand; None for an unknown one."""
         self.now += STEP_S
-        self._boot()
+        self.fleet.advance(self.now)
         seen = None
         if tokens_per_s is not None:
             seen = demand.Demand(requests_per_s, tokens_per_s, decode_heavy)
@@ -52,46 +46,22 @@
             self.terms,
             scaling.Observation(self.now, seen, SPEED, dict(+self.ready),
                                 dict(self.ordered)))
-        for pool, count in plan.items():
-            if count != self.ordered.get(pool, self.ready[pool]):
-                self.ordered[pool] = count
-        for pool, count in self.ordered.items():
-            self._order(pool, count)
-        self.history.append(sum(self.ready.values()))
+        self.fleet.apply(plan, self.now, self.planner.record_refusal)
         return plan
 
-    def _order(self, pool, count):
-        if pool in self.refused and count > self.ready[pool]:
-            self.planner.record_refusal(pool, self.now)
-            return
-        coming = sum(p == pool for _, p in self.booting)
-        for _ in range(count - self.ready[pool] - coming):
-            self.booting.append((self.now + self.terms.boot_s, pool))
-        self.ready[pool] = min(self.ready[pool], count)
-
-    def _boot(self):
-        due = [b for b in self.booting if b[0] <= self.now]
-        self.booting = [b for b in self.booting if b[0] > self.now]
-        for _, pool in due:
-            if self.ready[pool] < self.ordered[pool]:
-                self.ready[pool] += 1
-
     def run(self, seconds, *args, **kw):
         for _ in range(int(seconds / STEP_S)):
             self.step(*args, **kw)
 
     def reclaim(self, zone):
         """Takes all spot replicas of a zone; none are to be had for now."""
-        pool = kinds.Pool('s', zone, True)
-        self.ready[pool] = 0
-        self.booting = [b for b in self.booting if b[1] != pool]
-        self.refused.add(pool)
+        self.fleet.reclaim(zone, float('inf'))
 
     def spots(self):
-        return sum(n for p, n in self.ready.items() if p.spot)
+        return self.fleet.count(spot=True)
 
     def regulars(self):
-        return sum(n for p, n in self.ready.items() if not p.spot)
+        return self.fleet.count(spot=False)
 
 
 def _tokens(engines):
@@ -168,7 +138,7 @@
         service.reclaim(zone)
     service.run(8, _tokens(6))
     assert service.regulars() >= 6 / service.tuning.critical_utilisation
-    service.refused.clear()
+    service.fleet.end_absences()
     service.run(60, _tokens(6))
     assert service.regulars() == 0
 
@@ -246,12 +216,12 @@
         elif event == 'reclaim':
             service.reclaim(ZONES[zone])
         elif event == 'return':
-            service.refused.clear()
+            service.fleet.end_absences()
         for _ in range(steps):
             plan = service.step(None if event == 'silence' else _tokens(load))
             if plan:
                 _check_limits(service, terms)
-    service.refused.clear()
+    service.fleet.end_absences()
     service.run(200, _tokens(load))
     settled = dict(service.ordered)
     service.run(20, _tokens(load))
