--- a/bench/peers_cost.py
+++ b/bench/peers_cost.py
@@ -10,8 +10,8 @@
 import socket
 import time
 
+from gorsefall.policy import entrystatus
 from gorsefall.policy import knowledge
-from gorsefall.policy import membership
 from gorsefall.policy import peerview
 from gorsefall.policy import prompts
 from gorsefall.relay import messages
@@ -46,7 +46,7 @@
     receiving_view, _ = _view('edge-zone-a-2', replicas)
     for i in range(entries - 2):
         receiving_view.record_status(f'10.1.{i // 250}.{i % 250}',
-                                     membership.Status(f'edge-{i}', 1, 1), 0.0)
+                                     entrystatus.Status(f'edge-{i}', 1, 1), 0.0)
     parts = (prompts.Part('5c1e07a2', 2520), prompts.Part('91bd3f06', 3780))
     for i, replica_view in enumerate(list(replica_views.values())[:busy]):
         replica_view.record_sent(2900)
--- a/gorsefall/duties/coordinator.py
+++ b/gorsefall/duties/coordinator.py
@@ -11,7 +11,7 @@
 from gorsefall.duties import kinds
 from gorsefall.duties import reports
 from gorsefall.duties import usage
-from gorsefall.policy import membership
+from gorsefall.policy import entrystatus
 from gorsefall.policy import rendezvous
 
 TICK_S = 0.25
@@ -71,7 +71,7 @@
         return {}
 
     def handle_status(self, status, host):
-        """Handles the ``membership.Status`` of another entry."""
+        """Handles the ``entrystatus.Status`` of another entry."""
 
     def update_gauges(self):
         """Sets the gauges to the current state."""
@@ -174,7 +174,7 @@
         """See ``NoDuties``."""
         held = None
         if self.lease.held:
-            held = membership.DutiesHeld(
+            held = entrystatus.DutiesHeld(
                 self.lease.token, max(0, int(self.lease.claim_age_s() * 1000)),
                 self.lease.claim.decided_through)
         return {'clock_ms': self.true_time.own_clock_ms(), 'duties': held}
--- a/gorsefall/duties/demand.py
+++ b/gorsefall/duties/demand.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from gorsefall.policy import entrystatus
 from gorsefall.policy import membership
 
 RATE_WINDOW_S = 3
@@ -19,8 +20,8 @@
         requests: Requests of callers.
         prefill_tokens: Prompt tokens to be prefilled for them.
     """
-    requests: membership.Count = 0
-    prefill_tokens: membership.Count = 0
+    requests: entrystatus.Count = 0
+    prefill_tokens: entrystatus.Count = 0
 
     def minus(self, other):
         """Returns the difference, with 0 where it would be negative."""
--- a/gorsefall/duties/reports.py
+++ b/gorsefall/duties/reports.py
@@ -4,7 +4,7 @@
 
 from gorsefall import ids
 from gorsefall.duties import demand
-from gorsefall.policy import membership
+from gorsefall.policy import entrystatus
 
 
 class EntryReport(msgspec.Struct, frozen=True, array_like=True, tag='duties'):
@@ -22,5 +22,5 @@
     name: str
     started_at_ms: int
     window: int
-    counts: dict[int, dict[ids.AccountName, membership.Count]] = {}
+    counts: dict[int, dict[ids.AccountName, entrystatus.Count]] = {}
     totals: dict[ids.ServiceName, demand.Totals] = {}
--- a/gorsefall/emulator/announcing.py
+++ b/gorsefall/emulator/announcing.py
@@ -14,6 +14,7 @@
 from gorsefall.emulator import clock
 from gorsefall.emulator import links
 from gorsefall.policy import announced_limits
+from gorsefall.policy import entrystatus
 from gorsefall.policy import membership
 from gorsefall.relay import messages
 from gorsefall.relay import peers
@@ -115,13 +116,13 @@
     def broadcast_status(self):
         """Sends the status to all other entries; schedules the next one."""
         self._seq += 1
-        status = membership.Status(
+        status = entrystatus.Status(
             self.name,
             1,
             self._seq,
             first_attempts={'s': 1234},
             in_flight={
-                f'i-7a0079f9{i:02}': membership.InFlight(2, 3000, 1)
+                f'i-7a0079f9{i:02}': entrystatus.InFlight(2, 3000, 1)
                 for i in range(8)
             },
             limit_reports=self.tracker.recent_reports(self.site.loop.now))
--- a/gorsefall/emulator/calls.py
+++ b/gorsefall/emulator/calls.py
@@ -3,10 +3,10 @@
 from gorsefall.emulator import plain
 from gorsefall.emulator import policies
 from gorsefall.policy import budget
-from gorsefall.policy import retry_delay
 from gorsefall.policy import knowledge
 from gorsefall.policy import peerview
 from gorsefall.policy import placement
+from gorsefall.policy import retry_delay
 from gorsefall.policy import traffic_share
 
 _SERVICE = 'plain'
@@ -45,7 +45,7 @@
         return None if members.alone else members.first_attempts(_SERVICE)
 
     def status(self, now):
-        """Returns the ``membership.Status`` to send to the other entries."""
+        """Returns the ``entrystatus.Status`` to send to the other entries."""
         self._seq += 1
         return self.view.build_status(
             0,
--- a/gorsefall/emulator/crashing.py
+++ b/gorsefall/emulator/crashing.py
@@ -14,7 +14,7 @@
 
 from gorsefall import errors
 from gorsefall.emulator import clock
-from gorsefall.policy import membership
+from gorsefall.policy import entrystatus
 from gorsefall.relay import crashes
 from gorsefall.relay import model
 from gorsefall.relay import peers
@@ -91,7 +91,7 @@
 
     def broadcast_status(self):
         """Sends the status to all other entries, and schedules the next one."""
-        status = membership.Status(
+        status = entrystatus.Status(
             f'e{self.number}',
             1,
             1,
--- a/gorsefall/emulator/entries.py
+++ b/gorsefall/emulator/entries.py
@@ -40,7 +40,7 @@
         self._request_count = 0
 
     def status(self, now_ms):
-        """Returns the ``membership.Status`` to send to the other entries."""
+        """Returns the ``entrystatus.Status`` to send to the other entries."""
         self._seq += 1
         return self.view.build_status(
             0,
@@ -50,7 +50,7 @@
             decode_engines={SERVICE: self.service.partition.own_count})
 
     def receive_status(self, status, now_ms):
-        """Records the ``membership.Status`` of another entry."""
+        """Records the ``entrystatus.Status`` of another entry."""
         self.view.record_status(status.name, status, now_ms / 1000)
         self.service.partition.record_reports(
             self.view.members.decode_engines(SERVICE))
--- a/gorsefall/policy/knowledge.py
+++ b/gorsefall/policy/knowledge.py
@@ -4,8 +4,8 @@
 import math
 
 from gorsefall import ids
+from gorsefall.policy import entrystatus
 from gorsefall.policy import health
-from gorsefall.policy import membership
 from gorsefall.policy import pace
 from gorsefall.policy import prompts
 from gorsefall.policy import stalls
@@ -80,7 +80,7 @@
         self.reported_at = now
 
     def record_others(self, work, now):
-        """Records the ``membership.InFlight`` of all other entries together."""
+        """Records the ``entrystatus.InFlight`` of all others together."""
         self.others_requests = work.requests
         self.others_prefill_tokens = work.prefill_tokens
         self.others_decode_heavy = work.decode_heavy
@@ -106,9 +106,9 @@
         self.decode_heavy -= decode_heavy
 
     def in_flight(self):
-        """Returns the ``membership.InFlight`` of the own requests there."""
-        return membership.InFlight(self.outstanding, self.prefill_tokens,
-                                   self.decode_heavy)
+        """Returns the ``entrystatus.InFlight`` of the own requests there."""
+        return entrystatus.InFlight(self.outstanding, self.prefill_tokens,
+                                    self.decode_heavy)
 
     def record_response(self, ok):
         """Records whether a response served the caller's request."""
--- a/gorsefall/policy/membership.py
+++ b/gorsefall/policy/membership.py
@@ -10,12 +10,8 @@
 import collections
 import dataclasses
 import statistics
-import typing
 
-import msgspec
-
-from gorsefall import ids
-from gorsefall.policy import prompts
+from gorsefall.policy import entrystatus
 
 SILENCE_TIMEOUT_S = 1.2
 """Time without a status after which the counts of an entry are left out, s, if
@@ -35,10 +31,6 @@
 """Time for which an address counts as new, s. Others receive it at least twice
 if entries send a status every 2.4 s."""
 
-REPORT_WINDOW_S = 6.0
-"""Time for which an observation is included in status messages, s: each of
-hundreds of entries receives it at least twice."""
-
 MAX_MEMBERS = 1024
 """Maximum number of addresses: three times the entries planned in two years."""
 
@@ -49,198 +41,6 @@
 """Maximum number of processes of other entries whose reports are kept: each
 entry may restart."""
 
-Count = typing.Annotated[int, msgspec.Meta(ge=0)]
-"""A count; a message with a negative one is rejected as malformed."""
-
-
-class InFlight(msgspec.Struct, frozen=True, array_like=True):
-    """The work that one entry has in flight at one replica.
-
-    Attributes:
-        requests: Requests sent there that have not ended.
-        prefill_tokens: Prompt tokens still to be prefilled for them.
-        decode_heavy: Those of them that mostly decode.
-    """
-    requests: Count = 0
-    prefill_tokens: Count = 0
-    decode_heavy: Count = 0
-
-    def add(self, other, sign=1):
-        """Returns the sum with ``other``, or the difference."""
-        return InFlight(self.requests + sign * other.requests,
-                        self.prefill_tokens + sign * other.prefill_tokens,
-                        self.decode_heavy + sign * other.decode_heavy)
-
-
-NO_REQUESTS = InFlight()
-
-
-class Response(msgspec.Struct, frozen=True, array_like=True):
-    """The outcome of one response of a replica.
-
-    Attributes:
-        replica: The replica's id.
-        ok: Whether it served the caller's request.
-    """
-    replica: ids.ReplicaName
-    ok: bool
-
-
-class RunReport(msgspec.Struct, frozen=True, array_like=True):
-    """A crash of a replica under a request, or a completed run of the request.
-
-    Attributes:
-        digest: The request's digest.
-        age_ms: Time since then, ms.
-        replica: The id of the crashed replica; '' for a completed run.
-        started_at_ms: When that incarnation of the replica started, ms since
-            1970.
-        weight: The ``suspects.CrashWeight`` of the crash.
-    """
-    digest: ids.RequestDigest
-    age_ms: Count
-    replica: ids.ReplicaName = ids.ReplicaName('')
-    started_at_ms: Count = 0
-    weight: typing.Annotated[int, msgspec.Meta(ge=1, le=2)] = 1
-
-
-class ReplicaExit(msgspec.Struct, frozen=True, array_like=True):
-    """The unannounced exit of one incarnation of a replica.
-
-    Attributes:
-        replica: The replica's id.
-        started_at_ms: When the incarnation started, ms since 1970; 0 if not
-            known.
-        age_ms: Time since the exit was detected, ms.
-    """
-    replica: ids.ReplicaName
-    started_at_ms: Count
-    age_ms: Count
-
-
-class LeavingReplica(msgspec.Struct, frozen=True, array_like=True):
-    """An incarnation of a replica that announced its exit in a response.
-
-    Attributes:
-        replica: The replica's id.
-        started_at_ms: When the incarnation started, ms since 1970; 0 if not
-            known.
-    """
-    replica: ids.ReplicaName
-    started_at_ms: Count
-
-
-class LimitReport(msgspec.Struct, frozen=True, array_like=True):
-    """The rate limit that a replica announced last.
-
-    Attributes:
-        replica: The replica's id.
-        started_at_ms: When its incarnation started, ms since 1970; 0 if not
-            known.
-        age_ms: Time since the announcement, ms.
-        per_s: Requests per second from all entries; None for no limit.
-    """
-    replica: ids.ReplicaName
-    started_at_ms: Count
-    age_ms: Count
-    per_s: typing.Annotated[float, msgspec.Meta(ge=0)] | None = None
-
-
-class DutiesHeld(msgspec.Struct, frozen=True, array_like=True):
-    """The claim of the entry that performs the duties.
-
-    Attributes:
-        token: Its fencing token.
-        age_ms: Time since the claim was sent, ms.
-        decided_through: Number of the last usage window whose counts are
-            fixed.
-    """
-    token: Count
-    age_ms: Count
-    decided_through: int = 0
-
-
-class Status(msgspec.Struct, frozen=True, array_like=True, tag='status'):
-    """The complete status of an entry.
-
-    Attributes:
-        name: Its name.
-        started_at_ms: When its process started, ms since 1970; identifies the
-            incarnation.
-        seq: Sequence number of the message.
-        first_attempts: ``service -> number`` of first attempts in the retry
-            window.
-        in_flight: ``replica -> InFlight``; replicas without requests are left
-            out.
-        prompt_uses: The ``prompts.Use`` objects of its last requests.
-        known_hosts: Hosts of some entries from which it receives a status.
-        responses_before: Number of responses before ``responses``.
-        responses: Its last ``Response`` objects, in order.
-        zone: Its availability zone.
-        can_read_store: Whether it can read the store for others.
-        run_reports: Its recent ``RunReport`` objects.
-        suspects_summary: Its ``suspects.Suspects.summary``.
-        limit_reports: The ``LimitReport`` objects that it received recently.
-        replica_exits: The ``ReplicaExit`` objects that it detected recently.
-        leaving_replicas: The ``LeavingReplica`` objects whose responses it
-            received recently.
-        clock_ms: Its time of day, ms since 1970; 0 if nobody needs it.
-        duties: The ``DutiesHeld`` of the holder, else None.
-        decode_engines: ``service -> engines`` that it would use for
-            decode-heavy requests.
-    """
-    name: str
-    started_at_ms: int
-    seq: int
-    first_attempts: dict[ids.ServiceName, Count] = {}
-    in_flight: dict[ids.ReplicaName, InFlight] = {}
-    prompt_uses: tuple[prompts.Use, ...] = ()
-    known_hosts: tuple[str, ...] = ()
-    responses_before: Count = 0
-    responses: tuple[Response, ...] = ()
-    zone: ids.ZoneName = ids.ZoneName('')
-    can_read_store: bool = False
-    run_reports: tuple[RunReport, ...] = ()
-    suspects_summary: Count = 0
-    limit_reports: tuple[LimitReport, ...] = ()
-    replica_exits: tuple[ReplicaExit, ...] = ()
-    leaving_replicas: tuple[LeavingReplica, ...] = ()
-    clock_ms: Count = 0
-    duties: DutiesHeld | None = None
-    decode_engines: dict[ids.ServiceName, Count] = {}
-
-    def without_reports(self):
-        """Returns a copy without what may be left out of a message.
-
-        The counts that others add up remain.
-        """
-        return Status(self.name,
-                      self.started_at_ms,
-                      self.seq,
-                      self.first_attempts,
-                      self.in_flight,
-                      known_hosts=self.known_hosts,
-                      responses_before=self.responses_before +
-                      len(self.responses),
-                      zone=self.zone,
-                      can_read_store=self.can_read_store,
-                      suspects_summary=self.suspects_summary,
-                      clock_ms=self.clock_ms,
-                      duties=self.duties,
-                      decode_engines=self.decode_engines)
-
-    def responses_after(self, last):
-        """Returns the responses that are not in the status ``last``.
-
-        Args:
-            last: An earlier ``Status`` of the same entry, or None.
-        """
-        if last is None or last.started_at_ms != self.started_at_ms:
-            return self.responses
-        known = last.responses_before + len(
-            last.responses) - self.responses_before
-        return self.responses[max(0, known):]
-
 
 def _is_newer(status, last, *, silent):
     """Returns whether ``status`` was sent after ``last``.
@@ -261,12 +61,12 @@
     Attributes:
         since: When the address was added, s (monotonic).
         received_at: When its last status arrived, s (monotonic).
-        status: That ``Status``.
+        status: That ``entrystatus.Status``.
         counted: Whether the status is included in the sums.
     """
     since: float
     received_at: float = float('-inf')
-    status: Status | None = None
+    status: entrystatus.Status | None = None
     counted: bool = False
 
 
@@ -284,7 +84,8 @@
         self.name = name
         self.silent_after_s = SILENCE_TIMEOUT_S
         self._members = {}
-        self._in_flight = collections.defaultdict(lambda: NO_REQUESTS)
+        self._in_flight = collections.defaultdict(
+            lambda: entrystatus.NO_REQUESTS)
         self._first_attempts = collections.Counter()
         self._counted = 0
 
@@ -296,12 +97,12 @@
             self._members[host] = _Member(since=now)
 
     def last_status(self, host):
-        """Returns the last ``Status`` of an address, or None."""
+        """Returns the last ``entrystatus.Status`` of an address, or None."""
         member = self._members.get(host)
         return member.status if member is not None else None
 
     def record_status(self, host, status, now):
-        """Records a ``Status`` and updates the sums.
+        """Records an ``entrystatus.Status`` and updates the sums.
 
         A stale message is ignored, and so is a message of an earlier process
         at the same address: after a restart it would count requests that no
@@ -422,8 +223,8 @@
         return not self._counted
 
     def in_flight(self, replica):
-        """Returns the ``InFlight`` of all other entries at a replica."""
-        return self._in_flight.get(replica, NO_REQUESTS)
+        """Returns the ``entrystatus.InFlight`` of all others at a replica."""
+        return self._in_flight.get(replica, entrystatus.NO_REQUESTS)
 
     def first_attempts(self, service):
         """Returns the number of first attempts of all other entries.
@@ -447,7 +248,7 @@
         self._counted -= 1
         for replica, work in member.status.in_flight.items():
             remaining = self._in_flight[replica].add(work, -1)
-            if remaining == NO_REQUESTS:
+            if remaining == entrystatus.NO_REQUESTS:
                 del self._in_flight[replica]
             else:
                 self._in_flight[replica] = remaining
--- a/gorsefall/policy/peerview.py
+++ b/gorsefall/policy/peerview.py
@@ -2,6 +2,7 @@
 
 import collections
 
+from gorsefall.policy import entrystatus
 from gorsefall.policy import membership
 from gorsefall.policy import prompts
 
@@ -66,7 +67,7 @@
         if ok and view.error_share < REPORTED_ERROR_SHARE:
             return
         self._response_count += 1
-        self._responses.append((now, membership.Response(view.name, ok)))
+        self._responses.append((now, entrystatus.Response(view.name, ok)))
 
     def record_status(self, host, status, now):
         """Records the status of another entry; returns False if it is stale."""
@@ -91,7 +92,7 @@
             view.record_others(self.members.in_flight(view.name), now)
 
     def build_status(self, started_at_ms, seq, views, now, **fields):
-        """Returns the ``membership.Status`` to send to other entries.
+        """Returns the ``entrystatus.Status`` to send to other entries.
 
         Args:
             started_at_ms: When this process started, ms since 1970.
@@ -106,7 +107,7 @@
         while self._responses and self._responses[0][
                 0] < now - RESPONSE_REPORT_S:
             self._responses.popleft()
-        return membership.Status(
+        return entrystatus.Status(
             name=self.members.name,
             started_at_ms=started_at_ms,
             seq=seq,
--- a/gorsefall/relay/announcements.py
+++ b/gorsefall/relay/announcements.py
@@ -3,7 +3,7 @@
 from gorsefall import logs
 from gorsefall import metrics
 from gorsefall.policy import acceptance
-from gorsefall.policy import membership
+from gorsefall.policy import entrystatus
 from gorsefall.relay import replicalimits
 
 REPORT_TRUST_S = 30.0
@@ -85,18 +85,18 @@
                        record=replica.record.status.value)
 
     def recent_leaving(self, now):
-        """Returns the ``membership.LeavingReplica`` objects for a status."""
+        """Returns the ``entrystatus.LeavingReplica`` objects for a status."""
         self._leaving_since = {
             replica: at
             for replica, at in self._leaving_since.items()
-            if now - at < membership.REPORT_WINDOW_S
+            if now - at < entrystatus.REPORT_WINDOW_S
         }
         return tuple(
-            membership.LeavingReplica(r.record.id, r.record.started_at_ms)
+            entrystatus.LeavingReplica(r.record.id, r.record.started_at_ms)
             for r in list(self._leaving_since)[-MAX_REPORTS:])
 
     def handle_status(self, status):
-        """Handles the ``membership.Status`` of another entry."""
+        """Handles the ``entrystatus.Status`` of another entry."""
         self.limits.handle_status(status)
         for report in status.leaving_replicas:
             replica = self._fleet.find(report)
--- a/gorsefall/relay/crashes.py
+++ b/gorsefall/relay/crashes.py
@@ -9,7 +9,7 @@
 from gorsefall import errors
 from gorsefall import logs
 from gorsefall import metrics
-from gorsefall.policy import membership
+from gorsefall.policy import entrystatus
 from gorsefall.policy import suspects
 from gorsefall.relay import messages
 from gorsefall.relay import prober
@@ -222,9 +222,9 @@
     # -- reports to and from other entries -------------------------------------
 
     def recent_reports(self, now):
-        """Returns the ``membership.RunReport`` objects for a status message."""
+        """Returns the ``entrystatus.RunReport`` objects for a message."""
         while self._events and self._events[0][
-                0] < now - membership.REPORT_WINDOW_S:
+                0] < now - entrystatus.REPORT_WINDOW_S:
             self._events.popleft()
         return tuple(
             report for _, digest, crash in self._events
@@ -235,17 +235,17 @@
         if suspect is None:
             return None
         if crash is None:
-            return membership.RunReport(digest,
-                                        _age_ms(suspect.last_completed_at, now))
+            return entrystatus.RunReport(
+                digest, _age_ms(suspect.last_completed_at, now))
         record = suspect.crashes.get(crash)
         if record is None:
             return None
-        return membership.RunReport(digest, _age_ms(record.seen_at, now),
-                                    crash.replica, crash.started_at_ms,
-                                    int(record.weight))
+        return entrystatus.RunReport(digest, _age_ms(record.seen_at, now),
+                                     crash.replica, crash.started_at_ms,
+                                     int(record.weight))
 
     def reports_of(self, digest):
-        """Returns the ``membership.RunReport`` objects of a suspect, a list."""
+        """Returns the ``entrystatus.RunReport`` objects of a suspect."""
         now = self._clock()
         crashes = self.suspects.find(digest).crashes
         return [self._report(digest, crash, now) for crash in crashes]
@@ -256,7 +256,7 @@
             self._peers.send_all(messages.Suspects(reports))
 
     def handle_status(self, status, host):
-        """Handles the ``membership.Status`` of another entry."""
+        """Handles the ``entrystatus.Status`` of another entry."""
         self.merge_reports(status.run_reports)
         if status.suspects_summary != self.suspects.summary:
             self._query_suspects(host)
@@ -288,7 +288,7 @@
                          host)
 
     def merge_reports(self, reports):
-        """Merges the ``membership.RunReport`` objects of another entry."""
+        """Merges the ``entrystatus.RunReport`` objects of another entry."""
         now = self._clock()
         before = set(self.suspects.poison_requests)
         for report in reports[:4 * MAX_REPORTS]:
--- a/gorsefall/relay/crashstore.py
+++ b/gorsefall/relay/crashstore.py
@@ -7,7 +7,7 @@
 from gorsefall import digests
 from gorsefall import errors
 from gorsefall import logs
-from gorsefall.policy import membership
+from gorsefall.policy import entrystatus
 from gorsefall.relay import topic
 
 READ_DELAY_S = 2.0
@@ -27,10 +27,10 @@
 
     Attributes:
         at_ms: When the crash was observed, ms since 1970.
-        report: The ``membership.RunReport``; its age counts from ``at_ms``.
+        report: The ``entrystatus.RunReport``; its age counts from ``at_ms``.
     """
     at_ms: int
-    report: membership.RunReport
+    report: entrystatus.RunReport
 
 
 _ENCODER = msgspec.msgpack.Encoder()
@@ -41,7 +41,7 @@
     """Returns the value of a record.
 
     Args:
-        reports: ``membership.RunReport`` objects.
+        reports: ``entrystatus.RunReport`` objects.
         now_ms: Time of day, ms since 1970.
     """
     return _ENCODER.encode(
@@ -49,7 +49,7 @@
 
 
 def decode(value, now_ms):
-    """Returns the ``membership.RunReport`` objects of a value, aged since.
+    """Returns the ``entrystatus.RunReport`` objects of a value, aged since.
 
     Raises:
         errors.RecordError: It cannot be decoded.
--- a/gorsefall/relay/fleet.py
+++ b/gorsefall/relay/fleet.py
@@ -5,7 +5,7 @@
 from gorsefall import directory
 from gorsefall import logs
 from gorsefall.policy import acceptance
-from gorsefall.policy import membership
+from gorsefall.policy import entrystatus
 from gorsefall.relay import replicas
 
 REWRITE_GRACE_S = 2.2
@@ -160,7 +160,7 @@
                            reported=reported)
 
     def recent_exits(self, now):
-        """Returns the ``membership.ReplicaExit`` objects for a status.
+        """Returns the ``entrystatus.ReplicaExit`` objects for a status.
 
         Only exits that this entry found itself are included, so that a message
         does not grow with the number of entries.
@@ -169,16 +169,16 @@
             name: rep
             for name, rep in self._exited_replicas.items()
             if rep.exited_at is not None and now -
-            rep.exited_at < membership.REPORT_WINDOW_S
+            rep.exited_at < entrystatus.REPORT_WINDOW_S
         }
         return tuple(
-            membership.ReplicaExit(name, rep.record.started_at_ms,
-                                   max(0, int((now - rep.exited_at) * 1000)))
+            entrystatus.ReplicaExit(name, rep.record.started_at_ms,
+                                    max(0, int((now - rep.exited_at) * 1000)))
             for name, rep in list(self._exited_replicas.items())
             [:MAX_EXIT_REPORTS])
 
     def handle_status(self, status, now):
-        """Handles the ``membership.Status`` of another entry."""
+        """Handles the ``entrystatus.Status`` of another entry."""
         for report in status.replica_exits:
             rep = self.find(report)
             if rep is not None:
--- a/gorsefall/relay/followers.py
+++ b/gorsefall/relay/followers.py
@@ -7,6 +7,7 @@
 from gorsefall.relay import pacing
 from gorsefall.relay import sharing
 from gorsefall.relay import topic
+from gorsefall.relay import topicfollower
 from gorsefall.relay import topiclisteners
 
 MAX_CONFIG_READ_KB = 64
@@ -106,13 +107,13 @@
         source = self._adapter.source(
             self._node.loop, settingsfile.split_addr(self._node.cfg.store),
             name)
-        follower = topic.Follower(self._node.loop,
-                                  source,
-                                  listener,
-                                  name=name,
-                                  pace=alone,
-                                  max_kb=max_kb,
-                                  on_change=self._on_change)
+        follower = topicfollower.Follower(self._node.loop,
+                                          source,
+                                          listener,
+                                          name=name,
+                                          pace=alone,
+                                          max_kb=max_kb,
+                                          on_change=self._on_change)
         return sharing.FollowedTopic(follower, alone, shared)
 
     def _on_change(self):
--- a/gorsefall/relay/messages.py
+++ b/gorsefall/relay/messages.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from gorsefall.duties import reports
-from gorsefall.policy import membership
+from gorsefall.policy import entrystatus
 from gorsefall.relay import changes
 
 Offsets = dict[str, typing.Annotated[int, msgspec.Meta(ge=0)]]
@@ -54,9 +54,9 @@
     """Reports runs of requests under which replicas crashed.
 
     Attributes:
-        run_reports: The ``membership.RunReport`` objects.
+        run_reports: The ``entrystatus.RunReport`` objects.
     """
-    run_reports: tuple[membership.RunReport, ...] = ()
+    run_reports: tuple[entrystatus.RunReport, ...] = ()
 
 
 class AskSuspects(msgspec.Struct,
@@ -66,7 +66,7 @@
     """Requests the ``Suspects`` with the highest weights."""
 
 
-Message = (membership.Status | Ask | Told | Hint | Suspects | AskSuspects |
+Message = (entrystatus.Status | Ask | Told | Hint | Suspects | AskSuspects |
            reports.EntryReport)
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/gorsefall/relay/node.py
+++ b/gorsefall/relay/node.py
@@ -214,7 +214,7 @@
             self._peers.schedule_status()
 
     def status(self, started_at_ms, seq, known_hosts):
-        """Returns the ``membership.Status`` for the other entries.
+        """Returns the ``entrystatus.Status`` for the other entries.
 
         Args:
             started_at_ms: See ``workload.Workload.status``.
--- a/gorsefall/relay/peers.py
+++ b/gorsefall/relay/peers.py
@@ -13,6 +13,7 @@
 
 from gorsefall import logs
 from gorsefall.net import datagrams
+from gorsefall.policy import entrystatus
 from gorsefall.policy import membership
 from gorsefall.relay import messages
 
@@ -52,7 +53,7 @@
     """Sends messages to other entries and receives theirs.
 
     Attributes:
-        on_status: Called with each new ``membership.Status`` and the host that
+        on_status: Called with each new ``entrystatus.Status`` and the host that
             sent it.
     """
 
@@ -175,7 +176,7 @@
             self._log_malformed(host, exc)
             return
         self._malformed_hosts.discard(host)
-        if not isinstance(message, membership.Status):
+        if not isinstance(message, entrystatus.Status):
             self._dispatch(message, host)
         elif self._view.record_status(host, message, now):
             self._add_hosts(message.known_hosts[:MAX_HOSTS_PER_MESSAGE], now)
--- a/gorsefall/relay/replicalimits.py
+++ b/gorsefall/relay/replicalimits.py
@@ -5,7 +5,7 @@
 from gorsefall import logs
 from gorsefall import metrics
 from gorsefall.policy import announced_limits
-from gorsefall.policy import membership
+from gorsefall.policy import entrystatus
 from gorsefall.relay import replicas
 
 MAX_REPORTS = 16
@@ -109,7 +109,7 @@
         return True
 
     def recent_reports(self, now):
-        """Returns the ``membership.LimitReport`` objects for a status.
+        """Returns the ``entrystatus.LimitReport`` objects for a status.
 
         Limits that other entries reported are left out. If every entry
         repeated them, each message would hold all limits of the deployment,
@@ -118,19 +118,19 @@
         self._announcements = {
             name: announcement
             for name, announcement in self._announcements.items()
-            if now - announcement.at < membership.REPORT_WINDOW_S
+            if now - announcement.at < entrystatus.REPORT_WINDOW_S
         }
         newest = sorted(self._announcements.values(),
                         key=lambda announcement: announcement.at,
                         reverse=True)[:MAX_REPORTS]
         return tuple(
-            membership.LimitReport(a.replica.record.id, a.replica.record.
-                                   started_at_ms, int((now - a.at) *
-                                                      1000), a.per_s)
+            entrystatus.LimitReport(a.replica.record.id, a.replica.record.
+                                    started_at_ms, int((now - a.at) *
+                                                       1000), a.per_s)
             for a in newest)
 
     def handle_status(self, status):
-        """Handles the ``membership.Status`` of another entry."""
+        """Handles the ``entrystatus.Status`` of another entry."""
         for limit in status.limit_reports:
             replica = self._fleet.find(limit)
             if replica is not None:
--- a/gorsefall/relay/sharing.py
+++ b/gorsefall/relay/sharing.py
@@ -21,6 +21,7 @@
 from gorsefall.relay import changes
 from gorsefall.relay import messages
 from gorsefall.relay import topic
+from gorsefall.relay import topicfollower
 
 RESPONSE_TIMEOUT_S = 0.25
 """Longest time for the response of another entry, s: the round trip takes 2 ms,
@@ -69,11 +70,11 @@
     """A topic and how often it is read.
 
     Attributes:
-        follower: Its ``topic.Follower``.
+        follower: Its ``topicfollower.Follower``.
         alone: The ``topic.ReadPace`` while no other entry depends on this one.
         shared: The same while other entries do.
     """
-    follower: topic.Follower
+    follower: topicfollower.Follower
     alone: topic.ReadPace
     shared: topic.ReadPace
 
--- /dev/null
+++ b/gorsefall/relay/topicfollower.py
@@ -0,0 +1,343 @@
+"""Follows a topic of the store that keeps the newest record of each key.
+
+A follower that reads continuously keeps reading the store. Any other follower
+receives the changes that it missed from another entry and reads the store only
+when ``read_once`` is called.
+"""
+
+import functools
+import random
+
+from gorsefall import logs
+from gorsefall.policy import freshness
+from gorsefall.relay import changes
+from gorsefall.relay import topic
+
+RETRY_PAUSE_RANGE_S = (0.05, 0.2)
+"""Range of the pause after a failed call, s. It is random so that entries that
+lost the store together do not return to it together."""
+
+MAX_RETRY_PAUSE_S = 0.5
+"""Longest pause after consecutive failures, s."""
+
+MAX_PASSIVE_READ_ATTEMPTS = 2
+"""Attempts of a read by a follower that does not read continuously."""
+
+RECORD_LAPSE_S = 3.0
+"""Time between two confirmations after which records may have lapsed, s: three
+heartbeats of a replica, each longer than a second."""
+
+
+class Follower:
+    """Keeps a listener up to date with one topic.
+
+    Attributes:
+        offset: Offset the next read starts from.
+        known_end: Offset after the last record that is known to exist; records
+            from ``offset`` on are still to be read.
+        confirmed_at: When the newest read that returned all records was sent,
+            s (``freshness.clock``), by this entry or another one.
+        has_snapshot: Whether a snapshot was read.
+        failed_reads: Own reads that failed since the last success.
+        pace: The ``topic.ReadPace`` of its continuous reads.
+        recent: The ``changes.RecentChanges`` that can be sent to other
+            entries.
+    """
+
+    def __init__(self,
+                 loop,
+                 source,
+                 listener,
+                 *,
+                 name,
+                 pace=topic.CONTINUOUS_READS,
+                 max_kb=topic.MAX_READ_KB,
+                 on_change=lambda: None):
+        """Creates a follower that reads continuously; ``start`` begins.
+
+        Args:
+            loop: The ``reactor.Reactor``.
+            source: The ``topic.Source``.
+            listener: The ``topic.Listener``.
+            name: Name for logs.
+            pace: Its ``topic.ReadPace``.
+            max_kb: Most data of one read, KB. If more is new, a snapshot is
+                read instead, so that only the newest record of each key is
+                transferred.
+            on_change: Called after a read that changed the observed state.
+        """
+        self._loop = loop
+        self._source = source
+        self._listener = listener
+        self._max_kb = max_kb
+        self._on_change = on_change
+        self._continuous = True
+        self._read_number = 0
+        self._idle = False
+        self._snapshot = {}
+        self._snapshot_after = ''
+        self._snapshot_end = None
+        self._failures = 0
+        self._last_read_slow = False
+        self._sent_at = None
+        self._newest_offsets = {}
+        self._stopped = False
+        self._log = logs.get('follower').bind(topic=name)
+        self.pace = pace
+        self.offset = 0
+        self.known_end = 0
+        self._last_record_kb = 0.0
+        self.confirmed_at = float('-inf')
+        self.has_snapshot = False
+        self.failed_reads = 0
+        self.recent = changes.RecentChanges()
+
+    def start(self):
+        """Begins by reading a snapshot."""
+        self._read_snapshot('')
+
+    def stop(self):
+        """Stops for good; responses still on their way are ignored."""
+        self._stopped = True
+
+    def age_s(self):
+        """Returns the age of the newest confirmation, s."""
+        return freshness.clock() - self.confirmed_at
+
+    def changes_since(self, offset, max_bytes=changes.MAX_SENT_BYTES):
+        """Returns the ``changes.ChangeSet`` for a follower at ``offset``."""
+        age_s = max(0.0, self.age_s())
+        if self.offset < self.known_end:
+            return changes.ChangeSet(age_s, self.known_end, complete=False)
+        return self.recent.changes_since(offset, age_s, self.offset, max_bytes)
+
+    # -- own reads and changes from other entries ------------------------------
+
+    def set_continuous(self, continuous):
+        """Sets whether to read the store continuously."""
+        self._continuous = continuous
+        if continuous:
+            self.read_once()
+
+    def read_once(self, end=0):
+        """Reads now, unless a read is in progress.
+
+        Args:
+            end: Offset after the last record, if another entry reported it.
+        """
+        if not self._idle:
+            return
+        self._idle = False
+        if end - self.offset > 1 and self._last_record_kb > self._max_kb:
+            # Each of several large records takes as long as the newest, and
+            # only that one is needed.
+            self._read_snapshot('')
+        else:
+            self._read()
+
+    def apply_changes(self, sent_at, change_set):
+        """Applies changes that another entry has read.
+
+        Args:
+            sent_at: When that entry's newest read was sent at the earliest,
+                s (``freshness.clock``).
+            change_set: Its complete ``changes.ChangeSet`` since ``offset``.
+
+        Raises:
+            errors.RecordError: It cannot be unpacked; nothing was applied.
+        """
+        if self._continuous or not self.has_snapshot:
+            return
+        records = [changes.unpack(c) for c in change_set.changes]
+        if change_set.end > self.offset:
+            # An own read in progress is older, and its response is ignored: a
+            # snapshot would revert what is applied here. If nothing is new,
+            # the read continues: it may be of a record that the other entry
+            # does not know yet.
+            self._read_number += 1
+            self._idle = True
+        if sent_at - self.confirmed_at > RECORD_LAPSE_S:
+            # The entry that reads could not reach the store in that time.
+            # Nor could the replicas, so records of live replicas may have
+            # lapsed.
+            self._record_failure('not confirmed for long')
+        self._record_success()
+        for record in records:
+            self._apply(record)
+        self.offset = max(self.offset, change_set.end)
+        self._confirm(sent_at)
+
+    # -- reads -----------------------------------------------------------------
+
+    def _new_callback(self, handler):
+        """Returns the callback of a new read; earlier reads are ignored."""
+        self._read_number += 1
+        return functools.partial(self._on_result, self._read_number, handler)
+
+    def _on_result(self, number, handler, result, exc):
+        if not self._stopped and number == self._read_number:
+            handler(result, exc)
+
+    def _read_snapshot(self, after):
+        if self._stopped:
+            return
+        self._snapshot_after = after
+        if not after:
+            self._snapshot = {}
+            self._snapshot_end = None
+            self._sent_at = freshness.clock()
+        self._source.read_snapshot(after, topic.SILENCE_TIMEOUT_S,
+                                   self._new_callback(self._on_snapshot_page))
+
+    def _on_snapshot_page(self, page, exc):
+        if exc is not None:
+            # Retries this page only: if each failure restarted the snapshot,
+            # one of several pages would rarely complete while the store loses
+            # responses.
+            self._retry_later(exc,
+                              lambda: self._read_snapshot(self._snapshot_after))
+            return
+        if self._snapshot_end is None:
+            # Pages are read one after the other. Reading on from the end as
+            # of the first page includes all changes since.
+            self._snapshot_end = page.end
+        for record in page.records:
+            self._snapshot[record.key] = record
+        if page.more and page.records:
+            self._read_snapshot(page.records[-1].key)
+            return
+        self.failed_reads = 0
+        self._record_success()
+        self.has_snapshot = True
+        self.offset = self._snapshot_end
+        self.recent.reset(self.offset)
+        records = [
+            r for r in self._snapshot.values() if r.value or not r.well_formed
+        ]
+        self._log.info('listed', keys=len(records), offset=self.offset)
+        self._listener.on_snapshot([r for r in records if self._is_new(r)])
+        self._confirm(self._sent_at)
+        self._on_change()
+        if self._continuous:
+            self._read()
+        else:
+            self._idle = True
+
+    def _read(self):
+        if self._stopped:
+            return
+        # The first read after a failure does not wait, so that it shows at
+        # once that the store is back and renews the confirmation. Nor does
+        # the read after a slow response, as that response confirms only the
+        # state at the time of its request.
+        waits = (self._continuous and not self._failures and
+                 not self._last_read_slow)
+        self._sent_at = freshness.clock()
+        callback = self._new_callback(self._on_batch)
+        self._source.read(self.offset,
+                          self.pace.wait_s if waits else 0.0,
+                          self._max_kb,
+                          topic.SILENCE_TIMEOUT_S,
+                          callback,
+                          on_large=functools.partial(self._on_large_record,
+                                                     self._read_number))
+
+    def _on_large_record(self, number, end):
+        # On a slow link a large record takes a second. Entries that only read
+        # it after this one has received it would have it twice as late.
+        if not self._stopped and number == self._read_number:
+            self.known_end = max(self.known_end, end)
+            self._on_change()
+
+    def _on_batch(self, batch, exc):
+        if exc is not None:
+            if exc.records_expired:
+                self._log.info('history_forgotten', offset=self.offset)
+                self._read_snapshot('')
+                return
+            self._retry_later(exc, self._read)
+            return
+        self.failed_reads = 0
+        self._record_success()
+        changed = [self._apply(record) for record in batch.records]
+        self.offset = max(self.offset, batch.next)
+        if self.offset < batch.end:
+            # The read did not return all records. Confirming now would let
+            # an old configuration accept keys that a newer one revokes. A
+            # snapshot skips the versions in between: on a slow link each
+            # takes as long as the newest one and would delay it.
+            self._read_snapshot('')
+            return
+        self._confirm(self._sent_at)
+        if any(changed):
+            self._on_change()
+        self._schedule_read()
+
+    def _schedule_read(self):
+        if not self._continuous:
+            self._idle = True
+        elif self.pace.pause_s:
+            self._loop.call_later(
+                self.pace.pause_s,
+                functools.partial(self._resume, self._read_number))
+        else:
+            self._read()
+
+    def _resume(self, number):
+        if number != self._read_number:
+            return
+        if self._continuous:
+            self._read()
+        else:
+            self._idle = True
+
+    def _apply(self, record):
+        """Applies a record; returns whether it changed the observed state."""
+        if not self._is_new(record):
+            return False
+        self._last_record_kb = len(record.value) / 1024
+        changed = self._listener.on_record(record)
+        if changed:
+            self.recent.add(record)
+        return changed
+
+    def _confirm(self, sent_at):
+        took_s = freshness.clock() - sent_at
+        """Called with a ``topic.SnapshotPage``, or with an error."""
+        self.confirmed_at = max(self.confirmed_at, sent_at)
+        self._listener.on_confirmed(sent_at)
+
+    def _is_new(self, record):
+        # Responses may be late and snapshots overlap reads; a record must
+        # not replace a newer one of its key.
+        if record.offset < self._newest_offsets.get(record.key, 0):
+            return False
+        self._newest_offsets[record.key] = record.offset
+        return True
+
+    def _record_success(self):
+        if self._failures:
+            self._log.info('store_regained', failures=self._failures)
+            self._failures = 0
+            self._listener.on_store_regained()
+
+    def _record_failure(self, error):
+        if not self._failures:
+            self._log.warning('store_lost', error=error)
+            self._listener.on_store_lost()
+        self._failures += 1
+
+    def _retry_later(self, exc, retry):
+        self.failed_reads += 1
+        self._record_failure(str(exc))
+        if (not self._continuous and self.has_snapshot and
+                self.failed_reads >= MAX_PASSIVE_READ_ATTEMPTS):
+            # The entries that read continuously keep trying, and send what
+            # they read.
+            self._idle = True
+            return
+        pause = min(MAX_RETRY_PAUSE_S,
+                    random.uniform(*RETRY_PAUSE_RANGE_S) * self._failures)
+        number = self._read_number
+        self._loop.call_later(
+            pause, lambda: retry() if number == self._read_number else None)
--- a/gorsefall/relay/workload.py
+++ b/gorsefall/relay/workload.py
@@ -110,7 +110,7 @@
         self.peer_view.record_response(replica.view, ok, time.monotonic())
 
     def status(self, started_at_ms, seq, **fields):
-        """Returns the ``membership.Status`` to send to the other entries.
+        """Returns the ``entrystatus.Status`` to send to the other entries.
 
         Args:
             started_at_ms: See ``peerview.PeerView.build_status``.
--- a/tests/duty_site.py
+++ b/tests/duty_site.py
@@ -18,6 +18,7 @@
 from gorsefall.duties import reports
 from gorsefall.duties import truetime
 from gorsefall.emulator import clock
+from gorsefall.policy import entrystatus
 from gorsefall.policy import membership
 from gorsefall.relay import changes
 from gorsefall.relay import messages
@@ -284,18 +285,18 @@
 
     def _send_status(self):
         self.seq += 1
-        status = membership.Status(self.name,
-                                   self.started_at_ms,
-                                   self.seq,
-                                   can_read_store=True,
-                                   **self.duties.status_fields())
+        status = entrystatus.Status(self.name,
+                                    self.started_at_ms,
+                                    self.seq,
+                                    can_read_store=True,
+                                    **self.duties.status_fields())
         for host in self.site.entries:
             if host != self.host:
                 self.site.send(self, messages.encode(status), host)
 
     def receive(self, data, host):
         message = messages.decode(data)
-        if isinstance(message, membership.Status):
+        if isinstance(message, entrystatus.Status):
             if self.members.record_status(host, message, self.loop.now):
                 self.duties.handle_status(message, host)
         else:
--- a/tests/entries.py
+++ b/tests/entries.py
@@ -10,6 +10,7 @@
 from gorsefall.relay import messages
 from gorsefall.relay import sharing
 from gorsefall.relay import topic
+from gorsefall.relay import topicfollower
 
 QUERY_PAUSE_S = 1.0
 
@@ -155,12 +156,12 @@
             self.loop, self.own, lambda: self.site.others(self),
             lambda message, host: self.site.network.send(
                 self.own.host, message, host), self.site.rng)
-        follower = topic.Follower(self.loop,
-                                  self.client,
-                                  self.observed,
-                                  name='t',
-                                  pace=ALONE,
-                                  on_change=self.sharing.send_hints)
+        follower = topicfollower.Follower(self.loop,
+                                          self.client,
+                                          self.observed,
+                                          name='t',
+                                          pace=ALONE,
+                                          on_change=self.sharing.send_hints)
         self.sharing.set_followers(
             {'t': sharing.FollowedTopic(follower, ALONE, SHARED)}, 'store',
             QUERY_PAUSE_S)
--- a/tests/test_acceptance.py
+++ b/tests/test_acceptance.py
@@ -9,6 +9,7 @@
 from gorsefall.emulator import clock
 from gorsefall.net import headers
 from gorsefall.policy import acceptance
+from gorsefall.policy import entrystatus
 from gorsefall.policy import membership
 from gorsefall.relay import announcements
 from gorsefall.relay import fleet
@@ -113,12 +114,12 @@
 def test_exits_that_others_report_leave_no_service_empty():
     """A false report of one entry empties a service."""
     site = _Site()
-    status = membership.Status('other',
-                               1,
-                               1,
-                               leaving_replicas=tuple(
-                                   membership.LeavingReplica(n, born)
-                                   for n, born in (('a', 1), ('b', 0))))
+    status = entrystatus.Status('other',
+                                1,
+                                1,
+                                leaving_replicas=tuple(
+                                    entrystatus.LeavingReplica(n, born)
+                                    for n, born in (('a', 1), ('b', 0))))
     site.loop.run(10.0)
     with mock.patch('time.monotonic', lambda: site.loop.now):
         site.tracker.handle_status(status)
@@ -130,10 +131,10 @@
 def test_a_false_report_of_an_exit_is_forgotten():
     """A replica that was reported by mistake is avoided for ever."""
     site = _Site()
-    report = membership.LeavingReplica('a', 1)
+    report = entrystatus.LeavingReplica('a', 1)
     with mock.patch('time.monotonic', lambda: site.loop.now):
         site.tracker.handle_status(
-            membership.Status('other', 1, 1, leaving_replicas=(report,)))
+            entrystatus.Status('other', 1, 1, leaving_replicas=(report,)))
         assert site.names() == {'b'}
         site.loop.run(announcements.REPORT_TRUST_S + 1.0)
         assert site.names() == {'a', 'b'}
@@ -144,15 +145,13 @@
     that announces its exit."""
     one, other = _Site(), _Site()
     one.respond(one.fleet.replicas['a'], leaving=True)
-    status = membership.Status('one',
-                               1,
-                               1,
-                               leaving_replicas=one.tracker.recent_leaving(0.0))
+    status = entrystatus.Status(
+        'one', 1, 1, leaving_replicas=one.tracker.recent_leaving(0.0))
     with mock.patch('time.monotonic', lambda: other.loop.now):
         other.tracker.handle_status(status)
         assert other.names() == {'b'}
     assert not other.tracker.recent_leaving(0.0)
-    assert not one.tracker.recent_leaving(membership.REPORT_WINDOW_S + 1)
+    assert not one.tracker.recent_leaving(entrystatus.REPORT_WINDOW_S + 1)
 
 
 def test_announcements_of_former_incarnations_are_bounded():
--- a/tests/test_announced_limits.py
+++ b/tests/test_announced_limits.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies as st
 
 from gorsefall.policy import announced_limits
+from gorsefall.policy import entrystatus
 from gorsefall.policy import membership
 from gorsefall.relay import fleet
 from gorsefall.relay import messages
@@ -144,7 +145,7 @@
 
 def _send_status(source, target, now):
     target.handle_status(
-        membership.Status('a', 1, 1, limit_reports=source.recent_reports(now)))
+        entrystatus.Status('a', 1, 1, limit_reports=source.recent_reports(now)))
 
 
 def test_a_limit_and_its_end_are_reported_to_other_entries():
@@ -191,21 +192,21 @@
         directory.record_exit(replica, 100.0)
     own, directory = _entry_with_replicas('own', 49)
     for tracker, theirs in reporters:
-        status = membership.Status('other',
-                                   1,
-                                   1,
-                                   limit_reports=tracker.recent_reports(100.0),
-                                   replica_exits=theirs.recent_exits(100.0))
+        status = entrystatus.Status('other',
+                                    1,
+                                    1,
+                                    limit_reports=tracker.recent_reports(100.0),
+                                    replica_exits=theirs.recent_exits(100.0))
         own.handle_status(status)
         directory.handle_status(status, 100.0)
     assert all(r.limit.per_s == 1.9 for r in directory.replicas.values())
     size = len(
         messages.encode(
-            membership.Status('own',
-                              1,
-                              1,
-                              limit_reports=own.recent_reports(100.0),
-                              replica_exits=directory.recent_exits(100.0))))
+            entrystatus.Status('own',
+                               1,
+                               1,
+                               limit_reports=own.recent_reports(100.0),
+                               replica_exits=directory.recent_exits(100.0))))
     assert size <= MAX_STATUS_BYTES
 
 
@@ -260,7 +261,8 @@
             loop.now += 5.0
             for i in names:
                 tracker._members.record_status(
-                    f'10.0.0.{i}', membership.Status(f'e{i}', 1, seq), loop.now)
+                    f'10.0.0.{i}', entrystatus.Status(f'e{i}', 1, seq),
+                    loop.now)
         tracker.start()
         shares.append(replica.limit.share)
     assert sum(shares) <= 1.0
@@ -273,7 +275,7 @@
     tracker.record_response(replica, 1.0, 99.9)
     for i in range(5):
         tracker._members.record_status(f'10.0.0.{i}',
-                                       membership.Status(f'e{i}', 1, 1), 100.0)
+                                       entrystatus.Status(f'e{i}', 1, 1), 100.0)
     loop.now = 100.0 + 2 * membership.ADDRESS_TTL_S
     tracker._members.addresses(loop.now)
     tracker.start()
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -5,7 +5,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from gorsefall.policy import membership
+from gorsefall.policy import entrystatus
 from gorsefall.policy import prompts
 from gorsefall.relay import backups
 from gorsefall.relay import fleet
@@ -237,16 +237,16 @@
 
 
 def _status(*ended):
-    return membership.Status('other', 1, 1, replica_exits=ended)
+    return entrystatus.Status('other', 1, 1, replica_exits=ended)
 
 
 def test_a_replica_that_another_entry_found_exited_receives_no_requests():
     """Guards against each of many entries sending to a crashed replica."""
     directory = _fleet(*(record(name, started_at_ms=5) for name in 'ab'))
     now = time.monotonic()
-    directory.handle_status(_status(membership.ReplicaExit('a', 4, 0)), now)
+    directory.handle_status(_status(entrystatus.ReplicaExit('a', 4, 0)), now)
     assert names(directory) == {'a', 'b'}
-    directory.handle_status(_status(membership.ReplicaExit('a', 5, 100)), now)
+    directory.handle_status(_status(entrystatus.ReplicaExit('a', 5, 100)), now)
     assert names(directory) == {'b'}
 
 
@@ -254,7 +254,7 @@
     """Messages that repeat what others reported fill the links of entries."""
     directory = _fleet(*(record(name, started_at_ms=5) for name in 'ab'))
     now = time.monotonic()
-    directory.handle_status(_status(membership.ReplicaExit('a', 5, 100)), now)
+    directory.handle_status(_status(entrystatus.ReplicaExit('a', 5, 100)), now)
     directory.record_exit(directory.replicas['b'], now)
     report, = directory.recent_exits(now)
     assert (report.replica, report.started_at_ms) == ('b', 5)
@@ -267,7 +267,7 @@
     for name in 'ab':
         directory.put(record(name))
     now = time.monotonic()
-    directory.handle_status(_status(membership.ReplicaExit('a', 0, 0)), now)
+    directory.handle_status(_status(entrystatus.ReplicaExit('a', 0, 0)), now)
     directory.put(record('a'))
     assert names(directory) == {'b'}
     directory.replicas['a'].exited_at = now - replicas.EXIT_RECORD_LAG_S - 1
@@ -280,6 +280,6 @@
     directory = fleet.Fleet(Loop())
     directory.set_services(SERVICES)
     directory.put(record('a'))
-    directory.handle_status(_status(membership.ReplicaExit('a', 0, 0)),
+    directory.handle_status(_status(entrystatus.ReplicaExit('a', 0, 0)),
                             time.monotonic())
     assert names(directory) == {'a'}
--- a/tests/test_many_entries.py
+++ b/tests/test_many_entries.py
@@ -7,10 +7,10 @@
 
 from gorsefall.emulator import simulation
 from gorsefall.emulator import policies
+from gorsefall.policy import entrystatus
 from gorsefall.policy import knowledge
-from gorsefall.policy import membership
-from gorsefall.policy import placement
 from gorsefall.policy import partition
+from gorsefall.policy import placement
 from gorsefall.policy import unreported
 
 FLEET = loads.AUTHORITY.with_rates_scaled(
@@ -47,7 +47,7 @@
         for i in range(count)
     ]
     for i, target in enumerate(targets):
-        target.record_others(membership.InFlight(each(i), 0, each(i)), 0.0)
+        target.record_others(entrystatus.InFlight(each(i), 0, each(i)), 0.0)
     return targets
 
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -3,6 +3,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from gorsefall.policy import entrystatus
 from gorsefall.policy import membership
 
 REPLICAS = ('r1', 'r2', 'r3')
@@ -10,11 +11,11 @@
 
 def _status(name, started_at_ms=1, seq=1, in_flight=None, **fields):
     in_flight = {
-        r: membership.InFlight(n, 10 * n, 0)
+        r: entrystatus.InFlight(n, 10 * n, 0)
         for r, n in (in_flight or {}).items()
     }
-    return membership.Status(name, started_at_ms, seq,
-                             fields.get('first_attempts', {}), in_flight)
+    return entrystatus.Status(name, started_at_ms, seq,
+                              fields.get('first_attempts', {}), in_flight)
 
 
 _MESSAGES = st.lists(st.tuples(
@@ -58,7 +59,7 @@
         assert members.alone == (not live)
         for replica in REPLICAS:
             total = sum(
-                s.in_flight.get(replica, membership.NO_REQUESTS).requests
+                s.in_flight.get(replica, entrystatus.NO_REQUESTS).requests
                 for s in live)
             assert members.in_flight(replica).requests == total
 
@@ -68,7 +69,7 @@
     members = membership.Members('me')
     assert not members.record_status('h', _status('me', in_flight={'r1': 5}),
                                      0.0)
-    assert members.alone and members.in_flight('r1') == membership.NO_REQUESTS
+    assert members.alone and members.in_flight('r1') == entrystatus.NO_REQUESTS
 
 
 def test_a_suspended_entry_is_left_out_and_returns():
@@ -77,7 +78,7 @@
     members = membership.Members('me')
     members.record_status('h', _status('a', seq=1, in_flight={'r1': 5}), 0.0)
     members.expire(5.0)
-    assert members.in_flight('r1') == membership.NO_REQUESTS
+    assert members.in_flight('r1') == entrystatus.NO_REQUESTS
     assert not members.record_status(
         'h', _status('a', seq=1, in_flight={'r1': 5}), 5.0)
     assert members.record_status('h', _status('a', seq=2, in_flight={'r1': 1}),
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -8,8 +8,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from gorsefall.policy import entrystatus
 from gorsefall.policy import knowledge
-from gorsefall.policy import membership
 from gorsefall.policy import peerview
 from gorsefall.policy import prompts
 from gorsefall.relay import messages
@@ -17,7 +17,7 @@
 
 _COUNT = st.integers(0, 1 << 40)
 _ROWS = st.dictionaries(st.text(max_size=8),
-                        st.builds(membership.InFlight, _COUNT, _COUNT, _COUNT),
+                        st.builds(entrystatus.InFlight, _COUNT, _COUNT, _COUNT),
                         max_size=5)
 _PART = st.builds(prompts.Part, st.text(max_size=8), _COUNT)
 _USES = st.lists(st.builds(prompts.Use, st.text(max_size=8),
@@ -25,10 +25,11 @@
                  max_size=3).map(tuple)
 _HOSTS = st.lists(st.ip_addresses(v=4).map(str), max_size=6).map(tuple)
 _STATUS = st.builds(
-    membership.Status, st.text(max_size=8), _COUNT, _COUNT,
+    entrystatus.Status, st.text(max_size=8), _COUNT, _COUNT,
     st.dictionaries(st.text(max_size=8), _COUNT, max_size=3), _ROWS, _USES,
     _HOSTS, _COUNT,
-    st.lists(st.builds(membership.Response, st.text(max_size=8), st.booleans()),
+    st.lists(st.builds(entrystatus.Response, st.text(max_size=8),
+                       st.booleans()),
              max_size=3).map(tuple))
 
 
@@ -48,8 +49,8 @@
 
 def test_negative_counts_are_rejected():
     """Guards against a busy replica that seems empty and is overloaded."""
-    status = membership.Status('a', 1, 1, {},
-                               {'r': membership.InFlight(-5, 0, 0)})
+    status = entrystatus.Status('a', 1, 1, {},
+                                {'r': entrystatus.InFlight(-5, 0, 0)})
     with pytest.raises(msgspec.DecodeError):
         messages.decode(messages.encode(status))
 
@@ -108,7 +109,7 @@
 
 def test_hosts_listed_in_a_message_are_added(entry):
     hosts = ('10.0.0.9', 'no address', '127.0.0.1')
-    status = membership.Status('a', 1, 1, known_hosts=hosts)
+    status = entrystatus.Status('a', 1, 1, known_hosts=hosts)
     entry._on_datagram(messages.encode(status), '10.0.0.2')
     addresses = entry._node.work.peer_view.members.addresses(0.0)
     assert set(addresses) == {'10.0.0.2', '10.0.0.9'}
@@ -117,7 +118,7 @@
 def _receive_statuses(entry, count):
     """Has ``count`` other entries send one status each."""
     for i in range(count):
-        status = membership.Status(f'e{i}', 1, 1, {}, {})
+        status = entrystatus.Status(f'e{i}', 1, 1, {}, {})
         entry._on_datagram(messages.encode(status),
                            f'10.0.{i // 250}.{i % 250 + 2}')
 
@@ -147,8 +148,8 @@
     long_status = msgspec.structs.replace(
         status,
         first_attempts={'s': 7},
-        responses=(membership.Response('r', False),) * 3000,
-        replica_exits=(membership.ReplicaExit('r', 1, 1),) * 3000)
+        responses=(entrystatus.Response('r', False),) * 3000,
+        replica_exits=(entrystatus.ReplicaExit('r', 1, 1),) * 3000)
     entry._node.status = lambda started_at_ms, seq, hosts: long_status
     sent = []
     entry._endpoint.send = lambda data, addr: sent.append(data)
@@ -164,10 +165,10 @@
 def test_a_replayed_message_reports_no_prompt_uses(entry):
     """Guards against counting prompts as cached that were evicted since."""
     parts = (prompts.Part('p', 900),)
-    status = membership.Status('a',
-                               1,
-                               1,
-                               prompt_uses=(prompts.Use('r', parts),))
+    status = entrystatus.Status('a',
+                                1,
+                                1,
+                                prompt_uses=(prompts.Use('r', parts),))
     cache = entry._node.replica.prompt_cache
     entry._on_datagram(messages.encode(status), '10.0.0.2')
     assert cache.cached_tokens(parts) == 900
@@ -248,9 +249,9 @@
     now = time.monotonic()
     for i in range(others):
         host = f'10.0.{i // 250}.{i % 250 + 2}'
-        members.record_status(host, membership.Status(f'e{i}', 1, 1),
+        members.record_status(host, entrystatus.Status(f'e{i}', 1, 1),
                               now - 20.0)
-        members.record_status(host, membership.Status(f'e{i}', 1, 2), now)
+        members.record_status(host, entrystatus.Status(f'e{i}', 1, 2), now)
     assert len(entry._choose_hosts(members.live_hosts(now), now)) == 1
-    members.record_status('10.9.9.9', membership.Status('new', 1, 1), now)
+    members.record_status('10.9.9.9', entrystatus.Status('new', 1, 1), now)
     assert entry._choose_hosts(members.live_hosts(now), now) == ['10.9.9.9']
--- a/tests/test_topic.py
+++ b/tests/test_topic.py
@@ -9,6 +9,7 @@
 from gorsefall.policy import freshness
 from gorsefall.relay import changes
 from gorsefall.relay import topic
+from gorsefall.relay import topicfollower
 
 PACE = topic.ReadPace(pause_s=0.1)
 
@@ -27,7 +28,8 @@
     observed = stores.ObservedState(store)
     expected = {}
     with mock.patch.object(freshness, 'clock', lambda: loop.now):
-        topic.Follower(loop, store, observed, name='t', pace=PACE).start()
+        topicfollower.Follower(loop, store, observed, name='t',
+                               pace=PACE).start()
         for i, (what, key, wait_s) in enumerate(steps):
             if what == 'put':
                 expected[key] = b'%d' % i
@@ -58,7 +60,7 @@
     for key in 'abcdefgh':
         store.put(key, key.encode())
     observed = stores.ObservedState(store)
-    topic.Follower(loop, store, observed, name='t', pace=PACE).start()
+    topicfollower.Follower(loop, store, observed, name='t', pace=PACE).start()
     loop.run(10.0)
     assert sorted(observed.newest) == list('abcdefgh')
 
@@ -73,11 +75,11 @@
     store.put('a', b'1')
     observed = stores.ObservedState(store)
     with mock.patch.object(freshness, 'clock', lambda: loop.now):
-        topic.Follower(loop,
-                       store,
-                       observed,
-                       name='t',
-                       pace=topic.ReadPace(wait_s=1.2)).start()
+        topicfollower.Follower(loop,
+                               store,
+                               observed,
+                               name='t',
+                               pace=topic.ReadPace(wait_s=1.2)).start()
         loop.run(2.0)
         store.put('a', b'2')
         while observed.newest['a'] != b'2':
@@ -105,11 +107,11 @@
     source, values = _HeldSource(), []
     listener = topic.Listener()
     listener.on_record = lambda record: values.append(record.value)
-    follower = topic.Follower(stores.Loop(),
-                              source,
-                              listener,
-                              name='t',
-                              max_kb=1)
+    follower = topicfollower.Follower(stores.Loop(),
+                                      source,
+                                      listener,
+                                      name='t',
+                                      max_kb=1)
     follower.set_continuous(False)
     follower.start()
     source.snapshots.pop()(topic.SnapshotPage([], False, 1), None)
