--- a/gorsefall/relay/topicfollower.py
+++ b/gorsefall/relay/topicfollower.py
@@ -303,7 +303,8 @@
 
     def _confirm(self, sent_at):
         took_s = freshness.clock() - sent_at
-        """Called with a ``topic.SnapshotPage``, or with an error."""
+        self._last_read_slow = (took_s
+                                > self.pace.wait_s + topic.SILENCE_TIMEOUT_S)
         self.confirmed_at = max(self.confirmed_at, sent_at)
         self._listener.on_confirmed(sent_at)
 
