--- a/gorsefall/cmdline.py
+++ b/gorsefall/cmdline.py
@@ -10,6 +10,7 @@
 from gorsefall import catalogue
 from gorsefall import errors
 from gorsefall import explain
+from gorsefall import explainduties
 from gorsefall import loglines
 from gorsefall import logs
 from gorsefall import publish
@@ -127,7 +128,14 @@
     if not files:
         raise errors.LogFileError(
             'at least one log file is required before the request ID')
-    print(explain.explain(loglines.read_files(files), request))
+    log = loglines.read_files(files)
+    window = request.removeprefix(explainduties.WINDOW_PREFIX)
+    if window == request:
+        print(explain.explain(log, request))
+        return 0
+    if not window.isdecimal():
+        raise errors.LogFileError(f'{window!r} is not the number of a window')
+    print(explainduties.explain(log, int(window)))
     return 0
 
 
--- a/gorsefall/loglines.py
+++ b/gorsefall/loglines.py
@@ -176,11 +176,70 @@
     """The process exited normally."""
 
 
+class DutyEvent(Event):
+    """A line about the duties that one entry performs for all."""
+
+
+class WindowEvent(DutyEvent):
+    """A line about the usage report of one window.
+
+    Attributes:
+        window: Its number.
+    """
+    window: int
+
+
+class UsageCounted(WindowEvent, tag='usage_counted'):
+    """The counts of a window were fixed."""
+    requests: int
+    accounts: int
+    after_s: float
+
+
+class UsageReported(WindowEvent, tag='usage_reported'):
+    """The platform answered a report, or did not."""
+    answer: str
+
+
+class UsageMissed(WindowEvent, tag='usage_missed'):
+    """No report of a window was accepted in time."""
+    overdue_s: float
+
+
+class Claimed(DutyEvent, tag='claimed'):
+    """A claim was confirmed; ``before`` is None at a takeover."""
+    token: int
+    before: int | None = None
+
+
+class DutiesLost(DutyEvent, tag='duties_lost'):
+    """The process no longer holds the duties."""
+    reason: str
+
+
+class ClaimFailed(DutyEvent, tag='claim_failed'):
+    """A claim has an unknown outcome."""
+    error: str
+
+
+class ClaimNotRead(DutyEvent, tag='claim_not_read'):
+    """The last claim could not be read."""
+    error: str
+
+
+class PlatformCallFailed(DutyEvent, tag='platform_call_failed'):
+    """A call to the platform failed, or got no answer."""
+    path: str
+    error: str
+
+
 _EventType = (Sent | AttemptFailed | NotRun | Retry | Parked | Restored |
               Answered | Configuration | ProofLost | ProofRegained | StoreLost |
               StoreRegained | ReplicaSeen | ReplicaDoubtful | ReplicaGone |
               ReplicaLeaving | ReplicaPaused | LimitAnnounced | Started |
-              Stopping | Stopped)
+              Stopping | Stopped | UsageCounted | UsageReported | UsageMissed |
+              Claimed | DutiesLost | ClaimFailed | ClaimNotRead |
+              PlatformCallFailed)
 _decoder = msgspec.json.Decoder(_EventType)
 
 
