Scaling: orders change a large fleet over minutes, not at once

The cause: the holder replaced all 3,000 regular replicas by spot ones as soon as these had booted.

A fleet of tens is ordered as before.

--- a/gorsefall/duties/orders.py
+++ b/gorsefall/duties/orders.py
@@ -4,6 +4,7 @@
 
 from gorsefall import logs
 from gorsefall import metrics
+from gorsefall.duties import changebudget
 from gorsefall.duties import demand
 from gorsefall.duties import kinds
 from gorsefall.duties import scaling
@@ -38,6 +39,7 @@
         self._planners = {}
         self._accepted = {}
         self._refused_at = {}
+        self._budget = changebudget.ChangeBudget(node.loop.now)
         self._plan_at = float('-inf')
         self._held_since = float('-inf')
 
@@ -64,14 +66,23 @@
             return {}
         self._plan_at = now + PLAN_PERIOD_S
         ordered = {o.pool: o.count for o in claim.orders}
-        changes = {}
+        current, target = {}, {}
         for name, service in self._node.table.services.items():
             if service.scaling is not None:
-                changes |= self._plan_service(name, service.scaling, ordered,
-                                              now)
-        if self._tuning.observe_only:
-            return {}
-        return changes
+                seen = self._observe(name, ordered, now)
+                current |= seen.ready | seen.ordered
+                target |= self._plan_service(name, service.scaling, seen)
+        changes = self._budget.limit(current, target, now)
+        if changes:
+            self._log.info('replicas_planned',
+                           needed={
+                               name: round(p.needed, 1)
+                               for name, p in self._planners.items()
+                           },
+                           ready=sum(current.values()),
+                           changes=[(*p, n) for p, n in changes.items()],
+                           ordering=not self._tuning.observe_only)
+        return {} if self._tuning.observe_only else changes
 
     def _sees_enough(self, now):
         """Returns whether replicas and most other entries are observed."""
@@ -80,32 +91,17 @@
                 not node.fleet.store_lost and
                 node.work.peer_view.members.hears_most(now))
 
-    def _plan_service(self, name, terms, ordered, now):
+    def _plan_service(self, name, terms, seen):
+        """Returns the plan of one service, and updates its gauges."""
         planner = self._planners.setdefault(name,
                                             scaling.Planner(name, self._tuning))
-        seen = self._observe(name, ordered, now)
         plan = planner.plan(terms, seen)
-        changes = {
-            pool: count
-            for pool, count in plan.items()
-            if count != ordered.get(pool, seen.ready.get(pool, 0))
-        }
         metrics.REPLICAS_NEEDED.labels(name).set(planner.needed)
         for pool, count in plan.items():
             metrics.REPLICAS_ORDERED.labels(*_labels(pool)).set(count)
             metrics.REPLICAS_READY.labels(*_labels(pool)).set(
                 seen.ready.get(pool, 0))
-        if changes:
-            self._log.info('replicas_planned',
-                           service=name,
-                           needed=round(planner.needed, 1),
-                           demand=seen.demand and str(seen.demand),
-                           ready=sum(seen.ready.values()),
-                           changes=[
-                               (p.zone, p.spot, n) for p, n in changes.items()
-                           ],
-                           ordering=not self._tuning.observe_only)
-        return changes
+        return plan
 
     def _observe(self, name, ordered, now):
         reps = self._node.fleet.of_service(name)
