--- a/gorsefall/duties/coordinator.py
+++ b/gorsefall/duties/coordinator.py
@@ -45,7 +45,7 @@
 CALL_PAUSE_S = 0.6
 """Pause after a failed call to the platform, s."""
 
-MAX_CLOUD_SILENCE_S = 2.5
+MAX_PLATFORM_SILENCE_S = 2.5
 """Time for which all calls to the platform may fail before the holder hands the
 duties over, s: another entry may reach it."""
 
@@ -134,7 +134,7 @@
         self._settled = collections.deque(maxlen=MAX_SETTLED)
         self._open_calls = 0
         self._call_at = float('-inf')
-        self._cloud_failing_since = None
+        self._failing_since = None
         self._reports_usage = reports_usage
         self._tracker = tracker
         self.lease = lease
@@ -273,9 +273,9 @@
             # An entry that is cut off from most others knows their counts and
             # their load no more; one of them takes over.
             return
-        if self._cloud_is_silent():
+        if self._platform_is_silent():
             self._log.warning('platform_silent')
-            self._cloud_failing_since = None
+            self._failing_since = None
             self.lease.release()
             return
         self._count_missed(self.lease.claim)
@@ -300,10 +300,10 @@
         if self._scaler is not None:
             self._scaler.reset()
 
-    def _cloud_is_silent(self):
-        return (self._cloud_failing_since is not None and
-                self._loop.now - self._cloud_failing_since
-                > MAX_CLOUD_SILENCE_S)
+    def _platform_is_silent(self):
+        return (self._failing_since is not None and
+                self._loop.now - self._failing_since
+                > MAX_PLATFORM_SILENCE_S)
 
     def _normalized(self, claim):
         """Returns a claim of another holder without windows to come.
@@ -428,7 +428,7 @@
         self._open_calls -= 1
         if answer is kinds.Answer.UNKNOWN:
             self._call_at = self._loop.now + CALL_PAUSE_S
-            if self._cloud_failing_since is None:
-                self._cloud_failing_since = self._loop.now
+            if self._failing_since is None:
+                self._failing_since = self._loop.now
         else:
-            self._cloud_failing_since = None
+            self._failing_since = None
