--- a/gorsefall/duties/coordinator.py
+++ b/gorsefall/duties/coordinator.py
@@ -302,8 +302,7 @@
 
     def _platform_is_silent(self):
         return (self._failing_since is not None and
-                self._loop.now - self._failing_since
-                > MAX_PLATFORM_SILENCE_S)
+                self._loop.now - self._failing_since > MAX_PLATFORM_SILENCE_S)
 
     def _normalized(self, claim):
         """Returns a claim of another holder without windows to come.
