Observability: connections to replicas are counted by outcome, and a refusal says how many replicas were not reached

From the log of one entry it could not be told whether replicas were gone or this entry alone had no path to them: nothing showed whether any connection was established meanwhile.

--- a/gorsefall/metrics.py
+++ b/gorsefall/metrics.py
@@ -65,6 +65,12 @@
                     'Requests waiting, by pool.', ('pool',),
                     registry=REGISTRY)
 
+REPLICA_CONNECTS = prom.Counter('gorsefall_replica_connects_total',
+                                'New connections to replicas, by service and '
+                                'outcome (established, failed).',
+                                ('service', 'outcome'),
+                                registry=REGISTRY)
+
 MAX_ACCOUNT_ROUTES = 6000
 MAX_ROUTES = 100
 """Maximum number of label sets; further ones are counted under ``OTHER``.
--- a/gorsefall/net/outbound.py
+++ b/gorsefall/net/outbound.py
@@ -95,7 +95,8 @@
                  addr,
                  connect_timeout_s,
                  on_release,
-                 window_bytes=None):
+                 window_bytes=None,
+                 on_connect=None):
         """Starts connecting.
 
         Args:
@@ -106,9 +107,12 @@
                 connection can be reused within ``idle_timeout_s`` seconds, and
                 with a timeout of 0 when it is closed.
             window_bytes: See ``tcp.Connection.connect``.
+            on_connect: Called once with whether the connection was
+                established.
         """
         self._loop = loop
         self._on_release = on_release
+        self._on_connect = on_connect
         self._call = None
         self._h11 = None
         self._desynchronized = False
@@ -183,6 +187,12 @@
     def on_connected(self):
         """See ``tcp.Connection``."""
         self._timer.cancel()
+        self._report_connect(True)
+
+    def _report_connect(self, established):
+        on_connect, self._on_connect = self._on_connect, None
+        if on_connect is not None:
+            on_connect(established)
 
     def on_drained(self):
         """See ``tcp.Connection``."""
@@ -277,6 +287,7 @@
         call, self._call = self._call, None
         sent = self._transport.has_written
         self._close()
+        self._report_connect(False)
         if call is not None:
             call.on_fail(Failure(sent, reason, connection_lost))
 
@@ -303,8 +314,21 @@
                  *,
                  max_size,
                  connect_timeout_s,
-                 window_bytes=None):
+                 window_bytes=None,
+                 on_connect=None):
+        """Creates a pool without connections.
+
+        Args:
+            loop: The ``reactor.Reactor``.
+            addr: ``(host, port)`` of the peer.
+            max_size: Most connections open at once.
+            connect_timeout_s: Longest time to connect, s.
+            window_bytes: See ``tcp.Connection.connect``.
+            on_connect: Called with whether a new connection was established;
+                not called for one that was cancelled before.
+        """
         self._loop = loop
+        self._on_connect = on_connect
         self._addr = addr
         self._connect_timeout_s = connect_timeout_s
         self._window_bytes = window_bytes
@@ -324,7 +348,8 @@
             self.size += 1
             self.opened_count += 1
             conn = Connection(self._loop, self._addr, self._connect_timeout_s,
-                              self._on_released, self._window_bytes)
+                              self._on_released, self._window_bytes,
+                              self._on_connect)
         conn.send(call)
         return conn
 
--- a/gorsefall/relay/exchange.py
+++ b/gorsefall/relay/exchange.py
@@ -50,6 +50,7 @@
         self._deadline_timer = None
         self._attempt_timer = None
         self._longest_pause_s = 0.0
+        self._unreached_count = 0
         self._counted = False
         self._backup = backups.KvBackup(node.prober, node.fleet)
 
@@ -122,7 +123,8 @@
         if choice is None:
             raise errors.NoReplicaError(
                 f'no replica of {self._grant.service} is left '
-                f'({self.node.fleet.describe_refusals(self._grant.service)})',
+                f'({self.node.fleet.describe_refusals(self._grant.service)}); '
+                f'{self._unreached_count} not reached',
                 retry_after=self._retry_after_s())
         self._send(self.node.fleet.replicas[choice.target.name], choice)
 
@@ -323,6 +325,7 @@
             # A response that was lost on its way: the replica ran it.
             self._record_run()
         if not failure.sent:
+            self._unreached_count += 1
             self.attempts.record_unreached()
             self.restart()
         elif failure.connection_lost:
--- a/gorsefall/relay/replicas.py
+++ b/gorsefall/relay/replicas.py
@@ -2,6 +2,7 @@
 
 import contextlib
 
+from gorsefall import metrics
 from gorsefall.net import outbound
 from gorsefall.policy import acceptance
 from gorsefall.policy import knowledge
@@ -57,7 +58,13 @@
         self.pool = outbound.Pool(loop,
                                   record.addr,
                                   max_size=max_size,
-                                  connect_timeout_s=CONNECT_TIMEOUT_S)
+                                  connect_timeout_s=CONNECT_TIMEOUT_S,
+                                  on_connect=self._record_connect)
+
+    def _record_connect(self, established):
+        metrics.REPLICA_CONNECTS.labels(
+            self.record.service,
+            'established' if established else 'failed').inc()
 
     @property
     def limit(self):
