--- a/features/steps/platform_site.py
+++ b/features/steps/platform_site.py
@@ -45,8 +45,17 @@
     return site
 
 
-def new_sites(context, count, revoke_s, duties=''):
-    """Returns sites of one entry each, which are peers and share a store."""
+def new_sites(context, count, revoke_s, duties='', routed=0):
+    """Returns sites of one entry each, which are peers and share a store.
+
+    Args:
+        context: The context of the scenario.
+        count: Number of entries.
+        revoke_s: See ``standin.Site``.
+        duties: See ``standin.Site``.
+        routed: Number of entries, the first ones, with paths of their own to
+            the replicas.
+    """
     resources = context.site_resources = contextlib.ExitStack()
     context.add_cleanup(resources.close)
     port = resources.enter_context(ports.allocator())()
@@ -57,7 +66,8 @@
                             store=sites[0].store if sites else None,
                             peers=f'127.0.0.{i + 2}:{port}',
                             revoke_s=revoke_s,
-                            duties=duties)
+                            duties=duties,
+                            own_paths=i < routed)
         resources.callback(site.close)
         sites.append(site)
     return sites
--- a/gorsefall/net/outbound.py
+++ b/gorsefall/net/outbound.py
@@ -96,6 +96,7 @@
                  connect_timeout_s,
                  on_release,
                  window_bytes=None,
+                 *,
                  on_connect=None):
         """Starts connecting.
 
@@ -347,9 +348,12 @@
         if conn is None:
             self.size += 1
             self.opened_count += 1
-            conn = Connection(self._loop, self._addr, self._connect_timeout_s,
-                              self._on_released, self._window_bytes,
-                              self._on_connect)
+            conn = Connection(self._loop,
+                              self._addr,
+                              self._connect_timeout_s,
+                              self._on_released,
+                              self._window_bytes,
+                              on_connect=self._on_connect)
         conn.send(call)
         return conn
 
--- a/gorsefall/standins/acceptor.py
+++ b/gorsefall/standins/acceptor.py
@@ -19,16 +19,23 @@
     """
 
     def __init__(self):
-        self._sock = socket.create_server(('127.0.0.1', 0))
         self._conns = set()
-        self.address = self._sock.getsockname()
+        self._accepting = threading.Event()
+        self._accepting.set()
         self.accepted = 0
-        threading.Thread(target=self._accept, daemon=True).start()
+        self.listen()
+
+    def listen(self, port=0):
+        """Begins to accept connections, at a free port by default."""
+        self._sock = socket.create_server(('127.0.0.1', port))
+        self.address = self._sock.getsockname()
+        threading.Thread(target=self._accept, args=(self._sock,),
+                         daemon=True).start()
 
-    def _accept(self):
-        while True:
+    def _accept(self, listener):
+        while self._accepting.wait():
             try:
-                sock, _ = self._sock.accept()
+                sock, _ = listener.accept()
             except OSError:
                 return
             self.accepted += 1
