--- a/bench/days.py
+++ b/bench/days.py
@@ -1,11 +1,13 @@
 """Generates day files with faults for the installation's own bench.
 
-Usage: python bench/days.py SITE_FILE FOLDER [--mixed DAYS --seed SEED]
+Usage: python bench/days.py SITE_FILE FOLDER
+           [--mixed DAYS --seed SEED | --unreachable]
 
 The traffic is that of the quiet day in a site file. For each fault in
 ``troubles.toml`` one day has this fault alone and another has a second fault
 beside it. With ``--mixed``, each day has several faults at random times, which
-may overlap; one of them occurs twice.
+may overlap; one of them occurs twice. With ``--unreachable``, entries lose
+their paths to all replicas, or to those of one service, twice a day.
 """
 
 import argparse
@@ -56,12 +58,34 @@
 """Faults of a mixed day: range of their start times, s after the start of
 traffic, and of their number, without the repeated one."""
 
+FIRST_CUT, SECOND_CUT = (5.0, 12.0, 0.5), (26.0, 10.0, 0.9)
+"""Two times at which entries lose their paths: start, s after the start of
+traffic, duration, s, and their share."""
 
-def _quiet_day(site_file):
-    site = tomllib.loads(pathlib.Path(site_file).read_text(encoding='utf-8'))
+
+def _read_site(site_file):
+    return tomllib.loads(pathlib.Path(site_file).read_text(encoding='utf-8'))
+
+
+def _quiet_day(site):
     return next(d for d in site['day'] if d['slot'] == 'quiet')
 
 
+def _cuts(services, how):
+    """Returns the faults that cut entries from all replicas of services."""
+    return [(at,
+             Fault(
+                 'srv_cut', {
+                     'how': how,
+                     'service': service,
+                     'share': 1.0,
+                     'x': share,
+                     'for_s': for_s
+                 }))
+            for at, for_s, share in (FIRST_CUT, SECOND_CUT)
+            for service in services]
+
+
 def _write(folder, day):
     path = pathlib.Path(folder) / f'{day["name"]}.toml'
     path.parent.mkdir(parents=True, exist_ok=True)
@@ -97,6 +121,26 @@
                  sorted(faults, key=lambda t: t[0])))
 
 
+def write_unreachable(base, folder, services):
+    """Writes days on which entries lose their paths to the replicas."""
+    hangs = _cuts(services, 'some all')
+    others = _load_faults('beside_a_cut')
+    for name, faults in (
+        ('hang', hangs),
+        ('reset', _cuts(services, 'some all reset')),
+        ('one-service', _cuts(services[:1], 'some all')),
+        ('beside-others', [
+            *hangs, *((at, other)
+                      for at in (FIRST_CUT[0] + 3, SECOND_CUT[0] + 2)
+                      for other in others)
+        ]),
+    ):
+        _write(
+            folder,
+            _day(base, f'unreachable-{name}', sorted(faults,
+                                                     key=lambda t: t[0])))
+
+
 def main():
     """Writes the day files."""
     parser = argparse.ArgumentParser(description='Write days with faults.')
@@ -106,9 +150,16 @@
                         type=int,
                         help='number of days with several faults')
     parser.add_argument('--seed', default='1')
+    parser.add_argument('--unreachable',
+                        action='store_true',
+                        help='days on which entries reach no replica')
     args = parser.parse_args()
-    base = _quiet_day(args.site_file)
-    if args.mixed:
+    site = _read_site(args.site_file)
+    base = _quiet_day(site)
+    if args.unreachable:
+        write_unreachable(base, args.folder,
+                          [s['name'] for s in site['services']])
+    elif args.mixed:
         write_mixed(base, args.folder, args.mixed, args.seed)
     else:
         write_single_and_paired(base, args.folder)
