Paths: an entry that reaches no replica has another one forward its requests

Cause: an entry had one way to a replica, its own connections, and judged replicas one by one. Each request found out anew, 0.25 s a replica, and had nothing left after that. Ruled out: replicas taken for leaving (empty brackets in the error), replicas dark for all (other entries failed no attempt).

Now connects that fail to two replicas with none established in between put the paths of a service in doubt; the request goes to the same replica through another entry, and if that reaches it, the paths are lost until probes connect again. The other entry lends a pooled connection for one call; key, limits, tiers, retries, usage and placement stay where the caller is. It is asked before it gets any part of the request, so "not run" stays true if it is frozen or gone; its own end is told from a break of the replica's connection. Where nobody reaches the replicas, callers are refused at once.

--- a/features/platform_unreachable.feature
+++ b/features/platform_unreachable.feature
@@ -17,3 +17,29 @@
       | hang                                 |
       | are reset                            |
       | live on while new ones are refused   |
+
+  Scenario: only the replicas of one service cannot be reached
+    When connections of the first entry to the plain replicas hang
+    Then its callers are served once it has had time to notice
+    And it sends requests to the other service itself
+
+  Scenario: no entry reaches the replicas
+    When the replicas are gone and connections of the first entry hang
+    Then requests are soon refused as not run
+    And no request ran
+
+  Scenario Outline: the entry that forwards is <how>
+    When connections of the first entry to all replicas hang
+    And the entry that forwards a request is <how>
+    Then a request that may run once has the outcome <outcome>
+    And its callers are served by the remaining entry
+
+    Examples:
+      | how     | outcome |
+      | killed  | 502     |
+      | stopped | 200     |
+
+  Scenario: a caller leaves while another entry forwards its request
+    When connections of the first entry to all replicas are reset
+    And a caller leaves while its request is forwarded
+    Then the replica soon stops to work on it
--- a/features/steps/unreachable_steps.py
+++ b/features/steps/unreachable_steps.py
@@ -1,5 +1,6 @@
 """Steps of the feature on an entry that reaches no replica."""
 
+import signal
 import time
 
 from behave import given
@@ -10,6 +11,7 @@
 import entry_paths
 import standin
 import wire_callers
+import wire_replica
 
 from gorsefall.standins import waiting
 
@@ -18,6 +20,9 @@
 
 REQUESTS_OF_A_KIND = 12
 
+QUICK_S = 0.8
+"""Time within which a request that nobody can serve is refused, s."""
+
 
 @given('three entries on the platform, the first with paths of its own')
 def step_three(context):
@@ -53,6 +58,10 @@
 @then('its callers are served once it has had time to notice')
 def step_served(context):
     _send_during_notice(context)
+    _check_all_served(context)
+
+
+def _check_all_served(context):
     for kind in platform_site.PATH_BY_KIND:
         for _ in range(REQUESTS_OF_A_KIND):
             reply = platform_site.send_request(context, kind, deadline_ms=1000)
@@ -67,10 +76,112 @@
 
     def sends_itself():
         platform_site.send_request(context)
-        sent = [
-            ln for ln in context.platform.log()
-            if ln['event'] == 'sent' and ln['rid'] == context.rid
-        ]
-        return context.reply.status == 200 and sent[-1].get('via') is None
+        return (context.reply.status == 200 and
+                _sent_line(context)['via'] is None)
 
     waiting.until(sends_itself, 'a request without another entry')
+
+
+@when('connections of the first entry to the plain replicas hang')
+def step_cut_service(context):
+    addrs = [
+        context.platform.replicas[n].addr for n in platform_site.PLAIN_REPLICAS
+    ]
+    context.platform.paths.cut(entry_paths.Cut.HANGS, addrs)
+
+
+@then('it sends requests to the other service itself')
+def step_other_service(context):
+    assert platform_site.send_request(context, 'streaming').status == 200
+    assert _sent_line(context)['via'] is None
+
+
+def _sent_line(context):
+    """Returns the last log line on the sending of the last request."""
+    return [
+        ln for ln in context.platform.log()
+        if ln['event'] == 'sent' and ln['rid'] == context.rid
+    ][-1]
+
+
+@when('the replicas are gone and connections of the first entry hang')
+def step_cut_all(context):
+    for replica in context.platform.replicas.values():
+        replica.close()
+    context.platform.paths.cut(entry_paths.Cut.HANGS)
+
+
+@then('requests are soon refused as not run')
+def step_refused(context):
+    _send_during_notice(context)
+    for _ in range(REQUESTS_OF_A_KIND):
+        sent_at = time.monotonic()
+        reply = platform_site.send_request(context, 'non_idempotent')
+        assert reply.status == 503, reply
+        took_s = time.monotonic() - sent_at
+        assert took_s < QUICK_S, (took_s, reply)
+        assert float(reply.headers['retry-after']) > 0
+
+
+@then('no request ran')
+def step_none_ran(context):
+    assert not platform_site.runs_of(context, context.rid)
+
+
+@when('the entry that forwards a request is {how}')
+def step_stop_forwarder(context, how):
+    _send_during_notice(context)
+    replicas = context.platform.replicas.values()
+    for replica in replicas:
+        replica.script.append('answers slowly')
+    context.rid = platform_site.new_rid(context)
+    context.sock = wire_callers.connect(context.platform.callers)
+    context.sock.sendall(
+        wire_callers.request_bytes('/n/x', context.rid, body=b'once'))
+    waiting.until(lambda: platform_site.runs_of(context, context.rid), 'a run')
+    for replica in replicas:
+        replica.script.clear()
+    host = _sent_line(context)['via']
+    forwarder = next(s for s in context.sites if s.peers_host == host)
+    forwarder.proc.send_signal(signal.SIGKILL if how ==
+                               'killed' else signal.SIGTERM)
+
+
+@then('a request that may run once has the outcome {status:d}')
+def step_outcome(context, status):
+    reply = wire_callers.read_response(context.sock)
+    assert reply.status == status, reply
+    assert len(platform_site.runs_of(context, context.rid)) == 1
+
+
+@then('its callers are served by the remaining entry')
+def step_served_by_other(context):
+    _check_all_served(context)
+
+
+@when('a caller leaves while its request is forwarded')
+def step_leave(context):
+    _send_during_notice(context)
+    context.rid = platform_site.new_rid(context)
+    with wire_callers.connect(context.platform.callers) as sock:
+        sock.sendall(
+            wire_callers.request_bytes('/i/x',
+                                       context.rid,
+                                       body=wire_replica.ENDLESS_MARKER))
+        waiting.until(lambda: platform_site.runs_of(context, context.rid),
+                      'a run')
+
+
+@then('the replica soon stops to work on it')
+def step_stopped(context):
+    waiting.until(lambda: any(context.rid in r.abandoned_at
+                              for r in context.platform.replicas.values()),
+                  'the replica to notice',
+                  timeout_s=0.5)
+
+
+@then('no entry takes a replica for exited')
+def step_no_exit(context):
+    _send_during_notice(context)
+    for site in context.sites:
+        assert not [ln for ln in site.log() if ln['event'] == 'replica_ended']
--- a/gorsefall/errors.py
+++ b/gorsefall/errors.py
@@ -181,6 +181,11 @@
     status = 502
 
 
+class FrameError(GorsefallError):
+    """Another process sent a frame that is too long or no known message."""
+    code = 'bad_frame'
+
+
 class LogServiceError(GorsefallError):
     """The platform's log service refused or failed a call, or did not respond.
 
--- a/gorsefall/explain.py
+++ b/gorsefall/explain.py
@@ -75,6 +75,11 @@
         '{0.replica} announced its exit in a response',
     loglines.ReplicaPaused:
         '{0.replica} refused a request and asked for a pause of {0.for_s:g} s',
+    loglines.PathsRegained:
+        'the replicas of {0.service} could be reached again, after '
+        '{0.after_s:g} s',
+    loglines.Forwarded:
+        'forwarded for {0.entry} to {0.replica}: {0.outcome} after {0.ms} ms',
     loglines.Started:
         'the process started',
     loglines.Stopping:
@@ -97,6 +102,10 @@
             f'{event.proof_age_s:.2f} s earlier')
 
 
+def _via(event):
+    return f'; through the entry at {event.via}' if event.via else ''
+
+
 @functools.singledispatch
 def describe(event):
     """Returns a sentence that describes a ``loglines.Event``."""
@@ -109,7 +118,13 @@
             f'{event.service or "its service"}, priority {event.priority}; '
             f'{event.outstanding} requests of this entry and about '
             f'{event.others:.0f} of other entries were in flight there; '
-            f'{_confirmed(event)}')
+            f'{_confirmed(event)}{_via(event)}')
+
+
+@describe.register
+def _(event: loglines.PathsLost):
+    return (f'this entry could not connect to {", ".join(event.not_reached)} '
+            f'of {event.service}; {event.by} reached {event.reached}')
 
 
 @describe.register
@@ -124,7 +139,8 @@
     reached = ('may have received the request'
                if event.sent else 'did not receive the request')
     return (f'the attempt at {event.replica} failed after '
-            f'{event.after_ms:.0f} ms ({event.reason}); the replica {reached}')
+            f'{event.after_ms:.0f} ms ({event.reason}); the replica {reached}'
+            f'{_via(event)}')
 
 
 @describe.register
@@ -147,6 +163,8 @@
         return 'configuration'
     if isinstance(event, loglines.ProofLost | loglines.ProofRegained):
         return 'confirmation'
+    if isinstance(event, loglines.PathsLost | loglines.PathsRegained):
+        return f'paths {event.service}'
     if isinstance(event, loglines.StoreLost | loglines.StoreRegained):
         return f'store {event.topic}'
     if isinstance(
@@ -259,15 +277,18 @@
         if isinstance(line.event, loglines.RequestEvent) and
         line.event.rid == request
     ]
+    forwarded = [ln for ln in own if isinstance(ln.event, loglines.Forwarded)]
+    own = [ln for ln in own if ln not in forwarded] or own
     if not own:
         raise errors.UnknownRequestError(
             f'{request}: none of {len(log.lines)} lines is of this request; it '
             'never reached these entries, or its lines were dropped')
     out = [f'request {request} at {own[0].process}', '', 'observed state:']
     out += _format(_observed_state(log.lines, own)) or ['  nothing yet']
-    out += [
-        '', 'decisions:', *_format(own), '', f'cause: {cause(log.lines, own)}'
-    ]
+    out += ['', 'decisions:', *_format(own)]
+    if forwarded and forwarded != own:
+        out += ['', f'at {forwarded[0].process}:', *_format(forwarded)]
+    out += ['', f'cause: {cause(log.lines, own)}']
     if log.malformed:
         out += ['', f'{log.malformed} malformed lines were skipped']
     return '\n'.join(out)
--- a/gorsefall/loglines.py
+++ b/gorsefall/loglines.py
@@ -45,6 +45,7 @@
     tokens: int = 0
     ahead: int = 0
     version: int | None = None
+    via: str | None = None
     proof_age_s: float | None = None
 
 
@@ -54,6 +55,15 @@
     reason: str
     sent: bool
     after_ms: float = 0.0
+    via: str | None = None
+
+
+class Forwarded(RequestEvent, tag='forwarded'):
+    """This entry forwarded the request of another one to a replica."""
+    replica: str = ''
+    entry: str = ''
+    outcome: str = ''
+    ms: float | None = None
 
 
 class NotRun(RequestEvent, tag='not_run'):
@@ -164,6 +174,20 @@
     per_s: float | None = None
 
 
+class PathsLost(ObservedState, tag='paths_lost'):
+    """This entry does not reach the replicas of a service itself."""
+    service: str = ''
+    not_reached: list[str] = []
+    reached: str = ''
+    by: str = ''
+
+
+class PathsRegained(ObservedState, tag='paths_regained'):
+    """This entry reaches the replicas of a service again."""
+    service: str = ''
+    after_s: float = 0.0
+
+
 class Started(ObservedState, tag='started'):
     """The process started."""
 
@@ -233,13 +257,13 @@
     error: str
 
 
-_EventType = (Sent | AttemptFailed | NotRun | Retry | Parked | Restored |
-              Answered | Configuration | ProofLost | ProofRegained | StoreLost |
-              StoreRegained | ReplicaSeen | ReplicaDoubtful | ReplicaGone |
-              ReplicaLeaving | ReplicaPaused | LimitAnnounced | Started |
-              Stopping | Stopped | UsageCounted | UsageReported | UsageMissed |
-              Claimed | DutiesLost | ClaimFailed | ClaimNotRead |
-              PlatformCallFailed)
+_EventType = (Sent | AttemptFailed | Forwarded | PathsLost | PathsRegained |
+              NotRun | Retry | Parked | Restored | Answered | Configuration |
+              ProofLost | ProofRegained | StoreLost | StoreRegained |
+              ReplicaSeen | ReplicaDoubtful | ReplicaGone | ReplicaLeaving |
+              ReplicaPaused | LimitAnnounced | Started | Stopping | Stopped |
+              UsageCounted | UsageReported | UsageMissed | Claimed |
+              DutiesLost | ClaimFailed | ClaimNotRead | PlatformCallFailed)
 _decoder = msgspec.json.Decoder(_EventType)
 
 
--- a/gorsefall/metrics.py
+++ b/gorsefall/metrics.py
@@ -71,6 +71,15 @@
                                 ('service', 'outcome'),
                                 registry=REGISTRY)
 
+PATHS_LOST = prom.Gauge('gorsefall_paths_lost',
+                        'Whether this entry has lost its paths to the '
+                        'replicas, by service.', ('service',),
+                        registry=REGISTRY)
+FORWARDED = prom.Counter('gorsefall_forwarded_total',
+                         'Requests passed on to another entry (out) or taken '
+                         'from one (in), by outcome.', ('direction', 'outcome'),
+                         registry=REGISTRY)
+
 MAX_ACCOUNT_ROUTES = 6000
 MAX_ROUTES = 100
 """Maximum number of label sets; further ones are counted under ``OTHER``.
--- a/gorsefall/net/outbound.py
+++ b/gorsefall/net/outbound.py
@@ -8,6 +8,7 @@
 
 import collections
 import dataclasses
+import enum
 import re
 
 import h11
@@ -28,6 +29,20 @@
 _KEEP_ALIVE = re.compile(rb'timeout=(\d+)')
 
 
+class Fault(enum.Enum):
+    """What failed about a call."""
+    UNREACHED = 'unreached'
+    """No connection was established."""
+    LOST = 'lost'
+    """The connection failed or was closed by the peer, as when the peer's
+    process exits."""
+    INVALID = 'invalid'
+    """The response is not acceptable, or did not come in time."""
+    FORWARDER = 'forwarder'
+    """Another entry that should forward the call failed or refused. It shows
+    nothing about the peer."""
+
+
 @dataclasses.dataclass(frozen=True)
 class Failure:
     """Why a call got no complete response.
@@ -35,13 +50,11 @@
     Attributes:
         sent: Whether the peer may have received part of the request.
         reason: What happened, for logs.
-        connection_lost: Whether the connection failed or was closed by the
-            peer, as when the peer's process exits. False for a connect timeout
-            and for a response that is not valid HTTP.
+        fault: The ``Fault``.
     """
     sent: bool
     reason: str
-    connection_lost: bool = False
+    fault: Fault = Fault.INVALID
 
 
 class Call:
@@ -88,7 +101,9 @@
         busy: Whether a call is in progress.
         bytes_in: Bytes received.
         bytes_out: Bytes handed to the kernel.
+        via: None: no other process is in between.
     """
+    via = None
 
     def __init__(self,
                  loop,
@@ -114,6 +129,7 @@
         self._loop = loop
         self._on_release = on_release
         self._on_connect = on_connect
+        self._connected = False
         self._call = None
         self._h11 = None
         self._desynchronized = False
@@ -188,12 +204,12 @@
     def on_connected(self):
         """See ``tcp.Connection``."""
         self._timer.cancel()
+        self._connected = True
         self._report_connect(True)
 
     def _report_connect(self, established):
-        on_connect, self._on_connect = self._on_connect, None
-        if on_connect is not None:
-            on_connect(established)
+        if self._on_connect is not None:
+            self._on_connect(established)
 
     def on_drained(self):
         """See ``tcp.Connection``."""
@@ -282,15 +298,17 @@
         self._fail('not connected in time')
 
     def _fail_connection(self, reason):
-        self._fail(reason, connection_lost=True)
+        self._fail(reason, Fault.LOST)
 
-    def _fail(self, reason, *, connection_lost=False):
+    def _fail(self, reason, fault=Fault.INVALID):
         call, self._call = self._call, None
         sent = self._transport.has_written
         self._close()
-        self._report_connect(False)
+        if not self._connected:
+            fault = Fault.UNREACHED
+            self._report_connect(False)
         if call is not None:
-            call.on_fail(Failure(sent, reason, connection_lost))
+            call.on_fail(Failure(sent, reason, fault))
 
     def _close(self):
         self._timer.cancel()
--- a/gorsefall/policy/attempts.py
+++ b/gorsefall/policy/attempts.py
@@ -55,6 +55,11 @@
         """Drops the last attempt: no byte of it was sent."""
         self.in_doubt.remove(self.replicas.pop())
 
+    def record_untried(self):
+        """Drops the last attempt: its replica was not even asked."""
+        self.tried.discard(self.replicas[-1])
+        self.record_unreached()
+
     def record_refusal(self):
         """Records that the last replica refused the request without a run."""
         self._refusals += 1
--- a/gorsefall/policy/entrystatus.py
+++ b/gorsefall/policy/entrystatus.py
@@ -150,6 +150,7 @@
         duties: The ``DutiesHeld`` of the holder, else None.
         decode_engines: ``service -> engines`` that it would use for
             decode-heavy requests.
+        unreachable_services: Services whose replicas it does not reach itself.
     """
     name: str
     started_at_ms: int
@@ -170,6 +171,7 @@
     clock_ms: Count = 0
     duties: DutiesHeld | None = None
     decode_engines: dict[ids.ServiceName, Count] = {}
+    unreachable_services: tuple[ids.ServiceName, ...] = ()
 
     def without_reports(self):
         """Returns a copy without what may be left out of a message.
@@ -189,7 +191,8 @@
                       suspects_summary=self.suspects_summary,
                       clock_ms=self.clock_ms,
                       duties=self.duties,
-                      decode_engines=self.decode_engines)
+                      decode_engines=self.decode_engines,
+                      unreachable_services=self.unreachable_services)
 
     def responses_after(self, last):
         """Returns the responses that are not in the status ``last``.
--- a/gorsefall/policy/health.py
+++ b/gorsefall/policy/health.py
@@ -52,6 +52,10 @@
 
     def record_success(self):
         """Records a complete response: the replica is healthy again."""
+        self.forget_failures()
+
+    def forget_failures(self):
+        """Ends an ejection whose reason turned out not to be the replica."""
         self.missed_report_only = False
         self.failures = 0
         self.eject_until = 0.0
--- a/gorsefall/relay/exchange.py
+++ b/gorsefall/relay/exchange.py
@@ -27,6 +27,18 @@
 TIMEOUT_STATUS = 504
 """Statuses of a replica that failed, and of one that ran out of time."""
 
+MAX_UNREACHED_S = 0.2
+"""Time that a request spends on replicas that are not reached, s, before it is
+refused if all others have failed of late too: most of one connect timeout."""
+
+MAX_FORWARDING_S = 0.4
+"""Time spent on entries that do not forward a request, s, after which no
+further one is asked."""
+
+MAX_FORWARDING_FAILURES = 6
+"""Entries that are asked in vain to forward a request, after which it is
+refused."""
+
 
 class Exchange(serving.ActiveRequest):
     """Sends one caller request to replicas until the caller has a response.
@@ -51,6 +63,11 @@
         self._attempt_timer = None
         self._longest_pause_s = 0.0
         self._unreached_count = 0
+        self._unreached_s = 0.0
+        self._detoured = False
+        self._forwarding_failures = 0
+        self._forwarding_s = 0.0
+        self._detour = None
         self._counted = False
         self._backup = backups.KvBackup(node.prober, node.fleet)
 
@@ -116,11 +133,11 @@
             self._grant.renew()
         if not self.node.crashes.try_begin_run(self.digest, self):
             return
-        choice = self._grant.choose_replica(
+        choice = self._take_detour() or self._grant.choose_replica(
             self.attempts.tried,
             may_shed=not self.attempts.replicas,
             least_loaded=self.node.crashes.suspects.must_serialize(self.digest))
-        if choice is None:
+        if choice is None or self._is_in_vain(choice):
             raise errors.NoReplicaError(
                 f'no replica of {self._grant.service} is left '
                 f'({self.node.fleet.describe_refusals(self._grant.service)}); '
@@ -128,6 +145,26 @@
                 retry_after=self._retry_after_s())
         self._send(self.node.fleet.replicas[choice.target.name], choice)
 
+    def _take_detour(self):
+        """Returns the choice that is to be sent through another entry."""
+        choice, self._detour = self._detour, None
+        if choice is None:
+            return None
+        replica = self.node.fleet.replicas.get(choice.target.name)
+        if (replica is None or replica.view is not choice.target or
+                replica.refusal(time.monotonic())):
+            return None
+        return choice
+
+    def _is_in_vain(self, choice):
+        """Returns whether a further attempt would only make its caller wait.
+
+        Replicas could not be reached for a while, and all that are left have
+        failed of late.
+        """
+        return (self._unreached_s >= MAX_UNREACHED_S and
+                choice.target.eject_until > time.monotonic())
+
     def _retry_after_s(self):
         """Returns the delay after which a caller should retry, s."""
         return (self.node.fleet.accepts_in_s(self._grant.service) +
@@ -156,7 +193,7 @@
             options,
             choice,
             decode_heavy=self._grant.profile.decode_heavy)
-        self._attempt.conn = replica.pool.send(self._attempt)
+        self._attempt.conn = self.node.paths.send(replica, self._attempt)
         self._attempt.log_sent(self._grant.service, len(self.attempts.replicas))
         self._start_attempt_timer()
 
@@ -197,10 +234,18 @@
             # too, and continues later. Giving up here would lose its response.
             self._start_attempt_timer()
             return
-        attempt.conn.cancel()
         if not attempt.response_started:
             self._record_wait(attempt)
-        self.on_attempt_failed(attempt, outbound.Failure(True, 'silent'))
+        self.on_attempt_failed(attempt, self._cancel_silent(attempt))
+
+    def _cancel_silent(self, attempt):
+        """Cancels a silent attempt; returns its ``outbound.Failure``."""
+        if attempt.conn.cancel():
+            return outbound.Failure(True, 'silent')
+        if attempt.conn.via is not None:
+            return outbound.Failure(False, 'silent', outbound.Fault.FORWARDER)
+        self.node.paths.record_connect(attempt.replica, False)
+        return outbound.Failure(False, 'silent', outbound.Fault.UNREACHED)
 
     def _can_try_another(self):
         """Whether a retry is allowed and another replica is available."""
@@ -314,21 +359,30 @@
         """Called when an attempt ended without a complete response."""
         self._close_attempt(attempt)
         now = time.monotonic()
-        attempt.replica.view.record_failure(now)
+        detour = self._plan_detour(attempt, failure)
+        if not detour and not (failure.sent and
+                               failure.fault is outbound.Fault.FORWARDER):
+            attempt.replica.view.record_failure(now)
         self.log.info('attempt_failed',
                       replica=attempt.replica.record.id,
                       reason=failure.reason,
                       sent=failure.sent,
+                      via=attempt.conn.via,
                       after_ms=round((now - attempt.sent_at) * 1000, 1))
-        if failure.connection_lost and self._start_latency().covers(
-                now - attempt.sent_at):
+        lost = failure.fault is outbound.Fault.LOST
+        if lost and self._start_latency().covers(now - attempt.sent_at):
             # A response that was lost on its way: the replica ran it.
             self._record_run()
         if not failure.sent:
             self._unreached_count += 1
-            self.attempts.record_unreached()
+            self._unreached_s += now - attempt.sent_at
+            if detour:
+                self.attempts.record_untried()
+                self._detour = attempt.choice
+            else:
+                self.attempts.record_unreached()
             self.restart()
-        elif failure.connection_lost:
+        elif lost:
             run = crashes.BrokenRun(self.digest,
                                     attempt.sent_at,
                                     attempt.first_byte_at,
@@ -340,6 +394,32 @@
         else:
             self._handle_failure(attempt, failure.reason)
 
+    def _plan_detour(self, attempt, failure):
+        """Returns whether to send to the same replica through another entry.
+
+        Args:
+            attempt: The ``sending.Attempt`` that failed.
+            failure: The ``outbound.Failure``.
+        """
+        if failure.sent:
+            return False
+        if failure.fault is outbound.Fault.FORWARDER:
+            self._forwarding_failures += 1
+            self._forwarding_s += time.monotonic() - attempt.sent_at
+            if (self._forwarding_failures < MAX_FORWARDING_FAILURES and
+                    self._forwarding_s < MAX_FORWARDING_S):
+                return True
+            self.node.paths.record_elsewhere(attempt.replica, False,
+                                             attempt.conn.via)
+            return False
+        # Only once: if no entry can be asked, or none reaches it, the request
+        # is sent directly again, and its caller would only wait.
+        if (failure.fault is not outbound.Fault.UNREACHED or self._detoured or
+                not self.node.paths.needs_detour(attempt.replica)):
+            return False
+        self._detoured = True
+        return True
+
     def _handle_failure(self, attempt, reason):
         if self.done:
             return
--- a/gorsefall/relay/fleet.py
+++ b/gorsefall/relay/fleet.py
@@ -28,6 +28,7 @@
 
     Attributes:
         replicas: ``id -> replicas.Replica``.
+        paths: The ``paths.Paths`` to them; None to connect from here alone.
     """
 
     def __init__(self, loop, on_change=lambda: None):
@@ -40,6 +41,7 @@
         super().__init__()
         self._loop = loop
         self._on_change = on_change
+        self.paths = None
         self._records = {}
         self._replaced_ids = set()
         self._exited_replicas = {}
@@ -104,6 +106,17 @@
             self.replicas[record.id] = replicas.Replica(
                 self._loop, record, self._services[record.service],
                 self._on_change, self._acceptance_of(record))
+            self.replicas[record.id].on_connect = self._record_connect
+
+    def _record_connect(self, replica, established):
+        if self.paths is not None:
+            self.paths.record_connect(replica, established)
+
+    def _has_room(self, replica):
+        """Returns whether a connection to a replica is left."""
+        if not replica.pool.is_full():
+            return True
+        return self.paths is not None and self.paths.has_room(replica)
 
     def _acceptance_of(self, record):
         """Returns the ``acceptance.Acceptance`` of a record's incarnation.
@@ -300,6 +313,6 @@
         live = [
             r for r in self.of_service(service)
             if r.record.id not in exclude and not r.record_malformed and
-            not r.pool.is_full() and r.refusal(now, urgent=urgent) is None
+            self._has_room(r) and r.refusal(now, urgent=urgent) is None
         ]
         return [r for r in live if not r.is_doubtful(now)] or live
--- a/gorsefall/relay/node.py
+++ b/gorsefall/relay/node.py
@@ -21,9 +21,11 @@
 from gorsefall.relay import exchange
 from gorsefall.relay import fleet
 from gorsefall.relay import followers
+from gorsefall.relay import forwarder
 from gorsefall.relay import messages
 from gorsefall.relay import outcomes
 from gorsefall.relay import pacing
+from gorsefall.relay import paths
 from gorsefall.relay import peers
 from gorsefall.relay import prober
 from gorsefall.relay import servers
@@ -63,6 +65,9 @@
         prober: The ``prober.ReplicaProber`` of its replicas.
         crashes: The ``crashes.CrashTracker`` of its replicas.
         work: The ``workload.Workload`` at its replicas.
+        paths: The ``paths.Paths`` to its replicas.
+        forwarder: The ``forwarder.Forwarder`` for other entries; None before
+            the start, and if there are none.
         announcements: The ``announcements.AnnouncementTracker`` of its
             replicas.
         duties: This entry's part in the duties, a ``coordinator.NoDuties``.
@@ -96,6 +101,9 @@
         self.crashes = crashes.CrashTracker(self.loop, self.prober, self.fleet)
         self.work = workload.Workload(self.cfg.name, self.fleet,
                                       self.cfg.retries.window_s)
+        self.paths = paths.Paths(self)
+        self.prober.paths = self.fleet.paths = self.paths
+        self.forwarder = None
         self.announcements = announcements.AnnouncementTracker(
             self.loop, self.fleet, self.work.peer_view.members)
         self._peers = None
@@ -131,6 +139,8 @@
                                       self.cfg.seed_hosts)
             self._register_handlers()
             self._peers.start()
+            self.forwarder = forwarder.Forwarder(
+                self, settingsfile.split_addr(self.cfg.peers))
         self._followers.start(self._peers)
         self.crashes.start(self._peers)
         self.announcements.start()
@@ -209,6 +219,10 @@
                 lambda: self.work.others_first_attempts(service))
         return found
 
+    def on_paths_changed(self):
+        """Called when paths to replicas were lost or are back."""
+        self._on_load_changed()
+
     def _on_load_changed(self):
         if self._peers is not None:
             self._peers.schedule_status()
@@ -238,6 +252,7 @@
                 self.loop.now),
             replica_exits=self.fleet.recent_exits(self.loop.now),
             leaving_replicas=self.announcements.recent_leaving(self.loop.now),
+            unreachable_services=self.paths.unreachable_services(),
             **self.duties.status_fields())
 
     @property
@@ -335,7 +350,8 @@
     @property
     def in_flight(self):
         """See ``daemon.Daemon``."""
-        return len(self._exchanges)
+        forwarded = self.forwarder.in_flight if self.forwarder else 0
+        return len(self._exchanges) + forwarded
 
     @property
     def lame_duck_s(self):
@@ -369,6 +385,8 @@
         if self.shutdown.is_overdue(now):
             for active in list(self._exchanges):
                 active.abort()
+            if self.forwarder is not None:
+                self.forwarder.close_all()
         if self.shutdown.is_finished(
                 now, self.in_flight or self._callers.has_unsent()):
             self._finish()
--- a/gorsefall/relay/prober.py
+++ b/gorsefall/relay/prober.py
@@ -14,10 +14,18 @@
     UNKNOWN = 'unknown'
 
 
-class _Probe:
+class ConnectProbe:
     """Determines whether a replica's process runs, by connecting to it."""
 
     def __init__(self, loop, addr, timeout_s, done):
+        """Starts connecting.
+
+        Args:
+            loop: The ``reactor.Reactor``.
+            addr: ``(host, port)``.
+            timeout_s: Longest time to connect, s.
+            done: Called with the ``Verdict``.
+        """
         self._done = done
         self._conn = tcp.Connection(loop, self)
         self._timer = loop.call_later(timeout_s,
@@ -55,6 +63,9 @@
 
     A broken connection does not show whether its replica exited: it may have
     aborted this response only.
+
+    Attributes:
+        paths: The ``paths.Paths``; None to connect from here alone.
     """
 
     def __init__(self, loop):
@@ -65,6 +76,7 @@
         """
         self._loop = loop
         self._callbacks = {}
+        self.paths = None
         self._log = logs.get('ends')
 
     def probe(self, replica, done):
@@ -74,8 +86,29 @@
             callbacks.append(done)
             return
         self._callbacks[replica] = [done]
-        _Probe(self._loop, replica.record.addr, replicas.CONNECT_TIMEOUT_S,
-               lambda verdict: self._on_verdict(replica, verdict))
+
+        def on_verdict(verdict):
+            self._on_verdict(replica, verdict)
+
+        if self.paths is not None and self.paths.needs_detour(replica):
+            self._probe_elsewhere(replica, on_verdict)
+        else:
+            self.probe_from_here(replica, on_verdict)
+
+    def probe_from_here(self, replica, done):
+        """Calls ``done(verdict)`` with what connecting from here shows."""
+
+        def on_probed(verdict):
+            if self.paths is not None:
+                self.paths.record_connect(replica, verdict is Verdict.ALIVE)
+            done(verdict)
+
+        ConnectProbe(self._loop, replica.record.addr,
+                     replicas.CONNECT_TIMEOUT_S, on_probed)
+
+    def _probe_elsewhere(self, replica, done):
+        self.paths.probe_elsewhere(
+            replica, lambda verdict: done(verdict or Verdict.UNKNOWN))
 
     def _on_verdict(self, replica, verdict):
         callbacks = self._callbacks.pop(replica)
--- a/gorsefall/relay/replicas.py
+++ b/gorsefall/relay/replicas.py
@@ -2,7 +2,6 @@
 
 import contextlib
 
-from gorsefall import metrics
 from gorsefall.net import outbound
 from gorsefall.policy import acceptance
 from gorsefall.policy import knowledge
@@ -36,6 +35,8 @@
         acceptance: The ``acceptance.Acceptance`` that it has announced.
         reported_leaving_until: Time until which it is taken to be leaving, as
             other entries reported, s (monotonic).
+        on_connect: Called with this replica and whether a new connection to it
+            was established.
         exited_at: When it was found to have crashed, s (monotonic); None while
             it is assumed to run.
     """
@@ -47,6 +48,7 @@
         self.record_malformed = False
         self.exited_at = None
         self.acceptance = accepts
+        self.on_connect = lambda replica, established: None
         self.reported_leaving_until = float('-inf')
         self.view = knowledge.ReplicaView(name=record.id,
                                           zone=record.zone,
@@ -55,16 +57,12 @@
                                           prompt_cache=prompts.PromptCache(
                                               service.kv_tokens))
         max_size = max(2, int(service.max_connections * CONNECTION_SHARE))
-        self.pool = outbound.Pool(loop,
-                                  record.addr,
-                                  max_size=max_size,
-                                  connect_timeout_s=CONNECT_TIMEOUT_S,
-                                  on_connect=self._record_connect)
-
-    def _record_connect(self, established):
-        metrics.REPLICA_CONNECTS.labels(
-            self.record.service,
-            'established' if established else 'failed').inc()
+        self.pool = outbound.Pool(
+            loop,
+            record.addr,
+            max_size=max_size,
+            connect_timeout_s=CONNECT_TIMEOUT_S,
+            on_connect=lambda established: self.on_connect(self, established))
 
     @property
     def limit(self):
--- a/gorsefall/relay/sending.py
+++ b/gorsefall/relay/sending.py
@@ -16,7 +16,10 @@
         sent_at: When the request was sent, s (monotonic).
         first_byte_at: When the first body bytes of the response arrived, s;
             None before.
-        conn: The connection in use; has ``cancel``, ``pause`` and ``resume``.
+        choice: The ``placement.Choice`` of the replica.
+        request_id: The caller's id of the request.
+        conn: The connection in use; has ``cancel``, ``pause``, ``resume`` and
+            ``via``, the host of an entry that forwards the request or None.
         occupancy: Counts the request as in flight at the replica until closed.
         prefill_done: Call it when the response starts: the prompt tokens
             no longer wait for prefill.
@@ -33,8 +36,9 @@
         self.sent_at = time.monotonic()
         self.first_byte_at = None
         self._stream_monitor = stalls.StreamMonitor(replica.view)
-        self._choice = choice
         self.conn = None
+        self.request_id = req.id
+        self.choice = choice
         self.occupancy = contextlib.ExitStack()
         self.prefill_done = self.occupancy.enter_context(
             replica.in_flight(choice.prefill_tokens, decode_heavy=decode_heavy))
@@ -46,7 +50,7 @@
 
     def log_sent(self, service, number):
         """Logs attempt ``number`` and the data its replica was chosen by."""
-        choice, view, node = (self._choice, self.replica.view,
+        choice, view, node = (self.choice, self.replica.view,
                               self._exchange.node)
         self._exchange.log.info(
             'sent',
@@ -62,6 +66,7 @@
             ahead=round(choice.prefill_tokens_ahead),
             source=choice.fetch_source.name if choice.fetch_source else None,
             limit_per_s=self.replica.limit.per_s,
+            via=self.conn.via,
             version=node.table.version,
             proof_age_s=node.confirmation.logged_age_s())
 
@@ -69,8 +74,8 @@
         """Updates a ``pace.ServiceSpeed`` with the time until the response."""
         speed.record_start(
             (time.monotonic() - self.sent_at) * 1000,
-            self._choice.prefill_tokens_ahead + self._choice.prefill_tokens,
-            self._choice.slowness)
+            self.choice.prefill_tokens_ahead + self.choice.prefill_tokens,
+            self.choice.slowness)
 
     def record_duration(self, speed):
         """Updates a ``pace.ServiceSpeed`` with the duration of the run."""
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -65,6 +65,27 @@
     assert 'i-9' not in text
 
 
+def test_a_forwarded_request_is_followed_through_both_entries(tmp_path):
+    """An engineer on call sees a request leave one entry, and not what the
+    entry that forwarded it saw."""
+    (tmp_path / 'a.log').write_text(
+        '{"event": "paths_lost", "service": "s", "not_reached": ["i-1"], '
+        '"reached": "i-1", "by": "10.0.0.2"}\n'
+        '{"event": "sent", "rid": "r1", "replica": "i-1", "attempt": 1, '
+        '"priority": 1, "outstanding": 1, "others": 0, "via": "10.0.0.2"}\n'
+        '{"event": "answered", "rid": "r1", "outcome": "outcome_unknown", '
+        '"code": "outcome_unknown", "error": "i-1 may have run it"}\n')
+    (tmp_path / 'b.log').write_text(
+        '{"event": "forwarded", "rid": "r1", "replica": "i-1", '
+        '"entry": "10.0.0.1", "outcome": "lost", "ms": 40.2}\n')
+    text = explain.explain(
+        loglines.read_files([tmp_path / 'a.log', tmp_path / 'b.log']), 'r1')
+    assert 'could not connect to i-1 of s; 10.0.0.2 reached' in text
+    assert 'through the entry at 10.0.0.2' in text
+    assert 'forwarded for 10.0.0.1 to i-1: lost after 40.2 ms' in text
+    assert 'may have run it' in text.split('cause: ')[1]
+
+
 def test_observed_state_is_of_the_same_process_since_its_start(tmp_path):
     """Lines of other processes must not be mixed in.
 
