Exits: an entry that has lost its paths does not report its replicas as exited

With connections reset instead of hanging, every run at a cut entry broke, its prober was refused a connection, and each replica counted as exited. A request that ran there could also be blamed for the crashes.

Cause, the same as that of the refusals: what one entry sees of a replica was taken for the replica's state. A refusal to connect may be the path's. Reports are repeated for 6 s, and one that was refuted by a response meanwhile was believed again each time.

Now an exit counts only if another replica can be connected to, from here or else as another entry says, which makes the same check; and a report that is older than the replica's last response is void. One more connect for each exit that an entry sees.

--- a/features/platform_unreachable.feature
+++ b/features/platform_unreachable.feature
@@ -43,3 +43,7 @@
     When connections of the first entry to all replicas are reset
     And a caller leaves while its request is forwarded
     Then the replica soon stops to work on it
+
+  Scenario: replicas that exit are told from paths that are lost
+    When connections of the first entry to all replicas are reset
+    Then no entry takes a replica for exited
--- a/gorsefall/relay/crashes.py
+++ b/gorsefall/relay/crashes.py
@@ -171,7 +171,8 @@
         if verdict is prober.Verdict.EXITED:
             self._fleet.record_exit(replica, self._clock())
             # A run that was sent after the exit reached no process.
-            if run.sent_at < replica.exited_at:
+            exited_at = replica.exited_at
+            if exited_at is not None and run.sent_at < exited_at:
                 # Replicas that exit together are probed one after the other,
                 # and a busy entry gets the verdicts far apart.
                 self._record_crash(replica.record, run, broken_at)
--- a/gorsefall/relay/exchange.py
+++ b/gorsefall/relay/exchange.py
@@ -319,7 +319,7 @@
             return
         view = attempt.replica.view
         view.record_success()
-        attempt.replica.exited_at = None
+        attempt.replica.record_alive(time.monotonic())
         self.node.crashes.record_completed_run(self.digest)
         attempt.record_duration(self._speed())
         self.node.work.record_response(
--- a/gorsefall/relay/fleet.py
+++ b/gorsefall/relay/fleet.py
@@ -164,6 +164,8 @@
             at: When it was found, s (monotonic).
             reported: Whether another entry found it.
         """
+        if at <= replica.alive_at:
+            return
         if replica.exited_at is None:
             replica.exited_at = at
             if not reported:
--- a/gorsefall/relay/paths.py
+++ b/gorsefall/relay/paths.py
@@ -222,6 +222,33 @@
                                                    random)
         return known.get(chosen)
 
+    def check(self, replica, done):
+        """Checks the paths after connecting to a replica has failed.
+
+        Args:
+            replica: The ``replicas.Replica``.
+            done: Called with whether another replica was reached, one of the
+                same service if there is any; with True if there is none.
+        """
+        others = [
+            r for r in self._node.fleet.replicas.values()
+            if r is not replica and r.exited_at is None
+        ]
+        service = replica.record.service
+        same = [r for r in others if r.record.service == service]
+        if not others:
+            done(True)
+            return
+        other = random.choice(same or others)
+
+        def on_probed(verdict):
+            reached = verdict is prober.Verdict.ALIVE
+            self.record_connect(other, reached)
+            done(reached)
+
+        prober.ConnectProbe(self._loop, other.record.addr,
+                            replicas.CONNECT_TIMEOUT_S, on_probed)
+
     def probe_elsewhere(self, replica, done):
         """Calls ``done`` with what another entry finds out about a replica.
 
--- a/gorsefall/relay/prober.py
+++ b/gorsefall/relay/prober.py
@@ -62,7 +62,9 @@
     """Probes replicas whose connections broke, once for all callers.
 
     A broken connection does not show whether its replica exited: it may have
-    aborted this response only.
+    aborted this response only. If only the path to the replica broke,
+    connecting may be refused as well. So an exit counts only while another
+    replica can be connected to, from here or from another entry.
 
     Attributes:
         paths: The ``paths.Paths``; None to connect from here alone.
@@ -93,19 +95,39 @@
         if self.paths is not None and self.paths.needs_detour(replica):
             self._probe_elsewhere(replica, on_verdict)
         else:
-            self.probe_from_here(replica, on_verdict)
+            self.probe_from_here(
+                replica, lambda verdict: self._on_own_verdict(
+                    replica, verdict, on_verdict))
 
     def probe_from_here(self, replica, done):
-        """Calls ``done(verdict)`` with what connecting from here shows."""
+        """Calls ``done`` with what connecting from here shows.
+
+        Args:
+            replica: The ``replicas.Replica``.
+            done: Called with the ``Verdict``; None if this entry may have lost
+                its paths, so that it cannot tell.
+        """
 
         def on_probed(verdict):
-            if self.paths is not None:
-                self.paths.record_connect(replica, verdict is Verdict.ALIVE)
-            done(verdict)
+            if self.paths is None:
+                done(verdict)
+                return
+            self.paths.record_connect(replica, verdict is Verdict.ALIVE)
+            if verdict is Verdict.ALIVE:
+                done(verdict)
+            else:
+                self.paths.check(
+                    replica, lambda reached: done(verdict if reached else None))
 
         ConnectProbe(self._loop, replica.record.addr,
                      replicas.CONNECT_TIMEOUT_S, on_probed)
 
+    def _on_own_verdict(self, replica, verdict, done):
+        if verdict is None:
+            self._probe_elsewhere(replica, done)
+        else:
+            done(verdict)
+
     def _probe_elsewhere(self, replica, done):
         self.paths.probe_elsewhere(
             replica, lambda verdict: done(verdict or Verdict.UNKNOWN))
--- a/gorsefall/relay/replicas.py
+++ b/gorsefall/relay/replicas.py
@@ -47,6 +47,7 @@
         self.record_lapsed = False
         self.record_malformed = False
         self.exited_at = None
+        self.alive_at = float('-inf')
         self.acceptance = accepts
         self.on_connect = lambda replica, established: None
         self.reported_leaving_until = float('-inf')
@@ -89,6 +90,11 @@
             return acceptance.Refusal.LEAVING
         return self.acceptance.refusal(now, urgent=urgent)
 
+    def record_alive(self, now):
+        """Records that a response of it was completed."""
+        self.alive_at = now
+        self.exited_at = None
+
     def is_reported_leaving(self, now):
         """Returns whether other entries reported that it is leaving."""
         return now < self.reported_leaving_until
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -283,3 +283,20 @@
     directory.handle_status(_status(entrystatus.ReplicaExit('a', 0, 0)),
                             time.monotonic())
     assert names(directory) == {'a'}
+
+
+def test_an_exit_that_is_older_than_a_response_is_ignored():
+    """Reports of an exit are repeated for seconds, and a replica that serves
+    meanwhile is avoided again with each of them."""
+    directory = fleet.Fleet(Loop())
+    directory.set_services(SERVICES)
+    for name in 'ab':
+        directory.put(record(name))
+    replica = directory.replicas['a']
+    directory.record_exit(replica, 10.0, reported=True)
+    assert names(directory) == {'b'}
+    replica.record_alive(12.0)
+    directory.record_exit(replica, 11.0, reported=True)
+    assert names(directory) == {'a', 'b'}
+    directory.record_exit(replica, 13.0, reported=True)
+    assert names(directory) == {'b'}
