Connections: one lost keep-alive probe does not end them

A run that is silent for over two seconds (a long prefill, a caller that waits) lost its connection as one packet was lost: a user timeout of 1.5 s also decides when keep-alive gives up, by that time and one unanswered probe, whatever their count, so KEEPALIVE_PROBES = 2 was not so. Shown by the options that the kernel holds (tests/test_tcp.py, failed before) and by its documented rule, not by a run that drops packets.

Weighed: setting the timeout only while bytes are unacknowledged (two more system calls a request, and a stream would keep the short one); no user timeout (bytes that are never acknowledged would wait for minutes). Now probes follow after 2 and 3 s and the timeout is 3.5 s: two unanswered probes, dead peers are noticed after 4 s as before; unacknowledged bytes after 3.5 instead of 1.5 s.

--- a/gorsefall/net/tcp.py
+++ b/gorsefall/net/tcp.py
@@ -13,17 +13,21 @@
 """Connections that the kernel queues until they are accepted. If the queue is
 full, the kernel drops a caller's SYN, and its retransmission takes seconds."""
 
-USER_TIMEOUT_MS = 1500
-"""Age at which unacknowledged bytes close a connection, ms. This detects a
-peer that lost power or is behind a network partition. The value leaves time
-for several retransmissions of lost packets (200 ms each)."""
-
 KEEPALIVE_IDLE_S = 2
 """Time without data after which keep-alive probes are sent, s."""
 
+KEEPALIVE_INTERVAL_S = 1
+"""Time between two probes, s."""
+
 KEEPALIVE_PROBES = 2
-"""Unanswered probes, KEEPALIVE_IDLE_S apart, after which an idle connection is
-considered dead."""
+"""Unanswered probes after which an idle connection is considered dead: a single
+packet may be lost."""
+
+USER_TIMEOUT_MS = 3500
+"""Age at which unacknowledged bytes close a connection, ms. This detects a
+peer that lost power or is behind a network partition. The kernel ends an idle
+connection by this time too, whatever the number of probes, so it lies between
+the last probe and the time when that counts as unanswered."""
 
 
 def _set_options(sock):
@@ -33,7 +37,8 @@
                     USER_TIMEOUT_MS)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_IDLE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL,
+                    KEEPALIVE_INTERVAL_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
 
 
--- a/tests/test_tcp.py
+++ b/tests/test_tcp.py
@@ -64,3 +64,27 @@
             # The kernel doubles the requested size to cover its overhead.
             assert 0 < _unread_bytes(conn._sock) <= 2 * WINDOW_BYTES
         conn.close()
+
+
+def _option(conn, name):
+    return conn._sock.getsockopt(socket.IPPROTO_TCP, name)
+
+
+def test_a_single_lost_probe_does_not_end_a_connection():
+    """A run that says nothing for two seconds fails as a packet is lost.
+
+    Once a user timeout is set, the kernel ends an idle connection by that time
+    and at least one unanswered probe, whatever their number.
+    """
+    server = socket.create_server(('127.0.0.1', 0))
+    with peers.loop() as loop, server:
+        conn = tcp.Connection(loop, _IgnoringOwner())
+        conn.connect(server.getsockname())
+        idle_s = _option(conn, socket.TCP_KEEPIDLE)
+        interval_s = _option(conn, socket.TCP_KEEPINTVL)
+        probes = _option(conn, socket.TCP_KEEPCNT)
+        timeout_s = _option(conn, socket.TCP_USER_TIMEOUT) / 1000
+        assert probes >= 2
+        assert idle_s + (probes - 1) * interval_s < timeout_s
+        assert timeout_s <= idle_s + probes * interval_s
+        conn.close()
