Announcements: entries keep to their own places at replicas that fall over when they are overrun

A replica may say `Server-Brittle` = N in its answers: it falls if it turns more than N requests away in a second, whoever sent them. The field was not read; entries sent on as room seemed to be left, and one too many of each of 87 entries is a fall, whose rush brings the next one.

Now the slots of a service's replicas are divided among the live entries as soon as one replica says so, and an entry has at most its places in flight.

--- a/features/platform_announcements.feature
+++ b/features/platform_announcements.feature
@@ -78,3 +78,9 @@
     Then requests are refused at once as not run
     And callers are told to return when the pause is over
     And callers that return then are served
+
+  Scenario: replicas fall over if they turn many requests away
+    Given an entry on the platform with two plain and two pool replicas
+    When the plain replicas are brittle and many callers come at once
+    Then no replica falls over
+    And callers are served in the meantime
--- a/features/steps/announcement_steps.py
+++ b/features/steps/announcement_steps.py
@@ -8,6 +8,7 @@
 from steps import platform_site
 
 import wire_callers
+import wire_replica
 
 from gorsefall.standins import waiting
 
@@ -242,3 +243,49 @@
         replica.pause_s = None
     time.sleep(context.return_at - time.monotonic())
     assert _send(context).status == 200
+
+
+RUSH_S, RUSH_CALLERS, BORNE_REJECTIONS = 2.0, 60, 3
+
+
+@when('the plain replicas are brittle and many callers come at once')
+def step_brittle(context):
+    names = platform_site.PLAIN_REPLICAS
+    context.replicas = [context.platform.replicas[n] for n in names]
+    for replica in context.replicas:
+        replica.bears_rejections = BORNE_REJECTIONS
+    context.path = PLAIN_PATH
+    assert _send(context).status == 200
+    end = time.monotonic() + RUSH_S
+    context.statuses = []
+
+    def call(number):
+        while time.monotonic() < end:
+            response = wire_callers.send_request(
+                context.platform.callers,
+                PLAIN_PATH,
+                f'{number:04x}{len(context.statuses):08x}',
+                key=None)
+            context.statuses.append(response.status)
+            time.sleep(PAUSE_S)
+
+    threads = [
+        threading.Thread(target=call, args=(i,)) for i in range(RUSH_CALLERS)
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+
+
+@then('no replica falls over')
+def step_no_fall(context):
+    assert not sum(r.falls for r in context.replicas)
+
+
+@then('callers are served in the meantime')
+def step_rush_served(context):
+    slots = wire_replica.SLOTS * len(context.replicas)
+    possible = slots * RUSH_S / wire_replica.BRITTLE_WORK_S
+    assert context.statuses.count(200) > possible / 2
+    assert set(context.statuses) == {200, 503}
--- a/gorsefall/policy/acceptance.py
+++ b/gorsefall/policy/acceptance.py
@@ -27,6 +27,7 @@
     LEAVING = 'leaving'
     PAUSED = 'paused'
     LIMITED = 'limited'
+    BRITTLE = 'brittle'
 
 
 @dataclasses.dataclass
--- a/gorsefall/relay/announcements.py
+++ b/gorsefall/relay/announcements.py
@@ -4,6 +4,7 @@
 from gorsefall import metrics
 from gorsefall.policy import acceptance
 from gorsefall.policy import entrystatus
+from gorsefall.relay import brittlereplicas
 from gorsefall.relay import replicalimits
 
 REPORT_TRUST_S = 30.0
@@ -23,6 +24,7 @@
 
     Attributes:
         limits: The ``replicalimits.LimitTracker``.
+        brittle: The ``brittlereplicas.BrittleTracker``.
     """
 
     def __init__(self, loop, fleet, members):
@@ -38,10 +40,12 @@
         self._leaving_since = {}
         self._log = logs.get('announcing')
         self.limits = replicalimits.LimitTracker(loop, fleet, members)
+        self.brittle = brittlereplicas.BrittleTracker(loop, fleet, members)
 
     def start(self):
         """Begins to update this entry's shares of limits."""
         self.limits.start()
+        self.brittle.start()
 
     def record_response(self, replica, response, sent_at):
         """Records the announcements in the head of a response.
@@ -55,6 +59,8 @@
         if response.misdirected:
             return
         self.limits.record_response(replica, response.limit_per_s, sent_at)
+        self.brittle.record_response(replica, response.rejections_per_s,
+                                     sent_at)
         if response.leaving:
             self.record_leaving(replica)
         if response.pause_s is not None:
--- a/gorsefall/relay/fleet.py
+++ b/gorsefall/relay/fleet.py
@@ -29,6 +29,7 @@
     Attributes:
         replicas: ``id -> replicas.Replica``.
         paths: The ``paths.Paths`` to them; None to connect from here alone.
+        brittle: The ``brittlereplicas.BrittleTracker``; None to use all places.
     """
 
     def __init__(self, loop, on_change=lambda: None):
@@ -42,6 +43,7 @@
         self._loop = loop
         self._on_change = on_change
         self.paths = None
+        self.brittle = None
         self._records = {}
         self._replaced_ids = set()
         self._exited_replicas = {}
@@ -112,6 +114,12 @@
         if self.paths is not None:
             self.paths.record_connect(replica, established)
 
+    def _refusal(self, replica, now, *, urgent=True):
+        """Returns the ``acceptance.Refusal`` of a request now, or None."""
+        if self.brittle is not None and not self.brittle.allows(replica):
+            return acceptance.Refusal.BRITTLE
+        return replica.refusal(now, urgent=urgent)
+
     def _has_room(self, replica):
         """Returns whether a connection to a replica is left."""
         if not replica.pool.is_full():
@@ -298,7 +306,7 @@
         now = time.monotonic()
         reasons = [
             f'{r.record.id} {refusal.value}' for r in self.of_service(service)
-            if (refusal := r.refusal(now)) is not None
+            if (refusal := self._refusal(r, now)) is not None
         ]
         return ', '.join(reasons[:MAX_DESCRIBED_REFUSALS])
 
@@ -315,6 +323,6 @@
         live = [
             r for r in self.of_service(service)
             if r.record.id not in exclude and not r.record_malformed and
-            self._has_room(r) and r.refusal(now, urgent=urgent) is None
+            self._has_room(r) and self._refusal(r, now, urgent=urgent) is None
         ]
         return [r for r in live if not r.is_doubtful(now)] or live
--- a/gorsefall/relay/model.py
+++ b/gorsefall/relay/model.py
@@ -256,6 +256,8 @@
             new requests.
         pause_s: Time for which the replica wants no requests from this entry,
             s; None if it asks for no pause.
+        rejections_per_s: Requests that the replica may turn away in a second
+            without falling over; None if it announces no such bound.
     """
     status: int
     headers: headers.Headers
@@ -267,6 +269,7 @@
     limit_per_s: float | None = None
     leaving: bool = False
     pause_s: float | None = None
+    rejections_per_s: int | None = None
 
     @property
     def success(self):
--- a/gorsefall/relay/node.py
+++ b/gorsefall/relay/node.py
@@ -106,6 +106,7 @@
         self.forwarder = None
         self.announcements = announcements.AnnouncementTracker(
             self.loop, self.fleet, self.work.peer_view.members)
+        self.fleet.brittle = self.announcements.brittle
         self._peers = None
         self.replicas_known = False
         self._confirmed = False
