Streams: a sound replica that is silent for a second is not doubled from its KV backup

Cause: a probe without any answer was taken for an exit. Now only a refused connection is; without an answer the stream continues elsewhere after 1.4 s of silence, callers tolerate two seconds. A connection that breaks, and a replica that refuses, are acted on at once as before.

features/platform.feature, "a long response whose replica stalls after two events": failed before (resumed once), passes; the rows of replicas that crash or go dark still pass.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -73,6 +73,7 @@
       | crashes after two events | up   | events | 1     |
       | crashes after two events | gone | broken | 0     |
       | breaks after two events  | up   | broken | 0     |
+      | stalls after two events  | up   | events | 0     |
       | goes dark after two events | up | events | 1     |
       | goes dark after two events | gone | broken | 0   |
 
--- a/gorsefall/policy/attempt_timeouts.py
+++ b/gorsefall/policy/attempt_timeouts.py
@@ -26,6 +26,12 @@
 """Silence within a resumable stream after which another replica is tried, s:
 over twice the longest gap that counts as on time."""
 
+DARK_AFTER_S = 1.4
+"""Silence after which a stream continues from its KV backup although nothing
+shows that its replica has exited, s. A sound replica may be silent for a second
+or so, also to new connections, and would go on beside the other run; callers
+tolerate two seconds."""
+
 BACKUP_GAP_S = 0.5
 """Silence within a stream with a KV backup after which its replica is probed,
 s: twice the longest gap that counts as on time, a quarter of the gap that
--- a/gorsefall/relay/backups.py
+++ b/gorsefall/relay/backups.py
@@ -3,7 +3,6 @@
 import time
 
 from gorsefall.policy import placement
-from gorsefall.relay import prober
 
 
 class KvBackup:
@@ -46,7 +45,7 @@
         return self._holder.record.addr
 
     def probe(self, replica, done):
-        """Calls ``done(alive)`` when it is known if ``replica`` is alive.
+        """Calls ``done(verdict)`` with the ``prober.Verdict`` on ``replica``.
 
         Does nothing while an earlier probe is in progress.
         """
@@ -58,7 +57,7 @@
     def _handle_verdict(self, verdict):
         done, self._on_probed = self._on_probed, None
         if done is not None:
-            done(verdict is prober.Verdict.ALIVE)
+            done(verdict)
 
     def claim(self):
         """Returns the ``replicas.Replica`` that holds the backup, or None.
--- a/gorsefall/relay/exchange.py
+++ b/gorsefall/relay/exchange.py
@@ -21,6 +21,7 @@
 from gorsefall.relay import delivery
 from gorsefall.relay import grant
 from gorsefall.relay import outcomes
+from gorsefall.relay import prober
 from gorsefall.relay import sending
 
 INTERNAL_ERROR_STATUS = 500
@@ -283,6 +284,7 @@
             if self._grant.streams:
                 self._record_run()
         attempt.prefill_done()
+        attempt.last_data_at = time.monotonic()
         if self._delivery.streaming:
             self._forward(attempt, self._delivery.split_events(data))
         elif self._delivery.buffer(data):
@@ -452,8 +454,11 @@
             failure_reason: Why the attempt failed; None if it is only silent.
         """
 
-        def on_probed(alive):
-            if not alive:
+        def on_probed(verdict):
+            silent_s = time.monotonic() - attempt.last_data_at
+            if verdict is prober.Verdict.EXITED or (
+                    verdict is prober.Verdict.UNKNOWN and
+                (failure_reason or silent_s >= attempt_timeouts.DARK_AFTER_S)):
                 self._restore(attempt)
             elif failure_reason:
                 self._retry_or_fail_unknown(failure_reason)
--- a/gorsefall/relay/sending.py
+++ b/gorsefall/relay/sending.py
@@ -18,6 +18,7 @@
             None before.
         choice: The ``placement.Choice`` of the replica.
         request_id: The caller's id of the request.
+        last_data_at: When the last body bytes arrived, s; ``sent_at`` before.
         conn: The connection in use; has ``cancel``, ``pause``, ``resume`` and
             ``via``, the host of an entry that forwards the request or None.
         occupancy: Counts the request as in flight at the replica until closed.
@@ -35,6 +36,7 @@
         self.replica = replica
         self.sent_at = time.monotonic()
         self.first_byte_at = None
+        self.last_data_at = self.sent_at
         self._stream_monitor = stalls.StreamMonitor(replica.view)
         self.conn = None
         self.request_id = req.id
--- a/gorsefall/standins/acceptor.py
+++ b/gorsefall/standins/acceptor.py
@@ -9,6 +9,9 @@
 import struct
 import threading
 
+QUEUE_FILLERS = 4
+"""Connections that fill the queue of a listener that accepts none."""
+
 
 class Acceptor:
     """Accepts connections on a free port; subclasses serve them.
@@ -22,6 +25,7 @@
         self._conns = set()
         self._accepting = threading.Event()
         self._accepting.set()
+        self._fillers = []
         self.accepted = 0
         self.listen()
 
@@ -51,6 +55,24 @@
         """Serves one connection, which closes on return or on ``OSError``."""
         raise NotImplementedError
 
+    def stall(self):
+        """Has new connections hang: the kernel drops their SYN."""
+        self._accepting.clear()
+        self._sock.listen(0)
+        for _ in range(QUEUE_FILLERS):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex(self.address)
+            self._fillers.append(filler)
+
+    def end_stall(self):
+        """Accepts new connections again after ``stall``."""
+        for filler in self._fillers:
+            filler.close()
+        self._fillers.clear()
+        self._sock.listen()
+        self._accepting.set()
+
     def stop_listening(self):
         """Releases the port; open connections stay open."""
         # Without the shutdown, a thread blocked in accept() keeps the port.
