Ejection: calls that fail together eject a replica as one

A replica that was silent for a second failed the eight calls that waited there, and was avoided for ten seconds: each of them doubled the ejection (0.5 s x 2^7, capped).

Calls that were under way when the ejection began now count once; the next failure after it doubles as before. tests/test_load_watch.py: the new test failed before.

--- a/gorsefall/policy/health.py
+++ b/gorsefall/policy/health.py
@@ -43,9 +43,14 @@
         Without ejection a crashing replica looks idle and attracts every next
         request (symptom: most failed attempts are at one replica). The time
         doubles with each consecutive failure; after it, the next request probes
-        the replica.
+        the replica. Calls that were under way when it began count once: they
+        have one cause, and eight of them would eject the replica for the
+        longest time.
         """
+        counted = now < self.eject_until and not self.missed_report_only
         self.missed_report_only = False
+        if counted:
+            return
         self.failures += 1
         eject_s = min(EJECT_MAX_S, EJECT_BASE_S * 2**(self.failures - 1))
         self.eject_until = now + eject_s
--- a/tests/test_load_watch.py
+++ b/tests/test_load_watch.py
@@ -11,6 +11,7 @@
 from gorsefall import errors
 from gorsefall import messages
 from gorsefall.entry import watchers
+from gorsefall.policy import health
 from gorsefall.policy import routing
 
 REFUSED = errors.LinkError('connection refused')
@@ -57,3 +58,13 @@
     eject_until = replica.eject_until
     on_report(None, None, REFUSED)
     assert replica.eject_until == eject_until
+
+
+def test_calls_that_fail_together_eject_a_replica_as_one():
+    """A replica that was silent for a second is avoided for ten."""
+    replica = _replica()
+    for _ in range(8):
+        replica.record_failure(1000.0)
+    assert replica.eject_until == 1000.0 + health.EJECT_BASE_S
+    replica.record_failure(1001.0)
+    assert replica.eject_until == 1001.0 + 2 * health.EJECT_BASE_S
