Detours of a request have their own module; what reached nobody counts once

Found on the way: an attempt that reached no replica was forgotten, so that the next one counted as the first attempt of another request, which allows more retries and tells a higher demand. With up to six entries asked that would be six requests. tests/test_attempts.py, the new test fails before. And an entry that did not answer before the attempt's own timer was asked again at once.

--- a/gorsefall/policy/attempts.py
+++ b/gorsefall/policy/attempts.py
@@ -37,16 +37,19 @@
         tried: Names of all replicas chosen for it; none is chosen twice.
         in_doubt: Names of the replicas that may have run it, one for each
             attempt.
+        made: Number of all attempts, also of those that reached no replica.
     """
 
     def __init__(self):
         self.replicas = []
         self.tried = set()
         self.in_doubt = []
+        self.made = 0
         self._refusals = 0
 
     def record_sent(self, name):
         """Records an attempt at the replica ``name``."""
+        self.made += 1
         self.replicas.append(name)
         self.tried.add(name)
         self.in_doubt.append(name)
--- a/gorsefall/relay/exchange.py
+++ b/gorsefall/relay/exchange.py
@@ -19,6 +19,7 @@
 from gorsefall.relay import backups
 from gorsefall.relay import crashes
 from gorsefall.relay import delivery
+from gorsefall.relay import detours
 from gorsefall.relay import grant
 from gorsefall.relay import outcomes
 from gorsefall.relay import prober
@@ -28,18 +29,6 @@
 TIMEOUT_STATUS = 504
 """Statuses of a replica that failed, and of one that ran out of time."""
 
-MAX_UNREACHED_S = 0.2
-"""Time that a request spends on replicas that are not reached, s, before it is
-refused if all others have failed of late too: most of one connect timeout."""
-
-MAX_FORWARDING_S = 0.4
-"""Time spent on entries that do not forward a request, s, after which no
-further one is asked."""
-
-MAX_FORWARDING_FAILURES = 6
-"""Entries that are asked in vain to forward a request, after which it is
-refused."""
-
 
 class Exchange(serving.ActiveRequest):
     """Sends one caller request to replicas until the caller has a response.
@@ -63,12 +52,7 @@
         self._deadline_timer = None
         self._attempt_timer = None
         self._longest_pause_s = 0.0
-        self._unreached_count = 0
-        self._unreached_s = 0.0
-        self._detoured = False
-        self._forwarding_failures = 0
-        self._forwarding_s = 0.0
-        self._detour = None
+        self._detours = detours.Detours(node.paths)
         self._counted = False
         self._backup = backups.KvBackup(node.prober, node.fleet)
 
@@ -134,38 +118,20 @@
             self._grant.renew()
         if not self.node.crashes.try_begin_run(self.digest, self):
             return
-        choice = self._take_detour() or self._grant.choose_replica(
-            self.attempts.tried,
-            may_shed=not self.attempts.replicas,
-            least_loaded=self.node.crashes.suspects.must_serialize(self.digest))
-        if choice is None or self._is_in_vain(choice):
+        choice = self._detours.take(
+            self.node.fleet.replicas) or self._grant.choose_replica(
+                self.attempts.tried,
+                may_shed=not self.attempts.replicas,
+                least_loaded=self.node.crashes.suspects.must_serialize(
+                    self.digest))
+        if choice is None or self._detours.is_in_vain(choice):
             raise errors.NoReplicaError(
                 f'no replica of {self._grant.service} is left '
                 f'({self.node.fleet.describe_refusals(self._grant.service)}); '
-                f'{self._unreached_count} not reached',
+                f'{self._detours.unreached} not reached',
                 retry_after=self._retry_after_s())
         self._send(self.node.fleet.replicas[choice.target.name], choice)
 
-    def _take_detour(self):
-        """Returns the choice that is to be sent through another entry."""
-        choice, self._detour = self._detour, None
-        if choice is None:
-            return None
-        replica = self.node.fleet.replicas.get(choice.target.name)
-        if (replica is None or replica.view is not choice.target or
-                replica.refusal(time.monotonic())):
-            return None
-        return choice
-
-    def _is_in_vain(self, choice):
-        """Returns whether a further attempt would only make its caller wait.
-
-        Replicas could not be reached for a while, and all that are left have
-        failed of late.
-        """
-        return (self._unreached_s >= MAX_UNREACHED_S and
-                choice.target.eject_until > time.monotonic())
-
     def _retry_after_s(self):
         """Returns the delay after which a caller should retry, s."""
         return (self.node.fleet.accepts_in_s(self._grant.service) +
@@ -173,7 +139,7 @@
 
     def _send(self, replica, choice, *, from_backup=False):
         now = time.monotonic()
-        if not self.attempts.replicas:
+        if not self.attempts.made:
             self._budget().record_first_attempt(now)
             self.node.duties.record_demand(self._grant.service,
                                            choice.prefill_tokens)
@@ -244,6 +210,8 @@
         if attempt.conn.cancel():
             return outbound.Failure(True, 'silent')
         if attempt.conn.via is not None:
+            self.node.paths.record_no_forwarding(attempt.replica,
+                                                 attempt.conn.via, 'silent')
             return outbound.Failure(False, 'silent', outbound.Fault.FORWARDER)
         self.node.paths.record_connect(attempt.replica, False)
         return outbound.Failure(False, 'silent', outbound.Fault.UNREACHED)
@@ -361,7 +329,7 @@
         """Called when an attempt ended without a complete response."""
         self._close_attempt(attempt)
         now = time.monotonic()
-        detour = self._plan_detour(attempt, failure)
+        detour = self._detours.plan(attempt, failure)
         if not detour and not (failure.sent and
                                failure.fault is outbound.Fault.FORWARDER):
             attempt.replica.view.record_failure(now)
@@ -376,11 +344,8 @@
             # A response that was lost on its way: the replica ran it.
             self._record_run()
         if not failure.sent:
-            self._unreached_count += 1
-            self._unreached_s += now - attempt.sent_at
             if detour:
                 self.attempts.record_untried()
-                self._detour = attempt.choice
             else:
                 self.attempts.record_unreached()
             self.restart()
@@ -396,32 +361,6 @@
         else:
             self._handle_failure(attempt, failure.reason)
 
-    def _plan_detour(self, attempt, failure):
-        """Returns whether to send to the same replica through another entry.
-
-        Args:
-            attempt: The ``sending.Attempt`` that failed.
-            failure: The ``outbound.Failure``.
-        """
-        if failure.sent:
-            return False
-        if failure.fault is outbound.Fault.FORWARDER:
-            self._forwarding_failures += 1
-            self._forwarding_s += time.monotonic() - attempt.sent_at
-            if (self._forwarding_failures < MAX_FORWARDING_FAILURES and
-                    self._forwarding_s < MAX_FORWARDING_S):
-                return True
-            self.node.paths.record_elsewhere(attempt.replica, False,
-                                             attempt.conn.via)
-            return False
-        # Only once: if no entry can be asked, or none reaches it, the request
-        # is sent directly again, and its caller would only wait.
-        if (failure.fault is not outbound.Fault.UNREACHED or self._detoured or
-                not self.node.paths.needs_detour(attempt.replica)):
-            return False
-        self._detoured = True
-        return True
-
     def _handle_failure(self, attempt, reason):
         if self.done:
             return
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -129,3 +129,16 @@
     request.retry('silent')
     request.dispatch()
     assert isinstance(request.reported, errors.OutcomeUnknownError)
+
+
+def test_attempts_that_reach_no_replica_are_not_forgotten():
+    """A request counts as a new one each time that nobody is reached, and so
+    allows more retries than there are requests."""
+    made = attempts.Attempts()
+    made.record_sent('a')
+    made.record_unreached()
+    made.record_sent('b')
+    made.record_untried()
+    assert made.made == 2
+    assert not made.in_doubt
+    assert made.tried == {'a'}
