Exits: three replicas and three entries are asked before an exit stays unknown

Cause: an exit counts only if another replica can be connected to. One was tried at random, and where replicas crash one after the other that one had often crashed too; the other entry that was asked then made the same check, and an entry that refused to tell was not passed over for the next one. So the exit stayed unknown, and nobody was blamed.

Now up to three replicas are connected to in turn, and up to three entries are asked.

--- a/gorsefall/relay/forwarding.py
+++ b/gorsefall/relay/forwarding.py
@@ -217,8 +217,12 @@
         """Handles a message of the other entry."""
         self._timer.cancel()
         self._client.release(self._host, self._channel)
-        probed = isinstance(message, messages.Probed)
-        self._done(message.verdict if probed else None)
+        if isinstance(message, messages.Probed):
+            self._done(message.verdict)
+            return
+        self._client.observer.record_no_forwarding(
+            self._replica, self._host, getattr(message, 'reason', 'no verdict'))
+        self._done(None)
 
     def on_broken(self, reason):
         """Called when the connection to the other entry broke."""
--- a/gorsefall/relay/paths.py
+++ b/gorsefall/relay/paths.py
@@ -26,6 +26,13 @@
 """Period in which the share of the entries that reach a service is counted
 anew, s."""
 
+MAX_CHECKED = 3
+"""Replicas that are connected to in turn to see whether the own paths work.
+Some of them may have failed at the same time."""
+
+MAX_ASKED = 3
+"""Entries that are asked in turn about a replica."""
+
 PAUSE_JITTER = (0.8, 1.2)
 """Range of the factor of a pause, so that entries do not probe in step."""
 
@@ -234,17 +241,25 @@
             r for r in self._node.fleet.replicas.values()
             if r is not replica and r.exited_at is None
         ]
+        random.shuffle(others)
         service = replica.record.service
-        same = [r for r in others if r.record.service == service]
-        if not others:
+        others.sort(key=lambda r: r.record.service != service)
+        if others:
+            self._check_next(others[:MAX_CHECKED], done)
+        else:
             done(True)
-            return
-        other = random.choice(same or others)
+
+    def _check_next(self, others, done):
+        """Connects to one replica after the other until one is reached."""
+        other = others[0]
 
         def on_probed(verdict):
             reached = verdict is prober.Verdict.ALIVE
             self.record_connect(other, reached)
-            done(reached)
+            if reached or len(others) == 1:
+                done(reached)
+            else:
+                self._check_next(others[1:], done)
 
         prober.ConnectProbe(self._loop, other.record.addr,
                             replicas.CONNECT_TIMEOUT_S, on_probed)
@@ -257,16 +272,21 @@
             done: Called with the ``prober.Verdict``, or None if no entry has
                 any.
         """
+        self._probe_elsewhere(replica, MAX_ASKED, done)
+
+    def _probe_elsewhere(self, replica, tries, done):
         host = self._choose_forwarder(replica.record.service)
-        if host is None:
+        if host is None or not tries:
             done(None)
             return
 
         def on_probed(value):
-            verdict = None if value is None else prober.Verdict(value)
-            if verdict is not None:
-                self.record_elsewhere(replica, verdict is prober.Verdict.ALIVE,
-                                      host)
+            if value is None:
+                self._probe_elsewhere(replica, tries - 1, done)
+                return
+            verdict = prober.Verdict(value)
+            self.record_elsewhere(replica, verdict is prober.Verdict.ALIVE,
+                                  host)
             done(verdict)
 
         self._client.probe(host, replica, on_probed)
