Reading the change: one place connects to a replica to learn about its path; steps share the wait for entries

Three places connected to a replica, recorded the outcome and called back; paths.connect does it. The condition on which a stream continues from its backup has a name. Four features waited for their entries in the same five lines. No change of behaviour.

--- a/features/steps/duty_steps.py
+++ b/features/steps/duty_steps.py
@@ -67,9 +67,7 @@
     first.store.put('keyed.op', 'config', standin.config(1))
     for site in context.sites:
         site.start()
-    for site in context.sites:
-        waiting.until(lambda s=site: wire_callers.status(s.readiness) == 200,
-                      'the entry to be ready')
+    platform_site.wait_until_ready(context.sites)
     waiting.until(lambda: _holder_site(context) is not None,
                   'a holder',
                   timeout_s=TAKEOVER_S)
--- a/features/steps/platform_site.py
+++ b/features/steps/platform_site.py
@@ -12,6 +12,7 @@
 import wire_callers  # noqa: E402
 
 from gorsefall.standins import ports  # noqa: E402
+from gorsefall.standins import waiting  # noqa: E402
 
 PATH_BY_KIND = {
     'idempotent': '/i/x?q=1',
@@ -73,6 +74,13 @@
     return sites
 
 
+def wait_until_ready(sites):
+    """Waits until the entries of all ``sites`` are ready."""
+    for site in sites:
+        waiting.until(lambda s=site: wire_callers.status(s.readiness) == 200,
+                      'the entry to be ready')
+
+
 def send_request(context, kind='idempotent', **kw):
     site = context.platform
     context.rid = new_rid(context)
--- a/features/steps/sharing_steps.py
+++ b/features/steps/sharing_steps.py
@@ -35,9 +35,7 @@
         site.start()
     waiting.until(lambda: len(_reader_sites(context)) == readers.MIN_READERS,
                   'three readers')
-    for site in context.sites:
-        waiting.until(lambda s=site: wire_callers.status(s.readiness) == 200,
-                      'the entry to be ready')
+    platform_site.wait_until_ready(context.sites)
 
 
 def _is_reader(site):
--- a/features/steps/unreachable_steps.py
+++ b/features/steps/unreachable_steps.py
@@ -35,9 +35,7 @@
     first.store.put('keyed.op', 'config', standin.config(1))
     for site in context.sites:
         site.start()
-    for site in context.sites:
-        waiting.until(lambda s=site: wire_callers.status(s.readiness) == 200,
-                      'the entry to be ready')
+    platform_site.wait_until_ready(context.sites)
     for kind in platform_site.PATH_BY_KIND:
         assert platform_site.send_request(context, kind).status == 200
 
--- a/gorsefall/relay/exchange.py
+++ b/gorsefall/relay/exchange.py
@@ -395,9 +395,10 @@
 
         def on_probed(verdict):
             silent_s = time.monotonic() - attempt.last_data_at
-            if verdict is prober.Verdict.EXITED or (
-                    verdict is prober.Verdict.UNKNOWN and
-                (failure_reason or silent_s >= attempt_timeouts.DARK_AFTER_S)):
+            gives_no_sign = (failure_reason or
+                             silent_s >= attempt_timeouts.DARK_AFTER_S)
+            if (verdict is prober.Verdict.EXITED or
+                    verdict is prober.Verdict.UNKNOWN and gives_no_sign):
                 self._restore(attempt)
             elif failure_reason:
                 self._retry_or_fail_unknown(failure_reason)
--- a/gorsefall/relay/paths.py
+++ b/gorsefall/relay/paths.py
@@ -212,12 +212,10 @@
 
         def on_probed(verdict):
             alive = verdict is prober.Verdict.ALIVE
-            self.record_connect(replica, alive)
             self._schedule_probe(
                 REGAINED_PROBE_PAUSE_S if alive else PROBE_PAUSE_S)
 
-        prober.ConnectProbe(self._loop, replica.record.addr,
-                            replicas.CONNECT_TIMEOUT_S, on_probed)
+        self.connect(replica, on_probed)
 
     def _next_to_probe(self):
         services = list(self.unreachable_services())
@@ -251,17 +249,29 @@
 
     def _check_next(self, others, done):
         """Connects to one replica after the other until one is reached."""
-        other = others[0]
 
         def on_probed(verdict):
             reached = verdict is prober.Verdict.ALIVE
-            self.record_connect(other, reached)
             if reached or len(others) == 1:
                 done(reached)
             else:
                 self._check_next(others[1:], done)
 
-        prober.ConnectProbe(self._loop, other.record.addr,
+        self.connect(others[0], on_probed)
+
+    def connect(self, replica, done):
+        """Connects to a ``replicas.Replica`` and records the outcome.
+
+        Args:
+            replica: The replica.
+            done: Called with the ``prober.Verdict``.
+        """
+
+        def on_probed(verdict):
+            self.record_connect(replica, verdict is prober.Verdict.ALIVE)
+            done(verdict)
+
+        prober.ConnectProbe(self._loop, replica.record.addr,
                             replicas.CONNECT_TIMEOUT_S, on_probed)
 
     def probe_elsewhere(self, replica, done):
--- a/gorsefall/relay/prober.py
+++ b/gorsefall/relay/prober.py
@@ -107,20 +107,19 @@
             done: Called with the ``Verdict``; None if this entry may have lost
                 its paths, so that it cannot tell.
         """
+        if self.paths is None:
+            ConnectProbe(self._loop, replica.record.addr,
+                         replicas.CONNECT_TIMEOUT_S, done)
+            return
 
         def on_probed(verdict):
-            if self.paths is None:
-                done(verdict)
-                return
-            self.paths.record_connect(replica, verdict is Verdict.ALIVE)
             if verdict is Verdict.ALIVE:
                 done(verdict)
             else:
                 self.paths.check(
                     replica, lambda reached: done(verdict if reached else None))
 
-        ConnectProbe(self._loop, replica.record.addr,
-                     replicas.CONNECT_TIMEOUT_S, on_probed)
+        self.paths.connect(replica, on_probed)
 
     def _on_own_verdict(self, replica, verdict, done):
         if verdict is None:
--- a/tests/test_prober.py
+++ b/tests/test_prober.py
@@ -14,7 +14,8 @@
 class _Paths:
     """Paths of which the test says what they show."""
 
-    def __init__(self, *, detour, checked, elsewhere):
+    def __init__(self, loop, *, detour, checked, elsewhere):
+        self._loop = loop
         self._detour = detour
         self._checked = checked
         self._elsewhere = elsewhere
@@ -23,8 +24,13 @@
     def needs_detour(self, replica):
         return self._detour
 
-    def record_connect(self, replica, established):
-        self.connects.append(established)
+    def connect(self, replica, done):
+
+        def on_probed(verdict):
+            self.connects.append(verdict is ALIVE)
+            done(verdict)
+
+        prober.ConnectProbe(self._loop, replica.record.addr, 0.25, on_probed)
 
     def check(self, replica, done):
         done(self._checked)
@@ -58,7 +64,8 @@
     verdicts = []
     with peers.loop() as loop:
         probes = prober.ReplicaProber(loop)
-        probes.paths = _Paths(detour=False,
+        probes.paths = _Paths(loop,
+                              detour=False,
                               checked=checked,
                               elsewhere=elsewhere)
         probes.probe(_Replica(peer.addr), verdicts.append)
@@ -77,6 +84,9 @@
     verdicts = []
     with peers.loop() as loop:
         probes = prober.ReplicaProber(loop)
-        probes.paths = _Paths(detour=True, checked=None, elsewhere=elsewhere)
+        probes.paths = _Paths(loop,
+                              detour=True,
+                              checked=None,
+                              elsewhere=elsewhere)
         probes.probe(_Replica(('127.0.0.1', 1)), verdicts.append)
     assert verdicts == [verdict]
