Observability: a broken response names its cause, a failed caller connection is no caller that left

Now: outcome caller_lost with the reason, the field cause, and gorsefall_responses_broken_total by cause; explain names both.

--- a/gorsefall/errors.py
+++ b/gorsefall/errors.py
@@ -154,10 +154,19 @@
 
     Raised instead of ``NotRunError`` whenever a back end may have executed the
     request.
+
+    Attributes:
+        cause: Code of the error that ended the request and is not reported,
+            because it would say that the request has not run; None if there is
+            none.
     """
     code = 'outcome_unknown'
     status = 502
 
+    def __init__(self, msg, cause=None):
+        super().__init__(msg)
+        self.cause = cause
+
 
 class BackendFailedError(GorsefallError):
     """Back ends failed and the response could not be completed.
@@ -175,6 +184,11 @@
     status = 504
 
 
+class CallerLostError(GorsefallError):
+    """The connection to a caller failed, and the caller had not closed it."""
+    code = 'caller_lost'
+
+
 class LinkError(GorsefallError):
     """A connection to another process failed, timed out or went silent."""
     code = 'link_error'
--- a/gorsefall/explain.py
+++ b/gorsefall/explain.py
@@ -39,6 +39,8 @@
     'outcome_unknown':
         'a replica may have run it and its response is lost; either it must '
         'not run twice, or no attempt was left',
+    'caller_lost':
+        'the connection to its caller failed, and the caller had not closed it',
     'timed_out':
         'a replica received it but did not complete the response in time',
 }
@@ -217,8 +219,12 @@
     if not isinstance(last, loglines.Answered):
         return _missing_end(lines, own[-1])
     if last.outcome == 'broken_off':
+        cause_code = last.cause or last.code
         return ('its response had begun and could not be completed: '
-                f'{_CAUSES.get(last.code, last.code)}{_failures(own)}')
+                f'{_CAUSES.get(cause_code, cause_code)}{_failures(own)}')
+    if last.outcome == 'caller_lost':
+        return (f'{_CAUSES["caller_lost"]} ({last.disconnect}), '
+                f'{_progress(own)}')
     if last.outcome == 'caller_left':
         return f'the caller left {_progress(own)}{_failures(own)}'
     text = _OUTCOMES.get(last.outcome) or _CAUSES.get(last.code)
--- a/gorsefall/loglines.py
+++ b/gorsefall/loglines.py
@@ -94,6 +94,8 @@
     outcome: str
     code: str | None = None
     error: str | None = None
+    cause: str | None = None
+    disconnect: str | None = None
     route: str | None = None
     kind: str | None = None
     account: str | None = None
--- a/gorsefall/metrics.py
+++ b/gorsefall/metrics.py
@@ -118,6 +118,11 @@
                        'Forwarded requests by outcome.',
                        ('account', 'route', 'outcome'),
                        registry=REGISTRY)
+RESPONSES_BROKEN = prom.Counter('gorsefall_responses_broken_total',
+                                'Responses broken off after they had begun, '
+                                'by the code of the error that did it.',
+                                ('cause',),
+                                registry=REGISTRY)
 RELAY_FIRST_BYTE = prom.Histogram('gorsefall_relay_first_seconds',
                                   'Time to the first byte of an answer, s.',
                                   ('route',),
--- a/gorsefall/net/tcp.py
+++ b/gorsefall/net/tcp.py
@@ -29,6 +29,8 @@
 connection by this time too, whatever the number of probes, so it lies between
 the last probe and the time when that counts as unanswered."""
 
+_BROKEN_BY_PEER = frozenset((errno.ECONNRESET, errno.EPIPE))
+
 
 def _set_options(sock):
     sock.setblocking(False)
@@ -56,6 +58,8 @@
         was_refused: Whether connecting failed because nothing listens at the
             address.
         is_open: False once closed.
+        broken_by_peer: Whether the peer closed or reset the failed connection;
+            False if the kernel gave up on the peer, or after a fault here.
         bytes_in: Bytes received.
         bytes_out: Bytes handed to the kernel.
     """
@@ -68,6 +72,7 @@
         self._reading = True
         self._connecting = False
         self.has_written = self.was_refused = False
+        self.broken_by_peer = False
         self.bytes_in = self.bytes_out = 0
         self.is_open = sock is not None
         if sock is not None:
@@ -157,7 +162,7 @@
         except BlockingIOError:
             return
         except OSError as exc:
-            self._fail(exc.strerror)
+            self._fail(exc.strerror, exc.errno)
             return
         self.bytes_in += len(data)
         if not data:
@@ -177,7 +182,10 @@
 
     def _check_hang_up(self):
         code = self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-        self._fail(os.strerror(code) if code else 'closed by the peer')
+        if code:
+            self._fail(os.strerror(code), code)
+        else:
+            self._fail('closed by the peer', errno.EPIPE)
 
     def _finish_connecting(self):
         code = self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
@@ -191,7 +199,7 @@
 
     def _fail_connecting(self, code):
         self.was_refused = code == errno.ECONNREFUSED
-        self._fail(os.strerror(code))
+        self._fail(os.strerror(code), code)
 
     def _flush(self):
         if self._send_buffer:
@@ -200,7 +208,7 @@
             except BlockingIOError:
                 n = 0
             except OSError as exc:
-                self._fail(exc.strerror)
+                self._fail(exc.strerror, exc.errno)
                 return
             if n:
                 self.has_written = True
@@ -222,8 +230,9 @@
                          read=self._reading,
                          write=self._connecting or bool(self._send_buffer))
 
-    def _fail(self, reason):
+    def _fail(self, reason, code=None):
         if self.is_open:
+            self.broken_by_peer = code in _BROKEN_BY_PEER
             self.close()
             self._owner.on_broken(reason)
 
--- a/gorsefall/policy/attempts.py
+++ b/gorsefall/policy/attempts.py
@@ -89,10 +89,15 @@
         """Returns whether a run that may have started rules out another one."""
         return bool(self.in_doubt) and not terms.repeatable
 
-    def outcome_unknown_error(self, reason):
-        """Returns the error for a request that may have run."""
+    def outcome_unknown_error(self, reason, cause=None):
+        """Returns the error for a request that may have run.
+
+        Args:
+            reason: Why its outcome is unknown.
+            cause: See ``errors.OutcomeUnknownError``.
+        """
         return errors.OutcomeUnknownError(
-            f'{self.replicas[-1]} may have run it: {reason}')
+            f'{self.replicas[-1]} may have run it: {reason}', cause)
 
     def reportable_error(self, exc, reason, terms):
         """Returns ``exc``, or an error with an unknown outcome in its place.
@@ -111,5 +116,5 @@
                         not terms.repeatable)
         if (self.in_doubt and may_be_false and
                 not isinstance(exc, errors.OutcomeUnknownError)):
-            return self.outcome_unknown_error(reason)
+            return self.outcome_unknown_error(reason, exc.code)
         return exc
--- a/gorsefall/relay/accesslog.py
+++ b/gorsefall/relay/accesslog.py
@@ -6,8 +6,10 @@
 from gorsefall import metrics
 from gorsefall.relay import outcomes
 
+_BREAKS = (outcomes.Outcome.BROKEN, outcomes.Outcome.CALLER_LOST)
 
-def record(exchange, grant, outcome, exc, *, pause_s, last_event):
+
+def record(exchange, grant, outcome, exc, *, pause_s, last_event, disconnect):
     """Updates the metrics and logs the end of an exchange.
 
     Args:
@@ -17,6 +19,8 @@
         exc: The error that was sent to the caller, or None.
         pause_s: Longest pause between events of the response, s.
         last_event: Id of the last event forwarded, or None.
+        disconnect: Why the caller's connection ended before the response, or
+            None.
     """
     now = time.monotonic()
     node = exchange.node
@@ -27,11 +31,17 @@
         metrics.observe_relay_times(
             route.name, exchange.first_byte_at - exchange.arrived_at,
             now - exchange.arrived_at)
+    cause = None
+    if outcome in _BREAKS and exchange.response_begun:
+        cause = outcomes.break_cause(exc)
+        metrics.RESPONSES_BROKEN.labels(cause).inc()
     late = _late_reason(exchange, grant, pause_s, now)
     exchange.log.info('answered',
                       outcome=outcome.value,
                       error=str(exc) if exc else None,
                       code=exc.code if exc else None,
+                      cause=cause,
+                      disconnect=disconnect,
                       retry_after_s=outcomes.retry_after_s(exc),
                       route=route.name if route else None,
                       kind=route.kind.value if route else None,
--- a/gorsefall/relay/exchange.py
+++ b/gorsefall/relay/exchange.py
@@ -54,6 +54,7 @@
         self._longest_pause_s = 0.0
         self._detours = detours.Detours(node.paths)
         self._counted = False
+        self._disconnect_reason = None
         self._backup = backups.KvBackup(node.prober, node.fleet)
 
     # -- limits ----------------------------------------------------------------
@@ -438,13 +439,27 @@
         except errors.GorsefallError as exc:
             self.fail(self.attempts.reportable_error(exc, str(exc), self.terms))
 
+    @property
+    def response_begun(self):
+        """Whether the caller has received part of a response."""
+        return self._delivery.started
+
     # -- endings ---------------------------------------------------------------
 
-    def on_caller_disconnected(self):
+    def on_caller_disconnected(self, reason):
         """Called when the caller disconnected; cancels the attempt."""
+        self._disconnect_reason = reason
         self._cancel_attempt()
         self.close(outcomes.Outcome.CALLER_LEFT)
 
+    def on_caller_lost(self, reason):
+        """Called when the connection failed, and the caller had not left."""
+        self._disconnect_reason = reason
+        self._cancel_attempt()
+        self.close(
+            outcomes.Outcome.CALLER_LOST,
+            errors.CallerLostError(f'connection to the caller: {reason}'))
+
     def _on_deadline(self):
         self._cancel_attempt()
         if self.attempts.in_doubt:
@@ -496,7 +511,8 @@
                          outcome,
                          exc,
                          pause_s=self._longest_pause_s,
-                         last_event=self._last_event())
+                         last_event=self._last_event(),
+                         disconnect=self._disconnect_reason)
         self.node.remove_exchange(self)
 
     def _last_event(self):
--- a/gorsefall/relay/inbound.py
+++ b/gorsefall/relay/inbound.py
@@ -85,8 +85,8 @@
     ``on_conn_closed(conn)``, ``error_response(exc)`` and
     ``handle_request(method, target, fields, body, writer)``. The last one gets
     a ``digests.Body`` and returns an exchange with
-    ``on_caller_disconnected()`` and ``on_caller_drained()``, or None when it
-    has already responded.
+    ``on_caller_disconnected(reason)``, ``on_caller_lost(reason)`` and
+    ``on_caller_drained()``, or None when it has already responded.
     """
 
     def __init__(self, loop, server, sock):
@@ -121,7 +121,7 @@
     def on_bytes(self, data):
         """See ``tcp.Connection``."""
         if not data:
-            self._on_disconnected()
+            self._on_disconnected('closed by the caller')
             return
         if self._closing:
             return
@@ -135,8 +135,7 @@
 
     def on_broken(self, reason):
         """See ``tcp.Connection``."""
-        del reason
-        self._on_disconnected()
+        self._on_disconnected(reason, by_caller=self._conn.broken_by_peer)
 
     def on_drained(self):
         """See ``tcp.Connection``."""
@@ -288,13 +287,15 @@
 
     # -- closing ---------------------------------------------------------------
 
-    def _on_disconnected(self):
+    def _on_disconnected(self, reason, *, by_caller=True):
         exchange, self._exchange = self._exchange, None
         self._responding = False
         self._conn.close()
         self._on_closed()
-        if exchange is not None:
-            exchange.on_caller_disconnected()
+        if exchange is not None and by_caller:
+            exchange.on_caller_disconnected(reason)
+        elif exchange is not None:
+            exchange.on_caller_lost(reason)
 
     def _on_closed(self):
         self._cancel_timer()
--- a/gorsefall/relay/outcomes.py
+++ b/gorsefall/relay/outcomes.py
@@ -15,6 +15,7 @@
     TIMED_OUT = 'timed_out'
     BROKEN = 'broken_off'
     CALLER_LEFT = 'caller_left'
+    CALLER_LOST = 'caller_lost'
 
 
 class LateReason(enum.Enum):
@@ -34,6 +35,11 @@
     return Outcome.UNKNOWN
 
 
+def break_cause(exc):
+    """Returns the error code of what broke off a response that had begun."""
+    return getattr(exc, 'cause', None) or exc.code
+
+
 def retry_after_s(exc):
     """Returns after how long a failed request may be retried, s, or None.
 
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -144,3 +144,17 @@
     path.write_text('{"extra": {"a": 1}, "event": "answered", "rid": "r1", '
                     '"outcome": "served"}\n')
     assert loglines.read_files([path]).lines[0].process == 'entry-a'
+
+
+@pytest.mark.parametrize('line, words', [
+    ('"outcome": "broken_off", "code": "outcome_unknown", '
+     '"cause": "unknown_key"', 'does not contain its API key'),
+    ('"outcome": "caller_lost", "code": "caller_lost", "first_ms": 30, '
+     '"disconnect": "Connection timed out"', '(Connection timed out)'),
+])
+def test_what_broke_off_a_response_is_named(tmp_path, line, words):
+    """An engineer on call cannot tell who ended a response that had begun."""
+    (tmp_path / 'a.log').write_text('{"event": "answered", "rid": "r1", ' +
+                                    line + '}\n')
+    text = explain.explain(loglines.read_files([tmp_path / 'a.log']), 'r1')
+    assert words in text.split('cause: ')[1], text
--- a/tests/test_inbound.py
+++ b/tests/test_inbound.py
@@ -2,6 +2,7 @@
 
 import socket
 
+import pytest
 from hypothesis import given
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -186,3 +187,65 @@
         peers.run(loop, lambda: server.closed)
     client.close()
     assert [target for _, target, _ in server.requests] == [b'/long', b'/next']
+
+
+class Exchange:
+    """Records how the connection of its caller ended."""
+
+    def __init__(self):
+        self.left = []
+        self.lost = []
+
+    def on_caller_disconnected(self, reason):
+        self.left.append(reason)
+
+    def on_caller_lost(self, reason):
+        self.lost.append(reason)
+
+
+class Waiting(Server):
+    """Responds to nothing; each request has an ``Exchange``."""
+
+    def __init__(self):
+        super().__init__()
+        self.exchange = Exchange()
+
+    def handle_request(self, method, target, fields, body, writer):
+        self.requests.append(target)
+        return self.exchange
+
+
+def _reset(client):
+    client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                      b'\x01\0\0\0\0\0\0\0')
+    client.close()
+
+
+def _end_connection(end):
+    server = Waiting()
+    with peers.loop() as loop:
+        client, accepted = _connected()
+        conn = inbound.CallerConnection(loop, server, accepted)
+        client.sendall(encode(b'/a', b'', False))
+        peers.run(loop, lambda: server.requests)
+        end(conn, client)
+        peers.run(loop, lambda: server.closed)
+        client.close()
+    return server.exchange
+
+
+@pytest.mark.parametrize('end, reason', [
+    (lambda conn, client: client.close(), 'closed by the caller'),
+    (lambda conn, client: _reset(client), 'Connection reset by peer'),
+])
+def test_a_caller_that_leaves_is_told_from_a_connection_that_fails(end, reason):
+    """A connection that failed here is taken for a caller that has left."""
+    exchange = _end_connection(end)
+    assert (exchange.left, exchange.lost) == ([reason], [])
+
+
+def test_a_fault_in_a_handler_is_not_taken_for_a_caller_that_left():
+    """Nobody looks for the fault, as the log says that the caller left."""
+    exchange = _end_connection(
+        lambda conn, client: conn._conn.on_handler_error())
+    assert (exchange.left, exchange.lost) == ([], ['fault in the handler'])
