--- a/features/steps/platform_site.py
+++ b/features/steps/platform_site.py
@@ -97,25 +97,25 @@
     return sorted(runs, key=lambda run: run[1].at)
 
 
-def script_fault(context, kind, fault):
-    # Only the first replica that gets the request has the fault. Which one that
-    # is isn't known beforehand, so both replicas share a script of one fault.
+def script_fault(context, kind, *faults):
+    # Only the first replica that gets the request has the first fault. Which
+    # one that is isn't known beforehand, so both replicas share a script.
     names = POOL_REPLICAS if kind in ('streaming',
                                       'resumable') else PLAIN_REPLICAS
     replicas = [context.platform.replicas[n] for n in names]
-    shared = OneFault(fault)
+    shared = SharedScript(*faults)
     for replica in replicas:
         replica.script = shared
 
 
-class OneFault:
-    """A script of one fault that several replicas share."""
+class SharedScript:
+    """A script that several replicas share."""
 
-    def __init__(self, fault):
-        self._remaining = [fault]
+    def __init__(self, *faults):
+        self._remaining = list(faults)
 
     def __bool__(self):
         return bool(self._remaining)
 
     def popleft(self):
-        return self._remaining.pop()
+        return self._remaining.pop(0)
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -86,7 +86,7 @@
     # the middle of a stream together with the replica that holds its KV backup:
     # the connection refused there must not count as a request that has not run.
     site = context.platform
-    shared = platform_site.OneFault(fault)
+    shared = platform_site.SharedScript(fault)
     replicas = [site.replicas[n] for n in (*platform_site.POOL_REPLICAS, 'e3')]
 
     def close_backup(req):
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -1,5 +1,7 @@
 """Calls to a replica that another entry forwards."""
 
+import time
+
 import pytest
 
 import forwarding_site
@@ -13,6 +15,9 @@
 RESPONSE = (b'HTTP/1.1 200 OK\r\nRid: r\r\nKeep-Alive: timeout=5\r\n'
             b'Content-Length: 4\r\n\r\nbody')
 
+PAUSE_S = 5.0
+"""Time for which a caller that is alive reads nothing, s."""
+
 TRANSFER_TIMEOUT_S = 120.0
 """Longest time for a large response, s: it only turns a hang into a failure."""
 
@@ -205,6 +210,28 @@
     peer.close()
 
 
+def test_a_reader_that_pauses_for_seconds_gets_the_whole_response(loop):
+    """A stream is cut as its caller, which is alive, reads nothing for 5 s."""
+    size = 30_000_000
+    peer = peers.ScriptedPeer([[
+        b'HTTP/1.1 200 OK\r\nRid: r\r\nContent-Length: %d\r\n\r\n' % size,
+        b'x' * size
+    ]])
+    call = forwarding_site.Call()
+    with forwarding_site.site(loop, peer.addr) as site:
+        conn = site.send(call)
+        peers.run(loop, lambda: call.received)
+        conn.pause()
+        resume_at = time.monotonic() + PAUSE_S
+        while time.monotonic() < resume_at:
+            loop.step(0.05)
+        conn.resume()
+        peers.run(loop, lambda: call.done, TRANSFER_TIMEOUT_S)
+        assert call.failure is None
+        assert len(call.received) == size
+    peer.close()
+
+
 def test_what_a_response_announces_binds_the_forwarder_too(loop):
     """A replica asks for rest, and the entry that forwards sends on."""
     call = forwarding_site.Call()
