Silent attempts: one is kept until another replica has taken its request

Callers saw a stream reset after some of its events, or an error, although its replica went on a moment later.

Cause: an attempt that was silent for a second was cancelled, and only then was it found out whether another one was possible: the next replica refused, failed or hung, the configuration had dropped the route or the key, no retry was left. The class: something that works is given up before its replacement is certain. The same in the restore from a KV backup, in calls and streams that wait for their first byte, and for requests that may crash replicas, which ended as soon as they were silent.

Change: the silent attempt is put aside with its terms and its part of the response, and goes on if it responds, or if no replica takes the request. What can be asked beforehand is asked: route, key, proof, room, crash suspects. A response that has begun keeps the route and the service that it began with. A probe whose connection breaks meanwhile no longer leaves the request to its time limit.

What a replica refuses later than 0.3 s after it was asked cannot be foreseen.

--- a/gorsefall/net/outbound.py
+++ b/gorsefall/net/outbound.py
@@ -145,6 +145,11 @@
         """See the class."""
         return self._call is not None
 
+    @property
+    def sent(self):
+        """Whether the peer may have received part of the request."""
+        return self._transport.has_written
+
     @property
     def bytes_in(self):
         """See the class."""
--- a/gorsefall/policy/attempts.py
+++ b/gorsefall/policy/attempts.py
@@ -63,10 +63,14 @@
         self.tried.discard(self.replicas[-1])
         self.record_unreached()
 
-    def record_refusal(self):
-        """Records that the last replica refused the request without a run."""
+    def record_refusal(self, name=None):
+        """Records that a replica refused the request without a run.
+
+        Args:
+            name: The replica's name; None for the last one.
+        """
         self._refusals += 1
-        self.in_doubt.remove(self.replicas[-1])
+        self.in_doubt.remove(self.replicas[-1] if name is None else name)
 
     def record_withdrawal(self):
         """Records that the last attempt was withdrawn before it was sent."""
--- a/gorsefall/relay/backups.py
+++ b/gorsefall/relay/backups.py
@@ -2,11 +2,31 @@
 
 import time
 
+from gorsefall.policy import attempt_timeouts
 from gorsefall.policy import placement
+from gorsefall.relay import prober
+
+
+def is_gone(verdict, *, failed, silent_s):
+    """Returns whether a run should continue from its KV backup.
+
+    Args:
+        verdict: The ``prober.Verdict`` on the replica that runs it.
+        failed: Whether its connection failed.
+        silent_s: Time without a byte of the response, s.
+    """
+    if verdict is prober.Verdict.UNKNOWN:
+        return failed or silent_s >= attempt_timeouts.DARK_AFTER_S
+    return verdict is prober.Verdict.EXITED
 
 
 class KvBackup:
-    """The KV backup of one run; a run restores from a backup at most once."""
+    """The KV backup of one run; a run restores from a backup at most once.
+
+    Attributes:
+        holder: The ``replicas.Replica`` chosen to hold it; None if there is
+            none, or it was claimed.
+    """
 
     def __init__(self, replica_prober, replicas):
         """Creates the state of a run without a backup.
@@ -17,13 +37,13 @@
         """
         self._prober = replica_prober
         self._fleet = replicas
-        self._holder = None
+        self.holder = None
         self._on_probed = None
 
     @property
     def available(self):
         """Whether a replica was chosen and its backup was not claimed yet."""
-        return self._holder is not None
+        return self.holder is not None
 
     def choose_holder(self, candidates, request_id):
         """Chooses the replica that receives the backup.
@@ -39,10 +59,10 @@
         chosen = placement.choose_backup([r.view for r in candidates],
                                          request_id, time.monotonic())
         if chosen is None:
-            self._holder = None
+            self.holder = None
             return None
-        self._holder = self._fleet.replicas[chosen.name]
-        return self._holder.record.addr
+        self.holder = self._fleet.replicas[chosen.name]
+        return self.holder.record.addr
 
     def probe(self, replica, done):
         """Calls ``done(verdict)`` with the ``prober.Verdict`` on ``replica``.
@@ -66,7 +86,7 @@
         restart another ``Replica`` object has the same id. A replica that
         accepts no request does not continue the run either.
         """
-        holder, self._holder = self._holder, None
+        holder, self.holder = self.holder, None
         current = self._fleet.replicas.get(holder.record.id)
         if current is not holder or holder.refusal(time.monotonic()):
             return None
--- a/gorsefall/relay/delivery.py
+++ b/gorsefall/relay/delivery.py
@@ -1,6 +1,9 @@
 """Delivers a response to its caller: buffered until complete, or streamed."""
 
+import dataclasses
+
 from gorsefall.relay import events
+from gorsefall.relay import model
 
 MAX_BUFFERED_BYTES = 4 << 20
 """Maximum size of a response that isn't a stream, the same as the default
@@ -8,12 +11,26 @@
 that another replica can still be tried if the first one fails midway."""
 
 
-class Delivery:
-    """Forwards the responses of a request's attempts to its caller.
+@dataclasses.dataclass
+class PartialResponse:
+    """What was received of the response to one attempt.
 
     Attributes:
-        streaming: Whether the current response is forwarded as it arrives.
+        response: Its ``model.Response``; None before its head.
+        streaming: Whether it is forwarded as it arrives.
+        chunks: The buffered pieces of its body, if it isn't forwarded.
+        size: Their size, bytes.
+        incomplete_event: Bytes of the incomplete event at the end.
     """
+    response: model.Response | None = None
+    streaming: bool = False
+    chunks: list[bytes] = dataclasses.field(default_factory=list)
+    size: int = 0
+    incomplete_event: bytes = b''
+
+
+class Delivery:
+    """Forwards the responses of a request's attempts to its caller."""
 
     def __init__(self, codec, writer):
         """Creates a delivery that has sent nothing.
@@ -24,11 +41,13 @@
         """
         self._codec = codec
         self._writer = writer
-        self._response = None
-        self._chunks = []
-        self._size = 0
+        self._part = PartialResponse()
         self._splitter = None
-        self.streaming = False
+
+    @property
+    def streaming(self):
+        """Whether the current response is forwarded as it arrives."""
+        return self._part.streaming
 
     @property
     def started(self):
@@ -52,8 +71,8 @@
             response: The ``model.Response``.
             streams: Whether a successful response is an event stream.
         """
-        self._response = response
-        self.streaming = streams and response.success and response.genuine
+        self._part.response = response
+        self._part.streaming = streams and response.usable
         if self.streaming:
             # Once a stream was started, only more of its events can follow.
             self._splitter = self._splitter or events.Splitter()
@@ -66,9 +85,9 @@
 
     def buffer(self, data):
         """Buffers a piece of the body; returns False if it gets too large."""
-        self._chunks.append(data)
-        self._size += len(data)
-        return self._size <= MAX_BUFFERED_BYTES
+        self._part.chunks.append(data)
+        self._part.size += len(data)
+        return self._part.size <= MAX_BUFFERED_BYTES
 
     def split_events(self, data):
         """Adds a piece of a stream; returns the events it completes, bytes."""
@@ -81,8 +100,9 @@
 
     def _start(self):
         if not self._writer.started:
-            self._writer.start(self._response.status,
-                               self._codec.encode_response(self._response))
+            response = self._part.response
+            self._writer.start(response.status,
+                               self._codec.encode_response(response))
 
     def end(self):
         """Ends a complete stream; sends any bytes left after its last event."""
@@ -95,14 +115,24 @@
         """Sends a buffered response."""
         self._writer.send(response.status,
                           self._codec.encode_response(response),
-                          b''.join(self._chunks))
+                          b''.join(self._part.chunks))
 
     def discard(self):
         """Drops what is buffered of a failed response."""
-        self._response = None
-        self.streaming = False
-        self._chunks.clear()
-        self._size = 0
+        self._part = PartialResponse()
+
+    def detach(self):
+        """Puts the current response aside; returns its ``PartialResponse``."""
+        part, self._part = self._part, PartialResponse()
+        if part.streaming:
+            part.incomplete_event = self._splitter.partial
+        return part
+
+    def reattach(self, part):
+        """Goes on with a response that was put aside."""
+        self._part = part
+        if part.streaming:
+            self._splitter.partial = part.incomplete_event
 
     def send_error(self, status, fields, body):
         """Sends an error response of this entry."""
--- a/gorsefall/relay/exchange.py
+++ b/gorsefall/relay/exchange.py
@@ -15,6 +15,7 @@
 from gorsefall.policy import attempts
 from gorsefall.policy import placement
 from gorsefall.policy import retry_delay
+from gorsefall.policy import takeover as takeover_policy
 from gorsefall.relay import accesslog
 from gorsefall.relay import backups
 from gorsefall.relay import crashes
@@ -22,8 +23,8 @@
 from gorsefall.relay import detours
 from gorsefall.relay import grant
 from gorsefall.relay import outcomes
-from gorsefall.relay import prober
 from gorsefall.relay import sending
+from gorsefall.relay import takeover
 
 INTERNAL_ERROR_STATUS = 500
 TIMEOUT_STATUS = 504
@@ -56,6 +57,7 @@
         self._counted = False
         self._disconnect_reason = None
         self._backup = backups.KvBackup(node.prober, node.fleet)
+        self._takeover = takeover.Takeover(node.loop, self._on_overlap_ended)
 
     # -- limits ----------------------------------------------------------------
 
@@ -111,12 +113,22 @@
 
     # -- sending ---------------------------------------------------------------
 
+    def dispatch(self):
+        """See ``serving.ActiveRequest``."""
+        # An attempt that was put aside may have gone on while this call waited
+        # for another run of the same request.
+        if self._attempt is None:
+            super().dispatch()
+
     def send_next(self):
         """See ``serving.ActiveRequest``."""
         if self.attempts.tried:
             # Checked again before each further attempt, because the key may
             # have been revoked or the route changed in the meantime.
-            self._grant.renew()
+            self._grant.renew(begun=self._delivery.started)
+            if self.attempts.forbids_rerun(self.terms):
+                raise self.attempts.outcome_unknown_error(
+                    'its route does not allow another run any more')
         if not self.node.crashes.try_begin_run(self.digest, self):
             return
         choice = self._detours.take(
@@ -163,6 +175,7 @@
             decode_heavy=self._grant.profile.decode_heavy)
         self._attempt.conn = self.node.paths.send(replica, self._attempt)
         self._attempt.log_sent(self._grant.service, len(self.attempts.replicas))
+        self._takeover.record_sent()
         self._start_attempt_timer()
 
     def _choose_backup_holder(self, replica):
@@ -180,12 +193,21 @@
                                            self._time_left(),
                                            streams=self._grant.streams))
 
+    def _start_gap_timer(self):
+        if self._can_restore():
+            self._set_attempt_timer(attempt_timeouts.BACKUP_GAP_S)
+        elif self.attempts.may_run_concurrently(self.terms):
+            self._set_attempt_timer(attempt_timeouts.STREAM_GAP_S)
+
     def _set_attempt_timer(self, wait_s):
-        if self._attempt_timer is not None:
-            self._attempt_timer.cancel()
+        self._stop_attempt_timer()
         self._attempt_timer = self.node.loop.call_later(
             wait_s, self._on_attempt_timeout)
 
+    def _stop_attempt_timer(self):
+        if self._attempt_timer is not None:
+            self._attempt_timer.cancel()
+
     def _on_attempt_timeout(self):
         # A replica that hangs, or a connection dropped without a reset by
         # something on the path, shows no error. Trying another replica while
@@ -196,20 +218,19 @@
             return
         if self._can_restore():
             self._probe_replica(attempt)
-            return
-        if not self._can_try_another():
+        elif not self._can_try_another():
             # A run that the replica preempted for more urgent work is silent
             # too, and continues later. Giving up here would lose its response.
             self._start_attempt_timer()
-            return
-        if not attempt.response_started:
-            self._record_wait(attempt)
-        self.on_attempt_failed(attempt, self._cancel_silent(attempt))
+        elif attempt.conn.sent:
+            self._put_aside(attempt)
+            self._retry_or_fail_unknown('silent')
+        else:
+            self.on_attempt_failed(attempt, self._cancel_unsent(attempt))
 
-    def _cancel_silent(self, attempt):
-        """Cancels a silent attempt; returns its ``outbound.Failure``."""
-        if attempt.conn.cancel():
-            return outbound.Failure(True, 'silent')
+    def _cancel_unsent(self, attempt):
+        """Cancels an attempt that reached nobody; returns its ``Failure``."""
+        attempt.conn.cancel()
         if attempt.conn.via is not None:
             self.node.paths.record_no_forwarding(attempt.replica,
                                                  attempt.conn.via, 'silent')
@@ -220,6 +241,8 @@
     def _can_try_another(self):
         """Whether a retry is allowed and another replica is available."""
         return (self.attempts.may_run_concurrently(self.terms) and
+                not self.node.crashes.suspects.must_serialize(self.digest) and
+                self._grant.permits_another(begun=self._delivery.started) and
                 self._budget().available(time.monotonic()) >= 1 and bool(
                     self.node.work.candidate_views(self._grant.service,
                                                    self.attempts.tried)))
@@ -234,16 +257,104 @@
     def _record_wait(self, attempt):
         self._start_latency().record(time.monotonic() - attempt.sent_at)
 
+    # -- silent attempts -------------------------------------------------------
+
+    def _put_aside(self, attempt):
+        """Keeps a silent attempt until another replica takes the request."""
+        self._settle(takeover_policy.Event.OVERLAP_ENDED)
+        self._stop_attempt_timer()
+        self._attempt = None
+        self._takeover.begin(
+            takeover.KeptAttempt(attempt, self._grant.terms,
+                                 self._delivery.detach(), self._backup.holder))
+
+    def _on_overlap_ended(self):
+        self._settle(takeover_policy.Event.OVERLAP_ENDED)
+
+    def _settle(self, event):
+        """Decides which of two attempts goes on, and cancels the other one.
+
+        Does nothing while only one attempt is under way.
+
+        Args:
+            event: A ``takeover_policy.Event``.
+        """
+        if self._takeover.kept is None:
+            return
+        kept = self._takeover.end()
+        if takeover_policy.winner(event) is takeover_policy.Winner.OLD:
+            self._go_on_with(kept, event)
+            return
+        now = time.monotonic()
+        attempt = kept.attempt
+        attempt.conn.cancel()
+        attempt.replica.view.record_failure(now)
+        if not attempt.response_started:
+            self._record_wait(attempt)
+        self._release(attempt)
+        attempt.log_failed('silent', now)
+
+    def _go_on_with(self, kept, event):
+        if self._attempt is not None:
+            if not self._attempt.conn.cancel():
+                self.attempts.record_unreached()
+            self._close_attempt(self._attempt)
+        self._attempt = kept.attempt
+        self._grant.terms = kept.terms
+        self._delivery.reattach(kept.part)
+        self._backup.holder = kept.backup_holder
+        self.log.info('kept',
+                      replica=kept.attempt.replica.record.id,
+                      reason=event.value)
+        self._start_attempt_timer()
+
+    def fail(self, exc):
+        """See ``serving.ActiveRequest``."""
+        if self._takeover.kept is None:
+            super().fail(exc)
+            return
+        self.log.info('not_taken_over', code=exc.code, error=str(exc))
+        self._settle(takeover_policy.Event.NEW_IMPOSSIBLE)
+
+    def _on_kept_refused(self, attempt, response):
+        """Handles an error response to an attempt that was put aside."""
+        self._takeover.end()
+        attempt.conn.cancel()
+        self._release(attempt)
+        if response.not_run:
+            self.attempts.record_refusal(attempt.replica.record.id)
+        attempt.log_failed(f'status {response.status}', time.monotonic())
+
+    def _on_kept_failed(self, attempt, failure, now):
+        """Handles the failure of an attempt that was put aside."""
+        self._takeover.end()
+        self._release(attempt)
+        attempt.replica.view.record_failure(now)
+        attempt.log_failed(failure.reason, now)
+        if failure.fault is outbound.Fault.LOST:
+            self.node.crashes.handle_broken_run(attempt.replica,
+                                                self._broken_run(attempt),
+                                                lambda: None)
+
     # -- responses of replicas -------------------------------------------------
 
-    def on_response_head(self, response):
+    def on_response_head(self, attempt, response):
         """Called with the head of a response."""
+        if self._takeover.keeps(attempt):
+            if not response.usable:
+                self._on_kept_refused(attempt, response)
+                return
+            self._settle(takeover_policy.Event.OLD_RESPONDED)
+        elif self._grant.streams and response.usable:
+            self._settle(takeover_policy.Event.NEW_ACCEPTED)
         if not response.not_run and not self._grant.streams:
             self._record_run()
         self._delivery.begin(response, streams=self._grant.streams)
 
     def on_response_data(self, attempt, data):
         """Called with a piece of a response's body."""
+        if self._takeover.keeps(attempt):
+            self._settle(takeover_policy.Event.OLD_RESPONDED)
         if self.first_byte_at is None:
             self.first_byte_at = time.monotonic()
         if not attempt.response_started:
@@ -270,20 +381,21 @@
         if not data:
             return
         attempt.record_events(self._delivery.event_count)
-        if self._can_restore():
-            self._set_attempt_timer(attempt_timeouts.BACKUP_GAP_S)
-        elif self.attempts.may_run_concurrently(self.terms):
-            self._set_attempt_timer(attempt_timeouts.STREAM_GAP_S)
+        self._start_gap_timer()
         if not self._delivery.forward(data):
             attempt.pause()
 
     def on_caller_drained(self):
         """Called when all bytes for the caller were sent."""
-        if self._attempt is not None:
-            self._attempt.conn.resume()
+        if self._attempt is not None and self._attempt.paused:
+            self._attempt.resume()
 
     def on_response_end(self, attempt, response):
         """Called when a response is complete."""
+        if self._takeover.keeps(attempt):
+            self._settle(takeover_policy.Event.OLD_RESPONDED)
+        elif response.usable:
+            self._settle(takeover_policy.Event.NEW_ACCEPTED)
         self._close_attempt(attempt)
         if response.not_run:
             self._on_refused(attempt, response)
@@ -302,7 +414,7 @@
         elif self._delivery.streaming:
             self._delivery.end()
             self.close(outcomes.Outcome.SERVED)
-        elif self._delivery.resuming:
+        elif self._delivery.resuming or self._takeover.kept is not None:
             self._retry_or_fail_unknown(f'resuming gave {response.status}')
         elif response.status != INTERNAL_ERROR_STATUS or not self.retry(
                 f'status {INTERNAL_ERROR_STATUS}'):
@@ -328,18 +440,17 @@
 
     def on_attempt_failed(self, attempt, failure):
         """Called when an attempt ended without a complete response."""
-        self._close_attempt(attempt)
         now = time.monotonic()
+        attempt.failure = failure
+        if self._takeover.keeps(attempt):
+            self._on_kept_failed(attempt, failure, now)
+            return
+        self._close_attempt(attempt)
         detour = self._detours.plan(attempt, failure)
         if not detour and not (failure.sent and
                                failure.fault is outbound.Fault.FORWARDER):
             attempt.replica.view.record_failure(now)
-        self.log.info('attempt_failed',
-                      replica=attempt.replica.record.id,
-                      reason=failure.reason,
-                      sent=failure.sent,
-                      via=attempt.conn.via,
-                      after_ms=round((now - attempt.sent_at) * 1000, 1))
+        attempt.log_failed(failure.reason, now, sent=failure.sent)
         lost = failure.fault is outbound.Fault.LOST
         if lost and self._start_latency().covers(now - attempt.sent_at):
             # A response that was lost on its way: the replica ran it.
@@ -351,24 +462,26 @@
                 self.attempts.record_unreached()
             self.restart()
         elif lost:
-            run = crashes.BrokenRun(self.digest,
-                                    attempt.sent_at,
-                                    attempt.first_byte_at,
-                                    after_broken_run=len(self.attempts.replicas)
-                                    > 1)
             self.node.crashes.handle_broken_run(
-                attempt.replica, run,
+                attempt.replica, self._broken_run(attempt),
                 lambda: self._handle_failure(attempt, failure.reason))
         else:
             self._handle_failure(attempt, failure.reason)
 
+    def _broken_run(self, attempt):
+        return crashes.BrokenRun(self.digest,
+                                 attempt.sent_at,
+                                 attempt.first_byte_at,
+                                 after_broken_run=len(self.attempts.replicas)
+                                 > 1)
+
     def _handle_failure(self, attempt, reason):
-        if self.done:
+        if self.done or self._attempt is not None:
             return
         if self.node.crashes.suspects.must_serialize(self.digest):
             self.fail(self.attempts.outcome_unknown_error(reason))
         elif self._can_restore():
-            self._probe_replica(attempt, reason)
+            self._probe_replica(attempt)
         else:
             self._retry_or_fail_unknown(reason)
 
@@ -386,35 +499,28 @@
         return (self._backup.available and
                 self._delivery.last_event_id is not None)
 
-    def _probe_replica(self, attempt, failure_reason=None):
-        """Probes the replica of a failed or silent stream, then continues.
+    def _probe_replica(self, attempt):
+        """Probes the replica of a failed or silent stream, then continues."""
+        self._backup.probe(attempt.replica,
+                           lambda verdict: self._on_probed(attempt, verdict))
 
-        Args:
-            attempt: The ``sending.Attempt``.
-            failure_reason: Why the attempt failed; None if it is only silent.
-        """
-
-        def on_probed(verdict):
-            silent_s = time.monotonic() - attempt.last_data_at
-            gives_no_sign = (failure_reason or
-                             silent_s >= attempt_timeouts.DARK_AFTER_S)
-            if (verdict is prober.Verdict.EXITED or
-                    verdict is prober.Verdict.UNKNOWN and gives_no_sign):
-                self._restore(attempt)
-            elif failure_reason:
-                self._retry_or_fail_unknown(failure_reason)
-            else:
-                self._set_attempt_timer(attempt_timeouts.BACKUP_GAP_S)
-
-        self._backup.probe(attempt.replica, on_probed)
+    def _on_probed(self, attempt, verdict):
+        failed = attempt.failure is not None
+        if self._attempt is not (None if failed else attempt):
+            return
+        silent_s = time.monotonic() - attempt.last_data_at
+        if backups.is_gone(verdict, failed=failed, silent_s=silent_s):
+            self._restore(attempt)
+        elif failed:
+            self._retry_or_fail_unknown(attempt.failure.reason)
+        else:
+            self._set_attempt_timer(attempt_timeouts.BACKUP_GAP_S)
 
     def _restore(self, attempt):
         """Continues the run at the replica that has its KV backup."""
-        if self._attempt is not None:
-            attempt.conn.cancel()
-            self._close_attempt(attempt)
-            attempt.replica.view.record_failure(time.monotonic())
         replica = self._backup.claim()
+        if self._attempt is attempt:
+            self._put_aside(attempt)
         if replica is None:
             self._retry_or_fail_unknown(
                 'its replica is gone, and no copy is left')
@@ -429,7 +535,7 @@
                       replica=replica.record.id,
                       after=self._last_event())
         try:
-            self._grant.renew()
+            self._grant.renew(begun=True)
             if not self.node.crashes.try_begin_run(self.digest, self):
                 raise self.attempts.outcome_unknown_error(
                     'another run of it is under way')
@@ -449,19 +555,19 @@
     def on_caller_disconnected(self, reason):
         """Called when the caller disconnected; cancels the attempt."""
         self._disconnect_reason = reason
-        self._cancel_attempt()
+        self._cancel_attempts()
         self.close(outcomes.Outcome.CALLER_LEFT)
 
     def on_caller_lost(self, reason):
         """Called when the connection failed, and the caller had not left."""
         self._disconnect_reason = reason
-        self._cancel_attempt()
+        self._cancel_attempts()
         self.close(
             outcomes.Outcome.CALLER_LOST,
             errors.CallerLostError(f'connection to the caller: {reason}'))
 
     def _on_deadline(self):
-        self._cancel_attempt()
+        self._cancel_attempts()
         if self.attempts.in_doubt:
             self.fail(errors.TimedOutError('no whole answer in time'))
         else:
@@ -471,13 +577,17 @@
 
     def abort(self):
         """Ends the exchange because the process exits."""
-        self._cancel_attempt()
+        self._cancel_attempts()
         why = 'the entry is shutting down'
         self.fail(
             self.attempts.reportable_error(errors.DrainingError(why), why,
                                            self.terms))
 
-    def _cancel_attempt(self):
+    def _cancel_attempts(self):
+        kept = self._takeover.end()
+        if kept is not None:
+            kept.attempt.conn.cancel()
+            self._release(kept.attempt)
         attempt = self._attempt
         if attempt is not None:
             if not attempt.conn.cancel():
@@ -485,12 +595,14 @@
             self._close_attempt(attempt)
 
     def _close_attempt(self, attempt):
+        self._release(attempt)
+        self._attempt = None
+        self._stop_attempt_timer()
+
+    def _release(self, attempt):
         attempt.occupancy.close()
         self._longest_pause_s = max(self._longest_pause_s,
                                     attempt.longest_pause_s)
-        self._attempt = None
-        if self._attempt_timer is not None:
-            self._attempt_timer.cancel()
 
     def send_error(self, exc):
         """See ``serving.ActiveRequest``."""
--- a/gorsefall/relay/forwarding.py
+++ b/gorsefall/relay/forwarding.py
@@ -115,6 +115,11 @@
         self._channel.close()
         return self._requested
 
+    @property
+    def sent(self):
+        """See ``outbound.Connection``."""
+        return self._requested
+
     def pause(self):
         """See ``outbound.Connection``."""
         self._channel.pause()
--- a/gorsefall/relay/grant.py
+++ b/gorsefall/relay/grant.py
@@ -1,9 +1,11 @@
 """Applies the current configuration to a request: route, account, replica."""
 
+import dataclasses
 import time
 
 from gorsefall import directory
 from gorsefall import errors
+from gorsefall import ids
 from gorsefall import metrics
 from gorsefall.policy import knowledge
 from gorsefall.policy import overload
@@ -13,13 +15,29 @@
 from gorsefall.relay import routes
 
 
-class Grant:
-    """A request's route and account, checked again before each attempt.
+@dataclasses.dataclass(frozen=True)
+class Terms:
+    """What a configuration says of a request.
 
     Attributes:
         route: The ``model.Route``; None until one was found.
         account: The ``model.Account``; None on public routes.
         service: Name of the service that the request is sent to.
+        admission_rank: Rank for admission at this entry, 0 is the most urgent.
+        replica_rank: Rank in the queue of its replica, 0 is the most urgent.
+    """
+    route: model.Route | None = None
+    account: model.Account | None = None
+    service: ids.ServiceName | None = None
+    admission_rank: int = 0
+    replica_rank: int = 0
+
+
+class Grant:
+    """A request's ``Terms``, checked again before each attempt.
+
+    Attributes:
+        terms: The ``Terms`` of the last attempt.
         non_repeatable: Whether any route that the request matched forbids a
             second run.
         profile: The ``knowledge.RequestProfile`` that the last replica was
@@ -29,31 +47,73 @@
     def __init__(self, node, req):
         self._node = node
         self._req = req
-        self.route = None
-        self.account = None
-        self.service = None
+        self.terms = Terms()
         self.non_repeatable = False
         self.profile = knowledge.RequestProfile(zone=node.cfg.zone)
 
-    def renew(self):
+    @property
+    def route(self):
+        """See ``Terms``."""
+        return self.terms.route
+
+    @property
+    def account(self):
+        """See ``Terms``."""
+        return self.terms.account
+
+    @property
+    def service(self):
+        """See ``Terms``."""
+        return self.terms.service
+
+    def renew(self, *, begun=False):
         """Looks up route and account in the current configuration.
 
+        Args:
+            begun: Whether the caller has part of a response. Only replicas of
+                the same service can complete it, so the request keeps its
+                route, as a run that goes on does.
+
         Raises:
             errors.NoCatalogueError: No configuration was read yet.
             errors.BadRequestError: No route matches, or the key is invalid.
             errors.UnconfirmedError: The key may have been revoked since the
                 configuration was last confirmed.
         """
-        table = directory.require_loaded(self._node.table)
-        route = table.match(self._req)
-        if self.route != route:
-            self.route = route
-            self.service = routes.pick_service(route)
-            self.non_repeatable = self.non_repeatable or not route.repeatable
-        account = table.account(self._req, route)
+        table, route, account = self._look_up(begun)
         if account is not None and not self._node.confirmation.is_current():
             self._handle_unconfirmed(table)
-        self.account = account
+        if begun:
+            self.terms = dataclasses.replace(self.terms, account=account)
+            return
+        service = self.service
+        if service is None or self.route != route:
+            service = routes.pick_service(route)
+            self.non_repeatable = self.non_repeatable or not route.repeatable
+        self.terms = Terms(route,
+                           account,
+                           service,
+                           admission_rank=table.admission_rank(account, route),
+                           replica_rank=table.replica_rank(account, route))
+
+    def permits_another(self, *, begun):
+        """Returns whether another attempt is allowed now; see ``renew``."""
+        try:
+            _, _, account = self._look_up(begun)
+        except errors.GorsefallError:
+            # Not a failure: the attempt under way goes on.
+            return False
+        return (account is None or not self._node.cfg.strict_revocation or
+                self._node.confirmation.is_current())
+
+    def _look_up(self, begun):
+        """Returns the current ``(table, route, account)``; see ``renew``."""
+        table = directory.require_loaded(self._node.table)
+        route = self.route if begun else table.match(self._req)
+        if self.route is None:
+            # The log names the route of a request whose key is refused.
+            self.terms = Terms(route)
+        return table, route, table.account(self._req, route)
 
     def _handle_unconfirmed(self, table):
         """Handles a key that may have been revoked in the meantime.
@@ -74,16 +134,6 @@
         """Whether the response is an event stream."""
         return self.route.kind is model.RouteKind.STREAM
 
-    @property
-    def admission_rank(self):
-        """Rank for admission at this entry, 0 is the most urgent."""
-        return self._node.table.admission_rank(self.account, self.route)
-
-    @property
-    def replica_rank(self):
-        """Rank in the queue of its replica, 0 is the most urgent."""
-        return self._node.table.replica_rank(self.account, self.route)
-
     def _build_profile(self):
         """Returns the request's current ``knowledge.RequestProfile``."""
         zone = self._node.cfg.zone
@@ -96,7 +146,7 @@
                                         tokens=prompt.tokens_in,
                                         tokens_out=prompt.tokens_out,
                                         queue_limit_ms=ranks.queue_limit_ms(
-                                            self.admission_rank,
+                                            self.terms.admission_rank,
                                             self._target_ms),
                                         gap_ms=self.route.gap_target_s * 1000)
 
@@ -114,7 +164,7 @@
     def record_arrival(self):
         """Counts the request for its service and rank."""
         self._node.work.ranks(self.service).record_request(
-            self.admission_rank, self._target_ms)
+            self.terms.admission_rank, self._target_ms)
 
     def attempt_options(self, record, *, time_left_s, backup, from_backup,
                         resume_after, source):
@@ -135,7 +185,7 @@
             replica=record.id,
             time_left_s=time_left_s,
             account=self.account.name if self.account else None,
-            priority=self.replica_rank,
+            priority=self.terms.replica_rank,
             backup_to=backup,
             restore_from=record.addr if from_backup else None,
             resume_after=resume_after,
@@ -159,7 +209,8 @@
         """
         work = self._node.work
         self.profile = self._build_profile()
-        urgent = work.ranks(self.service).is_most_urgent(self.admission_rank)
+        urgent = work.ranks(self.service).is_most_urgent(
+            self.terms.admission_rank)
         candidates = work.candidate_views(self.service, tried, urgent=urgent)
         if least_loaded:
             candidates = placement.with_fewest_requests(candidates)
--- a/gorsefall/relay/model.py
+++ b/gorsefall/relay/model.py
@@ -276,6 +276,11 @@
         """Whether the status is a success."""
         return 200 <= self.status < 300
 
+    @property
+    def usable(self):
+        """Whether it is a success that the replica itself sent."""
+        return self.success and self.genuine
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class AttemptOptions:
--- a/gorsefall/relay/sending.py
+++ b/gorsefall/relay/sending.py
@@ -19,8 +19,11 @@
         choice: The ``placement.Choice`` of the replica.
         request_id: The caller's id of the request.
         last_data_at: When the last body bytes arrived, s; ``sent_at`` before.
-        conn: The connection in use; has ``cancel``, ``pause``, ``resume`` and
+        conn: The connection in use; has ``cancel``, ``pause``, ``resume``,
+            ``sent``, whether the replica may have part of the request, and
             ``via``, the host of an entry that forwards the request or None.
+        paused: Whether reading is paused as the caller is slow.
+        failure: Its ``outbound.Failure``; None unless it has failed.
         occupancy: Counts the request as in flight at the replica until closed.
         prefill_done: Call it when the response starts: the prompt tokens
             no longer wait for prefill.
@@ -39,6 +42,8 @@
         self.last_data_at = self.sent_at
         self._stream_monitor = stalls.StreamMonitor(replica.view)
         self.conn = None
+        self.paused = False
+        self.failure = None
         self.request_id = req.id
         self.choice = choice
         self.occupancy = contextlib.ExitStack()
@@ -95,8 +100,29 @@
     def pause(self):
         """Stops reading until the caller has received the data so far."""
         self._stream_monitor.record_pause()
+        self.paused = True
         self.conn.pause()
 
+    def resume(self):
+        """Resumes reading after ``pause``."""
+        self.paused = False
+        self.conn.resume()
+
+    def log_failed(self, reason, now, *, sent=True):
+        """Logs that it ended without a complete response.
+
+        Args:
+            reason: What happened.
+            now: Time, s (monotonic).
+            sent: Whether the replica may have part of the request.
+        """
+        self._exchange.log.info('attempt_failed',
+                                replica=self.replica.record.id,
+                                reason=reason,
+                                sent=sent,
+                                via=self.conn.via,
+                                after_ms=round((now - self.sent_at) * 1000, 1))
+
     def matches_response(self, status, fields):
         """See ``outbound.Call``."""
         self._response = self._exchange.node.codec.decode_response(
@@ -116,7 +142,7 @@
             self._exchange.node.record_load(self.replica, load)
         self._exchange.node.announcements.record_response(
             self.replica, self._response, self.sent_at)
-        self._exchange.on_response_head(self._response)
+        self._exchange.on_response_head(self, self._response)
 
     def on_data(self, data):
         """See ``outbound.Call``."""
