Callers: one that reads nothing for seconds is not cut within its time limit

Callers saw a reset in the middle of a stream, 4.0 s after they had stopped reading, though their time limit was 60 s; the log said that they had left.

Cause: TCP_USER_TIMEOUT. The kernel ends a connection by it whose reader is alive and acknowledges every window probe. The class: slow is taken for dead.

Change: while a response is due, the kernel waits as long as the request may take; at least 3.5 s as before. A caller that never reads holds its descriptor until its time limit, no longer. The price: a caller whose VM loses power in the middle of a response is noticed at the time limit instead of after 3.5 s.

--- a/features/platform_silent_replicas.feature
+++ b/features/platform_silent_replicas.feature
@@ -39,7 +39,7 @@
   # Guards against a caller that is cut off although it is alive: the kernel
   # takes one that reads nothing for some seconds for one that is gone.
   Scenario: a caller that reads nothing for a while
-    When a caller of a large stream reads nothing for 6 s, then all of it
+    When a caller of a large "long" stream reads nothing for 6 s, then all of it
     Then it gets the whole stream
 
   Scenario: a stream whose replica seems to be gone, and whose KV backup is refused
--- a/features/steps/silent_steps.py
+++ b/features/steps/silent_steps.py
@@ -17,6 +17,7 @@
 LONG_STREAM_PATH = '/os/x'
 """A path whose route has a time limit of 4 s."""
 
+LARGE_STREAM_PATHS = {'long': '/l/x', 'resumable': '/r/x'}
 OTHER_SERVICES = {'resumable': 'plain', 'idempotent': 'pool'}
 
 
@@ -70,14 +71,15 @@
     assert len(services) == 1, services
 
 
-@when('a caller of a large stream reads nothing for {pause_s:d} s, then all of '
-      'it')
-def step_slow_caller(context, pause_s):
+@when('a caller of a large "{kind}" stream reads nothing for {pause_s:d} s, '
+      'then all of it')
+def step_slow_caller(context, kind, pause_s):
     for name in platform_site.POOL_REPLICAS:
         context.platform.replicas[name].script = platform_site.SharedScript(
             'sends a large stream')
-    request = wire_callers.request_bytes('/l/x',
-                                         platform_site.new_rid(context),
+    context.rid = platform_site.new_rid(context)
+    request = wire_callers.request_bytes(LARGE_STREAM_PATHS[kind],
+                                         context.rid,
                                          deadline_ms=60000)
     with wire_callers.connect(context.platform.callers) as sock:
         sock.sendall(request)
--- a/gorsefall/net/tcp.py
+++ b/gorsefall/net/tcp.py
@@ -114,6 +114,19 @@
         if not self._connecting:
             self._flush()
 
+    def set_time_limit(self, limit_s):
+        """Sets how long the peer may leave bytes unread, s.
+
+        The kernel takes a peer that reads nothing for one that is gone, though
+        it acknowledges every probe.
+
+        Args:
+            limit_s: The time; ``USER_TIMEOUT_MS`` if that is longer.
+        """
+        if self.is_open:
+            self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT,
+                                  max(USER_TIMEOUT_MS, round(limit_s * 1000)))
+
     def pause(self):
         """Stops reading, so that a fast peer cannot fill the memory."""
         self._set_reading(False)
--- a/gorsefall/relay/delivery.py
+++ b/gorsefall/relay/delivery.py
@@ -134,6 +134,10 @@
         if part.streaming:
             self._splitter.partial = part.incomplete_event
 
+    def set_time_limit(self, time_left_s):
+        """Sets how long the caller may take to read its response, s."""
+        self._writer.set_time_limit(time_left_s)
+
     def send_error(self, status, fields, body):
         """Sends an error response of this entry."""
         self._writer.send(status, fields, body)
--- a/gorsefall/relay/exchange.py
+++ b/gorsefall/relay/exchange.py
@@ -77,6 +77,7 @@
         if self.req.time_left_s is not None:
             time_left_s = min(time_left_s, self.req.time_left_s)
         self._deadline = self.arrived_at + time_left_s
+        self._delivery.set_time_limit(time_left_s)
         self._deadline_timer = self.node.loop.call_later(
             time_left_s, self._on_deadline)
         self._grant.record_arrival()
--- a/gorsefall/relay/inbound.py
+++ b/gorsefall/relay/inbound.py
@@ -60,6 +60,10 @@
         self.started = True
         self._conn.send_head(status, fields, None)
 
+    def set_time_limit(self, limit_s):
+        """Sets how long the caller may take to read the response, s."""
+        self._conn.set_time_limit(limit_s)
+
     def write(self, data):
         """Sends a piece of the body; returns whether the caller keeps up."""
         self._conn.send_body(data)
@@ -238,6 +242,10 @@
         """Sends a piece of the response body."""
         self._conn.write(self._h11.send(h11.Data(data=data)))
 
+    def set_time_limit(self, limit_s):
+        """Sets how long the caller may leave bytes unread, s."""
+        self._conn.set_time_limit(limit_s)
+
     def can_write(self):
         """Returns whether the caller reads fast enough to send it more."""
         return self._conn.unsent_bytes < MAX_PENDING_BYTES
