Slow callers: a replica from which nothing is read is not taken for silent

A caller that read nothing for over a second had the run of its resumable stream cancelled, and another one begun, or, where no other replica took it, its stream broken off.

Cause: reading from the replica is paused while its caller does not read, and the timer for silent streams ran on. Evidence: the scenario 'a caller of a resumable stream that reads nothing for a while' fails without this change (its request runs twice). Change: the timer stops while reading is paused, and starts again as it goes on. Found by looking for other ways in which a run that works is let go of.

--- a/features/platform_silent_replicas.feature
+++ b/features/platform_silent_replicas.feature
@@ -42,6 +42,13 @@
     When a caller of a large "long" stream reads nothing for 6 s, then all of it
     Then it gets the whole stream
 
+  # Guards against a sound run that is let go of: the entry reads nothing from
+  # the replica while the caller does not, and takes that for silence.
+  Scenario: a caller of a resumable stream that reads nothing for a while
+    When a caller of a large "resumable" stream reads nothing for 2 s, then all of it
+    Then it gets the whole stream
+    And the request ran 1 times
+
   Scenario: a stream whose replica seems to be gone, and whose KV backup is refused
     Given a third pool replica
     When the replica of a long response "stalls long after two events", and the replica of its KV backup refuses
--- a/gorsefall/relay/exchange.py
+++ b/gorsefall/relay/exchange.py
@@ -384,12 +384,16 @@
         attempt.record_events(self._delivery.event_count)
         self._start_gap_timer()
         if not self._delivery.forward(data):
+            # Nothing is read from the replica now, so its silence means
+            # nothing.
+            self._stop_attempt_timer()
             attempt.pause()
 
     def on_caller_drained(self):
         """Called when all bytes for the caller were sent."""
         if self._attempt is not None and self._attempt.paused:
             self._attempt.resume()
+            self._start_gap_timer()
 
     def on_response_end(self, attempt, response):
         """Called when a response is complete."""
