Forwarding: an entry whose caller reads slowly is not cut off from the one that forwards

A caller of an entry that has lost its paths, and that reads nothing for 4 s, had its stream broken off: the connection between the two entries was ended by the kernel of the one that forwards (3.8 s).

Change: a forwarded request bears its time limit, for which the kernel of the other entry waits. An entry of before leaves the field out, and is answered as before.

--- a/gorsefall/net/outbound.py
+++ b/gorsefall/net/outbound.py
@@ -65,13 +65,16 @@
         target: Path and query, bytes.
         fields: Header fields, a list of byte pairs.
         body: Request body.
+        time_limit_s: Longest time until the end of the response, s; 0 for no
+            limit.
     """
 
-    def __init__(self, method, target, fields, body=b''):
+    def __init__(self, method, target, fields, body=b'', time_limit_s=0.0):
         self.method = method
         self.target = target
         self.fields = fields
         self.body = body
+        self.time_limit_s = time_limit_s
 
     def matches_response(self, status, fields):
         """Returns whether a response head belongs to this request."""
--- a/gorsefall/relay/forwarder.py
+++ b/gorsefall/relay/forwarder.py
@@ -120,6 +120,7 @@
             # would run for nobody.
             self.close()
             return
+        self._conn.set_time_limit(message.time_limit_s)
         self._run = _Run(self, replica, message)
         self._run.conn = replica.pool.send(self._run)
 
--- a/gorsefall/relay/forwarding.py
+++ b/gorsefall/relay/forwarding.py
@@ -141,7 +141,7 @@
         call = self._call
         self._channel.send(
             messages.Request(call.request_id, call.method, call.target,
-                             call.fields, call.body))
+                             call.fields, call.body, call.time_limit_s))
 
     @on_message.register
     def _on_refused(self, message: messages.Refused):
--- a/gorsefall/relay/forwardmessages.py
+++ b/gorsefall/relay/forwardmessages.py
@@ -54,12 +54,15 @@
         path: Path and query.
         fields: Header fields.
         body: Request body.
+        time_limit_s: Longest time until the end of the response, s; 0 if not
+            known.
     """
     id: ids.RequestId
     method: bytes
     path: bytes
     fields: Fields
     body: bytes
+    time_limit_s: float = 0.0
 
 
 class Interim(msgspec.Struct, frozen=True, array_like=True, tag='interim'):
--- a/gorsefall/relay/sending.py
+++ b/gorsefall/relay/sending.py
@@ -32,7 +32,11 @@
     def __init__(self, exchange, replica, options, choice, *, decode_heavy):
         req = exchange.req
         fields = exchange.node.codec.encode_request(req, options)
-        super().__init__(req.method, req.target, fields, req.body)
+        super().__init__(req.method,
+                         req.target,
+                         fields,
+                         req.body,
+                         time_limit_s=options.time_left_s)
         self._exchange = exchange
         self._priority = options.priority
         self._response = None
--- a/tests/forwarding_site.py
+++ b/tests/forwarding_site.py
@@ -73,7 +73,9 @@
     def __init__(self, rid='r', body=b''):
         super().__init__(b'POST',
                          b'/p', [(b'Host', b'h'),
-                                 (b'Content-Length', b'%d' % len(body))], body)
+                                 (b'Content-Length', b'%d' % len(body))],
+                         body,
+                         time_limit_s=60.0)
         self.request_id = rid
         self.received = b''
         self.status = None
