Silent attempts: the next replica is asked on a new connection

A stream whose connection had gone silent for good was moved to a connection that had gone silent as well, and was broken off at its time limit; where the paths of an entry to several replicas hang for a second, the silent attempt was let go of for a replica that was not reached, and that refused once it was.

Cause: a kept connection shows nothing of the path. Change: the next attempt opens a connection of its own, and the time for which both are kept starts when it is established; a replica that is not reached costs no attempt. It is one connection for each takeover.

--- a/features/platform_unreachable.feature
+++ b/features/platform_unreachable.feature
@@ -47,3 +47,9 @@
   Scenario: replicas that exit are told from paths that are lost
     When connections of the first entry to all replicas are reset
     Then no entry takes a replica for exited
+
+  # Guards against a stream that is moved from one lost connection to another.
+  Scenario: open connections go silent for good while new ones work
+    Given connections of the first entry to both pool replicas
+    When all its open connections go silent while a resumable stream runs
+    Then the caller gets status 200 and "events"
--- a/features/steps/unreachable_steps.py
+++ b/features/steps/unreachable_steps.py
@@ -1,5 +1,6 @@
 """Steps of the feature on an entry that reaches no replica."""
 
+import concurrent.futures
 import signal
 import time
 
@@ -20,6 +21,12 @@
 
 REQUESTS_OF_A_KIND = 12
 
+EVENTS_S = 0.3
+"""Time within which a stream has sent its first events, s."""
+
+KEEP_ALIVE_S = 30
+"""Time for which the replicas keep idle connections, s."""
+
 QUICK_S = 0.8
 """Time within which a request that nobody can serve is refused, s."""
 
@@ -102,6 +109,32 @@
     ][-1]
 
 
+@given('connections of the first entry to both pool replicas')
+def step_connections(context):
+    pool = [context.platform.replicas[n] for n in platform_site.POOL_REPLICAS]
+    for replica in pool:
+        replica.keep_alive_s = KEEP_ALIVE_S
+    counts = [len(r.runs) for r in pool]
+    waiting.until(
+        lambda: platform_site.send_request(context, 'resumable').status == 200
+        and all(len(r.runs) > n for r, n in zip(pool, counts, strict=True)),
+        'a request to each replica')
+
+
+@when('all its open connections go silent while a resumable stream runs')
+def step_lose_connections(context):
+    platform_site.script_fault(context, 'resumable',
+                               'is silent after two events')
+    with concurrent.futures.ThreadPoolExecutor() as executor:
+        reply = executor.submit(platform_site.send_request, context,
+                                'resumable')
+        waiting.until(lambda: platform_site.runs_of(context, context.rid),
+                      'the run')
+        time.sleep(EVENTS_S)
+        context.platform.paths.lose_connections()
+        context.reply = reply.result()
+
+
 @when('the replicas are gone and connections of the first entry hang')
 def step_cut_all(context):
     for replica in context.platform.replicas.values():
--- a/gorsefall/net/outbound.py
+++ b/gorsefall/net/outbound.py
@@ -76,6 +76,9 @@
         self.body = body
         self.time_limit_s = time_limit_s
 
+    def on_sent(self):
+        """Called once when the request was handed to the kernel."""
+
     def matches_response(self, status, fields):
         """Returns whether a response head belongs to this request."""
         del status, fields
@@ -173,6 +176,8 @@
         self._call = call
         self._transport.has_written = False
         self._transport.write(self._start_exchange(call))
+        if self._transport.has_written:
+            call.on_sent()
 
     def _start_exchange(self, call):
         """Resets the HTTP state; returns the bytes of the call's request."""
@@ -214,6 +219,8 @@
         self._timer.cancel()
         self._connected = True
         self._report_connect(True)
+        if self._call is not None:
+            self._call.on_sent()
 
     def _report_connect(self, established):
         if self._on_connect is not None:
@@ -368,9 +375,17 @@
         """Returns whether all connections are open and none is idle."""
         return self.size >= self.max_size and not self._idle
 
-    def send(self, call):
-        """Sends ``call``; returns the idle or new connection it is sent on."""
-        conn = self._take_idle()
+    def send(self, call, *, fresh=False):
+        """Sends ``call``; returns the connection it is sent on.
+
+        Args:
+            call: The ``Call``.
+            fresh: Whether to open a new connection, which shows that the peer
+                is reached; an idle one may have been lost without a sign.
+        """
+        if fresh and self.size >= self.max_size:
+            self._close_idle()
+        conn = None if fresh else self._take_idle()
         if conn is None:
             self.size += 1
             self.opened_count += 1
@@ -383,6 +398,13 @@
         conn.send(call)
         return conn
 
+    def _close_idle(self):
+        """Closes the connection that was idle for longest, if there is any."""
+        if self._idle:
+            conn, timer = self._idle.popleft()
+            timer.cancel()
+            conn.close()
+
     def _take_idle(self):
         while self._idle:
             conn, timer = self._idle.pop()
--- a/gorsefall/relay/exchange.py
+++ b/gorsefall/relay/exchange.py
@@ -174,11 +174,19 @@
             options,
             choice,
             decode_heavy=self._grant.profile.decode_heavy)
-        self._attempt.conn = self.node.paths.send(replica, self._attempt)
+        # A silent attempt is only let go of for a replica that is reached.
+        self._attempt.conn = self.node.paths.send(replica,
+                                                  self._attempt,
+                                                  fresh=self._takeover.kept
+                                                  is not None)
         self._attempt.log_sent(self._grant.service, len(self.attempts.replicas))
-        self._takeover.record_sent()
         self._start_attempt_timer()
 
+    def on_request_sent(self, attempt):
+        """Called when the request was sent on the connection of an attempt."""
+        if not self._takeover.keeps(attempt):
+            self._takeover.record_sent()
+
     def _choose_backup_holder(self, replica):
         """Returns the address for the KV backup of the run, or None."""
         if not self._grant.needs_backup:
--- a/gorsefall/relay/forwarding.py
+++ b/gorsefall/relay/forwarding.py
@@ -139,6 +139,7 @@
         self._timer.cancel()
         self._requested = True
         call = self._call
+        call.on_sent()
         self._channel.send(
             messages.Request(call.request_id, call.method, call.target,
                              call.fields, call.body, call.time_limit_s))
--- a/gorsefall/relay/paths.py
+++ b/gorsefall/relay/paths.py
@@ -78,18 +78,19 @@
         return self._service(replica.record.service).needs_detour(
             replica.record.id, self._loop.now)
 
-    def send(self, replica, call):
+    def send(self, replica, call, *, fresh=False):
         """Sends ``call``; returns the connection, with ``via``.
 
         Args:
             replica: The ``replicas.Replica``.
             call: The ``outbound.Call``; has the ``request_id``.
+            fresh: See ``outbound.Pool.send``.
         """
         if self.needs_detour(replica):
             host = self._choose_forwarder(replica.record.service)
             if host is not None:
                 return self._client.send(host, replica, call)
-        return replica.pool.send(call)
+        return replica.pool.send(call, fresh=fresh)
 
     def _choose_forwarder(self, service):
         if self._client is None:
--- a/gorsefall/relay/sending.py
+++ b/gorsefall/relay/sending.py
@@ -127,6 +127,10 @@
                                 via=self.conn.via,
                                 after_ms=round((now - self.sent_at) * 1000, 1))
 
+    def on_sent(self):
+        """See ``outbound.Call``."""
+        self._exchange.on_request_sent(self)
+
     def matches_response(self, status, fields):
         """See ``outbound.Call``."""
         self._response = self._exchange.node.codec.decode_response(
