--- a/gorsefall/relay/backups.py
+++ b/gorsefall/relay/backups.py
@@ -2,22 +2,7 @@
 
 import time
 
-from gorsefall.policy import attempt_timeouts
 from gorsefall.policy import placement
-from gorsefall.relay import prober
-
-
-def is_gone(verdict, *, failed, silent_s):
-    """Returns whether a run should continue from its KV backup.
-
-    Args:
-        verdict: The ``prober.Verdict`` on the replica that runs it.
-        failed: Whether its connection failed.
-        silent_s: Time without a byte of the response, s.
-    """
-    if verdict is prober.Verdict.UNKNOWN:
-        return failed or silent_s >= attempt_timeouts.DARK_AFTER_S
-    return verdict is prober.Verdict.EXITED
 
 
 class KvBackup:
--- a/gorsefall/relay/sending.py
+++ b/gorsefall/relay/sending.py
@@ -112,12 +112,11 @@
         self.paused = False
         self.conn.resume()
 
-    def log_failed(self, reason, now, *, sent=True):
+    def log_failed(self, reason, *, sent=True):
         """Logs that it ended without a complete response.
 
         Args:
             reason: What happened.
-            now: Time, s (monotonic).
             sent: Whether the replica may have part of the request.
         """
         self._exchange.log.info('attempt_failed',
@@ -125,7 +124,9 @@
                                 reason=reason,
                                 sent=sent,
                                 via=self.conn.via,
-                                after_ms=round((now - self.sent_at) * 1000, 1))
+                                after_ms=round(
+                                    (time.monotonic() - self.sent_at) * 1000,
+                                    1))
 
     def on_sent(self):
         """See ``outbound.Call``."""
--- a/gorsefall/relay/takeover.py
+++ b/gorsefall/relay/takeover.py
@@ -1,7 +1,9 @@
 """Keeps a silent attempt while its request is sent to another replica."""
 
+import time
 import typing
 
+from gorsefall.net import outbound
 from gorsefall.policy import takeover as policy
 from gorsefall.relay import delivery
 from gorsefall.relay import grant
@@ -26,44 +28,106 @@
 
 
 class Takeover:
-    """The silent attempt of one request, if there is any.
+    """The attempt of one exchange that was set aside, if there is any."""
 
-    Attributes:
-        kept: The ``KeptAttempt``, or None.
-    """
-
-    def __init__(self, loop, on_overlap_ended):
-        """Creates a takeover of a request without a silent attempt.
+    def __init__(self, exchange):
+        """Creates a takeover of an exchange without a silent attempt.
 
         Args:
-            loop: The ``reactor.Reactor``.
-            on_overlap_ended: Called when another replica was sent the request
-                and has not refused it in time.
+            exchange: The ``exchange.Exchange``.
         """
-        self._loop = loop
-        self._on_overlap_ended = on_overlap_ended
+        self._exchange = exchange
+        self._kept = None
         self._timer = None
-        self.kept = None
+
+    @property
+    def active(self):
+        """Whether an attempt is set aside."""
+        return self._kept is not None
 
     def begin(self, kept):
-        """Puts a ``KeptAttempt`` aside."""
-        self.kept = kept
+        """Sets a ``KeptAttempt`` aside, instead of an earlier one."""
+        self.settle(policy.Event.OVERLAP_ENDED)
+        self._kept = kept
 
     def keeps(self, attempt):
-        """Returns whether ``attempt`` is the one that was put aside."""
-        return self.kept is not None and self.kept.attempt is attempt
+        """Returns whether ``attempt`` is the one that was set aside."""
+        return self._kept is not None and self._kept.attempt is attempt
 
     def record_sent(self):
         """Records that the request was sent to another replica."""
-        if self.kept is not None:
-            self._stop_timer()
-            self._timer = self._loop.call_later(policy.MAX_OVERLAP_S,
-                                                self._on_overlap_ended)
+        if self._kept is None:
+            return
+        self._stop_timer()
+        self._timer = self._exchange.node.loop.call_later(
+            policy.MAX_OVERLAP_S,
+            lambda: self.settle(policy.Event.OVERLAP_ENDED))
+
+    def settle(self, event):
+        """Decides which attempt goes on, and cancels the other one.
+
+        Does nothing if none is set aside.
+
+        Args:
+            event: The ``policy.Event`` that decides.
+        """
+        if self._kept is None:
+            return
+        kept = self._end()
+        if policy.winner(event) is policy.Winner.NEW:
+            self._exchange.let_go(kept.attempt)
+            return
+        self._exchange.go_on_with(kept)
+        self._exchange.log.info('kept',
+                                replica=kept.attempt.replica.record.id,
+                                reason=event.value)
+
+    def resume(self, exc):
+        """Goes on with the attempt if there is any; returns whether.
+
+        Args:
+            exc: The error for which no other replica takes the request.
+        """
+        if self._kept is None:
+            return False
+        self._exchange.log.info('not_taken_over', code=exc.code, error=str(exc))
+        self.settle(policy.Event.NEW_IMPOSSIBLE)
+        return True
+
+    def on_error_response(self, response):
+        """Ends the attempt, to which its replica responds with an error."""
+        attempt = self._end().attempt
+        attempt.conn.cancel()
+        self._exchange.release(attempt)
+        if response.not_run:
+            self._exchange.attempts.record_refusal(attempt.replica.record.id)
+        attempt.log_failed(f'status {response.status}')
+
+    def on_failed(self, failure):
+        """Ends the attempt, whose connection has failed.
+
+        Args:
+            failure: The ``outbound.Failure``.
+        """
+        attempt = self._end().attempt
+        self._exchange.release(attempt)
+        attempt.replica.view.record_failure(time.monotonic())
+        attempt.log_failed(failure.reason)
+        if failure.fault is outbound.Fault.LOST:
+            self._exchange.node.crashes.handle_broken_run(
+                attempt.replica, self._exchange.broken_run(attempt),
+                lambda: None)
+
+    def cancel(self):
+        """Cancels the attempt if there is any: the request is over."""
+        if self._kept is not None:
+            attempt = self._end().attempt
+            attempt.conn.cancel()
+            self._exchange.release(attempt)
 
-    def end(self):
-        """Ends the takeover; returns the ``KeptAttempt`` that it was about."""
+    def _end(self):
         self._stop_timer()
-        kept, self.kept = self.kept, None
+        kept, self._kept = self._kept, None
         return kept
 
     def _stop_timer(self):
