Replicas: one that reads a large request late is not given up

A request of over 64 KB at a replica that reads nothing for 4 s was ended by the kernel (TCP_USER_TIMEOUT), though its replica was alive: the outcome was unknown, and the request lost. Found by looking for the cause of the cut callers elsewhere. test_a_peer_that_reads_a_large_request_late_is_not_given_up fails without this change. A large request may be read as slowly as its time limit allows; a connection that has none under way is as before.

--- a/gorsefall/net/outbound.py
+++ b/gorsefall/net/outbound.py
@@ -26,6 +26,10 @@
 The rest covers the network delay: a request sent later could reach the peer
 after it has closed the connection."""
 
+LARGE_BODY_BYTES = 65536
+"""Size of a request body that the kernel of a peer may not hold for a process
+that does not read it."""
+
 _KEEP_ALIVE = re.compile(rb'timeout=(\d+)')
 
 
@@ -140,6 +144,7 @@
         self._h11 = None
         self._desynchronized = False
         self._skipping_response = False
+        self._time_limit_set = False
         self._idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
         self._transport = tcp.Connection(loop, self)
         self._timer = loop.call_later(connect_timeout_s,
@@ -175,10 +180,18 @@
         """Sends ``call``; no other call may be in progress."""
         self._call = call
         self._transport.has_written = False
+        self._set_time_limit(call)
         self._transport.write(self._start_exchange(call))
         if self._transport.has_written:
             call.on_sent()
 
+    def _set_time_limit(self, call):
+        """Lets a peer that is alive read a large body as slowly as it may."""
+        large = len(call.body) > LARGE_BODY_BYTES
+        if large or self._time_limit_set:
+            self._transport.set_time_limit(call.time_limit_s if large else 0.0)
+            self._time_limit_set = large
+
     def _start_exchange(self, call):
         """Resets the HTTP state; returns the bytes of the call's request."""
         self._h11 = h11.Connection(h11.CLIENT)
--- a/tests/test_outbound.py
+++ b/tests/test_outbound.py
@@ -1,6 +1,7 @@
 """Persistent connections to peers that send late, repeated or bad data."""
 
 import socket
+import time
 
 from hypothesis import given
 from hypothesis import settings
@@ -8,6 +9,7 @@
 
 import peers
 from gorsefall.net import outbound
+from gorsefall.standins import acceptor
 
 _BEHAVIOURS = ('complete', 'chunked', 'other first', 'twice', 'cut', 'garbage',
                'extra bytes', 'to the end', 'asks to close')
@@ -128,3 +130,57 @@
         assert not call.failure.sent
     for other in (*pending_socks, sock):
         other.close()
+
+
+UNREAD_S = 5.0
+"""Time for which a peer that is alive reads nothing, s."""
+
+LARGE_BYTES = 20_000_000
+"""Size of a request that the kernel does not hold for a peer."""
+
+
+class _LateReader(acceptor.Acceptor):
+    """Reads its first request late, and responds to it."""
+
+    def serve_connection(self, sock):
+        time.sleep(UNREAD_S)
+        received = b''
+        while len(received) < LARGE_BYTES:
+            received += sock.recv(1 << 20)
+        sock.sendall(complete_response('r'))
+        sock.recv(1)
+
+
+def test_a_peer_that_reads_a_large_request_late_is_not_given_up():
+    """A request is lost, and its outcome unknown, at a replica that is busy."""
+    call = RecordingCall('r')
+    call.body = b'x' * LARGE_BYTES
+    call.fields = [(b'Host', b'x'), (b'Content-Length', b'%d' % LARGE_BYTES)]
+    call.time_limit_s = 30.0
+    peer = _LateReader()
+    with peers.loop() as loop:
+        pool = outbound.Pool(loop,
+                             peer.address,
+                             max_size=1,
+                             connect_timeout_s=1.0)
+        pool.send(call)
+        peers.run(loop, lambda: call.ended or call.failure, 30.0)
+        pool.close()
+    peer.close()
+    assert call.failure is None
+
+
+def test_a_fresh_connection_replaces_an_idle_one_of_a_full_pool():
+    """A request is sent on a connection that was lost without a sign."""
+    peer = peers.ScriptedPeer(
+        [[complete_response('a', 'Keep-Alive: timeout=9')],
+         [complete_response('b')]])
+    with peers.loop() as loop:
+        pool = outbound.Pool(loop, peer.addr, max_size=1, connect_timeout_s=1.0)
+        for rid, fresh in (('a', False), ('b', True)):
+            call = RecordingCall(rid)
+            pool.send(call, fresh=fresh)
+            peers.run(loop, lambda c=call: c.ended)
+        assert (pool.opened_count, pool.size) == (2, 1)
+        pool.close()
+    peer.close()
