--- a/gorsefall/explain.py
+++ b/gorsefall/explain.py
@@ -54,6 +54,10 @@
     loglines.Restored:
         '{0.gone} is gone; the stream continues at {0.replica} after event '
         '{0.after}',
+    loglines.NotTakenOver:
+        'no other replica takes it over: {0.error}',
+    loglines.Kept:
+        'the attempt at {0.replica}, which was silent, goes on ({0.by})',
     loglines.Parked:
         'waiting for another run of the same request, which shows whether the '
         'request crashes replicas',
--- a/gorsefall/loglines.py
+++ b/gorsefall/loglines.py
@@ -89,6 +89,18 @@
     after: str
 
 
+class NotTakenOver(RequestEvent, tag='not_taken_over'):
+    """No other replica takes the request of a silent attempt."""
+    code: str
+    error: str
+
+
+class Kept(RequestEvent, tag='kept'):
+    """A silent attempt goes on, instead of one at another replica."""
+    replica: str
+    by: str
+
+
 class Answered(RequestEvent, tag='answered'):
     """The final response was sent, or the caller left."""
     outcome: str
@@ -260,12 +272,13 @@
 
 
 _EventType = (Sent | AttemptFailed | Forwarded | PathsLost | PathsRegained |
-              NotRun | Retry | Parked | Restored | Answered | Configuration |
-              ProofLost | ProofRegained | StoreLost | StoreRegained |
-              ReplicaSeen | ReplicaDoubtful | ReplicaGone | ReplicaLeaving |
-              ReplicaPaused | LimitAnnounced | Started | Stopping | Stopped |
-              UsageCounted | UsageReported | UsageMissed | Claimed |
-              DutiesLost | ClaimFailed | ClaimNotRead | PlatformCallFailed)
+              NotRun | Retry | Parked | Restored | NotTakenOver | Kept |
+              Answered | Configuration | ProofLost | ProofRegained | StoreLost |
+              StoreRegained | ReplicaSeen | ReplicaDoubtful | ReplicaGone |
+              ReplicaLeaving | ReplicaPaused | LimitAnnounced | Started |
+              Stopping | Stopped | UsageCounted | UsageReported | UsageMissed |
+              Claimed | DutiesLost | ClaimFailed | ClaimNotRead |
+              PlatformCallFailed)
 _decoder = msgspec.json.Decoder(_EventType)
 
 
--- a/gorsefall/metrics.py
+++ b/gorsefall/metrics.py
@@ -123,6 +123,10 @@
                                 'by the code of the error that did it.',
                                 ('cause',),
                                 registry=REGISTRY)
+TAKEOVERS = prom.Counter('gorsefall_takeovers_total',
+                         'Silent attempts that were kept while another replica '
+                         'was asked, by what ended that.', ('event',),
+                         registry=REGISTRY)
 RELAY_FIRST_BYTE = prom.Histogram('gorsefall_relay_first_seconds',
                                   'Time to the first byte of an answer, s.',
                                   ('route',),
--- a/gorsefall/policy/takeover.py
+++ b/gorsefall/policy/takeover.py
@@ -16,11 +16,11 @@
 
 class Event(enum.Enum):
     """What happens while a silent attempt is kept; the values are logged."""
-    OLD_RESPONDED = 'its replica responded'
-    OLD_FAILED = 'it failed'
-    NEW_ACCEPTED = 'another replica responded'
-    NEW_IMPOSSIBLE = 'no other replica takes the request'
-    OVERLAP_ENDED = 'another replica did not refuse the request'
+    OLD_RESPONDED = 'old_responded'
+    OLD_FAILED = 'old_failed'
+    NEW_ACCEPTED = 'new_accepted'
+    NEW_IMPOSSIBLE = 'new_impossible'
+    OVERLAP_ENDED = 'overlap_ended'
 
 
 class Winner(enum.Enum):
--- a/gorsefall/relay/accesslog.py
+++ b/gorsefall/relay/accesslog.py
@@ -9,21 +9,17 @@
 _BREAKS = (outcomes.Outcome.BROKEN, outcomes.Outcome.CALLER_LOST)
 
 
-def record(exchange, grant, outcome, exc, *, pause_s, last_event, disconnect):
+def record(exchange, outcome, exc):
     """Updates the metrics and logs the end of an exchange.
 
     Args:
         exchange: The ``exchange.Exchange`` that ended.
-        grant: Its ``grant.Grant``.
         outcome: The ``outcomes.Outcome``.
         exc: The error that was sent to the caller, or None.
-        pause_s: Longest pause between events of the response, s.
-        last_event: Id of the last event forwarded, or None.
-        disconnect: Why the caller's connection ended before the response, or
-            None.
     """
     now = time.monotonic()
-    node = exchange.node
+    node, grant = exchange.node, exchange.grant
+    pause_s = exchange.longest_pause_s
     route = grant.route
     account = grant.account.name if grant.account else ''
     metrics.count_relayed(account, route.name if route else '', outcome.value)
@@ -41,7 +37,7 @@
                       error=str(exc) if exc else None,
                       code=exc.code if exc else None,
                       cause=cause,
-                      disconnect=disconnect,
+                      disconnect=exchange.disconnect_reason,
                       retry_after_s=outcomes.retry_after_s(exc),
                       route=route.name if route else None,
                       kind=route.kind.value if route else None,
@@ -52,7 +48,7 @@
                       ms=_since_ms(exchange, now),
                       pause_ms=round(pause_s * 1000, 1),
                       late=late.value if late else None,
-                      last_event=last_event,
+                      last_event=exchange.last_event,
                       version=node.table.version if node.table else None,
                       proof_age_s=node.confirmation.logged_age_s())
 
--- a/gorsefall/relay/exchange.py
+++ b/gorsefall/relay/exchange.py
@@ -41,6 +41,9 @@
         attempt: The current ``sending.Attempt``, or None.
         silence: The ``silence.SilenceWatch`` of that attempt.
         grant: The ``grant.Grant``.
+        longest_pause_s: Longest pause between events of the response, s.
+        disconnect_reason: Why the caller's connection ended before the
+            response, or None.
         digest: The ``ids.RequestDigest`` that identifies other attempts of
             the same request; None until the account is known.
     """
@@ -55,10 +58,10 @@
         self.grant = grant.Grant(node, req)
         self._deadline = None
         self._deadline_timer = None
-        self._longest_pause_s = 0.0
+        self.longest_pause_s = 0.0
         self._detours = detours.Detours(node.paths)
         self._counted = False
-        self._disconnect_reason = None
+        self.disconnect_reason = None
         self._backup = backups.KvBackup(node.prober, node.fleet)
         self._restorer = restoring.Restorer(self, self._backup)
         self.silence = silence.SilenceWatch(self, self._restorer)
@@ -207,7 +210,8 @@
             self._counted = True
             self.node.duties.record_run(account.name)
 
-    def _record_wait(self, attempt):
+    def record_wait(self, attempt):
+        """Records how long an attempt has waited for its response."""
         self.start_latency().record(time.monotonic() - attempt.sent_at)
 
     # -- silent attempts -------------------------------------------------------
@@ -236,15 +240,6 @@
         self._backup.holder = kept.backup_holder
         self.silence.await_response()
 
-    def let_go(self, attempt):
-        """Cancels an attempt that was set aside, for one that goes on."""
-        attempt.conn.cancel()
-        attempt.replica.view.record_failure(time.monotonic())
-        if not attempt.response_started:
-            self._record_wait(attempt)
-        self.release(attempt)
-        attempt.log_failed('silent')
-
     def fail(self, exc):
         """See ``serving.ActiveRequest``."""
         if not self._takeover.resume(exc):
@@ -273,7 +268,7 @@
             self.first_byte_at = time.monotonic()
         if not attempt.response_started:
             attempt.first_byte_at = time.monotonic()
-            self._record_wait(attempt)
+            self.record_wait(attempt)
             attempt.record_response_start(self._speed())
             if self.grant.streams:
                 self._record_run()
@@ -433,13 +428,13 @@
 
     def on_caller_disconnected(self, reason):
         """Called when the caller disconnected; cancels the attempt."""
-        self._disconnect_reason = reason
+        self.disconnect_reason = reason
         self._cancel_attempts()
         self.close(outcomes.Outcome.CALLER_LEFT)
 
     def on_caller_lost(self, reason):
         """Called when the connection failed, and the caller had not left."""
-        self._disconnect_reason = reason
+        self.disconnect_reason = reason
         self._cancel_attempts()
         self.close(
             outcomes.Outcome.CALLER_LOST,
@@ -457,10 +452,8 @@
     def abort(self):
         """Ends the exchange because the process exits."""
         self._cancel_attempts()
-        why = 'the entry is shutting down'
-        self.fail(
-            self.attempts.reportable_error(errors.DrainingError(why), why,
-                                           self.terms))
+        exc = errors.DrainingError('the entry is shutting down')
+        self.fail(self.attempts.reportable_error(exc, str(exc), self.terms))
 
     def _cancel_attempts(self):
         self._takeover.cancel()
@@ -478,8 +471,8 @@
     def release(self, attempt):
         """Ends the bookkeeping of an attempt whose connection is closed."""
         attempt.occupancy.close()
-        self._longest_pause_s = max(self._longest_pause_s,
-                                    attempt.longest_pause_s)
+        self.longest_pause_s = max(self.longest_pause_s,
+                                   attempt.longest_pause_s)
 
     def send_error(self, exc):
         """See ``serving.ActiveRequest``."""
@@ -495,13 +488,7 @@
             self._deadline_timer.cancel()
         self._backup.cancel_probe()
         self.node.crashes.end_run(self.digest, self)
-        accesslog.record(self,
-                         self.grant,
-                         outcome,
-                         exc,
-                         pause_s=self._longest_pause_s,
-                         last_event=self.last_event,
-                         disconnect=self._disconnect_reason)
+        accesslog.record(self, outcome, exc)
         self.node.remove_exchange(self)
 
     @property
--- a/gorsefall/relay/takeover.py
+++ b/gorsefall/relay/takeover.py
@@ -3,6 +3,7 @@
 import time
 import typing
 
+from gorsefall import metrics
 from gorsefall.net import outbound
 from gorsefall.policy import takeover as policy
 from gorsefall.relay import delivery
@@ -74,13 +75,23 @@
         if self._kept is None:
             return
         kept = self._end()
+        metrics.TAKEOVERS.labels(event.value).inc()
         if policy.winner(event) is policy.Winner.NEW:
-            self._exchange.let_go(kept.attempt)
+            self._let_go(kept.attempt)
             return
         self._exchange.go_on_with(kept)
         self._exchange.log.info('kept',
                                 replica=kept.attempt.replica.record.id,
-                                reason=event.value)
+                                by=event.value)
+
+    def _let_go(self, attempt):
+        """Cancels the attempt, as another one goes on."""
+        attempt.conn.cancel()
+        attempt.replica.view.record_failure(time.monotonic())
+        if not attempt.response_started:
+            self._exchange.record_wait(attempt)
+        self._exchange.release(attempt)
+        attempt.log_failed('silent')
 
     def resume(self, exc):
         """Goes on with the attempt if there is any; returns whether.
@@ -97,6 +108,7 @@
     def on_error_response(self, response):
         """Ends the attempt, to which its replica responds with an error."""
         attempt = self._end().attempt
+        metrics.TAKEOVERS.labels(policy.Event.OLD_FAILED.value).inc()
         attempt.conn.cancel()
         self._exchange.release(attempt)
         if response.not_run:
@@ -110,6 +122,7 @@
             failure: The ``outbound.Failure``.
         """
         attempt = self._end().attempt
+        metrics.TAKEOVERS.labels(policy.Event.OLD_FAILED.value).inc()
         self._exchange.release(attempt)
         attempt.replica.view.record_failure(time.monotonic())
         attempt.log_failed(failure.reason)
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -158,3 +158,16 @@
                                     line + '}\n')
     text = explain.explain(loglines.read_files([tmp_path / 'a.log']), 'r1')
     assert words in text.split('cause: ')[1], text
+
+
+def test_a_silent_attempt_that_goes_on_is_explained(tmp_path):
+    """An engineer on call cannot tell why a stream paused, and at whom."""
+    (tmp_path / 'a.log').write_text(
+        '{"event": "not_taken_over", "rid": "r1", "code": "unknown_key", '
+        '"error": "key not known to configuration 2"}\n'
+        '{"event": "kept", "rid": "r1", "replica": "i-1", '
+        '"by": "new_impossible"}\n'
+        '{"event": "answered", "rid": "r1", "outcome": "served"}\n')
+    text = explain.explain(loglines.read_files([tmp_path / 'a.log']), 'r1')
+    assert 'key not known to configuration 2' in text
+    assert 'the attempt at i-1, which was silent, goes on' in text
