--- /dev/null
+++ b/tests/exchange_site.py
@@ -0,0 +1,308 @@
+"""An exchange before scripted replicas, in simulated time, without sockets."""
+
+import contextlib
+import heapq
+import itertools
+import types
+import unittest.mock
+
+from gorsefall.net import headers
+from gorsefall.net import outbound
+from gorsefall.policy import attempt_timeouts
+from gorsefall.relay import exchange
+from gorsefall.relay import model
+from gorsefall.relay import routes
+
+EVENT_COUNT = 4
+TIME_LIMIT_S = 5.0
+SERVICE = 'pool'
+ROUTE = model.Route(name='r',
+                    host='h',
+                    prefix='/',
+                    kind=model.RouteKind.STREAM,
+                    timeout_s=TIME_LIMIT_S,
+                    target_s=0.5,
+                    priority=1,
+                    services=((SERVICE, 1.0),),
+                    max_attempts=2,
+                    resumable=True)
+
+
+class Loop:
+    """Timers in simulated time.
+
+    Attributes:
+        now: The time, s.
+    """
+
+    def __init__(self):
+        self.now = 1000.0
+        self._timers = []
+        self._order = itertools.count()
+
+    def call_later(self, delay_s, action):
+        """See ``reactor.Reactor``."""
+        timer = types.SimpleNamespace(cancelled=False)
+        timer.cancel = lambda: setattr(timer, 'cancelled', True)
+        heapq.heappush(self._timers,
+                       (self.now + delay_s, next(self._order), timer, action))
+        return timer
+
+    def run(self, until):
+        """Runs all timers until a time, s."""
+        while self._timers and self._timers[0][0] <= until:
+            at, _, timer, action = heapq.heappop(self._timers)
+            self.now = max(self.now, at)
+            if not timer.cancelled:
+                action()
+        self.now = until
+
+
+class Conn:
+    """A connection on which a replica plays its script for one call.
+
+    Attributes:
+        sent_at: When the request was sent, s.
+        responded_at: When the replica first responded, s; infinite before.
+        ended_at: When the replica ended it, s; None before.
+        cancelled_at: When the exchange cancelled it, s; None before.
+    """
+    via = None
+    sent = True
+
+    def __init__(self, site, call, script, first_event):
+        self._site = site
+        self._call = call
+        self._next = first_event
+        self.sent_at = site.loop.now
+        self.responded_at = float('inf')
+        self.ended_at = self.cancelled_at = None
+        delay_s = 0.0
+        for pause_s, step in script:
+            delay_s += pause_s
+            site.loop.call_later(delay_s, lambda step=step: self._play(step))
+
+    @property
+    def is_open(self):
+        """Whether the replica works on the request, as far as it knows."""
+        return self.ended_at is None and self.cancelled_at is None
+
+    def _play(self, step):
+        if not self.is_open:
+            return
+        getattr(self, '_' + step)()
+
+    def _head(self):
+        self.responded_at = self._site.loop.now
+        self._call.matches_response(200, headers.from_items([]))
+        self._call.on_head(200, headers.from_items([]))
+
+    def _event(self):
+        if self._next <= EVENT_COUNT:
+            data = b'id: %d\ndata: x\n\n' % self._next
+            self._next += 1
+            self._call.on_data(data)
+        if self._next > EVENT_COUNT and self.is_open:
+            self.ended_at = self._site.loop.now
+            self._call.on_end()
+
+    def _refuse(self):
+        self._call.matches_response(503, headers.from_items([]))
+        self.ended_at = self._site.loop.now
+        self._call.on_head(503, headers.from_items([]))
+        self._call.on_end()
+
+    def _reset(self):
+        self.ended_at = self._site.loop.now
+        self._call.on_fail(outbound.Failure(True, 'reset', outbound.Fault.LOST))
+
+    def cancel(self):
+        """See ``outbound.Connection``."""
+        self.cancelled_at = self._site.loop.now
+        return True
+
+    def pause(self):
+        """See ``outbound.Connection``."""
+
+    def resume(self):
+        """See ``outbound.Connection``."""
+
+
+class Writer:
+    """The caller: reads everything at once.
+
+    Attributes:
+        body: The bytes received.
+        ended: Whether the response is complete.
+        failed_at: When it was broken off, or ended with an error, s; None
+            unless it was.
+    """
+
+    def __init__(self, loop):
+        self._loop = loop
+        self.started = self.ended = False
+        self.failed_at = None
+        self.body = b''
+
+    def set_time_limit(self, limit_s):
+        """See ``inbound.ResponseWriter``."""
+
+    def start(self, status, fields):
+        """See ``inbound.ResponseWriter``."""
+        self.started = True
+
+    def write(self, data):
+        """See ``inbound.ResponseWriter``."""
+        self.body += data
+        return True
+
+    def end(self):
+        """See ``inbound.ResponseWriter``."""
+        self.ended = True
+
+    def abort(self):
+        """See ``inbound.ResponseWriter``."""
+        self.failed_at = self._loop.now
+
+    def send(self, status, fields, body):
+        """See ``inbound.ResponseWriter``."""
+        self.started = True
+        self.failed_at = self._loop.now
+
+
+class Replica:
+    """A replica that plays its script for each request.
+
+    Attributes:
+        in_flight_count: Requests that count as in flight there.
+    """
+
+    def __init__(self, name, script):
+        self.script = script
+        self.record = types.SimpleNamespace(id=name, addr=('h', 1))
+        self.view = unittest.mock.MagicMock(outstanding=0, others_requests=0)
+        self.view.name = name
+        self.acceptance = unittest.mock.MagicMock()
+        self.limit = types.SimpleNamespace(per_s=None)
+        self.in_flight_count = 0
+
+    @contextlib.contextmanager
+    def in_flight(self, tokens, *, decode_heavy):
+        """See ``replicas.Replica``."""
+        self.in_flight_count += 1
+        yield lambda: None
+        self.in_flight_count -= 1
+
+    def record_alive(self, now):
+        """See ``replicas.Replica``."""
+
+
+class Codec:
+    """Encodes nothing but the id of the last event."""
+
+    def encode_request(self, req, options):
+        """See ``codec.Codec``."""
+        return [(b'last', options.resume_after or b'0')]
+
+    def decode_response(self, status, fields):
+        """See ``codec.Codec``."""
+        return model.Response(status=status,
+                              headers=fields,
+                              request_id=None,
+                              genuine=status == 200,
+                              not_run=status == 503,
+                              misdirected=False,
+                              load=None)
+
+    def encode_response(self, response):
+        """See ``codec.Codec``."""
+        return []
+
+
+def table(version, keys, route=ROUTE):
+    """Returns a ``routes.Table`` with one route; None for no route."""
+    return routes.Table(version=version,
+                        routes=[] if route is None else [route],
+                        services={},
+                        limits=model.CallerLimits(),
+                        accounts={k: model.Account(name='a') for k in keys},
+                        requires_key=True)
+
+
+class Site:
+    """A node with one exchange, whose replicas are tried in order.
+
+    Attributes:
+        conns: All ``Conn`` objects, in the order of the attempts.
+        writer: The ``Writer``.
+        exchange: The ``exchange.Exchange``.
+    """
+
+    def __init__(self, loop, scripts):
+        self.loop = loop
+        self.conns = []
+        self.writer = Writer(loop)
+        self.replicas = {
+            name: Replica(name, script)
+            for name, script in zip('abc', scripts, strict=False)
+        }
+        node = self.node = unittest.mock.MagicMock()
+        node.loop, node.codec = loop, Codec()
+        node.table = table(1, ['k'])
+        node.cfg = types.SimpleNamespace(digest_key='d',
+                                         strict_revocation=True,
+                                         zone='z')
+        node.confirmation.is_current.return_value = True
+        node.fleet.replicas = self.replicas
+        node.fleet.candidates = self._candidates
+        node.fleet.accepts_in_s.return_value = 0.1
+        node.work.candidate_views = self._candidates
+        node.retry_budget.return_value.available.return_value = 5
+        node.start_latency.return_value = attempt_timeouts.StartLatency()
+        node.crashes.suspects.must_serialize.return_value = False
+        node.crashes.handle_broken_run = lambda replica, run, done: done()
+        node.paths.send = self._send
+        req = model.CallerRequest(id='rid',
+                                  method=b'GET',
+                                  target=b'/x',
+                                  host='h',
+                                  headers=headers.from_items([]),
+                                  key='k')
+        self.exchange = exchange.Exchange(node, req, self.writer)
+        self.exchange.grant.choose_replica = self._choose
+
+    def _candidates(self, service, tried, *, urgent=False):
+        assert service == SERVICE
+        return [r for n, r in self.replicas.items() if n not in tried]
+
+    def _choose(self, tried, *, may_shed, least_loaded):
+        left = self._candidates(SERVICE, tried)
+        if not left:
+            return None
+        target = types.SimpleNamespace(name=left[0].record.id, eject_until=0.0)
+        return types.SimpleNamespace(target=target,
+                                     prefill_tokens=0,
+                                     prefill_tokens_ahead=0,
+                                     queue_ms=0.0,
+                                     slowness=1.0,
+                                     fetch_source=None)
+
+    def _send(self, replica, call, *, fresh):
+        conn = Conn(self, call, replica.script,
+                    int(dict(call.fields)[b'last']) + 1)
+        self.conns.append(conn)
+        call.on_sent()
+        return conn
+
+
+@contextlib.contextmanager
+def site(scripts):
+    """Yields a ``Site`` in simulated time.
+
+    Args:
+        scripts: For each replica, ``(pause in s, step)`` pairs; a step is
+            ``head``, ``event``, ``refuse`` or ``reset``.
+    """
+    loop = Loop()
+    with unittest.mock.patch('time.monotonic', lambda: loop.now):
+        yield Site(loop, scripts)
--- /dev/null
+++ b/tests/test_exchange_orders.py
@@ -0,0 +1,107 @@
+"""Orders of what replicas and configurations do while a stream is delivered."""
+
+import dataclasses
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+
+import exchange_site
+from gorsefall.policy import takeover
+
+_PAUSES = st.sampled_from([0.01, 0.05, 0.2, 0.6, 0.99, 1.1, 1.29, 1.35, 2.4])
+_STREAM = st.tuples(
+    st.just([(0.05, 'head')]),
+    st.lists(st.tuples(_PAUSES, st.just('event')), min_size=1, max_size=4),
+    st.sampled_from([[], [], [(0.3, 'reset')]])).map(lambda p: sum(p, []))
+_REFUSAL = _PAUSES.map(lambda s: [(s, 'refuse')])
+_RESET = _PAUSES.map(lambda s: [(s, 'reset')])
+_SCRIPTS = st.lists(st.one_of(_STREAM, _STREAM, _REFUSAL, _RESET, st.just([])),
+                    min_size=1,
+                    max_size=3)
+_CHANGES = st.sampled_from([None, 'key', 'route', 'service'])
+
+
+def _change(site, what):
+    table = {
+        'key':
+            exchange_site.table(2, []),
+        'route':
+            exchange_site.table(2, ['k'], None),
+        'service':
+            exchange_site.table(
+                2, ['k'],
+                dataclasses.replace(exchange_site.ROUTE,
+                                    services=(('other', 1.0),))),
+    }[what]
+    site.node.table = table
+
+
+def _play(scripts, change, change_at_s):
+    """Plays one request to its end; returns the ``exchange_site.Site``."""
+    with exchange_site.site(scripts) as site:
+        site.deadline = site.loop.now + exchange_site.TIME_LIMIT_S
+        if change is not None:
+            site.loop.call_later(change_at_s, lambda: _change(site, change))
+        site.exchange.start()
+        site.loop.run(site.deadline + 1.0)
+    return site
+
+
+def _is_prefix(body):
+    whole = b''.join(b'id: %d\ndata: x\n\n' % i
+                     for i in range(1, exchange_site.EVENT_COUNT + 1))
+    return whole.startswith(body), body == whole
+
+
+@settings(deadline=None, max_examples=150)
+@given(_SCRIPTS, _CHANGES, st.floats(0.0, 3.0))
+def test_a_response_is_whole_unless_all_its_replicas_ended_it(
+        scripts, change, change_at_s):
+    """A response is broken off while a replica works on it, or is not whole."""
+    site = _play(scripts, change, change_at_s)
+    prefix, whole = _is_prefix(site.writer.body)
+    assert prefix
+    assert site.writer.ended == whole
+    assert site.exchange.done
+    failed_at = site.writer.failed_at
+    if failed_at is not None and failed_at < site.deadline:
+        assert not [c for c in site.conns if c.cancelled_at == failed_at]
+
+
+@settings(deadline=None, max_examples=150)
+@given(_SCRIPTS, _CHANGES, st.floats(0.0, 3.0))
+def test_an_attempt_is_let_go_of_only_for_one_that_takes_the_request(
+        scripts, change, change_at_s):
+    """A run that works is cancelled before another replica has accepted."""
+    site = _play(scripts, change, change_at_s)
+    for conn in site.conns:
+        at = conn.cancelled_at
+        if at is not None and at < site.deadline:
+            assert any(
+                other.responded_at <= at or conn.sent_at < other.sent_at <= at -
+                takeover.MAX_OVERLAP_S + 1e-6
+                for other in site.conns
+                if other is not conn)
+
+
+@settings(deadline=None, max_examples=80)
+@given(_SCRIPTS, _CHANGES, st.floats(0.0, 3.0))
+def test_nothing_is_left_of_a_request_that_has_ended(scripts, change,
+                                                     change_at_s):
+    """A replica works on for nobody, or keeps a place that is free."""
+    site = _play(scripts, change, change_at_s)
+    assert not [c for c in site.conns if c.is_open]
+    assert not any(r.in_flight_count for r in site.replicas.values())
+
+
+@settings(deadline=None, max_examples=80)
+@given(_SCRIPTS, _CHANGES, st.floats(0.0, 3.0))
+def test_two_replicas_work_on_a_stream_for_a_short_time_only(
+        scripts, change, change_at_s):
+    """A stream is generated twice, as the silent attempt is kept for good."""
+    site = _play(scripts, change, change_at_s)
+    for old, new in zip(site.conns, site.conns[1:], strict=False):
+        ends = (old.ended_at, old.cancelled_at, new.ended_at, new.cancelled_at)
+        both_until = min(t for t in ends if t is not None)
+        assert both_until <= new.sent_at + takeover.MAX_OVERLAP_S + 1e-6
