Attempts: a refusal is recorded for the replica that refused

All records of an attempt's end name the replica now. The properties of tests/test_exchange_orders.py raise the error without this change; the scenario 'both replicas refuse a request' shows it.

--- a/features/platform_silent_replicas.feature
+++ b/features/platform_silent_replicas.feature
@@ -23,6 +23,13 @@
       | resumable  | begins late                | refuses               | events |
       | idempotent | answers late               | refuses               | whole  |
 
+  # Guards against a request that is never answered: the silent replica refuses
+  # it after the next one has.
+  Scenario: both replicas refuse a request, the first one late
+    When the replica of a "resumable" request "refuses late", and the next one "refuses"
+    Then the caller gets status 503 and "not run"
+    And the request ran 0 times
+
   Scenario Outline: a configuration <change> while the replica of a <kind> request <silence>
     When a configuration "<change>" while the replica of a "<kind>" request "<silence>"
     Then the caller gets status 200 and "<body>"
--- a/gorsefall/policy/attempts.py
+++ b/gorsefall/policy/attempts.py
@@ -54,27 +54,47 @@
         self.tried.add(name)
         self.in_doubt.append(name)
 
-    def record_unreached(self):
-        """Drops the last attempt: no byte of it was sent."""
-        self.in_doubt.remove(self.replicas.pop())
+    def record_unreached(self, name=None):
+        """Drops an attempt of which no byte was sent.
 
-    def record_untried(self):
-        """Drops the last attempt: its replica was not even asked."""
-        self.tried.discard(self.replicas[-1])
-        self.record_unreached()
+        Args:
+            name: The replica's name; None for the last attempt.
+        """
+        name = self._name(name)
+        # The last one of that name, as the others keep their order.
+        del self.replicas[len(self.replicas) - 1 -
+                          self.replicas[::-1].index(name)]
+        self.in_doubt.remove(name)
+
+    def record_untried(self, name=None):
+        """Drops an attempt whose replica was not even asked.
+
+        Args:
+            name: The replica's name; None for the last attempt.
+        """
+        name = self._name(name)
+        self.tried.discard(name)
+        self.record_unreached(name)
 
     def record_refusal(self, name=None):
         """Records that a replica refused the request without a run.
 
         Args:
-            name: The replica's name; None for the last one.
+            name: The replica's name; None for the last attempt.
         """
         self._refusals += 1
-        self.in_doubt.remove(self.replicas[-1] if name is None else name)
+        self.in_doubt.remove(self._name(name))
+
+    def record_withdrawal(self, name=None):
+        """Records that an attempt was withdrawn before it was sent.
+
+        Args:
+            name: The replica's name; None for the last attempt.
+        """
+        self.in_doubt.remove(self._name(name))
 
-    def record_withdrawal(self):
-        """Records that the last attempt was withdrawn before it was sent."""
-        self.in_doubt.remove(self.replicas[-1])
+    def _name(self, name):
+        return self.replicas[-1] if name is None else name
 
     def has_attempts_left(self, terms):
         """Returns whether the limit of ``terms`` leaves another attempt."""
@@ -100,8 +120,9 @@
             reason: Why its outcome is unknown.
             cause: See ``errors.OutcomeUnknownError``.
         """
-        return errors.OutcomeUnknownError(
-            f'{self.replicas[-1]} may have run it: {reason}', cause)
+        name = (self.in_doubt or self.replicas)[-1]
+        return errors.OutcomeUnknownError(f'{name} may have run it: {reason}',
+                                          cause)
 
     def reportable_error(self, exc, reason, terms):
         """Returns ``exc``, or an error with an unknown outcome in its place.
--- a/gorsefall/relay/exchange.py
+++ b/gorsefall/relay/exchange.py
@@ -232,7 +232,7 @@
         """
         if self.attempt is not None:
             if not self.attempt.conn.cancel():
-                self.attempts.record_unreached()
+                self.attempts.record_unreached(self.attempt.name)
             self._close_attempt(self.attempt)
         self.attempt = kept.attempt
         self.grant.terms = kept.terms
@@ -338,7 +338,7 @@
                        success else outcomes.Outcome.REPLICA_FAILED)
 
     def _on_refused(self, attempt, response):
-        self.attempts.record_refusal()
+        self.attempts.record_refusal(attempt.name)
         if response.misdirected:
             self.node.fleet.drop_replaced(attempt.replica.record.id)
         self.log.info('not_run',
@@ -370,9 +370,9 @@
             self._record_run()
         if not failure.sent:
             if detour:
-                self.attempts.record_untried()
+                self.attempts.record_untried(attempt.name)
             else:
-                self.attempts.record_unreached()
+                self.attempts.record_unreached(attempt.name)
             self.restart()
         elif lost:
             self.node.crashes.handle_broken_run(
@@ -460,7 +460,7 @@
         attempt = self.attempt
         if attempt is not None:
             if not attempt.conn.cancel():
-                self.attempts.record_withdrawal()
+                self.attempts.record_withdrawal(attempt.name)
             self._close_attempt(attempt)
 
     def _close_attempt(self, attempt):
--- a/gorsefall/relay/sending.py
+++ b/gorsefall/relay/sending.py
@@ -54,6 +54,11 @@
         self.prefill_done = self.occupancy.enter_context(
             replica.in_flight(choice.prefill_tokens, decode_heavy=decode_heavy))
 
+    @property
+    def name(self):
+        """Name of its replica."""
+        return self.replica.record.id
+
     @property
     def response_started(self):
         """Whether the first bytes of the response body have arrived."""
--- a/gorsefall/relay/takeover.py
+++ b/gorsefall/relay/takeover.py
@@ -112,7 +112,7 @@
         attempt.conn.cancel()
         self._exchange.release(attempt)
         if response.not_run:
-            self._exchange.attempts.record_refusal(attempt.replica.record.id)
+            self._exchange.attempts.record_refusal(attempt.name)
         attempt.log_failed(f'status {response.status}')
 
     def on_failed(self, failure):
@@ -123,9 +123,11 @@
         """
         attempt = self._end().attempt
         metrics.TAKEOVERS.labels(policy.Event.OLD_FAILED.value).inc()
+        if not failure.sent:
+            self._exchange.attempts.record_unreached(attempt.name)
         self._exchange.release(attempt)
         attempt.replica.view.record_failure(time.monotonic())
-        attempt.log_failed(failure.reason)
+        attempt.log_failed(failure.reason, sent=failure.sent)
         if failure.fault is outbound.Fault.LOST:
             self._exchange.node.crashes.handle_broken_run(
                 attempt.replica, self._exchange.broken_run(attempt),
--- a/tests/exchange_site.py
+++ b/tests/exchange_site.py
@@ -64,6 +64,7 @@
     Attributes:
         sent_at: When the request was sent, s.
         responded_at: When the replica first responded, s; infinite before.
+        refused: Whether the replica refused the request.
         ended_at: When the replica ended it, s; None before.
         cancelled_at: When the exchange cancelled it, s; None before.
     """
@@ -76,6 +77,7 @@
         self._next = first_event
         self.sent_at = site.loop.now
         self.responded_at = float('inf')
+        self.refused = False
         self.ended_at = self.cancelled_at = None
         delay_s = 0.0
         for pause_s, step in script:
@@ -107,6 +109,7 @@
             self._call.on_end()
 
     def _refuse(self):
+        self.refused = True
         self._call.matches_response(503, headers.from_items([]))
         self.ended_at = self._site.loop.now
         self._call.on_head(503, headers.from_items([]))
@@ -134,6 +137,7 @@
     Attributes:
         body: The bytes received.
         ended: Whether the response is complete.
+        status: Status of a complete response, or None.
         failed_at: When it was broken off, or ended with an error, s; None
             unless it was.
     """
@@ -141,7 +145,7 @@
     def __init__(self, loop):
         self._loop = loop
         self.started = self.ended = False
-        self.failed_at = None
+        self.failed_at = self.status = None
         self.body = b''
 
     def set_time_limit(self, limit_s):
@@ -167,6 +171,7 @@
     def send(self, status, fields, body):
         """See ``inbound.ResponseWriter``."""
         self.started = True
+        self.status = status
         self.failed_at = self._loop.now
 
 
--- a/tests/test_exchange_orders.py
+++ b/tests/test_exchange_orders.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from hypothesis import example
 from hypothesis import given
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -9,6 +10,11 @@
 import exchange_site
 from gorsefall.policy import takeover
 
+NOT_RUN_STATUS = 503
+
+_BOTH_REFUSE = [[(2.4, 'refuse')], [(0.01, 'refuse')]]
+"""The silent replica refuses as well, after the one asked next has."""
+
 _PAUSES = st.sampled_from([0.01, 0.05, 0.2, 0.6, 0.99, 1.1, 1.29, 1.35, 2.4])
 _STREAM = st.tuples(
     st.just([(0.05, 'head')]),
@@ -56,6 +62,7 @@
 
 @settings(deadline=None, max_examples=150)
 @given(_SCRIPTS, _CHANGES, st.floats(0.0, 3.0))
+@example(_BOTH_REFUSE, None, 0.0)
 def test_a_response_is_whole_unless_all_its_replicas_ended_it(
         scripts, change, change_at_s):
     """A response is broken off while a replica works on it, or is not whole."""
@@ -64,6 +71,8 @@
     assert prefix
     assert site.writer.ended == whole
     assert site.exchange.done
+    if site.writer.status == NOT_RUN_STATUS:
+        assert all(c.refused for c in site.conns)
     failed_at = site.writer.failed_at
     if failed_at is not None and failed_at < site.deadline:
         assert not [c for c in site.conns if c.cancelled_at == failed_at]
