Silent attempts: one is kept while it is found out whether the next replica crashed

The next replica broke off 0.2 s after it was asked; while it was probed for a crash the 0.3 s of both attempts ended, and the silent one was let go of for one that was over. Found by reading the change; the property in tests/test_exchange_orders.py, given the time of the probe, fails without the mend: the time starts when an attempt is sent, and stops when it ends. Besides, nothing concludes from silence while reading is paused, also not a probe.

--- a/gorsefall/relay/exchange.py
+++ b/gorsefall/relay/exchange.py
@@ -467,6 +467,7 @@
         self.release(attempt)
         self.attempt = None
         self.silence.stop()
+        self._takeover.record_end()
 
     def release(self, attempt):
         """Ends the bookkeeping of an attempt whose connection is closed."""
--- a/gorsefall/relay/restoring.py
+++ b/gorsefall/relay/restoring.py
@@ -48,7 +48,7 @@
         failed = attempt.failure is not None
         if self._exchange.attempt is not (None if failed else attempt):
             return
-        silent_s = time.monotonic() - attempt.last_data_at
+        silent_s = attempt.silent_s()
         if is_gone(verdict, failed=failed, silent_s=silent_s):
             self._restore(attempt)
         elif failed:
--- a/gorsefall/relay/sending.py
+++ b/gorsefall/relay/sending.py
@@ -64,6 +64,10 @@
         """Whether the first bytes of the response body have arrived."""
         return self.first_byte_at is not None
 
+    def silent_s(self):
+        """Returns the time without a byte of the response, s."""
+        return 0.0 if self.paused else time.monotonic() - self.last_data_at
+
     def log_sent(self, service, number):
         """Logs attempt ``number`` and the data its replica was chosen by."""
         choice, view, node = (self.choice, self.replica.view,
--- a/gorsefall/relay/silence.py
+++ b/gorsefall/relay/silence.py
@@ -56,7 +56,7 @@
         # doubling the load when all replicas are slow.
         exchange = self._exchange
         attempt = exchange.attempt
-        if attempt is None:
+        if attempt is None or attempt.paused:
             return
         if self._restorer.possible:
             self._restorer.probe(attempt)
--- a/gorsefall/relay/takeover.py
+++ b/gorsefall/relay/takeover.py
@@ -64,6 +64,13 @@
             policy.MAX_OVERLAP_S,
             lambda: self.settle(policy.Event.OVERLAP_ENDED))
 
+    def record_end(self):
+        """Records that the attempt at another replica has ended.
+
+        The one that is set aside is then kept until the next attempt is sent.
+        """
+        self._stop_timer()
+
     def settle(self, event):
         """Decides which attempt goes on, and cancels the other one.
 
--- a/tests/exchange_site.py
+++ b/tests/exchange_site.py
@@ -15,6 +15,9 @@
 
 EVENT_COUNT = 4
 TIME_LIMIT_S = 5.0
+PROBE_S = 0.25
+"""Time until it is known whether a replica crashed, s."""
+
 SERVICE = 'pool'
 ROUTE = model.Route(name='r',
                     host='h',
@@ -132,9 +135,10 @@
 
 
 class Writer:
-    """The caller: reads everything at once.
+    """The caller.
 
     Attributes:
+        keeps_up: Whether it reads everything at once.
         body: The bytes received.
         ended: Whether the response is complete.
         status: Status of a complete response, or None.
@@ -145,6 +149,7 @@
     def __init__(self, loop):
         self._loop = loop
         self.started = self.ended = False
+        self.keeps_up = True
         self.failed_at = self.status = None
         self.body = b''
 
@@ -158,7 +163,7 @@
     def write(self, data):
         """See ``inbound.ResponseWriter``."""
         self.body += data
-        return True
+        return self.keeps_up
 
     def end(self):
         """See ``inbound.ResponseWriter``."""
@@ -265,7 +270,8 @@
         node.retry_budget.return_value.available.return_value = 5
         node.start_latency.return_value = attempt_timeouts.StartLatency()
         node.crashes.suspects.must_serialize.return_value = False
-        node.crashes.handle_broken_run = lambda replica, run, done: done()
+        node.crashes.handle_broken_run = (
+            lambda replica, run, done: loop.call_later(PROBE_S, done))
         node.paths.send = self._send
         req = model.CallerRequest(id='rid',
                                   method=b'GET',
--- a/tests/test_exchange_orders.py
+++ b/tests/test_exchange_orders.py
@@ -78,8 +78,23 @@
         assert not [c for c in site.conns if c.cancelled_at == failed_at]
 
 
+def _takes_over(other, conn, at):
+    """Whether another connection has taken the request of one at a time, s."""
+    if other.responded_at <= at and not other.refused:
+        return True
+    unrefused = other.ended_at is None or other.ended_at > at
+    asked_for_s = at - other.sent_at
+    return (conn.sent_at < other.sent_at and unrefused and
+            asked_for_s >= takeover.MAX_OVERLAP_S - 1e-6)
+
+
+_NEXT_BREAKS = [[], [(0.2, 'reset')]]
+"""The next replica breaks off while the silent one is kept."""
+
+
 @settings(deadline=None, max_examples=150)
 @given(_SCRIPTS, _CHANGES, st.floats(0.0, 3.0))
+@example(_NEXT_BREAKS, None, 0.0)
 def test_an_attempt_is_let_go_of_only_for_one_that_takes_the_request(
         scripts, change, change_at_s):
     """A run that works is cancelled before another replica has accepted."""
@@ -88,8 +103,7 @@
         at = conn.cancelled_at
         if at is not None and at < site.deadline:
             assert any(
-                other.responded_at <= at or conn.sent_at < other.sent_at <= at -
-                takeover.MAX_OVERLAP_S + 1e-6
+                _takes_over(other, conn, at)
                 for other in site.conns
                 if other is not conn)
 
@@ -114,3 +128,16 @@
         ends = (old.ended_at, old.cancelled_at, new.ended_at, new.cancelled_at)
         both_until = min(t for t in ends if t is not None)
         assert both_until <= new.sent_at + takeover.MAX_OVERLAP_S + 1e-6
+
+
+def test_a_replica_is_not_silent_while_its_caller_reads_nothing():
+    """A run that works is moved, as the entry itself does not read from it."""
+    with exchange_site.site([[(0.1, 'head'), (0.1, 'event')], []]) as site:
+        began = site.loop.now
+        site.writer.keeps_up = False
+        site.exchange.start()
+        site.loop.run(began + 2.0)
+        assert len(site.conns) == 1
+        site.exchange.on_caller_drained()
+        site.loop.run(began + 4.0)
+        assert len(site.conns) == 2
