Silent attempts: the next replica is asked on a new connection through another entry, too

The request to the other entry says that it wants a new connection; an entry of before leaves that out.

--- a/gorsefall/relay/forwarder.py
+++ b/gorsefall/relay/forwarder.py
@@ -122,7 +122,7 @@
             return
         self._conn.set_time_limit(message.time_limit_s)
         self._run = _Run(self, replica, message)
-        self._run.conn = replica.pool.send(self._run)
+        self._run.conn = replica.pool.send(self._run, fresh=message.fresh)
 
     @_handle.register
     def _on_probe(self, message: messages.Probe):
--- a/gorsefall/relay/forwarding.py
+++ b/gorsefall/relay/forwarding.py
@@ -97,8 +97,9 @@
         via: Host of the other entry.
     """
 
-    def __init__(self, client, host, replica, call):
+    def __init__(self, client, host, replica, call, fresh):
         self._client = client
+        self._fresh = fresh
         self.via = host
         self._replica = replica
         self._call = call
@@ -142,7 +143,8 @@
         call.on_sent()
         self._channel.send(
             messages.Request(call.request_id, call.method, call.target,
-                             call.fields, call.body, call.time_limit_s))
+                             call.fields, call.body, call.time_limit_s,
+                             self._fresh))
 
     @on_message.register
     def _on_refused(self, message: messages.Refused):
@@ -260,9 +262,16 @@
         self._port = port
         self._idle = {}
 
-    def send(self, host, replica, call):
-        """Has an entry forward ``call``; returns the ``ForwardedCall``."""
-        return ForwardedCall(self, host, replica, call)
+    def send(self, host, replica, call, *, fresh=False):
+        """Has an entry forward ``call``; returns the ``ForwardedCall``.
+
+        Args:
+            host: The entry's host.
+            replica: The ``replicas.Replica``.
+            call: The ``outbound.Call``; has the ``request_id``.
+            fresh: See ``outbound.Pool.send``.
+        """
+        return ForwardedCall(self, host, replica, call, fresh)
 
     def probe(self, host, replica, done):
         """Has an entry probe a replica.
--- a/gorsefall/relay/forwardmessages.py
+++ b/gorsefall/relay/forwardmessages.py
@@ -56,6 +56,7 @@
         body: Request body.
         time_limit_s: Longest time until the end of the response, s; 0 if not
             known.
+        fresh: Whether to send it on a new connection to the replica.
     """
     id: ids.RequestId
     method: bytes
@@ -63,6 +64,7 @@
     fields: Fields
     body: bytes
     time_limit_s: float = 0.0
+    fresh: bool = False
 
 
 class Interim(msgspec.Struct, frozen=True, array_like=True, tag='interim'):
--- a/gorsefall/relay/paths.py
+++ b/gorsefall/relay/paths.py
@@ -89,7 +89,7 @@
         if self.needs_detour(replica):
             host = self._choose_forwarder(replica.record.service)
             if host is not None:
-                return self._client.send(host, replica, call)
+                return self._client.send(host, replica, call, fresh=fresh)
         return replica.pool.send(call, fresh=fresh)
 
     def _choose_forwarder(self, service):
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -63,6 +63,19 @@
     peer.close()
 
 
+def test_a_fresh_call_is_sent_on_a_new_connection(loop):
+    """A silent attempt is let go of for one on a connection that was lost."""
+    peer = peers.ScriptedPeer([[RESPONSE], [RESPONSE]])
+    with forwarding_site.site(loop, peer.addr) as site:
+        for fresh in (False, True):
+            call = forwarding_site.Call()
+            site.client.send('127.0.0.1', site.replica, call, fresh=fresh)
+            peers.run(loop, lambda c=call: c.done)
+            assert call.ended
+        assert site.replica.pool.opened_count == 2
+    peer.close()
+
+
 def test_a_response_to_another_request_is_skipped(loop):
     """A late response on a connection of the forwarder reaches a caller."""
     old = RESPONSE.replace(b'Rid: r', b'Rid: x').replace(b'body', b'old!')
