--- a/gorsefall/relay/delivery.py
+++ b/gorsefall/relay/delivery.py
@@ -122,14 +122,14 @@
         self._part = PartialResponse()
 
     def detach(self):
-        """Puts the current response aside; returns its ``PartialResponse``."""
+        """Sets the current response aside; returns its ``PartialResponse``."""
         part, self._part = self._part, PartialResponse()
         if part.streaming:
             part.incomplete_event = self._splitter.partial
         return part
 
     def reattach(self, part):
-        """Goes on with a response that was put aside."""
+        """Goes on with a response that was set aside."""
         self._part = part
         if part.streaming:
             self._splitter.partial = part.incomplete_event
--- a/gorsefall/relay/exchange.py
+++ b/gorsefall/relay/exchange.py
@@ -125,7 +125,7 @@
 
     def dispatch(self):
         """See ``serving.ActiveRequest``."""
-        # An attempt that was put aside may have gone on while this call waited
+        # An attempt that was set aside may have gone on while this call waited
         # for another run of the same request.
         if self.attempt is None:
             super().dispatch()
--- a/gorsefall/relay/takeover.py
+++ b/gorsefall/relay/takeover.py
@@ -13,7 +13,7 @@
 
 
 class KeptAttempt(typing.NamedTuple):
-    """A silent attempt, and the state of its request when it was put aside.
+    """A silent attempt, and the state of its request when it was set aside.
 
     Attributes:
         attempt: The ``sending.Attempt``; its connection stays open.
@@ -88,7 +88,7 @@
             return
         self._exchange.go_on_with(kept)
         self._exchange.log.info('kept',
-                                replica=kept.attempt.replica.record.id,
+                                replica=kept.attempt.name,
                                 by=event.value)
 
     def _let_go(self, attempt):
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -15,6 +15,9 @@
 RESPONSE = (b'HTTP/1.1 200 OK\r\nRid: r\r\nKeep-Alive: timeout=5\r\n'
             b'Content-Length: 4\r\n\r\nbody')
 
+LARGE_BYTES = 30_000_000
+"""Size of a large response."""
+
 PAUSE_S = 5.0
 """Time for which a caller that is alive reads nothing, s."""
 
@@ -200,13 +203,16 @@
     replica.close()
 
 
+def _large_response_peer():
+    """Returns a peer whose response is more than the kernel buffers."""
+    head = (b'HTTP/1.1 200 OK\r\nRid: r\r\nContent-Length: %d\r\n\r\n' %
+            LARGE_BYTES)
+    return peers.ScriptedPeer([[head, b'x' * LARGE_BYTES]])
+
+
 def test_a_slow_reader_holds_back_the_replica(loop):
     """A stream that its caller does not read fills the forwarder's memory."""
-    size = 30_000_000
-    peer = peers.ScriptedPeer([[
-        b'HTTP/1.1 200 OK\r\nRid: r\r\nContent-Length: %d\r\n\r\n' % size,
-        b'x' * size
-    ]])
+    peer = _large_response_peer()
     call = forwarding_site.Call()
     with forwarding_site.site(loop, peer.addr) as site:
         conn = site.send(call)
@@ -216,20 +222,16 @@
             loop.step(0.005)
         (held,) = site.forwarder._peers
         assert held._conn.unsent_bytes < 1_000_000
-        assert len(call.received) < size / 2
+        assert len(call.received) < LARGE_BYTES / 2
         conn.resume()
         peers.run(loop, lambda: call.done, TRANSFER_TIMEOUT_S)
-        assert len(call.received) == size
+        assert len(call.received) == LARGE_BYTES
     peer.close()
 
 
 def test_a_reader_that_pauses_for_seconds_gets_the_whole_response(loop):
     """A stream is cut as its caller, which is alive, reads nothing for 5 s."""
-    size = 30_000_000
-    peer = peers.ScriptedPeer([[
-        b'HTTP/1.1 200 OK\r\nRid: r\r\nContent-Length: %d\r\n\r\n' % size,
-        b'x' * size
-    ]])
+    peer = _large_response_peer()
     call = forwarding_site.Call()
     with forwarding_site.site(loop, peer.addr) as site:
         conn = site.send(call)
@@ -241,7 +243,7 @@
         conn.resume()
         peers.run(loop, lambda: call.done, TRANSFER_TIMEOUT_S)
         assert call.failure is None
-        assert len(call.received) == size
+        assert len(call.received) == LARGE_BYTES
     peer.close()
 
 
