--- a/gorsefall/net/tcp.py
+++ b/gorsefall/net/tcp.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import errno
+import math
 import os
 import socket
 
@@ -73,6 +74,7 @@
         self._connecting = False
         self.has_written = self.was_refused = False
         self.broken_by_peer = False
+        self._user_timeout_ms = USER_TIMEOUT_MS
         self.bytes_in = self.bytes_out = 0
         self.is_open = sock is not None
         if sock is not None:
@@ -123,9 +125,12 @@
         Args:
             limit_s: The time; ``USER_TIMEOUT_MS`` if that is longer.
         """
-        if self.is_open:
+        # Whole seconds, so that the next request often needs no other value.
+        timeout_ms = max(USER_TIMEOUT_MS, math.ceil(limit_s) * 1000)
+        if self.is_open and timeout_ms != self._user_timeout_ms:
+            self._user_timeout_ms = timeout_ms
             self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT,
-                                  max(USER_TIMEOUT_MS, round(limit_s * 1000)))
+                                  timeout_ms)
 
     def pause(self):
         """Stops reading, so that a fast peer cannot fill the memory."""
