Tests: a scripted connection calls nothing after it was cancelled

Cause: the test's connection called on_end after its head had had it cancelled. The real one does not (test_nothing_is_called_after_a_call_was_cancelled_by_its_head); the case stays as an example, and every property as it was.

--- a/tests/exchange_site.py
+++ b/tests/exchange_site.py
@@ -116,7 +116,8 @@
         self._call.matches_response(503, headers.from_items([]))
         self.ended_at = self._site.loop.now
         self._call.on_head(503, headers.from_items([]))
-        self._call.on_end()
+        if self.cancelled_at is None:
+            self._call.on_end()
 
     def _reset(self):
         self.ended_at = self._site.loop.now
--- a/tests/test_exchange_orders.py
+++ b/tests/test_exchange_orders.py
@@ -15,6 +15,9 @@
 _BOTH_REFUSE = [[(2.4, 'refuse')], [(0.01, 'refuse')]]
 """The silent replica refuses as well, after the one asked next has."""
 
+_REFUSED_AFTER_A_BREAK = [[(2.4, 'refuse')], [(0.2, 'reset')]]
+"""The silent replica refuses while the break of the next one is looked into."""
+
 _PAUSES = st.sampled_from([0.01, 0.05, 0.2, 0.6, 0.99, 1.1, 1.29, 1.35, 2.4])
 _STREAM = st.tuples(
     st.just([(0.05, 'head')]),
@@ -63,6 +66,7 @@
 @settings(deadline=None, max_examples=150)
 @given(_SCRIPTS, _CHANGES, st.floats(0.0, 3.0))
 @example(_BOTH_REFUSE, None, 0.0)
+@example(_REFUSED_AFTER_A_BREAK, None, 0.0)
 def test_a_response_is_whole_unless_all_its_replicas_ended_it(
         scripts, change, change_at_s):
     """A response is broken off while a replica works on it, or is not whole."""
--- a/tests/test_outbound.py
+++ b/tests/test_outbound.py
@@ -184,3 +184,26 @@
         assert (pool.opened_count, pool.size) == (2, 1)
         pool.close()
     peer.close()
+
+
+class _CancellingCall(RecordingCall):
+    """A call that is cancelled as its response begins."""
+
+    conn = None
+
+    def on_head(self, status, fields):
+        self.conn.cancel()
+
+
+def test_nothing_is_called_after_a_call_was_cancelled_by_its_head():
+    """A refusal of a cancelled attempt is handled twice."""
+    peer = peers.ScriptedPeer([[complete_response('r')]])
+    call = _CancellingCall('r')
+    with peers.loop() as loop:
+        pool = outbound.Pool(loop, peer.addr, max_size=1, connect_timeout_s=1.0)
+        call.conn = pool.send(call)
+        peers.run(loop, lambda: not pool.size)
+        for _ in range(5):
+            loop.step(0.01)
+    peer.close()
+    assert (call.ended, call.failure, call.received) == (False, None, b'')
