Tests: faults of the stand-in replica in a module of their own; more silent replicas

The faults move from wire_replica to wire_faults as they are. New cases: calls whose next replica resets, fails or hangs, a route that goes and comes back, a KV backup whose replica is gone, a detour that is silent, a silent request that may crash replicas.

--- a/features/platform_silent_replicas.feature
+++ b/features/platform_silent_replicas.feature
@@ -21,7 +21,11 @@
       | resumable  | is silent after two events | hangs                 | events |
       | resumable  | is silent after two events | ok                    | events |
       | resumable  | begins late                | refuses               | events |
+      | streaming  | is silent after two events | refuses               | events |
       | idempotent | answers late               | refuses               | whole  |
+      | idempotent | answers late               | resets                | whole of the first run |
+      | idempotent | answers late               | fails                 | whole of the first run |
+      | idempotent | answers late               | hangs                 | whole of the first run |
 
   # Guards against a request that is never answered: the silent replica refuses
   # it after the next one has.
@@ -40,6 +44,7 @@
       | drops the route                 | resumable  | is silent after two events | events |
       | takes the key away              | resumable  | is silent after two events | events |
       | moves the route elsewhere       | resumable  | is silent after two events | events |
+      | drops the route and returns it  | resumable  | is silent after two events | events |
       | takes the key away              | idempotent | answers late               | whole  |
       | drops the route                 | idempotent | answers late               | whole  |
 
@@ -56,7 +61,12 @@
     Then it gets the whole stream
     And the request ran 1 times
 
-  Scenario: a stream whose replica seems to be gone, and whose KV backup is refused
+  Scenario Outline: a stream whose replica seems to be gone, and whose KV backup's replica <copy>
     Given a third pool replica
-    When the replica of a long response "stalls long after two events", and the replica of its KV backup refuses
+    When the replica of a long response "stalls long after two events", and the replica of its KV backup <copy>
     Then the caller gets status 200 and "events"
+
+    Examples:
+      | copy    |
+      | refuses |
+      | is gone |
--- a/features/platform_unreachable.feature
+++ b/features/platform_unreachable.feature
@@ -48,6 +48,14 @@
     When connections of the first entry to all replicas are reset
     Then no entry takes a replica for exited
 
+  # Guards against a run at the end of a detour that is let go of too early.
+  Scenario: a stream through another entry is silent, and the next replica refuses
+    When connections of the first entry to all replicas are reset
+    And its requests go through other entries
+    And the replica of a "resumable" request "is silent after two events", and the next one "refuses"
+    Then the caller gets status 200 and "events"
+    And the request ran 1 times
+
   # Guards against a stream that is moved from one lost connection to another.
   Scenario: open connections go silent for good while new ones work
     Given connections of the first entry to both pool replicas
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -45,8 +45,8 @@
     reply = context.reply
     assert reply.status == status, reply
     runs = platform_site.runs_of(context, context.rid)
-    if body == 'whole':
-        name, req = runs[-1]
+    if body in ('whole', 'whole of the first run'):
+        name, req = runs[-1 if body == 'whole' else 0]
         expected = f'{name}:{req.method}:{req.target}:'.encode() + req.body
         assert reply.complete and reply.body == expected, reply
         assert reply.headers['replica-seal'] == wire_replica.SEAL
--- a/features/steps/silent_steps.py
+++ b/features/steps/silent_steps.py
@@ -9,7 +9,7 @@
 
 import standin
 import wire_callers
-import wire_replica
+import wire_faults
 
 from gorsefall.standins import waiting
 
@@ -36,7 +36,7 @@
         return standin.config(2, keys={'k-desk': 'desk'})
     prefix = ROUTE_PREFIXES[kind]
     routes = standin.config(1)['routes']
-    if change == 'drops the route':
+    if change.startswith('drops the route'):
         routes = [r for r in routes if r['path-prefix'] != prefix]
     else:
         for route in routes:
@@ -45,6 +45,14 @@
     return standin.config(2, routes)
 
 
+def _configure(site, config):
+    """Writes a configuration and waits until the entry has it."""
+    site.store.put('keyed.op', 'config', config)
+    waiting.until(
+        lambda: any(ln['event'] == 'configuration' and ln['version'] == config[
+            'version'] for ln in site.log()), 'the configuration')
+
+
 @when('a configuration "{change}" while the replica of a "{kind}" request '
       '"{silence}"')
 def step_configuration(context, change, kind, silence):
@@ -55,10 +63,9 @@
         waiting.until(
             lambda: any(r.runs for r in context.platform.replicas.values()),
             'the run')
-        site.store.put('keyed.op', 'config', _changed(change, kind))
-        waiting.until(
-            lambda: any(ln['event'] == 'configuration' and ln['version'] == 2
-                        for ln in site.log()), 'the configuration')
+        _configure(site, _changed(change, kind))
+        if change.endswith('returns it'):
+            _configure(site, standin.config(3))
         context.reply = reply.result()
 
 
@@ -91,16 +98,23 @@
 def step_whole_stream(context):
     reply = context.reply
     assert reply.complete, (reply.status, len(reply.body))
-    assert reply.body.count(b'id: ') == wire_replica.LARGE_EVENT_COUNT
+    assert reply.body.count(b'id: ') == wire_faults.LARGE_EVENT_COUNT
 
 
 @when('the replica of a long response "{fault}", and the replica of its KV '
-      'backup refuses')
-def step_backup_refused(context, fault):
+      'backup {copy}')
+def step_backup_refused(context, fault, copy):
     site = context.platform
     shared = platform_site.SharedScript(fault, 'refuses')
+
+    def close_backup(req):
+        for replica in site.replicas.values():
+            if copy == 'is gone' and replica.addr == req.headers['kv-backup']:
+                replica.close()
+
     for replica in site.replicas.values():
         replica.script = shared
+        replica.on_run = close_backup
     context.rid = platform_site.new_rid(context)
     with wire_callers.connect(site.callers) as sock:
         sock.sendall(
--- a/features/steps/unreachable_steps.py
+++ b/features/steps/unreachable_steps.py
@@ -109,6 +109,17 @@
     ][-1]
 
 
+@when('its requests go through other entries')
+def step_detours(context):
+
+    def goes_through_another():
+        platform_site.send_request(context, 'resumable')
+        return (context.reply.status == 200 and
+                _sent_line(context)['via'] is not None)
+
+    waiting.until(goes_through_another, 'a request through another entry')
+
+
 @given('connections of the first entry to both pool replicas')
 def step_connections(context):
     pool = [context.platform.replicas[n] for n in platform_site.POOL_REPLICAS]
--- a/tests/test_exchange_orders.py
+++ b/tests/test_exchange_orders.py
@@ -145,3 +145,15 @@
         site.exchange.on_caller_drained()
         site.loop.run(began + 4.0)
         assert len(site.conns) == 2
+
+
+def test_a_silent_request_that_may_crash_replicas_is_waited_for():
+    """A stream ends as it is silent, as it must not run at a second replica."""
+    late = [(0.1, 'head'), (0.1, 'event'), (2.0, 'event'), (0.1, 'event'),
+            (0.1, 'event')]
+    with exchange_site.site([late, []]) as site:
+        site.node.crashes.suspects.must_serialize.return_value = True
+        site.exchange.start()
+        site.loop.run(site.loop.now + 4.0)
+    assert site.writer.ended
+    assert len(site.conns) == 1
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -1,5 +1,6 @@
 """Calls to a replica that another entry forwards."""
 
+import contextlib
 import time
 
 import pytest
@@ -210,41 +211,39 @@
     return peers.ScriptedPeer([[head, b'x' * LARGE_BYTES]])
 
 
-def test_a_slow_reader_holds_back_the_replica(loop):
-    """A stream that its caller does not read fills the forwarder's memory."""
+@contextlib.contextmanager
+def _paused_call(loop):
+    """Yields a site and its call, which reads nothing; then reads all of it."""
     peer = _large_response_peer()
     call = forwarding_site.Call()
     with forwarding_site.site(loop, peer.addr) as site:
         conn = site.send(call)
         peers.run(loop, lambda: call.received)
         conn.pause()
+        yield site, call
+        conn.resume()
+        peers.run(loop, lambda: call.done, TRANSFER_TIMEOUT_S)
+        assert call.failure is None
+        assert len(call.received) == LARGE_BYTES
+    peer.close()
+
+
+def test_a_slow_reader_holds_back_the_replica(loop):
+    """A stream that its caller does not read fills the forwarder's memory."""
+    with _paused_call(loop) as (site, call):
         for _ in range(200):
             loop.step(0.005)
         (held,) = site.forwarder._peers
         assert held._conn.unsent_bytes < 1_000_000
         assert len(call.received) < LARGE_BYTES / 2
-        conn.resume()
-        peers.run(loop, lambda: call.done, TRANSFER_TIMEOUT_S)
-        assert len(call.received) == LARGE_BYTES
-    peer.close()
 
 
 def test_a_reader_that_pauses_for_seconds_gets_the_whole_response(loop):
     """A stream is cut as its caller, which is alive, reads nothing for 5 s."""
-    peer = _large_response_peer()
-    call = forwarding_site.Call()
-    with forwarding_site.site(loop, peer.addr) as site:
-        conn = site.send(call)
-        peers.run(loop, lambda: call.received)
-        conn.pause()
+    with _paused_call(loop):
         resume_at = time.monotonic() + PAUSE_S
         while time.monotonic() < resume_at:
             loop.step(0.05)
-        conn.resume()
-        peers.run(loop, lambda: call.done, TRANSFER_TIMEOUT_S)
-        assert call.failure is None
-        assert len(call.received) == LARGE_BYTES
-    peer.close()
 
 
 def test_what_a_response_announces_binds_the_forwarder_too(loop):
