--- a/gorsefall/net/outbound.py
+++ b/gorsefall/net/outbound.py
@@ -144,7 +144,6 @@
         self._h11 = None
         self._desynchronized = False
         self._skipping_response = False
-        self._time_limit_set = False
         self._idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
         self._transport = tcp.Connection(loop, self)
         self._timer = loop.call_later(connect_timeout_s,
@@ -188,9 +187,7 @@
     def _set_time_limit(self, call):
         """Lets a peer that is alive read a large body as slowly as it may."""
         large = len(call.body) > LARGE_BODY_BYTES
-        if large or self._time_limit_set:
-            self._transport.set_time_limit(call.time_limit_s if large else 0.0)
-            self._time_limit_set = large
+        self._transport.set_time_limit(call.time_limit_s if large else 0.0)
 
     def _start_exchange(self, call):
         """Resets the HTTP state; returns the bytes of the call's request."""
--- a/gorsefall/policy/takeover.py
+++ b/gorsefall/policy/takeover.py
@@ -21,12 +21,14 @@
     NEW_ACCEPTED = 'new_accepted'
     NEW_IMPOSSIBLE = 'new_impossible'
     OVERLAP_ENDED = 'overlap_ended'
+    REQUEST_ENDED = 'request_ended'
 
 
 class Winner(enum.Enum):
-    """The attempt that goes on; the other one is cancelled."""
+    """The attempt that goes on; any other one is cancelled."""
     OLD = 'old'
     NEW = 'new'
+    NONE = 'none'
 
 
 _WINNERS = {
@@ -35,6 +37,7 @@
     Event.NEW_ACCEPTED: Winner.NEW,
     Event.NEW_IMPOSSIBLE: Winner.OLD,
     Event.OVERLAP_ENDED: Winner.NEW,
+    Event.REQUEST_ENDED: Winner.NONE,
 }
 
 
--- a/gorsefall/relay/exchange.py
+++ b/gorsefall/relay/exchange.py
@@ -14,7 +14,6 @@
 from gorsefall.policy import attempts
 from gorsefall.policy import placement
 from gorsefall.policy import retry_delay
-from gorsefall.policy import takeover as takeover_policy
 from gorsefall.relay import accesslog
 from gorsefall.relay import backups
 from gorsefall.relay import crashes
@@ -249,21 +248,19 @@
 
     def on_response_head(self, attempt, response):
         """Called with the head of a response."""
-        if self._takeover.keeps(attempt):
-            if not response.usable:
-                self._takeover.on_error_response(response)
-                return
-            self._takeover.settle(takeover_policy.Event.OLD_RESPONDED)
-        elif self.grant.streams and response.usable:
-            self._takeover.settle(takeover_policy.Event.NEW_ACCEPTED)
+        if self._takeover.keeps(attempt) and not response.usable:
+            self._takeover.on_error_response(response)
+            return
+        self._takeover.on_progress(attempt,
+                                   accepted=self.grant.streams and
+                                   response.usable)
         if not response.not_run and not self.grant.streams:
             self._record_run()
         self._delivery.begin(response, streams=self.grant.streams)
 
     def on_response_data(self, attempt, data):
         """Called with a piece of a response's body."""
-        if self._takeover.keeps(attempt):
-            self._takeover.settle(takeover_policy.Event.OLD_RESPONDED)
+        self._takeover.on_progress(attempt)
         if self.first_byte_at is None:
             self.first_byte_at = time.monotonic()
         if not attempt.response_started:
@@ -305,10 +302,7 @@
 
     def on_response_end(self, attempt, response):
         """Called when a response is complete."""
-        if self._takeover.keeps(attempt):
-            self._takeover.settle(takeover_policy.Event.OLD_RESPONDED)
-        elif response.usable:
-            self._takeover.settle(takeover_policy.Event.NEW_ACCEPTED)
+        self._takeover.on_progress(attempt, accepted=response.usable)
         self._close_attempt(attempt)
         if response.not_run:
             self._on_refused(attempt, response)
--- a/gorsefall/relay/takeover.py
+++ b/gorsefall/relay/takeover.py
@@ -71,6 +71,18 @@
         """
         self._stop_timer()
 
+    def on_progress(self, attempt, *, accepted=False):
+        """Settles which attempt goes on as more of a response has come.
+
+        Args:
+            attempt: The ``sending.Attempt`` whose response it is.
+            accepted: Whether it shows that the replica serves the request.
+        """
+        if self.keeps(attempt):
+            self.settle(policy.Event.OLD_RESPONDED)
+        elif accepted:
+            self.settle(policy.Event.NEW_ACCEPTED)
+
     def settle(self, event):
         """Decides which attempt goes on, and cancels the other one.
 
@@ -81,11 +93,10 @@
         """
         if self._kept is None:
             return
-        kept = self._end()
-        metrics.TAKEOVERS.labels(event.value).inc()
         if policy.winner(event) is policy.Winner.NEW:
-            self._let_go(kept.attempt)
+            self._let_go(self._drop(event))
             return
+        kept = self._end(event)
         self._exchange.go_on_with(kept)
         self._exchange.log.info('kept',
                                 replica=kept.attempt.name,
@@ -97,7 +108,6 @@
         attempt.replica.view.record_failure(time.monotonic())
         if not attempt.response_started:
             self._exchange.record_wait(attempt)
-        self._exchange.release(attempt)
         attempt.log_failed('silent')
 
     def resume(self, exc):
@@ -114,10 +124,8 @@
 
     def on_error_response(self, response):
         """Ends the attempt, to which its replica responds with an error."""
-        attempt = self._end().attempt
-        metrics.TAKEOVERS.labels(policy.Event.OLD_FAILED.value).inc()
+        attempt = self._drop(policy.Event.OLD_FAILED)
         attempt.conn.cancel()
-        self._exchange.release(attempt)
         if response.not_run:
             self._exchange.attempts.record_refusal(attempt.name)
         attempt.log_failed(f'status {response.status}')
@@ -128,11 +136,9 @@
         Args:
             failure: The ``outbound.Failure``.
         """
-        attempt = self._end().attempt
-        metrics.TAKEOVERS.labels(policy.Event.OLD_FAILED.value).inc()
+        attempt = self._drop(policy.Event.OLD_FAILED)
         if not failure.sent:
             self._exchange.attempts.record_unreached(attempt.name)
-        self._exchange.release(attempt)
         attempt.replica.view.record_failure(time.monotonic())
         attempt.log_failed(failure.reason, sent=failure.sent)
         if failure.fault is outbound.Fault.LOST:
@@ -143,11 +149,16 @@
     def cancel(self):
         """Cancels the attempt if there is any: the request is over."""
         if self._kept is not None:
-            attempt = self._end().attempt
-            attempt.conn.cancel()
-            self._exchange.release(attempt)
+            self._drop(policy.Event.REQUEST_ENDED).conn.cancel()
 
-    def _end(self):
+    def _drop(self, event):
+        """Ends the attempt that was set aside; returns it."""
+        attempt = self._end(event).attempt
+        self._exchange.release(attempt)
+        return attempt
+
+    def _end(self, event):
+        metrics.TAKEOVERS.labels(event.value).inc()
         self._stop_timer()
         kept, self._kept = self._kept, None
         return kept
