Observability: how responses of replicas ended, and what the end of a stream shows

Logs could not tell the hypotheses of the incident apart: `answered` has ending (framed, closed) and stream_end (whole, inside_event, no_event), also for responses that another entry forwarded; gorsefall_stream_ends_total counts both. No behaviour changes. policy/streamend.py only judges.

--- a/gorsefall/explain.py
+++ b/gorsefall/explain.py
@@ -95,6 +95,9 @@
 }
 """``event type -> format string``, for events without a function below."""
 
+_ENDINGS = {'closed': ', ended by the end of its connection'}
+"""``ending -> addition``; nothing about a response that was framed."""
+
 _OUTCOMES = {
     'served': 'it was served',
     'replica_failed': "the replica's own error was forwarded",
@@ -154,6 +157,7 @@
     took = '' if event.ms is None else f' after {event.ms:.0f} ms'
     route = f' on route {event.route}' if event.route else ''
     last = f', last event {event.last_event}' if event.last_event else ''
+    last += _ENDINGS.get(event.ending, '')
     why = f': {event.error}' if event.error else ''
     retry = ('' if event.retry_after_s is None else
              f'; asked to retry after {event.retry_after_s:.2f} s')
--- a/gorsefall/metrics.py
+++ b/gorsefall/metrics.py
@@ -123,6 +123,10 @@
                                 'by the code of the error that did it.',
                                 ('cause',),
                                 registry=REGISTRY)
+STREAM_ENDS = prom.Counter('gorsefall_stream_ends_total',
+                           'Streams of replicas that ended, by what marked the '
+                           'end and what it shows.', ('ending', 'verdict'),
+                           registry=REGISTRY)
 TAKEOVERS = prom.Counter('gorsefall_takeovers_total',
                          'Silent attempts that were kept while another replica '
                          'was asked, by what ended that.', ('event',),
--- a/gorsefall/net/outbound.py
+++ b/gorsefall/net/outbound.py
@@ -47,6 +47,14 @@
     nothing about the peer."""
 
 
+class Ending(enum.Enum):
+    """What marked the end of a response."""
+    FRAMED = 'framed'
+    """Its length, its last chunk, or a status that has no body."""
+    CLOSED = 'closed'
+    """The end of its connection only."""
+
+
 @dataclasses.dataclass(frozen=True)
 class Failure:
     """Why a call got no complete response.
@@ -71,6 +79,7 @@
         body: Request body.
         time_limit_s: Longest time until the end of the response, s; 0 for no
             limit.
+        ending: The ``Ending`` of a complete response; ``FRAMED`` before it.
     """
 
     def __init__(self, method, target, fields, body=b'', time_limit_s=0.0):
@@ -79,6 +88,7 @@
         self.fields = fields
         self.body = body
         self.time_limit_s = time_limit_s
+        self.ending = Ending.FRAMED
 
     def on_sent(self):
         """Called once when the request was handed to the kernel."""
@@ -252,7 +262,8 @@
             return
         try:
             self._h11.receive_data(data)
-            while self._call is not None and self._process_event():
+            while (self._call is not None and
+                   self._process_event(at_eof=not data)):
                 pass
         except h11.RemoteProtocolError as exc:
             # h11 also raises this error at a premature end of the stream,
@@ -262,7 +273,7 @@
             else:
                 self._fail_connection('closed before its answer was whole')
 
-    def _process_event(self):
+    def _process_event(self, *, at_eof):
         event = self._h11.next_event()
         if event is h11.NEED_DATA or event is h11.PAUSED:
             return False
@@ -277,7 +288,7 @@
             if not self._skipping_response:
                 self._call.on_data(bytes(event.data))
         elif isinstance(event, h11.EndOfMessage):
-            self._on_message_end()
+            self._on_message_end(Ending.CLOSED if at_eof else Ending.FRAMED)
         elif isinstance(event, h11.ConnectionClosed):
             self._fail_connection('closed without an answer')
             return False
@@ -297,7 +308,7 @@
             self._idle_timeout_s = IDLE_TIMEOUT_FRACTION * int(match.group(1))
         self._call.on_head(event.status_code, fields)
 
-    def _on_message_end(self):
+    def _on_message_end(self, ending):
         if self._skipping_response:
             rest, _ = self._h11.trailing_data
             self._start_exchange(self._call)
@@ -317,6 +328,7 @@
             self._on_release(self, self._idle_timeout_s)
         else:
             self._close()
+        call.ending = ending
         call.on_end()
 
     def _on_connect_timeout(self):
--- a/gorsefall/relay/accesslog.py
+++ b/gorsefall/relay/accesslog.py
@@ -49,10 +49,17 @@
                       pause_ms=round(pause_s * 1000, 1),
                       late=late.value if late else None,
                       last_event=exchange.last_event,
+                      ending=_value(exchange.ending),
+                      stream_end=_value(exchange.stream_end),
                       version=node.table.version if node.table else None,
                       proof_age_s=node.confirmation.logged_age_s())
 
 
+def _value(state):
+    """Returns what stands in a log line for an ``Enum`` member or None."""
+    return None if state is None else state.value
+
+
 def _late_reason(exchange, grant, pause_s, now):
     """Returns which target was missed, an ``outcomes.LateReason``, or None."""
     route = grant.route
--- a/gorsefall/relay/delivery.py
+++ b/gorsefall/relay/delivery.py
@@ -64,6 +64,11 @@
         """Id of the last event forwarded, bytes; None before the first."""
         return self._splitter.last_id if self._splitter else None
 
+    @property
+    def rest(self):
+        """Bytes of the stream after its last complete event."""
+        return self._splitter.partial
+
     def begin(self, response, *, streams):
         """Starts to handle a response of a replica.
 
--- a/gorsefall/relay/exchange.py
+++ b/gorsefall/relay/exchange.py
@@ -9,11 +9,13 @@
 from gorsefall import digests
 from gorsefall import errors
 from gorsefall import logs
+from gorsefall import metrics
 from gorsefall import serving
 from gorsefall.net import outbound
 from gorsefall.policy import attempts
 from gorsefall.policy import placement
 from gorsefall.policy import retry_delay
+from gorsefall.policy import streamend
 from gorsefall.relay import accesslog
 from gorsefall.relay import backups
 from gorsefall.relay import crashes
@@ -43,6 +45,9 @@
         longest_pause_s: Longest pause between events of the response, s.
         disconnect_reason: Why the caller's connection ended before the
             response, or None.
+        ending: The ``outbound.Ending`` of the last complete response; None
+            before.
+        stream_end: The ``streamend.Verdict`` on it, if it was a stream.
         digest: The ``ids.RequestDigest`` that identifies other attempts of
             the same request; None until the account is known.
     """
@@ -61,6 +66,7 @@
         self._detours = detours.Detours(node.paths)
         self._counted = False
         self.disconnect_reason = None
+        self.ending = self.stream_end = None
         self._backup = backups.KvBackup(node.prober, node.fleet)
         self._restorer = restoring.Restorer(self, self._backup)
         self.silence = silence.SilenceWatch(self, self._restorer)
@@ -303,6 +309,9 @@
     def on_response_end(self, attempt, response):
         """Called when a response is complete."""
         self._takeover.on_progress(attempt, accepted=response.usable)
+        self.ending = attempt.ending
+        if self._delivery.streaming:
+            self.stream_end = self._judge_end(attempt)
         self._close_attempt(attempt)
         if response.not_run:
             self._on_refused(attempt, response)
@@ -331,6 +340,15 @@
             self.close(outcomes.Outcome.SERVED if response.
                        success else outcomes.Outcome.REPLICA_FAILED)
 
+    def _judge_end(self, attempt):
+        """Returns the ``streamend.Verdict`` on a stream that has ended."""
+        verdict = streamend.judge(self._delivery.rest,
+                                  has_events=attempt.event_count > 0,
+                                  framed=attempt.ending
+                                  is outbound.Ending.FRAMED)
+        metrics.STREAM_ENDS.labels(attempt.ending.value, verdict.value).inc()
+        return verdict
+
     def _on_refused(self, attempt, response):
         self.attempts.record_refusal(attempt.name)
         if response.misdirected:
--- a/gorsefall/relay/forwarder.py
+++ b/gorsefall/relay/forwarder.py
@@ -58,7 +58,7 @@
 
     def on_end(self):
         """See ``outbound.Call``."""
-        self._peer.end_run(messages.End(), 'complete')
+        self._peer.end_run(messages.End(self.ending), 'complete')
 
     def on_fail(self, failure):
         """See ``outbound.Call``."""
--- a/gorsefall/relay/forwarding.py
+++ b/gorsefall/relay/forwarding.py
@@ -172,8 +172,8 @@
 
     @on_message.register
     def _on_end(self, message: messages.End):
-        del message
         self._release()
+        self._call.ending = message.ending
         self._call.on_end()
 
     @on_message.register
--- a/gorsefall/relay/forwardmessages.py
+++ b/gorsefall/relay/forwardmessages.py
@@ -85,7 +85,12 @@
 
 
 class End(msgspec.Struct, frozen=True, array_like=True, tag='end'):
-    """The response is complete."""
+    """The response is complete.
+
+    Attributes:
+        ending: What marked its end at the entry that forwards.
+    """
+    ending: outbound.Ending = outbound.Ending.FRAMED
 
 
 class Failed(msgspec.Struct, frozen=True, array_like=True, tag='failed'):
