Broken streams that look complete: failing tests on real sockets

The stand-in replica ends streams without a length or chunks, with what may follow the last event, and inside events.

--- a/features/platform_unreachable.feature
+++ b/features/platform_unreachable.feature
@@ -56,6 +56,21 @@
     Then the caller gets status 200 and "events"
     And the request ran 1 times
 
+  # Guards against a broken stream that looks complete, as the entry that
+  # forwards it reports the end of its replica's connection as its end.
+  Scenario Outline: a <kind> stream through another entry is closed inside an event
+    When connections of the first entry to all replicas are reset
+    And its requests go through other entries
+    And a "<kind>" request meets a replica that "<fault>"
+    Then the caller gets status <status> and "<body>"
+    And the request ran <runs> times
+
+    Examples:
+      | kind      | fault                  | status | body    | runs |
+      | streaming | closes inside an event | 200    | broken  | 1    |
+      | streaming | closes before an event | 502    | unknown | 1    |
+      | resumable | closes inside an event | 200    | events  | 2    |
+
   # Guards against a stream that is moved from one lost connection to another.
   Scenario: open connections go silent for good while new ones work
     Given connections of the first entry to both pool replicas
