Streams that end inside an event are broken off, whatever marked their end

Cause: the end of the message was taken for the end of the stream: outbound reported a close as any other end, and the delivery sent half an event on and the last chunk. Class: the transport's word on a message is taken for what the message says of itself.

policy/streamend judges each end of a stream: inside an event, or by close before its first event, is a break. The exchange asks it, for direct and forwarded calls and for silent attempts that were set aside, and handles such an end as a lost connection: health, crash books, retry budget, resumption, `attempt_failed`. Half events are no longer forwarded. What may follow the last event (comments, spaces, half a line end) or be missing (the last empty line) breaks nothing.

--- a/gorsefall/policy/streamend.py
+++ b/gorsefall/policy/streamend.py
@@ -20,6 +20,18 @@
         """Whether the stream may be forwarded as complete."""
         return self is Verdict.WHOLE
 
+    @property
+    def reason(self):
+        """What happened, for logs."""
+        return _REASONS[self]
+
+
+_REASONS = {
+    Verdict.WHOLE: 'ended after an event',
+    Verdict.INSIDE_EVENT: 'ended inside an event',
+    Verdict.NO_EVENT: 'closed before its first event',
+}
+
 
 def judge(rest, *, has_events, framed):
     """Returns the ``Verdict`` on a stream that has ended.
--- a/gorsefall/relay/delivery.py
+++ b/gorsefall/relay/delivery.py
@@ -64,11 +64,6 @@
         """Id of the last event forwarded, bytes; None before the first."""
         return self._splitter.last_id if self._splitter else None
 
-    @property
-    def rest(self):
-        """Bytes of the stream after its last complete event."""
-        return self._splitter.partial
-
     def begin(self, response, *, streams):
         """Starts to handle a response of a replica.
 
@@ -110,7 +105,7 @@
                                self._codec.encode_response(response))
 
     def end(self):
-        """Ends a complete stream; sends any bytes left after its last event."""
+        """Ends a whole stream; sends what follows its last event."""
         self._start()
         if self._splitter.partial:
             self._writer.write(self._splitter.partial)
@@ -126,11 +121,15 @@
         """Drops what is buffered of a failed response."""
         self._part = PartialResponse()
 
+    def current_part(self):
+        """Returns the ``PartialResponse`` of the current response."""
+        if self.streaming:
+            self._part.incomplete_event = self._splitter.partial
+        return self._part
+
     def detach(self):
         """Sets the current response aside; returns its ``PartialResponse``."""
-        part, self._part = self._part, PartialResponse()
-        if part.streaming:
-            part.incomplete_event = self._splitter.partial
+        part, self._part = self.current_part(), PartialResponse()
         return part
 
     def reattach(self, part):
--- a/gorsefall/relay/exchange.py
+++ b/gorsefall/relay/exchange.py
@@ -307,11 +307,16 @@
             self.silence.await_event()
 
     def on_response_end(self, attempt, response):
-        """Called when a response is complete."""
-        self._takeover.on_progress(attempt, accepted=response.usable)
+        """Called when the message of a response is complete."""
         self.ending = attempt.ending
-        if self._delivery.streaming:
-            self.stream_end = self._judge_end(attempt)
+        self.stream_end = self._judge_end(attempt)
+        if self.stream_end is not None and not self.stream_end.is_whole:
+            self.on_attempt_failed(
+                attempt,
+                outbound.Failure(True, self.stream_end.reason,
+                                 outbound.Fault.LOST))
+            return
+        self._takeover.on_progress(attempt, accepted=response.usable)
         self._close_attempt(attempt)
         if response.not_run:
             self._on_refused(attempt, response)
@@ -341,8 +346,16 @@
                        success else outcomes.Outcome.REPLICA_FAILED)
 
     def _judge_end(self, attempt):
-        """Returns the ``streamend.Verdict`` on a stream that has ended."""
-        verdict = streamend.judge(self._delivery.rest,
+        """Returns the ``streamend.Verdict`` on a response that has ended.
+
+        Returns:
+            None if the response is not forwarded as a stream.
+        """
+        part = (self._takeover.kept_part if self._takeover.keeps(attempt) else
+                self._delivery.current_part())
+        if not part.streaming:
+            return None
+        verdict = streamend.judge(part.incomplete_event,
                                   has_events=attempt.event_count > 0,
                                   framed=attempt.ending
                                   is outbound.Ending.FRAMED)
--- a/gorsefall/relay/takeover.py
+++ b/gorsefall/relay/takeover.py
@@ -46,6 +46,11 @@
         """Whether an attempt is set aside."""
         return self._kept is not None
 
+    @property
+    def kept_part(self):
+        """What was received of the response to the attempt set aside."""
+        return self._kept.part
+
     def begin(self, kept):
         """Sets a ``KeptAttempt`` aside, instead of an earlier one."""
         self.settle(policy.Event.OVERLAP_ENDED)
--- a/tests/exchange_site.py
+++ b/tests/exchange_site.py
@@ -119,6 +119,16 @@
         if self.cancelled_at is None:
             self._call.on_end()
 
+    def _close(self):
+        self.ended_at = self._site.loop.now
+        self._call.ending = outbound.Ending.CLOSED
+        self._call.on_end()
+
+    def _cut(self):
+        self._call.on_data(b'id: %d\nda' % self._next)
+        if self.is_open:
+            self._close()
+
     def _reset(self):
         self.ended_at = self._site.loop.now
         self._call.on_fail(outbound.Failure(True, 'reset', outbound.Fault.LOST))
@@ -313,7 +323,9 @@
 
     Args:
         scripts: For each replica, ``(pause in s, step)`` pairs; a step is
-            ``head``, ``event``, ``refuse`` or ``reset``.
+            ``head``, ``event``, ``refuse``, ``reset``, ``close`` (the
+            connection ends, which is no error) or ``cut`` (the same inside an
+            event).
     """
     loop = Loop()
     with unittest.mock.patch('time.monotonic', lambda: loop.now):
--- a/tests/test_exchange_orders.py
+++ b/tests/test_exchange_orders.py
@@ -22,10 +22,13 @@
 _STREAM = st.tuples(
     st.just([(0.05, 'head')]),
     st.lists(st.tuples(_PAUSES, st.just('event')), min_size=1, max_size=4),
-    st.sampled_from([[], [], [(0.3, 'reset')]])).map(lambda p: sum(p, []))
+    st.sampled_from([[], [], [(0.3, 'reset')], [(0.3, 'cut')],
+                     [(1.2, 'cut')]])).map(lambda p: sum(p, []))
+_CLOSED_FIRST = st.just([(0.05, 'head'), (0.05, 'close')])
 _REFUSAL = _PAUSES.map(lambda s: [(s, 'refuse')])
 _RESET = _PAUSES.map(lambda s: [(s, 'reset')])
-_SCRIPTS = st.lists(st.one_of(_STREAM, _STREAM, _REFUSAL, _RESET, st.just([])),
+_SCRIPTS = st.lists(st.one_of(_STREAM, _STREAM, _REFUSAL, _RESET, _CLOSED_FIRST,
+                              st.just([])),
                     min_size=1,
                     max_size=3)
 _CHANGES = st.sampled_from([None, 'key', 'route', 'service'])
@@ -147,6 +150,18 @@
         assert len(site.conns) == 2
 
 
+def test_a_stream_that_is_closed_inside_an_event_counts_as_a_broken_run():
+    """A request that crashes replicas is cleared by the run that it broke."""
+    cut = [(0.1, 'head'), (0.1, 'event'), (0.1, 'cut')]
+    with exchange_site.site([cut, cut]) as site:
+        site.exchange.start()
+        site.loop.run(site.loop.now + 2.0)
+    assert len(site.conns) == 2
+    assert not site.node.crashes.record_completed_run.called
+    assert not site.replicas['a'].view.record_success.called
+    assert site.replicas['a'].view.record_failure.called
+
+
 def test_a_silent_request_that_may_crash_replicas_is_waited_for():
     """A stream ends as it is silent, as it must not run at a second replica."""
     late = [(0.1, 'head'), (0.1, 'event'), (2.0, 'event'), (0.1, 'event'),
