Observability: the software version of each attempt, and the stream that it takes up

Logs could not tell the hypotheses on two versions apart: `sent` names the replica's software and what `Resumes` named, `replica_seen` the software. Neither changes a decision.

--- a/gorsefall/explain.py
+++ b/gorsefall/explain.py
@@ -115,6 +115,13 @@
     return f'; through the entry at {event.via}' if event.via else ''
 
 
+def _software(event):
+    text = f', software {event.software}' if event.software else ''
+    if event.resumes is not None:
+        text += f', to go on with the stream of {event.resumes}'
+    return text
+
+
 @functools.singledispatch
 def describe(event):
     """Returns a sentence that describes a ``loglines.Event``."""
@@ -124,7 +131,8 @@
 @describe.register
 def _(event: loglines.Sent):
     return (f'attempt {event.attempt}: sent to {event.replica} of '
-            f'{event.service or "its service"}, priority {event.priority}; '
+            f'{event.service or "its service"}{_software(event)}, '
+            f'priority {event.priority}; '
             f'{event.outstanding} requests of this entry and about '
             f'{event.others:.0f} of other entries were in flight there; '
             f'{_confirmed(event)}{_via(event)}')
--- a/gorsefall/loglines.py
+++ b/gorsefall/loglines.py
@@ -37,6 +37,8 @@
     replica: str
     digest: str = ''
     service: str = ''
+    software: str = ''
+    resumes: str | None = None
     attempt: int = 1
     priority: int = 0
     outstanding: int = 0
--- a/gorsefall/relay/fleet.py
+++ b/gorsefall/relay/fleet.py
@@ -80,6 +80,7 @@
             self._log.info('replica_seen',
                            replica=record.id,
                            service=record.service,
+                           software=record.software,
                            zone=record.zone,
                            status=record.status.value)
 
--- a/gorsefall/relay/model.py
+++ b/gorsefall/relay/model.py
@@ -151,6 +151,7 @@
             1970 by its own clock; 0 where it does not report it. Tells
             incarnations apart.
         spot: Whether the platform may reclaim it at short notice.
+        software: Version of its software. Versions have no order.
     """
     id: ids.ReplicaName
     service: ids.ServiceName
@@ -160,6 +161,7 @@
     status: ReplicaStatus
     started_at_ms: int = 0
     spot: bool = False
+    software: ids.SoftwareVersion = ids.SoftwareVersion('')
 
     def same_incarnation(self, other):
         """Whether ``other`` describes the same incarnation of the replica."""
@@ -204,6 +206,8 @@
         prompt: The ``Prompt`` of a model request, else None.
         last_event_id: Id of the last event the caller has received, as sent;
             None for none.
+        resumes: Id of the request that brought the first event of the stream
+            that this one takes up, as sent; None if it names none.
     """
     id: ids.RequestId
     method: bytes
@@ -216,6 +220,7 @@
     key: str | None = None
     prompt: Prompt | None = None
     last_event_id: bytes | None = None
+    resumes: ids.RequestId | None = None
 
     @property
     def path(self):
--- a/gorsefall/relay/sending.py
+++ b/gorsefall/relay/sending.py
@@ -79,6 +79,8 @@
             digest=digests.abbreviate(self._exchange.digest),
             replica=self.replica.record.id,
             service=service,
+            software=self.replica.record.software,
+            resumes=self._exchange.req.resumes,
             attempt=number,
             priority=self._priority,
             outstanding=view.outstanding,
--- a/tests/exchange_site.py
+++ b/tests/exchange_site.py
@@ -200,7 +200,9 @@
 
     def __init__(self, name, script):
         self.script = script
-        self.record = types.SimpleNamespace(id=name, addr=('h', 1))
+        self.record = types.SimpleNamespace(id=name,
+                                            addr=('h', 1),
+                                            software='v1')
         self.view = unittest.mock.MagicMock(outstanding=0, others_requests=0)
         self.view.name = name
         self.acceptance = unittest.mock.MagicMock()
