--- /dev/null
+++ b/features/platform_versions.feature
@@ -0,0 +1,80 @@
+@nosite @platform
+Feature: streams go on at the software version that began them
+
+  Guards against a stream that holds events of two software versions of one
+  service: a replica of another version goes on with it, as the run breaks off,
+  says nothing, or is taken up by its caller. Replicas do not check this.
+
+  Background:
+    Given three entries before replicas of the versions "v1 v2"
+
+  Scenario Outline: the replica of a stream <fault>, and the other one has another version
+    When the replica of a resumable stream "<fault>"
+    Then the caller gets status 200 and "<body>"
+    And one version wrote the stream
+
+    Examples:
+      | fault                      | body   |
+      | breaks after two events    | broken |
+      | closes inside an event     | broken |
+      | crashes after two events   | broken |
+      | is silent after two events | events |
+
+  Scenario: a stream that has no event yet begins anew at any version
+    When the replica of a resumable stream "breaks before an event"
+    Then the caller gets status 200 and "events"
+
+  Scenario Outline: the replica of a stream <fault>, and others of its version are left
+    Given more replicas of the versions "v1 v2 v2"
+    When the replicas of ten resumable streams "<fault>"
+    Then all ten callers get the whole stream
+    And one version wrote each stream
+
+    Examples:
+      | fault                      |
+      | breaks after two events    |
+      | closes inside an event     |
+      | goes dark after two events |
+
+  Scenario Outline: callers take their streams up at <where>, <event>
+    Given more replicas of the versions "v1 v2 v2"
+    When ten callers leave their streams after two events
+    And <event>
+    And the callers take their streams up at <where>
+    Then all ten get the rest of their streams
+    And one version wrote each stream
+
+    Examples:
+      | where          | event                               |
+      | the same entry | all entries go on                   |
+      | another entry  | all entries go on                   |
+      | another entry  | the entry that they left is killed  |
+
+  Scenario: a chain of takes
+    Given more replicas of the versions "v1 v2 v2"
+    When ten callers leave their streams after two events
+    And the callers take their streams up at another entry and leave after one more event
+    And the callers take their streams up at the same entry
+    Then all ten get the rest of their streams
+    And one version wrote each stream
+
+  Scenario: no replica of the version is left
+    When a caller leaves its stream after two events
+    And the replicas of its version are gone
+    Then a caller that takes it up is told at once that it has not run
+
+  Scenario Outline: a caller takes up <whose>
+    When a caller leaves its stream after two events
+    Then a caller that takes up <whose> gets <status> at once, and nothing runs
+
+    Examples:
+      | whose                         | status |
+      | a stream that nobody knows    | 503    |
+      | the stream of another account | 503    |
+      | its own request               | 503    |
+      | an id of 2,000 bytes          | 400    |
+      | an empty id                   | 400    |
+
+  Scenario: one version serves, and an id that nobody knows
+    Given only replicas of version "v1" are left
+    Then a caller that takes up a stream that nobody knows gets the rest of it
