Streams that are taken up are not shed

A request that takes a stream up chooses among fewer replicas, whose queues are longer, and would be the first to be refused for its objective. Its caller has half of the stream already. Also: a caller that leaves while its stream's version is looked up (test only, no fault).

--- a/gorsefall/relay/exchange.py
+++ b/gorsefall/relay/exchange.py
@@ -185,7 +185,8 @@
         choice = self._detours.take(
             self.node.fleet.replicas) or self.grant.choose_replica(
                 self.unfit(),
-                may_shed=not self.attempts.replicas,
+                # A caller that has half a stream waits rather than lose it.
+                may_shed=not (self.attempts.replicas or self._origin.bound),
                 least_loaded=self.node.crashes.suspects.must_serialize(
                     self.digest))
         if choice is None or self._detours.is_in_vain(choice):
--- a/tests/exchange_site.py
+++ b/tests/exchange_site.py
@@ -9,6 +9,7 @@
 from gorsefall.net import headers
 from gorsefall.net import outbound
 from gorsefall.policy import attempt_timeouts
+from gorsefall.policy import softwareversions
 from gorsefall.relay import exchange
 from gorsefall.relay import model
 from gorsefall.relay import routes
@@ -259,6 +260,7 @@
         conns: All ``Conn`` objects, in the order of the attempts.
         writer: The ``Writer``.
         exchange: The ``exchange.Exchange``.
+        may_shed: Whether the last choice of a replica could refuse.
     """
 
     def __init__(self, loop, scripts):
@@ -295,12 +297,22 @@
                                   key='k')
         self.exchange = exchange.Exchange(node, req, self.writer)
         self.exchange.grant.choose_replica = self._choose
+        self.may_shed = None
+
+    def let_stream_go_on(self, software):
+        """Has the request take a stream up that began at a version."""
+        self.exchange.req.resumes = 'first'
+        decision = softwareversions.Decision(software,
+                                             softwareversions.Reason.KNOWN)
+        self.node.streams.look_up = (
+            lambda digest, service, done: done(decision, 1))
 
     def _candidates(self, service, tried, *, urgent=False):
         assert service == SERVICE
         return [r for n, r in self.replicas.items() if n not in tried]
 
     def _choose(self, tried, *, may_shed, least_loaded):
+        self.may_shed = may_shed
         left = self._candidates(SERVICE, tried)
         if not left:
             return None
--- a/tests/test_exchange_orders.py
+++ b/tests/test_exchange_orders.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies as st
 
 import exchange_site
+from gorsefall.policy import softwareversions
 from gorsefall.policy import takeover
 
 NOT_RUN_STATUS = 503
@@ -162,6 +163,32 @@
     assert site.replicas['a'].view.record_failure.called
 
 
+def test_a_stream_that_is_taken_up_is_not_shed():
+    """A caller loses half a stream to new requests in a queue."""
+    whole = [(0.1, 'head')] + 4 * [(0.1, 'event')]
+    with exchange_site.site([whole]) as site:
+        site.let_stream_go_on('v1')
+        site.exchange.start()
+        site.loop.run(site.loop.now + 2.0)
+    assert site.writer.ended
+    assert site.may_shed is False
+
+
+def test_a_caller_that_leaves_during_a_look_up_gets_nothing():
+    """A request is sent whose caller left before its version was found."""
+    with exchange_site.site([[(0.1, 'head')]]) as site:
+        site.let_stream_go_on('v1')
+        found = []
+        site.node.streams.look_up = lambda digest, service, done: found.append(
+            done)
+        site.exchange.start()
+        site.exchange.on_caller_disconnected('closed')
+        found[0](softwareversions.Decision('v1', softwareversions.Reason.KNOWN),
+                 1)
+        site.loop.run(site.loop.now + 1.0)
+    assert not site.conns
+
+
 def test_a_silent_request_that_may_crash_replicas_is_waited_for():
     """A stream ends as it is silent, as it must not run at a second replica."""
     late = [(0.1, 'head'), (0.1, 'event'), (2.0, 'event'), (0.1, 'event'),
--- a/tests/test_streamorigins.py
+++ b/tests/test_streamorigins.py
@@ -39,11 +39,9 @@
         self.origins.start(self)
 
     def live_hosts(self, now):
+        # Also those that died a moment ago, which nobody knows yet.
         del now
-        return [
-            h for h, e in self.fleet.entries.items()
-            if h != self.host and e.alive
-        ]
+        return [h for h in self.fleet.entries if h != self.host]
 
     def register_handler(self, kind, handler):
         self.handlers[kind] = handler
