--- a/gorsefall/explain.py
+++ b/gorsefall/explain.py
@@ -25,6 +25,9 @@
     'replica_refused':
         'the replica had no capacity for it, or was not the replica that the '
         'entry had addressed',
+    'stream_unknown':
+        'no entry knew at which software version the stream began, and '
+        'replicas of several versions served',
     'shed':
         'the service had more work than it could finish in time, and requests '
         'of higher value go first',
@@ -138,6 +141,15 @@
             f'{_confirmed(event)}{_via(event)}')
 
 
+@describe.register
+def _(event: loglines.StreamTakenUp):
+    where = ('nowhere'
+             if event.software is None else f'at software {event.software}')
+    return (f'takes up the stream of {event.resumes or "an unnamed request"}, '
+            f'which may go on {where} ({event.reason}); {event.answers} other '
+            'entries answered')
+
+
 @describe.register
 def _(event: loglines.PathsLost):
     return (f'this entry could not connect to {", ".join(event.not_reached)} '
--- a/gorsefall/loglines.py
+++ b/gorsefall/loglines.py
@@ -91,6 +91,15 @@
     after: str
 
 
+class StreamTakenUp(RequestEvent, tag='stream_taken_up'):
+    """Where a stream may go on that the request takes up."""
+    reason: str
+    resumes: str | None = None
+    software: str | None = None
+    answers: int = 0
+    ms: float | None = None
+
+
 class NotTakenOver(RequestEvent, tag='not_taken_over'):
     """No other replica takes the request of a silent attempt."""
     code: str
@@ -276,13 +285,13 @@
 
 
 _EventType = (Sent | AttemptFailed | Forwarded | PathsLost | PathsRegained |
-              NotRun | Retry | Parked | Restored | NotTakenOver | Kept |
-              Answered | Configuration | ProofLost | ProofRegained | StoreLost |
-              StoreRegained | ReplicaSeen | ReplicaDoubtful | ReplicaGone |
-              ReplicaLeaving | ReplicaPaused | LimitAnnounced | Started |
-              Stopping | Stopped | UsageCounted | UsageReported | UsageMissed |
-              Claimed | DutiesLost | ClaimFailed | ClaimNotRead |
-              PlatformCallFailed)
+              NotRun | Retry | Parked | Restored | StreamTakenUp |
+              NotTakenOver | Kept | Answered | Configuration | ProofLost |
+              ProofRegained | StoreLost | StoreRegained | ReplicaSeen |
+              ReplicaDoubtful | ReplicaGone | ReplicaLeaving | ReplicaPaused |
+              LimitAnnounced | Started | Stopping | Stopped | UsageCounted |
+              UsageReported | UsageMissed | Claimed | DutiesLost | ClaimFailed |
+              ClaimNotRead | PlatformCallFailed)
 _decoder = msgspec.json.Decoder(_EventType)
 
 
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -171,3 +171,16 @@
     text = explain.explain(loglines.read_files([tmp_path / 'a.log']), 'r1')
     assert 'key not known to configuration 2' in text
     assert 'the attempt at i-1, which was silent, goes on' in text
+
+
+def test_a_stream_that_may_go_on_nowhere_is_explained(tmp_path):
+    """An engineer on call sees a refusal, and not that nobody knew where the
+    caller's stream began."""
+    (tmp_path / 'a.log').write_text(
+        '{"event": "stream_taken_up", "rid": "r2", "resumes": "r1", '
+        '"software": null, "reason": "several_versions", "answers": 5}\n'
+        '{"event": "answered", "rid": "r2", "outcome": "refused", '
+        '"code": "stream_unknown"}\n')
+    text = explain.explain(loglines.read_files([tmp_path / 'a.log']), 'r2')
+    assert 'takes up the stream of r1, which may go on nowhere' in text
+    assert 'several versions served' in text.split('cause: ')[1]
