Responses without a body end without an exception

A 200 with no byte of body (a caller takes a stream up of which only the end is left) made the access log subtract from a first byte that never came: the caller had its response, but the request was neither logged nor removed, each time, with handler_failed in the log. The end of such a response counts as its first byte. The scenario failed on the code before (exception in the log).

--- a/features/platform_versions.feature
+++ b/features/platform_versions.feature
@@ -88,3 +88,9 @@
   Scenario: one version serves, and an id that nobody knows
     Given three entries before replicas of the versions "v1 v1"
     Then a caller that takes up a stream that nobody knows gets the rest of it
+
+  # Guards against an entry that fails in the end of a response without events.
+  Scenario: a caller takes up a stream of which only the end is left
+    Given three entries before replicas of the versions "v1 v1"
+    Then a caller that has all events of a stream and takes it up gets its end
+    And the log shows the outcome "served"
--- a/features/steps/version_steps.py
+++ b/features/steps/version_steps.py
@@ -315,3 +315,14 @@
     assert reply.status == 200, reply
     assert reply.complete, reply
     assert reply.body == _rest_after(2), reply
+
+
+@then('a caller that has all events of a stream and takes it up gets its end')
+def step_end(context):
+    rids = []
+    reply = _take_up(context, context.sites[0], rids,
+                     ('Resumes: feedfacefeedface', 'Last-Event-Id: 4'))
+    context.rid = rids[-1]
+    assert reply.status == 200, reply
+    assert reply.complete, reply
+    assert reply.body == b'', reply
--- a/gorsefall/relay/accesslog.py
+++ b/gorsefall/relay/accesslog.py
@@ -24,9 +24,10 @@
     account = grant.account.name if grant.account else ''
     metrics.count_relayed(account, route.name if route else '', outcome.value)
     if outcome is outcomes.Outcome.SERVED:
-        metrics.observe_relay_times(
-            route.name, exchange.first_byte_at - exchange.arrived_at,
-            now - exchange.arrived_at)
+        # A response without a body has no first byte; its end is the first.
+        first_at = exchange.first_byte_at or now
+        metrics.observe_relay_times(route.name, first_at - exchange.arrived_at,
+                                    now - exchange.arrived_at)
     cause = None
     if outcome in _BREAKS and exchange.response_begun:
         cause = outcomes.break_cause(exc)
