Responses without framing do not end as their replicas crash

A replica process that crashes has its connections closed by the kernel, which is the proper end of a response without length and chunks: a stream cut between two events, or half of a plain answer, reached its caller as complete. Cause: the same as of streams that end inside events, but nothing in the bytes shows it. Such a response now ends only after a connection has shown that its replica runs, unless that may exit; all events are forwarded before. A leaving replica that ends its last stream is believed.

--- a/features/platform_unframed.feature
+++ b/features/platform_unframed.feature
@@ -32,6 +32,20 @@
       | resumable | ends its chunks inside an event  | 200    | events  | 2    |
       | resumable | ends its length inside an event  | 200    | events  | 2    |
 
+  # Guards against an answer that is cut where nothing in it shows, as the
+  # process of its replica ends and the kernel closes its connections.
+  Scenario Outline: a <kind> response whose replica <fault>
+    When a "<kind>" request meets a replica that "<fault>"
+    Then the caller gets status <status> and "<body>"
+    And the request ran <runs> times
+
+    Examples:
+      | kind           | fault                           | status | body    | runs |
+      | streaming      | exits after two unframed events | 200    | broken  | 1    |
+      | resumable      | exits after two unframed events | 200    | events  | 2    |
+      | idempotent     | exits in an unframed answer     | 200    | whole   | 2    |
+      | non_idempotent | exits in an unframed answer     | 502    | unknown | 1    |
+
   # Guards against whole streams that are broken off for what follows their last
   # event, or for what is missing there.
   Scenario Outline: a whole stream that <fault>
--- a/gorsefall/relay/crashes.py
+++ b/gorsefall/relay/crashes.py
@@ -160,6 +160,19 @@
         if not must_wait:
             on_result()
 
+    def check_exit(self, replica, done):
+        """Determines whether a replica has exited that should run.
+
+        Args:
+            replica: The ``replicas.Replica``.
+            done: Called with whether it has; at once if it may exit.
+        """
+        if not self._expected_up(replica):
+            done(False)
+            return
+        self._prober.probe(
+            replica, lambda verdict: done(verdict is prober.Verdict.EXITED))
+
     def _expected_up(self, replica):
         """Returns whether the replica should run: its exit is then a crash."""
         return (not replica.is_leaving and
--- a/gorsefall/relay/exchange.py
+++ b/gorsefall/relay/exchange.py
@@ -358,6 +358,34 @@
                                  outbound.Fault.LOST))
             return
         self._takeover.on_progress(attempt, accepted=response.usable)
+        if response.usable and attempt.ending is outbound.Ending.CLOSED:
+            self._check_end(attempt, response)
+        else:
+            self._on_whole_response(attempt, response)
+
+    def _check_end(self, attempt, response):
+        """Has a response end only if its replica has not exited.
+
+        The kernel closes the connections of a process that crashes, which is
+        the proper end of a response without length and chunks, wherever it was
+        cut.
+        """
+        self.silence.stop()
+
+        def on_checked(exited):
+            if self.done or self.attempt is not attempt:
+                return
+            if exited:
+                self.on_attempt_failed(
+                    attempt,
+                    outbound.Failure(True, 'closed as its replica exited',
+                                     outbound.Fault.LOST))
+            else:
+                self._on_whole_response(attempt, response)
+
+        self.node.crashes.check_exit(attempt.replica, on_checked)
+
+    def _on_whole_response(self, attempt, response):
         self._close_attempt(attempt)
         if response.not_run:
             self._on_refused(attempt, response)
--- a/tests/exchange_site.py
+++ b/tests/exchange_site.py
@@ -288,6 +288,8 @@
         node.crashes.suspects.must_serialize.return_value = False
         node.crashes.handle_broken_run = (
             lambda replica, run, done: loop.call_later(PROBE_S, done))
+        node.crashes.check_exit = lambda replica, done: loop.call_later(
+            PROBE_S, lambda: done(False))
         node.paths.send = self._send
         req = model.CallerRequest(id='rid',
                                   method=b'GET',
