Streams that are taken up go on at the service that began them

A route that is split between services drew one anew for each request, also for one that takes a stream up: the second half came from another service, or its version was not known there. What entries know of a stream now names its service; where the route is split, others are always told. A stream whose service the route does not lead to any more is refused.

Streams longer than ten seconds are told of again.

--- a/gorsefall/digests.py
+++ b/gorsefall/digests.py
@@ -54,18 +54,16 @@
     return ids.RequestDigest(_digest(key, caller.encode(), target, body_digest))
 
 
-def stream_digest(key, caller, service, request_id):
+def stream_digest(key, caller, request_id):
     """Returns the ``ids.StreamDigest`` of a stream.
 
     Args:
         key: Key shared by all entries, at most 64 bytes.
         caller: Name of the client account; '' on public routes.
-        service: Name of the service that serves it.
         request_id: Id of the request that brought its first event.
     """
     return ids.StreamDigest(
-        _digest(key, caller.encode(), service.encode(),
-                request_id.encode('latin-1')))
+        _digest(key, caller.encode(), request_id.encode('latin-1')))
 
 
 def _digest(key, *parts):
--- a/gorsefall/policy/softwareversions.py
+++ b/gorsefall/policy/softwareversions.py
@@ -1,4 +1,4 @@
-"""Decides at which software version a stream may go on.
+"""Decides at which service and software version a stream may go on.
 
 Replicas of several versions serve side by side, and events of two versions do
 not fit together. A stream goes on only at the version that began it. Entries
@@ -27,37 +27,53 @@
     """Several have served, and no entry knows where it began."""
     CONTRADICTION = 'contradiction'
     """Entries name different versions."""
+    NO_VERSION = 'no_version'
+    """No replica has served of late."""
+    MOVED = 'moved'
+    """Its route does not lead to the service where it began any more."""
     OUTDATED = 'outdated'
     """No other entry answers, and the store cannot be read: another version
     may serve that this entry does not know of."""
 
 
+class Origin(typing.NamedTuple):
+    """The replicas that a stream may have begun at.
+
+    Attributes:
+        service: Name of their service.
+        software: Version of their software.
+    """
+    service: ids.ServiceName
+    software: ids.SoftwareVersion
+
+
 class Knowledge(typing.NamedTuple):
-    """What one entry knows of a stream and its service.
+    """What one entry knows of a stream and the services of its route.
 
     Attributes:
-        began: Version of the replica that began the stream; None if not known.
-        served: Versions that have served of late.
+        began: The ``Origin`` of the stream; None if not known.
+        served: The origins that have served of late.
     """
-    began: ids.SoftwareVersion | None
-    served: frozenset[ids.SoftwareVersion]
+    began: Origin | None
+    served: frozenset[Origin]
 
 
 class Decision(typing.NamedTuple):
-    """At which version a stream may go on.
+    """Where a stream may go on.
 
     Attributes:
-        software: The version; None if it may go on at none.
+        origin: The ``Origin`` of the replicas; None if it may go on at none.
         reason: The ``Reason``.
     """
-    software: ids.SoftwareVersion | None
+    origin: Origin | None
     reason: Reason
 
 
-def decide(own, others, *, view_current):
+def decide(services, own, others, *, view_current):
     """Returns the ``Decision`` on a stream that is taken up.
 
     Args:
+        services: Names of the services of its route.
         own: The ``Knowledge`` of this entry.
         others: That of the other entries that have answered.
         view_current: Whether this entry reads the store.
@@ -67,15 +83,18 @@
     if len(began) > 1:
         return Decision(None, Reason.CONTRADICTION)
     if began:
-        return Decision(began.pop(), Reason.KNOWN)
+        origin = began.pop()
+        if origin.service not in services:
+            return Decision(None, Reason.MOVED)
+        return Decision(origin, Reason.KNOWN)
     served = frozenset().union(*(k.served for k in everyone))
     if len(served) > 1:
         return Decision(None, Reason.SEVERAL_VERSIONS)
     if not (others or view_current):
         return Decision(None, Reason.OUTDATED)
-    # Where no replica is known at all, none can be chosen either.
-    software = next(iter(served), ids.SoftwareVersion(''))
-    return Decision(software, Reason.SOLE_VERSION)
+    if not served:
+        return Decision(None, Reason.NO_VERSION)
+    return Decision(next(iter(served)), Reason.SOLE_VERSION)
 
 
 class VersionHistory:
@@ -103,6 +122,21 @@
             del counts[software]
             self._gone_at[service][software] = now
 
+    def origins(self, services, now):
+        """Returns the origins at services that have served of late.
+
+        Args:
+            services: Names of the services.
+            now: Time, s (monotonic).
+
+        Returns:
+            A frozenset of ``Origin`` objects.
+        """
+        return frozenset(
+            Origin(service, software)
+            for service in services
+            for software in self.served(service, now))
+
     def served(self, service, now):
         """Returns the versions that have served of late, a frozenset."""
         gone = self._gone_at[service]
--- a/gorsefall/policy/streammemory.py
+++ b/gorsefall/policy/streammemory.py
@@ -3,7 +3,7 @@
 import collections
 import typing
 
-from gorsefall import ids
+from gorsefall.policy import softwareversions
 
 RETENTION_S = 30.0
 """Time for which a stream is remembered, s: longer than it lasts and its caller
@@ -18,13 +18,11 @@
     """A stream that has begun.
 
     Attributes:
-        service: Name of its service.
-        software: Version of the replica that began it.
+        origin: The ``softwareversions.Origin`` that began it.
         at: When this entry learned of it, s (monotonic).
         own: Whether this entry began it.
     """
-    service: ids.ServiceName
-    software: ids.SoftwareVersion
+    origin: softwareversions.Origin
     at: float
     own: bool
 
@@ -48,18 +46,18 @@
         """Forgets a stream whose caller has all of it."""
         self._streams.pop(digest, None)
 
-    def software(self, digest, now):
-        """Returns the version that began a stream; None if not known."""
+    def origin(self, digest, now):
+        """Returns the origin of a stream; None if not known."""
         self._expire(now)
         stream = self._streams.get(digest)
-        return stream.software if stream is not None else None
+        return stream.origin if stream is not None else None
 
     def own(self, service, now):
         """Returns ``(digest, BegunStream)`` of this entry's streams, a list."""
         self._expire(now)
         return [(digest, stream)
                 for digest, stream in self._streams.items()
-                if stream.own and stream.service == service]
+                if stream.own and stream.origin.service == service]
 
     def _expire(self, now):
         while self._streams:
--- a/gorsefall/relay/accesslog.py
+++ b/gorsefall/relay/accesslog.py
@@ -50,8 +50,8 @@
                       pause_ms=round(pause_s * 1000, 1),
                       late=late.value if late else None,
                       last_event=exchange.last_event,
-                      ending=_value(exchange.ending),
-                      stream_end=_value(exchange.stream_end),
+                      ending=_value(exchange.response_end.ending),
+                      stream_end=_value(exchange.response_end.verdict),
                       version=node.table.version if node.table else None,
                       proof_age_s=node.confirmation.logged_age_s())
 
--- /dev/null
+++ b/gorsefall/relay/boundversion.py
@@ -0,0 +1,117 @@
+"""Binds the stream of one exchange to the software version that began it."""
+
+import time
+
+from gorsefall.policy import softwareversions
+
+REFRESH_S = 10.0
+"""Time after which others are told again of a stream that goes on, s: they
+forget it in three times as long."""
+
+
+class BoundVersion:
+    """The software version that began the stream of one exchange.
+
+    Attributes:
+        software: Version of the replica that began it; None before its first
+            event.
+    """
+
+    def __init__(self, exchange):
+        """Creates the state of a stream without events.
+
+        Args:
+            exchange: The ``exchange.Exchange``.
+        """
+        self._exchange = exchange
+        self._replica = None
+        self._digest = None
+        self._recorded_at = float('-inf')
+        self.software = None
+
+    @property
+    def bound(self):
+        """Whether the stream has begun, in this response or an earlier one."""
+        return self.software is not None
+
+    def take_up(self, done):
+        """Finds out where a stream began that an earlier response brought.
+
+        Args:
+            done: Called with the ``softwareversions.Decision``.
+        """
+        exchange = self._exchange
+        named = exchange.req.resumes
+        if named is not None:
+            self._digest = self._digest_of(named)
+        began = time.monotonic()
+
+        def on_decided(decision, answers):
+            if decision.origin is not None:
+                exchange.grant.bind_service(decision.origin.service)
+                self.software = decision.origin.software
+            exchange.log.info('stream_taken_up',
+                              resumes=named,
+                              software=self.software,
+                              reason=decision.reason.value,
+                              answers=answers,
+                              ms=round((time.monotonic() - began) * 1000, 1))
+            done(decision)
+
+        exchange.node.streams.look_up(self._digest,
+                                      exchange.grant.route.service_names,
+                                      on_decided)
+
+    def record_event(self, attempt):
+        """Records that the caller gets events of an attempt."""
+        now = time.monotonic()
+        if now - self._recorded_at < REFRESH_S:
+            return
+        self._recorded_at = now
+        exchange = self._exchange
+        if self._replica is None:
+            self._replica = attempt.replica
+        if self.software is None:
+            self.software = self._replica.record.software
+        if self._digest is None:
+            self._digest = self._digest_of(exchange.req.id)
+        grant = exchange.grant
+        if grant.route.resumable and not self._is_doubtful():
+            origin = softwareversions.Origin(grant.service, self.software)
+            exchange.node.streams.record_begun(self._digest, origin,
+                                               grant.route.service_names)
+
+    def record_served(self):
+        """Records that the caller has the whole stream."""
+        if self._digest is not None:
+            self._exchange.node.streams.record_served(self._digest)
+
+    def unfit(self):
+        """Returns the ids of replicas of other versions, a set."""
+        if self.software is None:
+            return set()
+        fleet, service = self._exchange.node.fleet, self._exchange.grant.service
+        if self._is_doubtful():
+            return {r.record.id for r in fleet.of_service(service)}
+        return fleet.with_other_software(service, self.software)
+
+    def _is_doubtful(self):
+        """Whether another version runs under the id of the first replica.
+
+        Its record may have come after the replica had restarted, so that
+        either version may have begun the stream.
+        """
+        first = self._replica
+        if first is None:
+            return False
+        now = self._exchange.node.fleet.replicas.get(first.record.id, first)
+        return now.record.software != first.record.software
+
+    def described(self):
+        """Returns which version is needed, for error messages."""
+        return '' if self.software is None else f' with {self.software!r}'
+
+    def _digest_of(self, request_id):
+        grant = self._exchange.grant
+        return self._exchange.node.streams.digest(
+            grant.account.name if grant.account else '', request_id)
--- a/gorsefall/relay/exchange.py
+++ b/gorsefall/relay/exchange.py
@@ -9,24 +9,23 @@
 from gorsefall import digests
 from gorsefall import errors
 from gorsefall import logs
-from gorsefall import metrics
 from gorsefall import serving
 from gorsefall.net import outbound
 from gorsefall.policy import attempts
 from gorsefall.policy import placement
 from gorsefall.policy import retry_delay
-from gorsefall.policy import streamend
 from gorsefall.relay import accesslog
 from gorsefall.relay import backups
+from gorsefall.relay import boundversion
 from gorsefall.relay import crashes
 from gorsefall.relay import delivery
 from gorsefall.relay import detours
 from gorsefall.relay import grant
 from gorsefall.relay import outcomes
+from gorsefall.relay import responseend
 from gorsefall.relay import restoring
 from gorsefall.relay import sending
 from gorsefall.relay import silence
-from gorsefall.relay import streamorigins
 from gorsefall.relay import takeover
 
 INTERNAL_ERROR_STATUS = 500
@@ -46,9 +45,7 @@
         longest_pause_s: Longest pause between events of the response, s.
         disconnect_reason: Why the caller's connection ended before the
             response, or None.
-        ending: The ``outbound.Ending`` of the last complete response; None
-            before.
-        stream_end: The ``streamend.Verdict`` on it, if it was a stream.
+        response_end: The ``responseend.ResponseEnd``.
         digest: The ``ids.RequestDigest`` that identifies other attempts of
             the same request; None until the account is known.
     """
@@ -67,12 +64,12 @@
         self._detours = detours.Detours(node.paths)
         self._counted = False
         self.disconnect_reason = None
-        self.ending = self.stream_end = None
+        self.response_end = responseend.ResponseEnd(self)
         self._backup = backups.KvBackup(node.prober, node.fleet)
         self._restorer = restoring.Restorer(self, self._backup)
         self.silence = silence.SilenceWatch(self, self._restorer)
         self._takeover = takeover.Takeover(self)
-        self._origin = streamorigins.StreamOrigin(self)
+        self._version = boundversion.BoundVersion(self)
 
     # -- limits ----------------------------------------------------------------
 
@@ -97,7 +94,7 @@
             time_left_s, self._on_deadline)
         self.grant.record_arrival()
         if self._takes_stream_up():
-            self._origin.take_up(self._on_origin)
+            self._version.take_up(self._on_version_found)
         else:
             self.dispatch()
 
@@ -107,10 +104,10 @@
                 (self.req.resumes is not None or
                  self.req.last_event_id is not None))
 
-    def _on_origin(self, decision):
+    def _on_version_found(self, decision):
         if self.done:
             return
-        if decision.software is None:
+        if decision.origin is None:
             self.fail(
                 errors.StreamOriginError(
                     'it is not known at which software version the stream '
@@ -155,12 +152,12 @@
         They are those that it was sent to, and those of other software
         versions than the one that began its stream.
         """
-        return self.attempts.tried | self._origin.unfit()
+        return self.attempts.tried | self._version.unfit()
 
     @property
     def bound(self):
         """Whether only the service that the response began at can go on."""
-        return self._delivery.started or self._origin.bound
+        return self._delivery.started or self._version.bound
 
     # -- sending ---------------------------------------------------------------
 
@@ -186,13 +183,13 @@
             self.node.fleet.replicas) or self.grant.choose_replica(
                 self.unfit(),
                 # A caller that has half a stream waits rather than lose it.
-                may_shed=not (self.attempts.replicas or self._origin.bound),
+                may_shed=not (self.attempts.replicas or self._version.bound),
                 least_loaded=self.node.crashes.suspects.must_serialize(
                     self.digest))
         if choice is None or self._detours.is_in_vain(choice):
             raise errors.NoReplicaError(
-                f'no replica of {self.grant.service}{self._origin.described()} '
-                'is left '
+                f'no replica of {self.grant.service}'
+                f'{self._version.described()} is left '
                 f'({self.node.fleet.describe_refusals(self.grant.service)}); '
                 f'{self._detours.unreached} not reached',
                 retry_after=self._retry_after_s())
@@ -333,7 +330,7 @@
         if not data:
             return
         attempt.record_events(self._delivery.event_count)
-        self._origin.record_event(attempt)
+        self._version.record_event(attempt)
         self.silence.await_event()
         if not self._delivery.forward(data):
             # Nothing is read from the replica now, so its silence means
@@ -349,43 +346,15 @@
 
     def on_response_end(self, attempt, response):
         """Called when the message of a response is complete."""
-        self.ending = attempt.ending
-        self.stream_end = self._judge_end(attempt)
-        if self.stream_end is not None and not self.stream_end.is_whole:
-            self.on_attempt_failed(
-                attempt,
-                outbound.Failure(True, self.stream_end.reason,
-                                 outbound.Fault.LOST))
+        part = (self._takeover.kept_part if self._takeover.keeps(attempt) else
+                self._delivery.current_part())
+        if not self.response_end.is_whole(attempt, part):
             return
         self._takeover.on_progress(attempt, accepted=response.usable)
-        if response.usable and attempt.ending is outbound.Ending.CLOSED:
-            self._check_end(attempt, response)
-        else:
-            self._on_whole_response(attempt, response)
-
-    def _check_end(self, attempt, response):
-        """Has a response end only if its replica has not exited.
-
-        The kernel closes the connections of a process that crashes, which is
-        the proper end of a response without length and chunks, wherever it was
-        cut.
-        """
-        self.silence.stop()
-
-        def on_checked(exited):
-            if self.done or self.attempt is not attempt:
-                return
-            if exited:
-                self.on_attempt_failed(
-                    attempt,
-                    outbound.Failure(True, 'closed as its replica exited',
-                                     outbound.Fault.LOST))
-            else:
-                self._on_whole_response(attempt, response)
-
-        self.node.crashes.check_exit(attempt.replica, on_checked)
+        self.response_end.confirm(attempt, response)
 
-    def _on_whole_response(self, attempt, response):
+    def on_whole_response(self, attempt, response):
+        """Called when nothing more of a response is to come."""
         self._close_attempt(attempt)
         if response.not_run:
             self._on_refused(attempt, response)
@@ -403,7 +372,7 @@
             self.retry_or_fail_unknown('its answer is not its own')
         elif self._delivery.streaming:
             self._delivery.end()
-            self._origin.record_served()
+            self._version.record_served()
             self.close(outcomes.Outcome.SERVED)
         elif self._delivery.resuming or self._takeover.active:
             self.retry_or_fail_unknown(f'resuming gave {response.status}')
@@ -415,23 +384,6 @@
             self.close(outcomes.Outcome.SERVED if response.
                        success else outcomes.Outcome.REPLICA_FAILED)
 
-    def _judge_end(self, attempt):
-        """Returns the ``streamend.Verdict`` on a response that has ended.
-
-        Returns:
-            None if the response is not forwarded as a stream.
-        """
-        part = (self._takeover.kept_part if self._takeover.keeps(attempt) else
-                self._delivery.current_part())
-        if not part.streaming:
-            return None
-        verdict = streamend.judge(part.incomplete_event,
-                                  has_events=attempt.event_count > 0,
-                                  framed=attempt.ending
-                                  is outbound.Ending.FRAMED)
-        metrics.STREAM_ENDS.labels(attempt.ending.value, verdict.value).inc()
-        return verdict
-
     def _on_refused(self, attempt, response):
         self.attempts.record_refusal(attempt.name)
         if response.misdirected:
--- a/gorsefall/relay/grant.py
+++ b/gorsefall/relay/grant.py
@@ -96,6 +96,10 @@
                            admission_rank=table.admission_rank(account, route),
                            replica_rank=table.replica_rank(account, route))
 
+    def bind_service(self, service):
+        """Has the request go to a service of its route, not one drawn."""
+        self.terms = dataclasses.replace(self.terms, service=service)
+
     def permits_another(self, *, begun):
         """Returns whether another attempt is allowed now; see ``renew``."""
         try:
--- a/gorsefall/relay/messages.py
+++ b/gorsefall/relay/messages.py
@@ -7,6 +7,7 @@
 from gorsefall import ids
 from gorsefall.duties import reports
 from gorsefall.policy import entrystatus
+from gorsefall.policy import softwareversions
 from gorsefall.relay import changes
 
 Offsets = dict[str, typing.Annotated[int, msgspec.Meta(ge=0)]]
@@ -71,27 +72,27 @@
                    frozen=True,
                    array_like=True,
                    tag='streams-begun'):
-    """Tells at which software version streams of a service began.
+    """Tells where streams began.
 
     Attributes:
-        service: Name of the service.
-        streams: ``(digest, version)`` of each.
+        service: Name of their service.
+        streams: ``(digest, software version)`` of each.
     """
     service: ids.ServiceName
     streams: tuple[tuple[ids.StreamDigest, ids.SoftwareVersion], ...]
 
 
 class AskStream(msgspec.Struct, frozen=True, array_like=True, tag='ask-stream'):
-    """Asks at which software version a stream began.
+    """Asks where a stream began.
 
     Attributes:
         query_id: Identifies the question at the sender.
         digest: The stream's digest; empty to ask for the versions only.
-        service: Name of its service.
+        services: Names of the services of its route.
     """
     query_id: int
     digest: ids.StreamDigest
-    service: ids.ServiceName
+    services: tuple[ids.ServiceName, ...]
 
 
 class StreamKnown(msgspec.Struct,
@@ -102,12 +103,12 @@
 
     Attributes:
         query_id: That of the question.
-        began: The version; None if not known.
-        served: The versions that have served of late.
+        began: The stream's ``softwareversions.Origin``; None if not known.
+        served: The origins that have served of late.
     """
     query_id: int
-    began: ids.SoftwareVersion | None
-    served: tuple[ids.SoftwareVersion, ...]
+    began: softwareversions.Origin | None
+    served: tuple[softwareversions.Origin, ...]
 
 
 Message = (entrystatus.Status | Ask | Told | Hint | Suspects | AskSuspects |
--- a/gorsefall/relay/model.py
+++ b/gorsefall/relay/model.py
@@ -57,6 +57,11 @@
     model: bool = False
     gap_target_s: float = 0.0
 
+    @property
+    def service_names(self):
+        """Names of its services, a tuple."""
+        return tuple(name for name, _ in self.services)
+
     @property
     def repeatable(self):
         """Whether a request may be run again from its start."""
--- a/gorsefall/relay/streamorigins.py
+++ b/gorsefall/relay/streamorigins.py
@@ -1,13 +1,11 @@
-"""Finds out at which software version a stream began, at any entry.
+"""Finds out where a stream began, at any entry.
 
-While replicas of a service have several versions, the entry that begins a
-stream tells a few others, chosen by hash, so that the stream can be taken up at
-any entry when the first one is gone. An entry at which a stream is taken up
-asks those that would have been told.
+While a stream may have begun at several software versions or services, the
+entry that begins it tells a few others, chosen by hash, so that it can be taken
+up at any entry when the first one is gone. An entry at which a stream is taken
+up asks those that would have been told.
 """
 
-import time
-
 from gorsefall import digests
 from gorsefall import logs
 from gorsefall import metrics
@@ -34,7 +32,8 @@
 class _Lookup:
     """A question to other entries whose answers are awaited."""
 
-    def __init__(self, own, asked, done):
+    def __init__(self, services, own, asked, done):
+        self.services = services
         self.own = own
         self.asked = asked
         self.done = done
@@ -73,38 +72,37 @@
             peers.register_handler(messages.AskStream, self._on_ask)
             peers.register_handler(messages.StreamKnown, self._on_known)
 
-    def digest(self, account, service, request_id):
+    def digest(self, account, request_id):
         """Returns the ``ids.StreamDigest`` of a stream.
 
-        An id that another account names, or for another service, is another
-        stream, of which nothing is known.
+        An id that another account names is another stream, of which nothing is
+        known.
 
         Args:
             account: Name of the client account; '' on public routes.
-            service: Name of the service.
             request_id: Id of the request that brought its first event.
         """
         return digests.stream_digest(self._digest_key.encode(), account,
-                                     service, request_id)
+                                     request_id)
 
     def __len__(self):
         return len(self._memory)
 
     # -- streams of this entry -------------------------------------------------
 
-    def record_begun(self, digest, service, software):
+    def record_begun(self, digest, origin, services):
         """Records that a caller gets events of a stream.
 
         Args:
             digest: Its ``ids.StreamDigest``.
-            service: Name of its service.
-            software: Version of the replica that sends them.
+            origin: The ``softwareversions.Origin`` of its replica.
+            services: Names of the services of its route.
         """
         now = self._loop.now
-        self._memory.put(
-            digest, streammemory.BegunStream(service, software, now, own=True))
-        if len(self._fleet.versions.served(service, now)) > 1:
-            self._tell([(digest, software)], service)
+        self._memory.put(digest, streammemory.BegunStream(origin, now,
+                                                          own=True))
+        if len(self._fleet.versions.origins(services, now)) > 1:
+            self._tell([(digest, origin.software)], origin.service)
 
     def record_served(self, digest):
         """Records that the caller has the whole stream."""
@@ -121,7 +119,8 @@
                        service=service,
                        versions=sorted(served),
                        streams=len(streams))
-        self._tell([(digest, s.software) for digest, s in streams], service)
+        self._tell([(digest, s.origin.software) for digest, s in streams],
+                   service)
 
     def _tell(self, streams, service):
         if self._peers is None or not streams:
@@ -140,19 +139,19 @@
 
     # -- streams that are taken up ---------------------------------------------
 
-    def look_up(self, digest, service, done):
-        """Finds out at which version a stream may go on.
+    def look_up(self, digest, services, done):
+        """Finds out where a stream may go on.
 
         Args:
             digest: Its ``ids.StreamDigest``; None if its caller names none.
-            service: Name of its service.
+            services: Names of the services of its route, a tuple.
             done: Called with the ``softwareversions.Decision`` and the number
                 of other entries that answered, now or after
                 ``ANSWER_TIMEOUT_S`` at most.
         """
-        own = self._knowledge(digest, service)
+        own = self._knowledge(digest, services)
         hosts = self._hosts_to_ask(digest, own)
-        lookup = _Lookup(own, len(hosts), done)
+        lookup = _Lookup(services, own, len(hosts), done)
         if not hosts:
             self._decide(lookup)
             return
@@ -163,7 +162,7 @@
                                              lambda: self._end_lookup(query_id))
         for host in hosts:
             self._peers.send(
-                messages.AskStream(query_id, digest or b'', service), host)
+                messages.AskStream(query_id, digest or b'', services), host)
 
     def _hosts_to_ask(self, digest, own):
         if self._peers is None or own.began is not None:
@@ -171,11 +170,11 @@
         hosts = self._members.live_hosts(self._loop.now)
         return rendezvous.top(digest or b'', hosts, ASKED_ENTRIES)
 
-    def _knowledge(self, digest, service):
+    def _knowledge(self, digest, services):
         now = self._loop.now
         return softwareversions.Knowledge(
-            self._memory.software(digest, now),
-            self._fleet.versions.served(service, now))
+            self._memory.origin(digest, now),
+            self._fleet.versions.origins(services, now))
 
     def _end_lookup(self, query_id):
         lookup = self._lookups.pop(query_id)
@@ -184,6 +183,7 @@
 
     def _decide(self, lookup):
         decision = softwareversions.decide(
+            lookup.services,
             lookup.own,
             list(lookup.answers.values()),
             view_current=not self._fleet.store_lost)
@@ -196,15 +196,12 @@
         del host
         now = self._loop.now
         for digest, software in message.streams:
-            self._memory.put(
-                digest,
-                streammemory.BegunStream(message.service,
-                                         software,
-                                         now,
-                                         own=False))
+            origin = softwareversions.Origin(message.service, software)
+            self._memory.put(digest,
+                             streammemory.BegunStream(origin, now, own=False))
 
     def _on_ask(self, message, host):
-        known = self._knowledge(message.digest, message.service)
+        known = self._knowledge(message.digest, message.services)
         self._peers.send(
             messages.StreamKnown(message.query_id, known.began,
                                  tuple(known.served)), host)
@@ -218,104 +215,3 @@
             message.began, frozenset(message.served))
         if message.began is not None or len(lookup.answers) == lookup.asked:
             self._end_lookup(message.query_id)
-
-
-class StreamOrigin:
-    """Where the stream of one exchange began, and where it may go on.
-
-    Attributes:
-        software: Version of the replica that began it; None before its first
-            event.
-    """
-
-    def __init__(self, exchange):
-        """Creates the origin of a stream without events.
-
-        Args:
-            exchange: The ``exchange.Exchange``.
-        """
-        self._exchange = exchange
-        self._replica = None
-        self._digest = None
-        self.software = None
-
-    @property
-    def bound(self):
-        """Whether the stream has begun, in this response or an earlier one."""
-        return self.software is not None
-
-    def take_up(self, done):
-        """Finds out where a stream began that an earlier response brought.
-
-        Args:
-            done: Called with the ``softwareversions.Decision``.
-        """
-        exchange = self._exchange
-        named = exchange.req.resumes
-        if named is not None:
-            self._digest = self._digest_of(named)
-        began = time.monotonic()
-
-        def on_decided(decision, answers):
-            self.software = decision.software
-            exchange.log.info('stream_taken_up',
-                              resumes=named,
-                              software=decision.software,
-                              reason=decision.reason.value,
-                              answers=answers,
-                              ms=round((time.monotonic() - began) * 1000, 1))
-            done(decision)
-
-        exchange.node.streams.look_up(self._digest, exchange.grant.service,
-                                      on_decided)
-
-    def record_event(self, attempt):
-        """Records that the caller gets events of an attempt."""
-        if self._replica is not None:
-            return
-        self._replica = attempt.replica
-        exchange = self._exchange
-        if self.software is None:
-            self.software = attempt.replica.record.software
-        if self._digest is None:
-            self._digest = self._digest_of(exchange.req.id)
-        if exchange.grant.route.resumable and not self._is_doubtful():
-            exchange.node.streams.record_begun(self._digest,
-                                               exchange.grant.service,
-                                               self.software)
-
-    def record_served(self):
-        """Records that the caller has the whole stream."""
-        if self._digest is not None:
-            self._exchange.node.streams.record_served(self._digest)
-
-    def unfit(self):
-        """Returns the ids of replicas of other versions, a set."""
-        if self.software is None:
-            return set()
-        fleet, service = self._exchange.node.fleet, self._exchange.grant.service
-        if self._is_doubtful():
-            return {r.record.id for r in fleet.of_service(service)}
-        return fleet.with_other_software(service, self.software)
-
-    def _is_doubtful(self):
-        """Whether another version runs under the id of the first replica.
-
-        Its record may have come after the replica had restarted, so that
-        either version may have begun the stream.
-        """
-        first = self._replica
-        if first is None:
-            return False
-        now = self._exchange.node.fleet.replicas.get(first.record.id, first)
-        return now.record.software != first.record.software
-
-    def described(self):
-        """Returns which version is needed, for error messages."""
-        return '' if self.software is None else f' with {self.software!r}'
-
-    def _digest_of(self, request_id):
-        grant = self._exchange.grant
-        return self._exchange.node.streams.digest(
-            grant.account.name if grant.account else '', grant.service,
-            request_id)
--- a/tests/exchange_site.py
+++ b/tests/exchange_site.py
@@ -253,6 +253,12 @@
                         requires_key=True)
 
 
+def found_at(software):
+    """Returns the ``softwareversions.Decision`` for a version."""
+    return softwareversions.Decision(softwareversions.Origin(SERVICE, software),
+                                     softwareversions.Reason.KNOWN)
+
+
 class Site:
     """A node with one exchange, whose replicas are tried in order.
 
@@ -304,10 +310,8 @@
     def let_stream_go_on(self, software):
         """Has the request take a stream up that began at a version."""
         self.exchange.req.resumes = 'first'
-        decision = softwareversions.Decision(software,
-                                             softwareversions.Reason.KNOWN)
         self.node.streams.look_up = (
-            lambda digest, service, done: done(decision, 1))
+            lambda digest, services, done: done(found_at(software), 1))
 
     def _candidates(self, service, tried, *, urgent=False):
         assert service == SERVICE
--- a/tests/test_exchange_orders.py
+++ b/tests/test_exchange_orders.py
@@ -8,7 +8,6 @@
 from hypothesis import strategies as st
 
 import exchange_site
-from gorsefall.policy import softwareversions
 from gorsefall.policy import takeover
 
 NOT_RUN_STATUS = 503
@@ -179,12 +178,11 @@
     with exchange_site.site([[(0.1, 'head')]]) as site:
         site.let_stream_go_on('v1')
         found = []
-        site.node.streams.look_up = lambda digest, service, done: found.append(
+        site.node.streams.look_up = lambda digest, services, done: found.append(
             done)
         site.exchange.start()
         site.exchange.on_caller_disconnected('closed')
-        found[0](softwareversions.Decision('v1', softwareversions.Reason.KNOWN),
-                 1)
+        found[0](exchange_site.found_at('v1'), 1)
         site.loop.run(site.loop.now + 1.0)
     assert not site.conns
 
--- a/tests/test_softwareversions.py
+++ b/tests/test_softwareversions.py
@@ -10,28 +10,35 @@
 from gorsefall.policy.softwareversions import Reason
 
 _VERSIONS = st.sampled_from(['v1', 'v1.1', 'v2'])
+_ORIGINS = st.builds(softwareversions.Origin, st.sampled_from('st'), _VERSIONS)
 _KNOWLEDGE = st.builds(softwareversions.Knowledge,
-                       st.none() | _VERSIONS,
-                       st.frozensets(_VERSIONS, max_size=3))
+                       st.none() | _ORIGINS, st.frozensets(_ORIGINS,
+                                                           max_size=3))
 
 
-@given(_KNOWLEDGE, st.lists(_KNOWLEDGE, max_size=5), st.booleans())
-def test_a_stream_never_goes_on_at_a_version_that_is_guessed(
-        own, others, view_current):
+@given(_KNOWLEDGE, st.lists(_KNOWLEDGE, max_size=5), st.booleans(),
+       st.sampled_from([('s',), ('s', 't')]))
+def test_a_stream_never_goes_on_at_an_origin_that_is_guessed(
+        own, others, view_current, services):
     """A stream goes on at a version although another one may have begun it."""
-    found = softwareversions.decide(own, others, view_current=view_current)
-    named = [k.began for k in [own, *others] if k.began]
-    served = [v for k in [own, *others] for v in k.served]
+    found = softwareversions.decide(services,
+                                    own,
+                                    others,
+                                    view_current=view_current)
+    named = {k.began for k in [own, *others] if k.began}
+    served = {o for k in [own, *others] for o in k.served}
     if found.reason is Reason.KNOWN:
-        assert set(named) == {found.software}
+        assert named == {found.origin}
+        assert found.origin.service in services
     elif found.reason is Reason.SOLE_VERSION:
         assert not named
-        assert set(served) <= {found.software}
+        assert served == {found.origin}
         assert others or view_current
     else:
-        assert found.software is None
-        assert (len(set(named)) > 1 or len(set(served)) > 1 or
-                not (others or view_current))
+        assert found.origin is None
+        assert (len(named) > 1 or len(served) != 1 or
+                not (others or view_current) or
+                {o.service for o in named} - set(services))
 
 
 _EVENTS = st.lists(st.tuples(st.sampled_from(['add', 'remove']), _VERSIONS,
@@ -59,11 +66,16 @@
             gone_at.get(v, float('-inf')) <= softwareversions.SERVED_WINDOW_S
         }
         assert history.served('s', now) == expected
-        assert not history.served('other', now)
+        assert history.origins(
+            ('s', 'other'),
+            now) == {softwareversions.Origin('s', v) for v in expected}
 
 
-def _begun(at, software='v1', own=False):
-    return streammemory.BegunStream('s', software, at, own)
+_ORIGIN = softwareversions.Origin('s', 'v1')
+
+
+def _begun(at, own=False):
+    return streammemory.BegunStream(_ORIGIN, at, own)
 
 
 def test_streams_are_forgotten_in_time():
@@ -71,8 +83,8 @@
     memory = streammemory.StreamMemory()
     memory.put(b'a', _begun(0.0))
     memory.put(b'b', _begun(20.0, own=True))
-    assert memory.software(b'a', streammemory.RETENTION_S) == 'v1'
-    assert memory.software(b'a', streammemory.RETENTION_S + 1) is None
+    assert memory.origin(b'a', streammemory.RETENTION_S) == _ORIGIN
+    assert memory.origin(b'a', streammemory.RETENTION_S + 1) is None
     assert [d for d, _ in memory.own('s', 40.0)] == [b'b']
     for i in range(streammemory.MAX_STREAMS + 10):
         memory.put(b'%d' % i, _begun(41.0))
--- a/tests/test_streamorigins.py
+++ b/tests/test_streamorigins.py
@@ -110,18 +110,19 @@
             timer.action()
         self.now = end
 
-    def begin(self, host, rid, version):
+    def begin(self, host, rid, version, services=(SERVICE,)):
         origins = self.entries[host].origins
-        origins.record_begun(origins.digest('a', SERVICE, rid), SERVICE,
-                             version)
+        origins.record_begun(origins.digest('a', rid),
+                             softwareversions.Origin(services[0], version),
+                             services)
 
-    def take_up(self, host, rid, account='a'):
+    def take_up(self, host, rid, account='a', services=(SERVICE,)):
         """Returns the ``Decision``, and after how long it was made, s."""
         found = []
         began = self.now
         origins = self.entries[host].origins
         origins.look_up(
-            origins.digest(account, SERVICE, rid), SERVICE,
+            origins.digest(account, rid), services,
             lambda decision, answers: found.append(
                 (decision, self.now - began)))
         self.run(0.2)
@@ -129,6 +130,10 @@
         return decision, after_s
 
 
+def _at(version):
+    return softwareversions.Origin(SERVICE, version)
+
+
 @pytest.mark.parametrize('count', [2, 7, 87, 195])
 @pytest.mark.parametrize('loss', [0.0, 0.05])
 def test_a_stream_is_taken_up_anywhere_after_its_entry_is_gone(count, loss):
@@ -143,7 +148,7 @@
         fleet.entries[first].alive = False
         decision, after_s = fleet.take_up(other, f'{i}')
         fleet.entries[first].alive = True
-        assert decision.software in (None, version)
+        assert decision.origin in (None, _at(version))
         assert after_s <= streamorigins.ANSWER_TIMEOUT_S + 1e-6
         decisions.append(decision)
     known = sum(d.reason is Reason.KNOWN for d in decisions)
@@ -164,14 +169,14 @@
     fleet.run(0.1)
     fleet.entries[fleet.hosts[0]].alive = False
     decision, _ = fleet.take_up(fleet.hosts[1], '0')
-    assert decision == ('v1', Reason.KNOWN)
+    assert decision == (_at('v1'), Reason.KNOWN)
 
 
 def test_a_stream_goes_on_where_only_one_version_serves():
     """Streams are refused although any replica could go on with them."""
     fleet = Fleet(7, ['v1'])
     decision, _ = fleet.take_up(fleet.hosts[1], 'nobody knows')
-    assert decision == ('v1', Reason.SOLE_VERSION)
+    assert decision == (_at('v1'), Reason.SOLE_VERSION)
 
 
 def test_an_entry_with_an_old_view_asks_those_that_know_better():
@@ -183,7 +188,7 @@
     fleet.begin(others[0], 'new', 'v2')
     fleet.run(0.1)
     fleet.entries[others[0]].alive = False
-    assert fleet.take_up(old, 'new')[0] == ('v2', Reason.KNOWN)
+    assert fleet.take_up(old, 'new')[0] == (_at('v2'), Reason.KNOWN)
     assert fleet.take_up(old, 'unknown')[0] == (None, Reason.SEVERAL_VERSIONS)
 
 
@@ -222,3 +227,21 @@
     held = [len(e.origins) for e in fleet.entries.values()]
     assert sum(held) == STREAMS_PER_S * (
         1 + min(streamorigins.TOLD_ENTRIES, count - 1))
+
+
+def test_a_stream_of_a_split_route_goes_on_at_its_service():
+    """A route leads to two services of one version each, and a stream goes on
+    at the other one."""
+    fleet = Fleet(7, ['v1'])
+    for entry in fleet.entries.values():
+        entry.versions.add('other', 'v1')
+    split = ('other', SERVICE)
+    fleet.begin(fleet.hosts[0], 'x', 'v1', split)
+    fleet.run(0.1)
+    fleet.entries[fleet.hosts[0]].alive = False
+    decision, _ = fleet.take_up(fleet.hosts[1], 'x', services=split)
+    assert decision == (('other', 'v1'), Reason.KNOWN)
+    decision, _ = fleet.take_up(fleet.hosts[1], 'x', services=(SERVICE,))
+    assert decision == (None, Reason.MOVED)
+    decision, _ = fleet.take_up(fleet.hosts[1], 'unknown', services=split)
+    assert decision == (None, Reason.SEVERAL_VERSIONS)
