Versions of a service: streams that outlast them, records whose version changes

A stream that runs on after the last replica of its version was dropped was told to nobody, as one version alone serves then; found by reading. A record that is rewritten with another version would have left its old one counted for good.

--- a/gorsefall/relay/fleet.py
+++ b/gorsefall/relay/fleet.py
@@ -107,6 +107,9 @@
     def _refresh(self, record):
         rep = self.replicas.get(record.id)
         if rep is not None:
+            if rep.record.software != record.software:
+                self._remove_version(rep.record)
+                self._add_version(record)
             rep.record = record
             rep.record_lapsed = rep.record_malformed = False
             rep.on_record_written(time.monotonic())
@@ -124,6 +127,9 @@
         if record.software not in before:
             self.on_version_added(record.service)
 
+    def _remove_version(self, record):
+        self.versions.remove(record.service, record.software, time.monotonic())
+
     def _record_connect(self, replica, established):
         if self.paths is not None:
             self.paths.record_connect(replica, established)
@@ -289,8 +295,7 @@
     def _drop(self, replica_id, reason):
         rep = self.replicas.pop(replica_id)
         rep.pool.close()
-        self.versions.remove(rep.record.service, rep.record.software,
-                             time.monotonic())
+        self._remove_version(rep.record)
         self._log.info('replica_gone', replica=replica_id, reason=reason)
 
     def service(self, name):
--- a/gorsefall/relay/streamorigins.py
+++ b/gorsefall/relay/streamorigins.py
@@ -101,7 +101,7 @@
         now = self._loop.now
         self._memory.put(digest, streammemory.BegunStream(origin, now,
                                                           own=True))
-        if len(self._fleet.versions.origins(services, now)) > 1:
+        if self._fleet.versions.origins(services, now) != {origin}:
             self._tell([(digest, origin.software)], origin.service)
 
     def record_served(self, digest):
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -7,6 +7,7 @@
 
 from gorsefall.policy import entrystatus
 from gorsefall.policy import prompts
+from gorsefall.policy import softwareversions
 from gorsefall.relay import backups
 from gorsefall.relay import fleet
 from gorsefall.relay import model
@@ -31,14 +32,17 @@
            status=model.ReplicaStatus.READY,
            service='s',
            started_at_ms=0,
-           port=1):
+           port=1,
+           *,
+           software='v1'):
     return model.ReplicaRecord(id=name,
                                service=service,
                                addr=('127.0.0.1', port),
                                zone='z',
                                slots=4,
                                status=status,
-                               started_at_ms=started_at_ms)
+                               started_at_ms=started_at_ms,
+                               software=software)
 
 
 def names(directory, service='s'):
@@ -300,3 +304,29 @@
     assert names(directory) == {'a', 'b'}
     directory.record_exit(replica, 13.0, reported=True)
     assert names(directory) == {'b'}
+
+
+@given(
+    st.lists(st.tuples(st.sampled_from(['put', 'remove']),
+                       st.sampled_from('abc'), st.sampled_from(['v1', 'v2']),
+                       st.integers(0, 2)),
+             max_size=30))
+def test_the_versions_of_a_service_are_those_of_its_replicas(steps):
+    """A version counts as serving for good, or not at all, after a replica has
+    restarted with another one."""
+    directory = fleet.Fleet(Loop())
+    directory.set_services(SERVICES)
+    seen = set()
+    for kind, name, software, started_at_ms in steps:
+        if kind == 'put':
+            directory.put(
+                record(name, started_at_ms=started_at_ms, software=software))
+        else:
+            directory.remove(name, time.monotonic())
+        running = {r.record.software for r in directory.of_service('s')}
+        seen |= running
+        now = time.monotonic()
+        assert directory.versions.served('s', now) == seen
+        later = now + 2 * softwareversions.SERVED_WINDOW_S
+        assert directory.versions.served('s', later) == running
+        seen = running
--- a/tests/test_streamorigins.py
+++ b/tests/test_streamorigins.py
@@ -245,3 +245,14 @@
     assert decision == (None, Reason.MOVED)
     decision, _ = fleet.take_up(fleet.hosts[1], 'unknown', services=split)
     assert decision == (None, Reason.SEVERAL_VERSIONS)
+
+
+def test_a_stream_outlasts_the_replicas_of_its_version():
+    """A long stream of a version that is gone goes on at the one that is left,
+    as its entry did not tell the others of it."""
+    fleet = Fleet(7, ['v2'])
+    fleet.begin(fleet.hosts[0], 'x', 'v1')
+    fleet.run(0.1)
+    fleet.entries[fleet.hosts[0]].alive = False
+    decision, _ = fleet.take_up(fleet.hosts[1], 'x')
+    assert decision == (_at('v1'), Reason.KNOWN)
