--- a/tests/exchange_site.py
+++ b/tests/exchange_site.py
@@ -199,11 +199,11 @@
         in_flight_count: Requests that count as in flight there.
     """
 
-    def __init__(self, name, script):
+    def __init__(self, name, script, software='v1'):
         self.script = script
         self.record = types.SimpleNamespace(id=name,
                                             addr=('h', 1),
-                                            software='v1')
+                                            software=software)
         self.view = unittest.mock.MagicMock(outstanding=0, others_requests=0)
         self.view.name = name
         self.acceptance = unittest.mock.MagicMock()
@@ -286,7 +286,8 @@
         node.confirmation.is_current.return_value = True
         node.fleet.replicas = self.replicas
         node.fleet.candidates = self._candidates
-        node.fleet.with_other_software.return_value = set()
+        node.fleet.with_other_software = self._with_other_software
+        node.fleet.of_service = lambda service: self.replicas.values()
         node.fleet.accepts_in_s.return_value = 0.1
         node.work.candidate_views = self._candidates
         node.retry_budget.return_value.available.return_value = 5
@@ -313,6 +314,12 @@
         self.node.streams.look_up = (
             lambda digest, services, done: done(found_at(software), 1))
 
+    def _with_other_software(self, service, software):
+        assert service == SERVICE
+        return {
+            n for n, r in self.replicas.items() if r.record.software != software
+        }
+
     def _candidates(self, service, tried, *, urgent=False):
         assert service == SERVICE
         return [r for n, r in self.replicas.items() if n not in tried]
--- a/tests/test_exchange_orders.py
+++ b/tests/test_exchange_orders.py
@@ -162,6 +162,32 @@
     assert site.replicas['a'].view.record_failure.called
 
 
+_BROKEN = [(0.1, 'head'), (0.1, 'event'), (0.5, 'reset')]
+_WHOLE = [(0.1, 'head')] + 4 * [(0.1, 'event')]
+
+
+def test_a_stream_goes_on_past_replicas_of_other_versions():
+    """A stream holds events of two software versions."""
+    with exchange_site.site([_BROKEN, _WHOLE, _WHOLE]) as site:
+        site.replicas['b'].record.software = 'v2'
+        site.exchange.start()
+        site.loop.run(site.loop.now + 3.0)
+    assert site.writer.ended
+    assert not site.replicas['b'].acceptance.record_sent.called
+
+
+def test_a_stream_ends_once_another_version_has_its_replicas_id():
+    """A stream goes on at the version of a record that came after another one
+    had begun it under the same id."""
+    with exchange_site.site([_BROKEN, _WHOLE]) as site:
+        site.exchange.start()
+        site.loop.run(site.loop.now + 0.4)
+        site.replicas['a'] = exchange_site.Replica('a', [], 'v2')
+        site.loop.run(site.loop.now + 3.0)
+    assert len(site.conns) == 1
+    assert site.writer.failed_at is not None
+
+
 def test_a_stream_that_is_taken_up_is_not_shed():
     """A caller loses half a stream to new requests in a queue."""
     whole = [(0.1, 'head')] + 4 * [(0.1, 'event')]
