Answers that are not events are not broken off for their end

The rule holds for what is known to be events: by a whole event, or by its content type; without either, the framing decides. A step that looked for a log line before it may have been written waits for it.

--- a/features/platform_unframed.feature
+++ b/features/platform_unframed.feature
@@ -32,6 +32,19 @@
       | resumable | ends its chunks inside an event  | 200    | events  | 2    |
       | resumable | ends its length inside an event  | 200    | events  | 2    |
 
+  # Guards against answers that are broken off for not being events.
+  Scenario Outline: a <kind> request whose replica <fault>
+    When a "<kind>" request meets a replica that "<fault>"
+    Then the caller gets status <status> and "<body>"
+    And the request ran <runs> times
+
+    Examples:
+      | kind      | fault                                  | status | body    | runs |
+      | streaming | answers with another type              | 200    | whole   | 1    |
+      | resumable | answers with another type              | 200    | whole   | 1    |
+      | streaming | answers without a type                 | 200    | whole   | 1    |
+      | streaming | ends its chunks inside the first event | 502    | unknown | 1    |
+
   # Guards against an answer that is cut where nothing in it shows, as the
   # process of its replica ends and the kernel closes its connections.
   Scenario Outline: a <kind> response whose replica <fault>
--- a/features/steps/unframed_steps.py
+++ b/features/steps/unframed_steps.py
@@ -6,6 +6,8 @@
 
 import wire_faults
 
+from gorsefall.standins import waiting
+
 ENDS = {
     'ends unframed with a comment':
         platform_site.STREAM_BODY + wire_faults.END_COMMENT,
@@ -43,8 +45,13 @@
 
 @then('the log shows the outcome "{outcome}"')
 def step_outcome_logged(context, outcome):
-    lines = [
-        ln for ln in context.platform.log()
-        if ln['event'] == 'answered' and ln['rid'] == context.rid
-    ]
-    assert [ln['outcome'] for ln in lines] == [outcome], lines
+
+    def answered():
+        return [
+            ln for ln in context.platform.log()
+            if ln['event'] == 'answered' and ln['rid'] == context.rid
+        ]
+
+    # The caller may have read the end before it is logged.
+    waiting.until(answered, 'the log line')
+    assert [ln['outcome'] for ln in answered()] == [outcome], answered()
--- a/gorsefall/policy/streamend.py
+++ b/gorsefall/policy/streamend.py
@@ -33,7 +33,7 @@
 }
 
 
-def judge(rest, *, has_events, framed):
+def judge(rest, *, has_events, framed, declared=None):
     """Returns the ``Verdict`` on a stream that has ended.
 
     Args:
@@ -41,7 +41,13 @@
         has_events: Whether it had a complete event.
         framed: Whether its end was marked by anything but the end of its
             connection.
+        declared: Whether it is declared to be events; None if no type is
+            declared.
     """
+    # What is not known to be events cannot end inside one.
+    is_other = declared is False or (declared is None and framed)
+    if is_other and not has_events:
+        return Verdict.WHOLE
     if ends_inside_event(rest):
         return Verdict.INSIDE_EVENT
     if not (framed or has_events or _fields(_lines(rest))):
--- a/gorsefall/relay/model.py
+++ b/gorsefall/relay/model.py
@@ -16,6 +16,10 @@
     STREAM = 'stream'
 
 
+EVENTS_TYPE = b'text/event-stream'
+"""Content type of server-sent events."""
+
+
 class ReplicaStatus(enum.Enum):
     """Status of a replica according to its own record."""
     READY = 'ready'
@@ -286,6 +290,14 @@
         """Whether the status is a success."""
         return 200 <= self.status < 300
 
+    @property
+    def declares_events(self):
+        """Whether its content type is that of events; None if it has none."""
+        content_type = self.headers.by_name.get(b'content-type')
+        if content_type is None:
+            return None
+        return content_type.split(b';')[0].strip().lower() == EVENTS_TYPE
+
     @property
     def usable(self):
         """Whether it is a success that the replica itself sent."""
--- a/gorsefall/relay/responseend.py
+++ b/gorsefall/relay/responseend.py
@@ -36,7 +36,8 @@
         self.verdict = streamend.judge(part.incomplete_event,
                                        has_events=attempt.event_count > 0,
                                        framed=attempt.ending
-                                       is outbound.Ending.FRAMED)
+                                       is outbound.Ending.FRAMED,
+                                       declared=part.response.declares_events)
         metrics.STREAM_ENDS.labels(attempt.ending.value,
                                    self.verdict.value).inc()
         if not self.verdict.is_whole:
--- a/tests/test_streamend.py
+++ b/tests/test_streamend.py
@@ -31,11 +31,35 @@
 def test_a_stream_without_events_needs_its_framing():
     """A connection that ends before the first event looks like a whole one."""
     verdicts = [
-        streamend.judge(rest, has_events=False, framed=framed)
+        streamend.judge(rest,
+                        has_events=False,
+                        framed=framed,
+                        declared=declared)
         for rest in (b'', b': comment\n\n')
+        for declared in (None, True)
         for framed in (True, False)
     ]
-    assert verdicts == 2 * [streamend.Verdict.WHOLE, streamend.Verdict.NO_EVENT]
+    assert verdicts == 4 * [streamend.Verdict.WHOLE, streamend.Verdict.NO_EVENT]
+
+
+@pytest.mark.parametrize('framed, declared, is_whole', [
+    (True, None, True),
+    (True, False, True),
+    (False, False, True),
+    (True, True, False),
+    (False, None, False),
+    (False, True, False),
+])
+def test_a_body_that_is_not_known_as_events_cannot_end_inside_one(
+        framed, declared, is_whole):
+    """An answer of another kind on a route of streams is broken off."""
+    verdict = streamend.judge(b'{"text": "whole"}',
+                              has_events=False,
+                              framed=framed,
+                              declared=declared)
+    assert verdict.is_whole == is_whole
+    assert not streamend.judge(
+        b'id: 3', has_events=True, framed=framed, declared=declared).is_whole
 
 
 _LINES = st.lists(st.sampled_from(
