Answers about streams count only where they were asked for

An entry numbered its questions from 1 at each start and took any answer with the number, from any host: a late answer to a question of its earlier process, or a forged one, could decide at which version a stream goes on. Found by reading beside relay/sharing, which had the rule: random numbers, and only the entries that were asked. The new test failed before.

--- a/gorsefall/relay/streamorigins.py
+++ b/gorsefall/relay/streamorigins.py
@@ -6,6 +6,8 @@
 up asks those that would have been told.
 """
 
+import random
+
 from gorsefall import digests
 from gorsefall import logs
 from gorsefall import metrics
@@ -32,10 +34,10 @@
 class _Lookup:
     """A question to other entries whose answers are awaited."""
 
-    def __init__(self, services, own, asked, done):
+    def __init__(self, services, own, hosts, done):
         self.services = services
         self.own = own
-        self.asked = asked
+        self.hosts = hosts
         self.done = done
         self.answers = {}
         self.timer = None
@@ -44,7 +46,7 @@
 class StreamOrigins:
     """The streams that began of late, and the questions about them."""
 
-    def __init__(self, loop, fleet, members, digest_key):
+    def __init__(self, loop, fleet, members, digest_key, rng=random):
         """Creates the state of an entry without other entries.
 
         Args:
@@ -52,6 +54,7 @@
             fleet: The ``fleet.Fleet``.
             members: The ``membership.Members``.
             digest_key: Key shared by all entries.
+            rng: A ``random.Random``.
         """
         self._loop = loop
         self._fleet = fleet
@@ -60,7 +63,7 @@
         self._memory = streammemory.StreamMemory()
         self._peers = None
         self._lookups = {}
-        self._last_query_id = 0
+        self._rng = rng
         self._log = logs.get('streams')
         fleet.on_version_added = self._on_version_added
 
@@ -151,12 +154,11 @@
         """
         own = self._knowledge(digest, services)
         hosts = self._hosts_to_ask(digest, own)
-        lookup = _Lookup(services, own, len(hosts), done)
+        lookup = _Lookup(services, own, hosts, done)
         if not hosts:
             self._decide(lookup)
             return
-        self._last_query_id += 1
-        query_id = self._last_query_id
+        query_id = self._rng.getrandbits(63)
         self._lookups[query_id] = lookup
         lookup.timer = self._loop.call_later(ANSWER_TIMEOUT_S,
                                              lambda: self._end_lookup(query_id))
@@ -208,10 +210,11 @@
 
     def _on_known(self, message, host):
         lookup = self._lookups.get(message.query_id)
-        if lookup is None:
-            # The decision was made, by another answer or without this one.
+        if lookup is None or host not in lookup.hosts:
+            # Late, repeated, or a response to an earlier process.
             return
         lookup.answers[host] = softwareversions.Knowledge(
             message.began, frozenset(message.served))
-        if message.began is not None or len(lookup.answers) == lookup.asked:
+        if message.began is not None or len(lookup.answers) == len(
+                lookup.hosts):
             self._end_lookup(message.query_id)
--- a/tests/test_streamorigins.py
+++ b/tests/test_streamorigins.py
@@ -256,3 +256,22 @@
     fleet.entries[fleet.hosts[0]].alive = False
     decision, _ = fleet.take_up(fleet.hosts[1], 'x')
     assert decision == (_at('v1'), Reason.KNOWN)
+
+
+def test_answers_that_nobody_asked_for_decide_nothing():
+    """An entry that restarts takes a late answer for one to its own question,
+    and a stream goes on where another one began."""
+    fleet = Fleet(7, ['v1', 'v2'])
+    first = fleet.entries[fleet.hosts[0]]
+
+    def answer_all():
+        receive = first.handlers[messages.StreamKnown]
+        for query_id in range(3):
+            for host in fleet.hosts:
+                receive(messages.StreamKnown(query_id, _at('v2'), ()), host)
+        for query_id in list(first.origins._lookups):
+            receive(messages.StreamKnown(query_id, _at('v2'), ()), '10.9.9.9')
+
+    fleet.call_later(RTT_S / 4, answer_all)
+    decision, _ = fleet.take_up(fleet.hosts[0], 'x')
+    assert decision == (None, Reason.SEVERAL_VERSIONS)
