Reading the change: one splitter for each response, take-ups in one place

- A response has its own event splitter.
What was read of an attempt moved between the delivery, a field of the part set aside and a count in the attempt; setting aside and going on are now assignments.
- boundversion.find decides about a take-up to its end, error included; the exchange only starts it.
A stream is bound by its first event, so that delivery.started said the same a second time.
- responseend.find_break returns the failure instead of causing it in what looked like a question.
- rendezvous has one hash for both ways to rank.

--- a/features/engine_faults.feature
+++ b/features/engine_faults.feature
@@ -18,6 +18,7 @@
       | engines                            | fault            |
       | engine-1,engine-2                  | crash_after=3    |
       | engine-1,engine-2,engine-3         | crash_after=0    |
+      | engine-1,engine-2                  | cut_line=true    |
       | engine-1,engine-2                  | stall=true       |
       | engine-1,engine-2,engine-3,engine-4 | outage=true     |
 
--- a/features/platform.feature
+++ b/features/platform.feature
@@ -77,6 +77,13 @@
       | goes dark after two events | up | events | 1     |
       | goes dark after two events | gone | broken | 0   |
 
+  # Guards against a restored stream that is cut and looks complete.
+  Scenario: a long response is restored from its KV backup and closed inside an event
+    Given a third pool replica
+    When the replica of a long response "crashes after two events", and the one that restores it "closes inside an event"
+    Then the caller gets status 200 and "broken"
+    And it ran once and was resumed 1 times
+
   Scenario: a second response never reaches the next caller
     When requests are sent one after another to replicas that answer twice
     Then each caller got its own response
--- a/features/steps/common.py
+++ b/features/steps/common.py
@@ -98,6 +98,7 @@
     'lose_reply': 0,
     'cut_reply': 0,
     'crash_after': -1,
+    'cut_line': False,
     'mute': 0,
     'stall': False,
     'slow': 1,
--- a/features/steps/engine_steps.py
+++ b/features/steps/engine_steps.py
@@ -30,6 +30,7 @@
         common.set_faults(context,
                           name,
                           crash_after=-1,
+                          cut_line=False,
                           stall=False,
                           outage=False)
 
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -85,9 +85,7 @@
     # Guards against a repeated event or a second run when a replica crashes in
     # the middle of a stream together with the replica that holds its KV backup:
     # the connection refused there must not count as a request that has not run.
-    site = context.platform
-    shared = platform_site.SharedScript(fault)
-    replicas = [site.replicas[n] for n in (*platform_site.POOL_REPLICAS, 'e3')]
+    replicas = _pool_of_three(context)
 
     def close_backup(req):
         # Runs before the first event. If the step polled for the run instead,
@@ -96,10 +94,31 @@
             if replica.addr == req.headers['kv-backup']:
                 replica.close()
 
-    for replica in replicas:
-        replica.script = shared
-        if copy == 'gone':
+    if copy == 'gone':
+        for replica in replicas:
             replica.on_run = close_backup
+    _send_long(context, fault)
+
+
+@when('the replica of a long response "{first}", and the one that restores it '
+      '"{second}"')
+def step_restored_fault(context, first, second):
+    _send_long(context, first, second)
+
+
+def _pool_of_three(context):
+    return [
+        context.platform.replicas[n]
+        for n in (*platform_site.POOL_REPLICAS, 'e3')
+    ]
+
+
+def _send_long(context, *faults):
+    """Sends a request whose run is backed up; its replicas have the faults."""
+    site = context.platform
+    shared = platform_site.SharedScript(*faults)
+    for replica in _pool_of_three(context):
+        replica.script = shared
     context.rid = platform_site.new_rid(context)
     request = wire_callers.request_bytes(
         platform_site.PATH_BY_KIND['streaming'],
--- a/gorsefall/policy/rendezvous.py
+++ b/gorsefall/policy/rendezvous.py
@@ -11,7 +11,7 @@
 
 def rank(key, candidate):
     """Returns the rank of ``candidate``, which has a ``name``, for ``key``."""
-    return xxhash.xxh64_intdigest((key + candidate.name).encode())
+    return _rank(key.encode(), candidate.name)
 
 
 def best(key, candidates):
@@ -27,7 +27,8 @@
         names: Names, str.
         count: Number of names to return at most.
     """
-    return heapq.nlargest(
-        count,
-        names,
-        key=lambda name: xxhash.xxh64_intdigest(key + name.encode()))
+    return heapq.nlargest(count, names, key=lambda name: _rank(key, name))
+
+
+def _rank(key, name):
+    return xxhash.xxh64_intdigest(key + name.encode())
--- a/gorsefall/policy/streamend.py
+++ b/gorsefall/policy/streamend.py
@@ -15,11 +15,6 @@
     """Its connection ended before its first event; nothing shows that the
     sender had nothing to say."""
 
-    @property
-    def is_whole(self):
-        """Whether the stream may be forwarded as complete."""
-        return self is Verdict.WHOLE
-
     @property
     def reason(self):
         """What happened, for logs."""
--- a/gorsefall/relay/boundversion.py
+++ b/gorsefall/relay/boundversion.py
@@ -2,6 +2,8 @@
 
 import time
 
+from gorsefall import errors
+from gorsefall.policy import retry_delay
 from gorsefall.policy import softwareversions
 
 REFRESH_S = 10.0
@@ -34,19 +36,27 @@
         """Whether the stream has begun, in this response or an earlier one."""
         return self.software is not None
 
-    def take_up(self, done):
-        """Finds out where a stream began that an earlier response brought.
+    def find(self, done):
+        """Finds out where a stream began that the request takes up.
+
+        Fails the exchange if the stream may go on nowhere.
 
         Args:
-            done: Called with the ``softwareversions.Decision``.
+            done: Called when the request may be sent; at once if it takes up
+                no stream.
         """
         exchange = self._exchange
         named = exchange.req.resumes
+        if not self._takes_stream_up():
+            done()
+            return
         if named is not None:
             self._digest = self._digest_of(named)
         began = time.monotonic()
 
         def on_decided(decision, answers):
+            if exchange.done:
+                return
             if decision.origin is not None:
                 exchange.grant.bind_service(decision.origin.service)
                 self.software = decision.origin.software
@@ -56,12 +66,25 @@
                               reason=decision.reason.value,
                               answers=answers,
                               ms=round((time.monotonic() - began) * 1000, 1))
-            done(decision)
+            if decision.origin is not None:
+                done()
+                return
+            exchange.fail(
+                errors.StreamOriginError(
+                    'it is not known at which software version the stream '
+                    f'began ({decision.reason.value}); begin anew',
+                    retry_after=retry_delay.short_delay_s()))
 
         exchange.node.streams.look_up(self._digest,
                                       exchange.grant.route.service_names,
                                       on_decided)
 
+    def _takes_stream_up(self):
+        """Whether an earlier response has brought part of the stream."""
+        grant, req = self._exchange.grant, self._exchange.req
+        return (grant.streams and grant.route.resumable and
+                (req.resumes is not None or req.last_event_id is not None))
+
     def record_event(self, attempt):
         """Records that the caller gets events of an attempt."""
         now = time.monotonic()
--- a/gorsefall/relay/delivery.py
+++ b/gorsefall/relay/delivery.py
@@ -17,20 +17,25 @@
 
     Attributes:
         response: Its ``model.Response``; None before its head.
-        streaming: Whether it is forwarded as it arrives.
+        splitter: The ``events.Splitter`` of its body if that is forwarded as it
+            arrives, else None.
         chunks: The buffered pieces of its body, if it isn't forwarded.
         size: Their size, bytes.
-        incomplete_event: Bytes of the incomplete event at the end.
     """
     response: model.Response | None = None
-    streaming: bool = False
+    splitter: events.Splitter | None = None
     chunks: list[bytes] = dataclasses.field(default_factory=list)
     size: int = 0
-    incomplete_event: bytes = b''
 
 
 class Delivery:
-    """Forwards the responses of a request's attempts to its caller."""
+    """Forwards the responses of a request's attempts to its caller.
+
+    Attributes:
+        resuming: Whether a stream was started, which a retry can only continue.
+        last_event_id: Id of the last event forwarded, bytes; None before the
+            first.
+    """
 
     def __init__(self, codec, writer):
         """Creates a delivery that has sent nothing.
@@ -42,28 +47,19 @@
         self._codec = codec
         self._writer = writer
         self._part = PartialResponse()
-        self._splitter = None
+        self.resuming = False
+        self.last_event_id = None
 
     @property
     def streaming(self):
         """Whether the current response is forwarded as it arrives."""
-        return self._part.streaming
+        return self._part.splitter is not None
 
     @property
     def started(self):
         """Whether the caller has received part of a response."""
         return self._writer.started
 
-    @property
-    def resuming(self):
-        """Whether a stream was started, which a retry can only continue."""
-        return self._splitter is not None
-
-    @property
-    def last_event_id(self):
-        """Id of the last event forwarded, bytes; None before the first."""
-        return self._splitter.last_id if self._splitter else None
-
     def begin(self, response, *, streams):
         """Starts to handle a response of a replica.
 
@@ -72,16 +68,15 @@
             streams: Whether a successful response is an event stream.
         """
         self._part.response = response
-        self._part.streaming = streams and response.usable
-        if self.streaming:
+        if streams and response.usable:
             # Once a stream was started, only more of its events can follow.
-            self._splitter = self._splitter or events.Splitter()
-            self._splitter.partial = b''
+            self.resuming = True
+            self._part.splitter = events.Splitter()
 
     @property
     def event_count(self):
         """Number of events completed by the last piece of the stream."""
-        return self._splitter.completed
+        return self._part.splitter.completed
 
     def buffer(self, data):
         """Buffers a piece of the body; returns False if it gets too large."""
@@ -91,7 +86,11 @@
 
     def split_events(self, data):
         """Adds a piece of a stream; returns the events it completes, bytes."""
-        return self._splitter.feed(data)
+        splitter = self._part.splitter
+        complete = splitter.feed(data)
+        if splitter.last_id is not None:
+            self.last_event_id = splitter.last_id
+        return complete
 
     def forward(self, data):
         """Sends part of a stream; returns whether the caller keeps up."""
@@ -107,8 +106,8 @@
     def end(self):
         """Ends a whole stream; sends what follows its last event."""
         self._start()
-        if self._splitter.partial:
-            self._writer.write(self._splitter.partial)
+        if self._part.splitter.partial:
+            self._writer.write(self._part.splitter.partial)
         self._writer.end()
 
     def send_buffered(self, response):
@@ -121,22 +120,19 @@
         """Drops what is buffered of a failed response."""
         self._part = PartialResponse()
 
-    def current_part(self):
-        """Returns the ``PartialResponse`` of the current response."""
-        if self.streaming:
-            self._part.incomplete_event = self._splitter.partial
+    @property
+    def part(self):
+        """The ``PartialResponse`` of the current response."""
         return self._part
 
     def detach(self):
         """Sets the current response aside; returns its ``PartialResponse``."""
-        part, self._part = self.current_part(), PartialResponse()
+        part, self._part = self._part, PartialResponse()
         return part
 
     def reattach(self, part):
         """Goes on with a response that was set aside."""
         self._part = part
-        if part.streaming:
-            self._splitter.partial = part.incomplete_event
 
     def set_time_limit(self, time_left_s):
         """Sets how long the caller may take to read its response, s."""
--- a/gorsefall/relay/events.py
+++ b/gorsefall/relay/events.py
@@ -17,12 +17,13 @@
         last_id: Id of the last complete event, as sent; None before the first.
         partial: Bytes of the incomplete event at the end.
         completed: Number of events completed by the last call of ``feed``.
+        count: Number of complete events.
     """
 
     def __init__(self):
         self.last_id = None
         self.partial = b''
-        self.completed = 0
+        self.completed = self.count = 0
 
     def feed(self, data):
         """Adds ``data``; returns the bytes of the events it completes."""
@@ -31,6 +32,7 @@
         for match in _EVENT_END.finditer(buf):
             end = match.end()
             self.completed += 1
+        self.count += self.completed
         complete, self.partial = buf[:end], buf[end:]
         ids = _ID_FIELD.findall(complete)
         if ids:
--- a/gorsefall/relay/exchange.py
+++ b/gorsefall/relay/exchange.py
@@ -93,28 +93,7 @@
         self._deadline_timer = self.node.loop.call_later(
             time_left_s, self._on_deadline)
         self.grant.record_arrival()
-        if self._takes_stream_up():
-            self._version.take_up(self._on_version_found)
-        else:
-            self.dispatch()
-
-    def _takes_stream_up(self):
-        """Whether an earlier response has brought part of the stream."""
-        return (self.grant.streams and self.grant.route.resumable and
-                (self.req.resumes is not None or
-                 self.req.last_event_id is not None))
-
-    def _on_version_found(self, decision):
-        if self.done:
-            return
-        if decision.origin is None:
-            self.fail(
-                errors.StreamOriginError(
-                    'it is not known at which software version the stream '
-                    f'began ({decision.reason.value}); begin anew',
-                    retry_after=retry_delay.short_delay_s()))
-        else:
-            self.dispatch()
+        self._version.find(self.dispatch)
 
     @property
     def terms(self):
@@ -157,7 +136,7 @@
     @property
     def bound(self):
         """Whether only the service that the response began at can go on."""
-        return self._delivery.started or self._version.bound
+        return self._version.bound
 
     # -- sending ---------------------------------------------------------------
 
@@ -346,9 +325,11 @@
 
     def on_response_end(self, attempt, response):
         """Called when the message of a response is complete."""
-        part = (self._takeover.kept_part if self._takeover.keeps(attempt) else
-                self._delivery.current_part())
-        if not self.response_end.is_whole(attempt, part):
+        part = (self._takeover.kept_part
+                if self._takeover.keeps(attempt) else self._delivery.part)
+        failure = self.response_end.find_break(attempt, part)
+        if failure is not None:
+            self.on_attempt_failed(attempt, failure)
             return
         self._takeover.on_progress(attempt, accepted=response.usable)
         self.response_end.confirm(attempt, response)
--- a/gorsefall/relay/responseend.py
+++ b/gorsefall/relay/responseend.py
@@ -22,27 +22,27 @@
         self._exchange = exchange
         self.ending = self.verdict = None
 
-    def is_whole(self, attempt, part):
-        """Returns whether a response may be whole; else its attempt fails.
+    def find_break(self, attempt, part):
+        """Returns the ``outbound.Failure`` that an end shows, or None.
 
         Args:
-            attempt: The ``sending.Attempt``.
+            attempt: The ``sending.Attempt`` whose response has ended.
             part: The ``delivery.PartialResponse``, what was received of it.
         """
         self.ending = attempt.ending
         self.verdict = None
-        if not part.streaming:
-            return True
-        self.verdict = streamend.judge(part.incomplete_event,
-                                       has_events=attempt.event_count > 0,
+        if part.splitter is None:
+            return None
+        self.verdict = streamend.judge(part.splitter.partial,
+                                       has_events=part.splitter.count > 0,
                                        framed=attempt.ending
                                        is outbound.Ending.FRAMED,
                                        declared=part.response.declares_events)
         metrics.STREAM_ENDS.labels(attempt.ending.value,
                                    self.verdict.value).inc()
-        if not self.verdict.is_whole:
-            self._fail(attempt, self.verdict.reason)
-        return self.verdict.is_whole
+        if self.verdict is streamend.Verdict.WHOLE:
+            return None
+        return _lost(self.verdict.reason)
 
     def confirm(self, attempt, response):
         """Has a response end, if need be only when its replica is found alive.
@@ -65,12 +65,14 @@
             if exchange.done or exchange.attempt is not attempt:
                 return
             if exited:
-                self._fail(attempt, 'closed as its replica exited')
+                exchange.on_attempt_failed(
+                    attempt, _lost('closed as its replica exited'))
             else:
                 exchange.on_whole_response(attempt, response)
 
         exchange.node.crashes.check_exit(attempt.replica, on_checked)
 
-    def _fail(self, attempt, reason):
-        self._exchange.on_attempt_failed(
-            attempt, outbound.Failure(True, reason, outbound.Fault.LOST))
+
+def _lost(reason):
+    """Returns the failure of a response that was broken off."""
+    return outbound.Failure(True, reason, outbound.Fault.LOST)
--- a/gorsefall/relay/sending.py
+++ b/gorsefall/relay/sending.py
@@ -22,7 +22,6 @@
         conn: The connection in use; has ``cancel``, ``pause``, ``resume``,
             ``sent``, whether the replica may have part of the request, and
             ``via``, the host of an entry that forwards the request or None.
-        event_count: Number of complete events of its stream.
         paused: Whether reading is paused as the caller is slow.
         failure: Its ``outbound.Failure``; None unless it has failed.
         occupancy: Counts the request as in flight at the replica until closed.
@@ -47,7 +46,6 @@
         self.last_data_at = self.sent_at
         self._stream_monitor = stalls.StreamMonitor(replica.view)
         self.conn = None
-        self.event_count = 0
         self.paused = False
         self.failure = None
         self.request_id = req.id
@@ -107,7 +105,6 @@
 
     def record_events(self, count):
         """Records that ``count`` events arrived together."""
-        self.event_count += count
         self._stream_monitor.record_events(count, time.monotonic())
 
     @property
--- a/gorsefall/standins/base.py
+++ b/gorsefall/standins/base.py
@@ -27,6 +27,7 @@
         cut_reply: Services: the next N responses are truncated in the middle.
         crash_after: Engines: each stream is truncated after this many tokens
             (-1: off).
+        cut_line: Engines: each stream ends in the proper way, inside a line.
         mute: Engines: the next N streams send no data and stay open.
         stall: Engines: no steps and no heartbeats; streams send no data.
         slow: Slow-down factor: engines run every N-th step only; services take
@@ -42,6 +43,7 @@
     lose_reply: int = 0
     cut_reply: int = 0
     crash_after: int = -1
+    cut_line: bool = False
     mute: int = 0
     stall: bool = False
     slow: int = 1
--- a/gorsefall/standins/engine.py
+++ b/gorsefall/standins/engine.py
@@ -363,6 +363,12 @@
             self.fire(net_events.close(seq.reply.res.request.sock),
                       replies.WEB_CHANNEL)
             return
+        if self.faults.cut_line and seq.sent:
+            self._drop(seq)
+            line = msgspec.json.encode(messages.Event(i=seq.pos, t='w', n=1))
+            seq.reply.send(line[:len(line) // 2])
+            seq.reply.end()
+            return
         if seq.pos < seq.length:
             if not seq.pending:
                 seq.first_pending = seq.pos
--- a/tests/exchange_site.py
+++ b/tests/exchange_site.py
@@ -125,8 +125,11 @@
         self._call.ending = outbound.Ending.CLOSED
         self._call.on_end()
 
-    def _cut(self):
+    def _part(self):
         self._call.on_data(b'id: %d\nda' % self._next)
+
+    def _cut(self):
+        self._part()
         if self.is_open:
             self._close()
 
@@ -352,8 +355,8 @@
     Args:
         scripts: For each replica, ``(pause in s, step)`` pairs; a step is
             ``head``, ``event``, ``refuse``, ``reset``, ``close`` (the
-            connection ends, which is no error) or ``cut`` (the same inside an
-            event).
+            connection ends, which is no error), ``part`` (of an event) or
+            ``cut`` (both).
     """
     loop = Loop()
     with unittest.mock.patch('time.monotonic', lambda: loop.now):
--- a/tests/test_exchange_orders.py
+++ b/tests/test_exchange_orders.py
@@ -158,10 +158,23 @@
         site.loop.run(site.loop.now + 2.0)
     assert len(site.conns) == 2
     assert not site.node.crashes.record_completed_run.called
+    assert not site.node.work.record_response.called
     assert not site.replicas['a'].view.record_success.called
     assert site.replicas['a'].view.record_failure.called
 
 
+def test_a_silent_stream_that_is_closed_inside_an_event_is_given_up():
+    """Half a stream of the attempt that was set aside ends as a whole one."""
+    silent = [(0.1, 'head'), (0.1, 'event'), (0.1, 'part'), (1.05, 'close')]
+    goes_on = [(0.2, 'head')] + 4 * [(0.1, 'event')]
+    with exchange_site.site([silent, goes_on]) as site:
+        site.exchange.start()
+        site.loop.run(site.loop.now + 3.0)
+    assert _is_prefix(site.writer.body) == (True, True)
+    assert site.writer.ended
+    assert len(site.conns) == 2
+
+
 _BROKEN = [(0.1, 'head'), (0.1, 'event'), (0.5, 'reset')]
 _WHOLE = [(0.1, 'head')] + 4 * [(0.1, 'event')]
 
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -184,3 +184,19 @@
     text = explain.explain(loglines.read_files([tmp_path / 'a.log']), 'r2')
     assert 'takes up the stream of r1, which may go on nowhere' in text
     assert 'several versions served' in text.split('cause: ')[1]
+
+
+def test_a_stream_that_ended_inside_an_event_is_explained(tmp_path):
+    """An engineer on call sees a stream that was served."""
+    (tmp_path / 'a.log').write_text(
+        '{"event": "sent", "rid": "r1", "replica": "i-1", "software": "v1"}\n'
+        '{"event": "attempt_failed", "rid": "r1", "replica": "i-1", '
+        '"reason": "ended inside an event", "sent": true, "after_ms": 9.0}\n'
+        '{"event": "answered", "rid": "r1", "outcome": "broken_off", '
+        '"code": "outcome_unknown", "cause": "outcome_unknown", '
+        '"ending": "closed", "stream_end": "inside_event"}\n')
+    text = explain.explain(loglines.read_files([tmp_path / 'a.log']), 'r1')
+    assert 'software v1' in text
+    assert 'ended by the end of its connection' in text
+    assert 'i-1 failed after 9 ms (ended inside an event)' in text.split(
+        'cause: ')[1]
--- a/tests/test_streamend.py
+++ b/tests/test_streamend.py
@@ -57,9 +57,11 @@
                               has_events=False,
                               framed=framed,
                               declared=declared)
-    assert verdict.is_whole == is_whole
-    assert not streamend.judge(
-        b'id: 3', has_events=True, framed=framed, declared=declared).is_whole
+    assert (verdict is streamend.Verdict.WHOLE) == is_whole
+    assert streamend.judge(b'id: 3',
+                           has_events=True,
+                           framed=framed,
+                           declared=declared) is streamend.Verdict.INSIDE_EVENT
 
 
 _LINES = st.lists(st.sampled_from(
