--- a/gorsefall/explain.py
+++ b/gorsefall/explain.py
@@ -120,8 +120,8 @@
 
 def _software(event):
     text = f', software {event.software}' if event.software else ''
-    if event.resumes is not None:
-        text += f', to go on with the stream of {event.resumes}'
+    if event.began_as is not None:
+        text += f', to go on with the stream of {event.began_as}'
     return text
 
 
@@ -145,7 +145,7 @@
 def _(event: loglines.StreamTakenUp):
     where = ('nowhere'
              if event.software is None else f'at software {event.software}')
-    return (f'takes up the stream of {event.resumes or "an unnamed request"}, '
+    return (f'takes up the stream of {event.began_as or "an unnamed request"}, '
             f'which may go on {where} ({event.reason}); {event.answers} other '
             'entries answered')
 
--- a/gorsefall/loglines.py
+++ b/gorsefall/loglines.py
@@ -38,7 +38,7 @@
     digest: str = ''
     service: str = ''
     software: str = ''
-    resumes: str | None = None
+    began_as: str | None = None
     attempt: int = 1
     priority: int = 0
     outstanding: int = 0
@@ -94,7 +94,7 @@
 class StreamTakenUp(RequestEvent, tag='stream_taken_up'):
     """Where a stream may go on that the request takes up."""
     reason: str
-    resumes: str | None = None
+    began_as: str | None = None
     software: str | None = None
     answers: int = 0
     ms: float | None = None
--- a/gorsefall/relay/boundversion.py
+++ b/gorsefall/relay/boundversion.py
@@ -46,7 +46,7 @@
                 no stream.
         """
         exchange = self._exchange
-        named = exchange.req.resumes
+        named = exchange.req.began_as
         if not self._takes_stream_up():
             done()
             return
@@ -61,7 +61,7 @@
                 exchange.grant.bind_service(decision.origin.service)
                 self.software = decision.origin.software
             exchange.log.info('stream_taken_up',
-                              resumes=named,
+                              began_as=named,
                               software=self.software,
                               reason=decision.reason.value,
                               answers=answers,
@@ -83,7 +83,7 @@
         """Whether an earlier response has brought part of the stream."""
         grant, req = self._exchange.grant, self._exchange.req
         return (grant.streams and grant.route.resumable and
-                (req.resumes is not None or req.last_event_id is not None))
+                (req.began_as is not None or req.last_event_id is not None))
 
     def record_event(self, attempt):
         """Records that the caller gets events of an attempt."""
--- a/gorsefall/relay/model.py
+++ b/gorsefall/relay/model.py
@@ -215,7 +215,7 @@
         prompt: The ``Prompt`` of a model request, else None.
         last_event_id: Id of the last event the caller has received, as sent;
             None for none.
-        resumes: Id of the request that brought the first event of the stream
+        began_as: Id of the request that brought the first event of the stream
             that this one takes up, as sent; None if it names none.
     """
     id: ids.RequestId
@@ -229,7 +229,7 @@
     key: str | None = None
     prompt: Prompt | None = None
     last_event_id: bytes | None = None
-    resumes: ids.RequestId | None = None
+    began_as: ids.RequestId | None = None
 
     @property
     def path(self):
--- a/gorsefall/relay/sending.py
+++ b/gorsefall/relay/sending.py
@@ -78,7 +78,7 @@
             replica=self.replica.record.id,
             service=service,
             software=self.replica.record.software,
-            resumes=self._exchange.req.resumes,
+            began_as=self._exchange.req.began_as,
             attempt=number,
             priority=self._priority,
             outstanding=view.outstanding,
--- a/tests/exchange_site.py
+++ b/tests/exchange_site.py
@@ -313,7 +313,7 @@
 
     def let_stream_go_on(self, software):
         """Has the request take a stream up that began at a version."""
-        self.exchange.req.resumes = 'first'
+        self.exchange.req.began_as = 'first'
         self.node.streams.look_up = (
             lambda digest, services, done: done(found_at(software), 1))
 
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -177,7 +177,7 @@
     """An engineer on call sees a refusal, and not that nobody knew where the
     caller's stream began."""
     (tmp_path / 'a.log').write_text(
-        '{"event": "stream_taken_up", "rid": "r2", "resumes": "r1", '
+        '{"event": "stream_taken_up", "rid": "r2", "began_as": "r1", '
         '"software": null, "reason": "several_versions", "answers": 5}\n'
         '{"event": "answered", "rid": "r2", "outcome": "refused", '
         '"code": "stream_unknown"}\n')
