--- a/features/platform_versions.feature
+++ b/features/platform_versions.feature
@@ -45,10 +45,13 @@
     And one version wrote each stream
 
     Examples:
-      | where          | event                               |
-      | the same entry | all entries go on                   |
-      | another entry  | all entries go on                   |
-      | another entry  | the entry that they left is killed  |
+      | where          | event                                 |
+      | the same entry | all entries go on                     |
+      | another entry  | all entries go on                     |
+      | another entry  | the entry that they left is killed    |
+      | the same entry | the entry that they left is restarted |
+      | another entry  | that entry is restarted               |
+      | another entry  | the store stops responding            |
 
   # Guards against a stream that goes on from a copy at another version.
   Scenario: the KV backup of a run is held by a replica of its version
--- a/features/steps/version_steps.py
+++ b/features/steps/version_steps.py
@@ -215,6 +215,29 @@
     return (f'Resumes: {rids[0]}', f'Last-Event-Id: {context.last_event}')
 
 
+@when('the entry that they left is restarted')
+def step_restart_first(context):
+    _restart(context, context.sites[0])
+
+
+@when('that entry is restarted')
+def step_restart_another(context):
+    _restart(context, context.sites[1])
+
+
+def _restart(context, site):
+    site.proc.send_signal(signal.SIGKILL)
+    site.proc.wait(10)
+    lines_before = len(site.log())
+    site.start()
+    platform_site.wait_until_ready([site])
+    waiting.until(
+        lambda: [
+            ln for ln in site.log()[lines_before:]
+            if ln['event'] == 'entries_heard' and ln['now'] == 2
+        ], 'the other entries')
+
+
 @when('the callers take their streams up at another entry and leave after one '
       'more event')
 def step_take_up_and_leave(context):
