Observability: logs name the prompt parts of a request under which a replica ends

Lines of a send and of a crash named the whole request only, so that crashes under different requests with one part in common could not be told from crashes that have nothing in common. Keyed digests of the shared parts, by service, and how long before the crash the run was sent and had begun. No change of decisions.

--- a/gorsefall/digests.py
+++ b/gorsefall/digests.py
@@ -1,9 +1,10 @@
-"""Digests that identify repeated requests.
+"""Digests that identify repeated requests, and parts that they share.
 
 Two requests have the same digest if caller, target and body are equal. The
 request ID is not part of it, as a caller's retry has a new ID.
 """
 
+import functools
 import hashlib
 import struct
 
@@ -11,6 +12,9 @@
 
 DIGEST_BYTES = 16
 
+MAX_CACHED_PARTS = 4096
+"""Parts whose digests are kept: twice the parts in use at the two-year size."""
+
 LOGGED_DIGEST_BYTES = 6
 """Length of a digest in log lines; enough to distinguish a day's requests."""
 
@@ -54,6 +58,19 @@
     return ids.RequestDigest(_digest(key, caller.encode(), target, body_digest))
 
 
+@functools.lru_cache(MAX_CACHED_PARTS)
+def part_digest(key, service, name):
+    """Returns the ``ids.PartDigest`` of a part of prompts at a service.
+
+    Args:
+        key: Key shared by all entries, at most 64 bytes.
+        service: Name of the service; another one may run another model.
+        name: Name of the part.
+    """
+    return ids.PartDigest(
+        _digest(key, b'part', service.encode(), name.encode('latin-1')))
+
+
 def stream_digest(key, caller, request_id):
     """Returns the ``ids.StreamDigest`` of a stream.
 
@@ -77,3 +94,8 @@
 def abbreviate(digest):
     """Returns the abbreviated digest for log lines, as hex."""
     return digest[:LOGGED_DIGEST_BYTES].hex()
+
+
+def abbreviate_all(digests):
+    """Returns the abbreviated digests for log lines, a list."""
+    return [abbreviate(digest) for digest in digests]
--- a/gorsefall/emulator/crashing.py
+++ b/gorsefall/emulator/crashing.py
@@ -15,6 +15,7 @@
 from gorsefall import errors
 from gorsefall.emulator import clock
 from gorsefall.policy import entrystatus
+from gorsefall.policy import suspects
 from gorsefall.relay import crashes
 from gorsefall.relay import model
 from gorsefall.relay import peers
@@ -156,7 +157,7 @@
     def on_replica_exit(self, replica):
         """Called when its replica has crashed."""
         tracker = self._entry.crashes
-        run = crashes.BrokenRun(self._digest,
+        run = crashes.BrokenRun(suspects.PossibleCauses(self._digest),
                                 self._sent_at,
                                 None,
                                 after_broken_run=self._attempts_left
--- a/gorsefall/policy/suspects.py
+++ b/gorsefall/policy/suspects.py
@@ -48,6 +48,9 @@
 FORGET_AFTER_BLOCKS = 2
 """Block times after the last report until a request is forgotten."""
 
+MAX_PARTS_PER_REQUEST = 32
+"""Maximum number of parts of a prompt that are tracked, the first ones."""
+
 MAX_SUSPECTS = 1024
 """Maximum number of requests kept; they take 0.6 MB. It is twice the number of
 requests in progress at a quarter of 50 engines."""
@@ -74,6 +77,19 @@
     YOUNG = 2
 
 
+class PossibleCauses(typing.NamedTuple):
+    """What a replica may crash of as it runs a request.
+
+    Attributes:
+        request: The ``ids.RequestDigest`` of the whole request; None before
+            its account is known.
+        parts: The ``ids.PartDigest`` objects of the parts of its prompt that
+            other requests may share.
+    """
+    request: ids.RequestDigest | None
+    parts: tuple[ids.PartDigest, ...] = ()
+
+
 class Crash(typing.NamedTuple):
     """The unexpected exit of one incarnation of a replica.
 
--- a/gorsefall/relay/accesslog.py
+++ b/gorsefall/relay/accesslog.py
@@ -43,7 +43,7 @@
                       route=route.name if route else None,
                       kind=route.kind.value if route else None,
                       account=account,
-                      digest=digests.abbreviate(exchange.digest or b''),
+                      digest=digests.abbreviate(exchange.causes.request or b''),
                       attempts=exchange.attempts.replicas,
                       first_ms=_since_ms(exchange, exchange.first_byte_at),
                       ms=_since_ms(exchange, now),
--- a/gorsefall/relay/crashes.py
+++ b/gorsefall/relay/crashes.py
@@ -32,12 +32,12 @@
     """A run whose connection broke.
 
     Attributes:
-        digest: The ``ids.RequestDigest``.
+        causes: The ``suspects.PossibleCauses``.
         sent_at: When it was sent, s (monotonic).
         first_event_at: When its first event arrived, s; None before.
         after_broken_run: Whether an earlier run of the same exchange broke.
     """
-    digest: bytes
+    causes: suspects.PossibleCauses
     sent_at: float
     first_event_at: float | None
     after_broken_run: bool = False
@@ -54,6 +54,12 @@
             return suspects.CrashWeight.YOUNG
         return suspects.CrashWeight.OLD
 
+    def begun_ms(self, now):
+        """Returns the time since its first event, ms; None without one."""
+        if self.first_event_at is None:
+            return None
+        return _age_ms(self.first_event_at, now)
+
 
 class CrashTracker:
     """Tracks requests under which replicas crashed.
@@ -150,7 +156,7 @@
             on_result: Called when the exchange may decide about the request.
         """
         must_wait = self.suspects.weight(
-            run.digest) and self._expected_up(replica)
+            run.causes.request) and self._expected_up(replica)
         if self._expected_up(replica):
             done = on_result if must_wait else lambda: None
             self._prober.probe(
@@ -192,7 +198,7 @@
         done()
 
     def _record_crash(self, record, run, now):
-        digest, weight = run.digest, run.weight(now)
+        digest, weight = run.causes.request, run.weight(now)
         crash = suspects.Crash(record.id, record.started_at_ms)
         before = self.suspects.is_blocked(digest, now)
         if not self.suspects.record_crash(digest, crash, weight, now):
@@ -201,6 +207,9 @@
         metrics.CRASHING_REQUESTS.labels('seen').inc()
         self._log.info('crash_under_request',
                        digest=digests.abbreviate(digest),
+                       parts=digests.abbreviate_all(run.causes.parts),
+                       sent_ms=_age_ms(run.sent_at, now),
+                       begun_ms=run.begun_ms(now),
                        replica=record.id,
                        weight=int(weight),
                        total=self.suspects.weight(digest),
--- a/gorsefall/relay/exchange.py
+++ b/gorsefall/relay/exchange.py
@@ -14,6 +14,7 @@
 from gorsefall.policy import attempts
 from gorsefall.policy import placement
 from gorsefall.policy import retry_delay
+from gorsefall.policy import suspects
 from gorsefall.relay import accesslog
 from gorsefall.relay import backups
 from gorsefall.relay import boundversion
@@ -46,8 +47,7 @@
         disconnect_reason: Why the caller's connection ended before the
             response, or None.
         response_end: The ``responseend.ResponseEnd``.
-        digest: The ``ids.RequestDigest`` that identifies other attempts of
-            the same request; None until the account is known.
+        causes: The ``suspects.PossibleCauses`` of a crash under it.
     """
 
     def __init__(self, node, req, writer):
@@ -56,7 +56,7 @@
         self.req = req
         self._delivery = delivery.Delivery(node.codec, writer)
         self.attempt = None
-        self.digest = None
+        self.causes = suspects.PossibleCauses(None)
         self.grant = grant.Grant(node, req)
         self._deadline = None
         self._deadline_timer = None
@@ -80,11 +80,7 @@
         except errors.GorsefallError as exc:
             self.fail(exc)
             return
-        account = self.grant.account
-        self.digest = digests.request_digest(self.node.cfg.digest_key.encode(),
-                                             account.name if account else '',
-                                             self.req.target,
-                                             self.req.body_digest)
+        self.causes = self._possible_causes()
         time_left_s = self.grant.route.timeout_s
         if self.req.time_left_s is not None:
             time_left_s = min(time_left_s, self.req.time_left_s)
@@ -95,6 +91,19 @@
         self.grant.record_arrival()
         self._version.find(self.dispatch)
 
+    def _possible_causes(self):
+        """Returns the ``suspects.PossibleCauses`` for its current service."""
+        key = self.node.cfg.digest_key.encode()
+        account = self.grant.account
+        request = self.causes.request or digests.request_digest(
+            key, account.name if account else '', self.req.target,
+            self.req.body_digest)
+        shared = self.req.prompt.shared if self.req.prompt is not None else ()
+        parts = dict.fromkeys(
+            digests.part_digest(key, self.grant.service, part.name)
+            for part in shared[:suspects.MAX_PARTS_PER_REQUEST])
+        return suspects.PossibleCauses(request, tuple(parts))
+
     @property
     def terms(self):
         """See ``serving.ActiveRequest``."""
@@ -156,7 +165,8 @@
             if self.attempts.forbids_rerun(self.terms):
                 raise self.attempts.outcome_unknown_error(
                     'its route does not allow another run any more')
-        if not self.node.crashes.try_begin_run(self.digest, self):
+        self.causes = self._possible_causes()
+        if not self.node.crashes.try_begin_run(self.causes.request, self):
             return
         choice = self._detours.take(
             self.node.fleet.replicas) or self.grant.choose_replica(
@@ -164,7 +174,7 @@
                 # A caller that has half a stream waits rather than lose it.
                 may_shed=not (self.attempts.replicas or self._version.bound),
                 least_loaded=self.node.crashes.suspects.must_serialize(
-                    self.digest))
+                    self.causes.request))
         if choice is None or self._detours.is_in_vain(choice):
             raise errors.NoReplicaError(
                 f'no replica of {self.grant.service}'
@@ -343,7 +353,7 @@
         view = attempt.replica.view
         view.record_success()
         attempt.replica.record_alive(time.monotonic())
-        self.node.crashes.record_completed_run(self.digest)
+        self.node.crashes.record_completed_run(self.causes.request)
         attempt.record_duration(self._speed())
         self.node.work.record_response(
             attempt.replica, response.status < INTERNAL_ERROR_STATUS or
@@ -411,7 +421,7 @@
 
     def broken_run(self, attempt):
         """Returns the ``crashes.BrokenRun`` of an attempt."""
-        return crashes.BrokenRun(self.digest,
+        return crashes.BrokenRun(self.causes,
                                  attempt.sent_at,
                                  attempt.first_byte_at,
                                  after_broken_run=len(self.attempts.replicas)
@@ -420,7 +430,7 @@
     def _handle_failure(self, attempt, reason):
         if self.done or self.attempt is not None:
             return
-        if self.node.crashes.suspects.must_serialize(self.digest):
+        if self.node.crashes.suspects.must_serialize(self.causes.request):
             self.fail(self.attempts.outcome_unknown_error(reason))
         elif self._restorer.possible:
             self._restorer.probe(attempt)
@@ -442,7 +452,7 @@
             errors.GorsefallError: It must not be sent now.
         """
         self.grant.renew(begun=True)
-        if not self.node.crashes.try_begin_run(self.digest, self):
+        if not self.node.crashes.try_begin_run(self.causes.request, self):
             raise self.attempts.outcome_unknown_error(
                 'another run of it is under way')
         self._send(replica, placement.Choice(replica.view), from_backup=True)
@@ -516,7 +526,7 @@
         if self._deadline_timer is not None:
             self._deadline_timer.cancel()
         self._backup.cancel_probe()
-        self.node.crashes.end_run(self.digest, self)
+        self.node.crashes.end_run(self.causes.request, self)
         accesslog.record(self, outcome, exc)
         self.node.remove_exchange(self)
 
--- a/gorsefall/relay/sending.py
+++ b/gorsefall/relay/sending.py
@@ -74,7 +74,8 @@
                               self._exchange.node)
         self._exchange.log.info(
             'sent',
-            digest=digests.abbreviate(self._exchange.digest),
+            digest=digests.abbreviate(self._exchange.causes.request),
+            parts=digests.abbreviate_all(self._exchange.causes.parts),
             replica=self.replica.record.id,
             service=service,
             software=self.replica.record.software,
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -224,10 +224,12 @@
     sees the crashes of one burst far apart."""
     first, second = _replica('r1'), _replica('r2')
     loop, tracker, probes = _tracker_of(first, second)
-    tracker.handle_broken_run(first, crashes.BrokenRun(b'x', 0.0, None),
-                              lambda: None)
-    tracker.handle_broken_run(second, crashes.BrokenRun(b'y', 0.0, None),
-                              lambda: None)
+    tracker.handle_broken_run(
+        first, crashes.BrokenRun(suspects.PossibleCauses(b'x'), 0.0, None),
+        lambda: None)
+    tracker.handle_broken_run(
+        second, crashes.BrokenRun(suspects.PossibleCauses(b'y'), 0.0, None),
+        lambda: None)
     for done in probes:
         loop.run(loop.now + 0.3)
         done(prober.Verdict.EXITED)
@@ -242,8 +244,9 @@
     reported.is_reported_leaving = lambda now: True
     _, tracker, probes = _tracker_of(leaving, reported)
     for replica in (leaving, reported):
-        tracker.handle_broken_run(replica, crashes.BrokenRun(b'x', 0.0, None),
-                                  lambda: None)
+        tracker.handle_broken_run(
+            replica, crashes.BrokenRun(suspects.PossibleCauses(b'x'), 0.0,
+                                       None), lambda: None)
     assert not probes
 
 
@@ -279,7 +282,7 @@
 def test_an_attempt_during_an_exit_weighs_less():
     """A good request is blocked that was retried from one crashing replica of
     a burst to the next."""
-    run = crashes.BrokenRun(b'x',
+    run = crashes.BrokenRun(suspects.PossibleCauses(b'x'),
                             sent_at=1.0,
                             first_event_at=None,
                             after_broken_run=True)
@@ -298,7 +301,9 @@
     # Each of three entries observes one crash before it receives the others.
     for entry in site.entries[:3]:
         replica = site.live_replicas()[0]
-        run = crashes.BrokenRun(b'x', sent_at=-1.0, first_event_at=None)
+        run = crashes.BrokenRun(suspects.PossibleCauses(b'x'),
+                                sent_at=-1.0,
+                                first_event_at=None)
         replica.up = False
         entry.crashes.handle_broken_run(replica, run, lambda: None)
     site.loop.run(3 * site.heartbeat_s)
