Failing test: one part of prompts that crashes replica after replica

Five real entries before replicas on real sockets: every request with the part reaches a replica, 17 of them later than 3 s after the fifth crash (3 allowed), wherever the part stands. The scenario of replicas that crash by themselves under sound requests passes and has to stay so.

--- /dev/null
+++ b/features/platform_crashing_parts.feature
@@ -0,0 +1,49 @@
+@nosite @platform
+Feature: parts of prompts on which replicas crash
+
+  Guards against one part of prompts that crashes replica after replica because
+  no two requests with it are alike, and against sound requests that are
+  refused as they share other parts with these.
+
+  Background:
+    Given five entries on the platform before 12 model replicas that can crash
+
+  Scenario Outline: requests with a part that crashes replicas come at all entries
+    Given prompts in which the part that crashes replicas stands <where>
+    When sound requests come, and then requests with that part among them
+    Then at most three requests with that part reach replicas after the entries had time to share crashes
+    And the last callers with that part get a final response at once
+    And sound requests begin at least half as often as before
+
+    Examples:
+      | where                              |
+      | second, after one first part       |
+      | first                              |
+      | second, after several first parts  |
+      | second, before a sound part        |
+      | always before the same sound part  |
+
+  Scenario: an entry is killed and started again in between
+    Given prompts in which the part that crashes replicas stands second, after one first part
+    When sound requests come, and then requests with that part among them, and an entry is killed and restarted
+    Then at most three requests with that part reach replicas after the entries had time to share crashes
+    And sound requests begin at least half as often as before
+
+  Scenario: all entries restart
+    Given prompts in which the part that crashes replicas stands second, after one first part
+    When sound requests come, and then requests with that part among them
+    And all entries are killed and restarted
+    Then requests with that part soon get a final response there
+
+  Scenario: sound requests under which replicas crash
+    Given prompts in which the part that crashes replicas stands second, after one first part
+    When sound requests come, and replicas crash by themselves, ten in eight seconds
+    Then all sound requests begin afterwards
+    And no entry marks any part
+
+  Scenario: replicas are down all at once between crashes
+    Given only 3 model replicas are left
+    And prompts in which the part that crashes replicas stands second, after one first part
+    When sound requests come, and then requests with that part among them
+    Then at most three requests with that part reach replicas after the entries had time to share crashes
+    And sound requests begin at least half as often as before
