--- a/gorsefall/emulator/crashing.py
+++ b/gorsefall/emulator/crashing.py
@@ -1,6 +1,7 @@
 """Simulates poison requests and good requests at a site with many entries.
 
-A poison request crashes each replica that runs it. Each entry has its own
+A poison request crashes each replica that runs it: always the same request, or
+one with the same part in its prompt. Each entry has its own
 ``relay.crashes.CrashTracker``; messages between entries are delayed and may be
 lost. The simulation counts both kinds of error: runs of poison requests, and
 good requests that are refused.
@@ -17,6 +18,7 @@
 from gorsefall.policy import entrystatus
 from gorsefall.policy import suspects
 from gorsefall.relay import crashes
+from gorsefall.relay import messages
 from gorsefall.relay import model
 from gorsefall.relay import peers
 from gorsefall.relay import prober
@@ -24,8 +26,11 @@
 ONE_WAY_DELAY_S = 0.002
 """Delay of a message, and of a probe of a replica, s."""
 
+BEGIN_DELAY_S = 0.1
+"""Time from the arrival of a request at its replica to its first event, s."""
+
 CRASH_DELAY_S = 0.08
-"""Time from the start of a poison run to the crash of its replica, s."""
+"""Time from the first event of a poison run to the crash of its replica, s."""
 
 REPLICA_RESTART_S = 3.0
 """Time until a crashed replica is up again as a new incarnation, s."""
@@ -65,6 +70,10 @@
         """Starts a new process, without any state."""
         self.crashes = crashes.CrashTracker(self.site.loop, self, self.site,
                                             lambda: self.site.loop.now)
+        self.crashes.entry_names = lambda: [
+            f'e{self.number}', *(f'e{e.number}' for e in self.site.entries
+                                 if e is not self)
+        ]
         self.crashes.start(self)
 
     def probe(self, replica, done):
@@ -74,21 +83,26 @@
 
     def send_all(self, message):
         """See ``peers.Peers``."""
+        self.site.report_bytes += len(
+            messages.encode(message)) * (len(self.site.entries) - 1)
         for other in self.site.entries:
             if other is not self:
                 self._send(
-                    lambda entry: entry.crashes.merge_reports(
-                        message.run_reports), other)
+                    lambda entry: entry.crashes.reports.handle_suspects(
+                        message.run_reports, self.number), other)
 
     def send(self, message, host):
         """See ``peers.Peers``; ``host`` is the number of an entry."""
+        self.site.report_bytes += len(messages.encode(message))
         run_reports = getattr(message, 'run_reports', None)
         if run_reports is None:
-            self._send(lambda entry: entry.crashes.send_suspects(self.number),
-                       self.site.entries[host])
+            self._send(
+                lambda entry: entry.crashes.reports.send_suspects(self.number),
+                self.site.entries[host])
         else:
-            self._send(lambda entry: entry.crashes.merge_reports(run_reports),
-                       self.site.entries[host])
+            self._send(
+                lambda entry: entry.crashes.reports.handle_suspects(
+                    run_reports, self.number), self.site.entries[host])
 
     def broadcast_status(self):
         """Sends the status to all other entries, and schedules the next one."""
@@ -96,12 +110,16 @@
             f'e{self.number}',
             1,
             1,
-            run_reports=self.crashes.recent_reports(self.site.loop.now),
+            run_reports=self.crashes.reports.recent(self.site.loop.now),
             suspects_summary=self.crashes.suspects.summary)
+        reports = messages.Suspects(status.run_reports)
+        if status.run_reports:
+            self.site.report_bytes += len(
+                messages.encode(reports)) * (len(self.site.entries) - 1)
         for other in self.site.entries:
             if other is not self:
                 self._send(
-                    lambda entry: entry.crashes.handle_status(
+                    lambda entry: entry.crashes.reports.handle_status(
                         status, self.number), other)
         jitter = self.site.rng.uniform(*peers.PAUSE_JITTER)
         self.site.loop.call_later(self.site.heartbeat_s * jitter,
@@ -115,10 +133,13 @@
 class CallerRequest:
     """One request of a caller at an entry."""
 
-    def __init__(self, site, digest, run_s, *, poison, retries=True):
+    def __init__(self, site, causes, run_s, *, poison, retries=True):
         self._site = site
-        self._digest = digest
+        self.causes = causes
         self._run_s = run_s
+        self.replica = None
+        self._begun_at = None
+        self._whole = False
         self._poison = poison
         self._retries = retries
         self._entry = site.rng.choice(site.entries)
@@ -130,17 +151,34 @@
         """Sends the request to a replica, unless it is blocked or parked."""
         tracker = self._entry.crashes
         try:
-            if not tracker.try_begin_run(self._digest, self):
+            if not tracker.try_begin_run(self.causes, self):
                 return
         except errors.PoisonRequestError:
             self._end('refused')
             return
         self._attempts_left -= 1
-        replica = self._site.rng.choice(self._site.live_replicas())
+        live = self._site.live_replicas()
+        if not live:
+            self._end('failed')
+            return
+        self.replica = self._site.rng.choice(live)
         self._sent_at = self._site.loop.now
-        replica.runs.add(self)
+        self.replica.runs.add(self)
         if self._poison:
             self._site.poison_runs.append(self._sent_at)
+        self._site.loop.call_later(BEGIN_DELAY_S,
+                                   lambda: self._begin(self.replica))
+
+    @property
+    def went_on(self):
+        """See ``sending.Attempt``."""
+        return self._whole or self in self.replica.runs
+
+    def _begin(self, replica):
+        if self not in replica.runs:
+            return
+        self._begun_at = self._site.loop.now
+        self._entry.crashes.record_begun_run(self, self.causes, self)
         wait_s = CRASH_DELAY_S if self._poison else self._run_s
         self._site.loop.call_later(wait_s, lambda: self._finish(replica))
 
@@ -150,29 +188,30 @@
         if self._poison:
             self._site.crash(replica)
             return
+        self._whole = True
         replica.runs.discard(self)
-        self._entry.crashes.record_completed_run(self._digest)
+        self._entry.crashes.record_completed_run(self.causes.request)
         self._end('served')
 
     def on_replica_exit(self, replica):
         """Called when its replica has crashed."""
         tracker = self._entry.crashes
-        run = crashes.BrokenRun(suspects.PossibleCauses(self._digest),
+        run = crashes.BrokenRun(self.causes,
                                 self._sent_at,
-                                None,
+                                self._begun_at,
                                 after_broken_run=self._attempts_left
                                 < MAX_ATTEMPTS - 1)
         tracker.handle_broken_run(replica, run, self._retry_or_fail)
 
     def _retry_or_fail(self):
-        serialized = self._entry.crashes.suspects.must_serialize(self._digest)
+        serialized = self._entry.crashes.must_serialize(self.causes)
         if self._attempts_left and not serialized:
             self.dispatch()
         else:
             self._end('failed')
 
     def _end(self, outcome):
-        self._entry.crashes.end_run(self._digest, self)
+        self._entry.crashes.end_run(self)
         if outcome == 'failed' and self._retries:
             self._site.loop.call_later(CALLER_RETRY_DELAY_S, self._caller_retry)
         elif not self._poison:
@@ -180,7 +219,7 @@
 
     def _caller_retry(self):
         CallerRequest(self._site,
-                      self._digest,
+                      self.causes,
                       self._run_s,
                       poison=self._poison,
                       retries=False)
@@ -193,6 +232,7 @@
         replicas: ``id -> Replica``.
         poison_runs: Start times of the runs of poison requests, s.
         good_outcomes: ``outcome -> number of good requests``.
+        report_bytes: Size of all reports sent between entries.
     """
 
     def __init__(self, entries, replicas, seed, *, loss=0.02):
@@ -204,6 +244,7 @@
         self.replicas = {}
         self.poison_runs = []
         self.good_outcomes = collections.Counter()
+        self.report_bytes = 0
         self._starts = itertools.count()
         for _ in range(replicas):
             self._add_replica()
@@ -239,6 +280,14 @@
         del self.replicas[replica.record.id]
         self._add_replica()
 
-    def submit(self, digest, run_s, *, poison=False):
-        """Sends a caller's request to an entry."""
-        CallerRequest(self, digest, run_s, poison=poison)
+    def submit(self, digest, run_s, *, parts=(), poison=False):
+        """Sends a caller's request to an entry.
+
+        Args:
+            digest: The digest of the request.
+            run_s: How long a good run lasts after its first event, s.
+            parts: The digests of the parts of its prompt.
+            poison: Whether it crashes replicas.
+        """
+        causes = suspects.PossibleCauses(digest, tuple(parts))
+        CallerRequest(self, causes, run_s, poison=poison)
--- a/gorsefall/policy/entrystatus.py
+++ b/gorsefall/policy/entrystatus.py
@@ -48,22 +48,36 @@
     ok: bool
 
 
+class PartReport(msgspec.Struct, frozen=True, array_like=True):
+    """A part of the prompt of a request under which a replica crashed.
+
+    Attributes:
+        digest: The part's digest.
+        survived_before: Whether runs with it went on shortly before.
+    """
+    digest: ids.PartDigest
+    survived_before: bool = False
+
+
 class RunReport(msgspec.Struct, frozen=True, array_like=True):
-    """A crash of a replica under a request, or a completed run of the request.
+    """A crash of a replica under a request, or a run that clears a suspect.
 
     Attributes:
-        digest: The request's digest.
+        digest: The request's digest, or of what was cleared.
         age_ms: Time since then, ms.
-        replica: The id of the crashed replica; '' for a completed run.
+        replica: The id of the crashed replica; '' for a run that clears.
         started_at_ms: When that incarnation of the replica started, ms since
             1970.
         weight: The ``suspects.CrashWeight`` of the crash.
+        parts: The ``PartReport`` objects of the request's prompt that count
+            for the crash.
     """
     digest: ids.RequestDigest
     age_ms: Count
     replica: ids.ReplicaName = ids.ReplicaName('')
     started_at_ms: Count = 0
     weight: typing.Annotated[int, msgspec.Meta(ge=1, le=2)] = 1
+    parts: tuple[PartReport, ...] = ()
 
 
 class ReplicaExit(msgspec.Struct, frozen=True, array_like=True):
--- a/gorsefall/policy/suspects.py
+++ b/gorsefall/policy/suspects.py
@@ -1,20 +1,24 @@
-"""Which requests crash the replicas that run them, by all entries' reports.
+"""What crashes the replicas that run it, by all entries' reports.
 
 Every request that ran at a replica when its process exited becomes a suspect,
-and at most one of them caused the exit. A completed run clears a request. Of
-the remaining suspects, the one with the highest crash weight is the poison
-request, and the crashes that it explains no longer count against any other
-suspect. A crash weighs less if other replicas exited at the same time without
-this request: such exits have a common cause. Reports of several entries merge
-in any order and may be repeated: each crash counts once.
+and each part of its prompt that other requests may share, and at most one of
+them caused the exit. A completed run clears a request; a run that goes on for
+some time after its first event clears its parts. ``blame`` finds causes among
+the remaining suspects: the crashes that one explains no longer count against
+any other. A crash weighs less if other replicas exited at the same time without
+this suspect, as such exits have a common cause, and against a part of which
+runs went on shortly before. Reports of several entries merge in any order and
+may be repeated: each crash counts once.
 """
 
+import bisect
 import dataclasses
 import enum
 import hashlib
 import typing
 
 from gorsefall import ids
+from gorsefall.policy import blame
 
 YOUNG_RUN_S = 0.5
 """Age since its first event up to which a run counts as young, s: a request
@@ -24,44 +28,47 @@
 """Time within which exits of several replicas have a common cause, s. Entries
 observe an exit with an error of about 10 ms."""
 
-POISON_WEIGHT = 6
-"""Total crash weight from which on a request is a poison request: three crashes
-under young runs."""
+BLAME_WEIGHT = 6
+"""Total crash weight from which on a suspect is the cause: three crashes under
+young runs."""
 
 SERIALIZE_WEIGHT = 4
-"""Total crash weight from which on a request runs at one replica at a time: one
-more crash may make it a poison request, so it is neither retried automatically
-nor sent to a second replica while a run of it is in progress."""
+"""Total crash weight from which on requests run at one replica at a time: one
+more crash may show the cause, so they are neither retried automatically nor
+sent to a second replica while a run is in progress."""
 
 REPORT_MIN_CRASHES = 2
-"""Crashes under a request from which on entries make sure that every other
+"""Crashes under a suspect from which on entries make sure that every other
 entry has received them."""
 
 BLOCK_S = 600.0
-"""Time for which a poison request is blocked after its last crash, s. After it
-one run shows whether the service can handle the request by now."""
+"""Time for which a cause is blocked after its last crash, s. After it one run
+shows whether the service can handle it by now."""
+
+SURVIVED_BLOCK_S = 20.0
+"""The same for a part of which runs went on shortly before its crashes, s: it
+may be blamed wrongly, and then all that share it wait."""
 
 MAX_DOUBLINGS = 6
 """Maximum number of times that the block time doubles, once for each further
 crash: up to ten hours."""
 
-FORGET_AFTER_BLOCKS = 2
-"""Block times after the last report until a request is forgotten."""
+FORGET_AFTER_BLOCKS = 4
+"""Block times after the last report until a suspect is forgotten."""
 
 MAX_PARTS_PER_REQUEST = 32
 """Maximum number of parts of a prompt that are tracked, the first ones."""
 
 MAX_SUSPECTS = 1024
-"""Maximum number of requests kept; they take 0.6 MB. It is twice the number of
-requests in progress at a quarter of 50 engines."""
+"""Maximum number of suspects kept. It is twice the number of requests in
+progress at a quarter of 50 engines."""
 
 MAX_REPLICA_EXITS = 256
 """Maximum number of replica exits kept to detect common causes; the oldest are
 dropped first."""
 
-MAX_CRASHES_PER_REQUEST = 12
-"""Maximum number of crashes kept for a request; it is a poison request by
-then."""
+MAX_CRASHES_PER_SUSPECT = 12
+"""Maximum number of crashes kept for a suspect, the latest ones."""
 
 SUMMARY_BYTES = 7
 """Size of the summary: with 8 bytes it could exceed a signed 64-bit integer,
@@ -69,7 +76,7 @@
 
 
 class CrashWeight(enum.IntEnum):
-    """How strongly a crash counts against a request that ran at the replica.
+    """How strongly a crash counts against what ran at the replica.
 
     Young runs count more: see ``YOUNG_RUN_S``.
     """
@@ -89,6 +96,11 @@
     request: ids.RequestDigest | None
     parts: tuple[ids.PartDigest, ...] = ()
 
+    @property
+    def digests(self):
+        """All of their digests, a frozenset."""
+        return frozenset((self.request, *self.parts))
+
 
 class Crash(typing.NamedTuple):
     """The unexpected exit of one incarnation of a replica.
@@ -104,107 +116,179 @@
 
 @dataclasses.dataclass
 class CrashRecord:
-    """A crash under a request.
+    """A crash under a suspect.
 
     Attributes:
-        weight: The ``CrashWeight``.
+        weight: The ``CrashWeight`` of the run.
         seen_at: When the crash was observed, s (monotonic).
+        companions: Digests of all that was there in each run of the suspect at
+            the replica, a frozenset.
+        survived_before: Whether runs of the suspect went on shortly before.
     """
     weight: CrashWeight
     seen_at: float
+    companions: frozenset
+    survived_before: bool = False
+
+    def merge(self, other):
+        """Adds another report of the crash; returns whether it says more."""
+        merged = CrashRecord(max(self.weight, other.weight), self.seen_at,
+                             self.companions & other.companions,
+                             self.survived_before or other.survived_before)
+        if merged == self:
+            return False
+        self.weight, self.companions = merged.weight, merged.companions
+        self.survived_before = merged.survived_before
+        return True
 
 
 @dataclasses.dataclass
 class Suspect:
-    """The reports on one request.
+    """The reports on one request, or one part of prompts.
 
     Attributes:
         crashes: ``Crash -> CrashRecord``.
-        last_completed_at: When a run of it was last completed, s (monotonic).
+        cleared_at: When a run last cleared it, s (monotonic).
     """
     crashes: dict[Crash, CrashRecord] = dataclasses.field(default_factory=dict)
-    last_completed_at: float = float('-inf')
+    cleared_at: float = float('-inf')
 
     @property
     def last_seen_at(self):
-        """Time of the last report on the request, s."""
+        """Time of the last report on it, s."""
         return max((r.seen_at for r in self.crashes.values()),
-                   default=self.last_completed_at)
+                   default=self.cleared_at)
 
     def clear_before(self, at):
-        """Drops the crashes before a run that was completed at ``at``."""
-        self.last_completed_at = max(self.last_completed_at, at)
+        """Drops the crashes before a run that cleared it at ``at``."""
+        self.cleared_at = max(self.cleared_at, at)
         self.crashes = {
-            c: r
-            for c, r in self.crashes.items()
-            if r.seen_at > self.last_completed_at
+            c: r for c, r in self.crashes.items() if r.seen_at > self.cleared_at
         }
 
 
 class Suspects:
-    """Requests under which replicas crashed, by digest."""
+    """What replicas crashed under, by digest.
+
+    Attributes:
+        causes: The ``blame.Cause`` objects found, a list.
+        summary: A hash over the reportable suspects and their crashes. An entry
+            whose own summary differs has missed a message.
+    """
 
     def __init__(self):
         self._suspects = {}
         self._reportable = set()
         self._exits = {}
-        self._poison = set()
-        self._summary = 0
+        self._exits_in_order = []
+        self._to_serialize = []
+        self.causes = []
+        self.summary = 0
 
     def __len__(self):
         return len(self._suspects)
 
     # -- recording -------------------------------------------------------------
 
-    def record_crash(self, digest, crash, weight, at):
-        """Records a crash under a request.
+    def record_crash(self,
+                     digest,
+                     crash,
+                     weight,
+                     at,
+                     *,
+                     companions=frozenset(),
+                     survived_before=False):
+        """Records a crash under a suspect.
 
         Args:
-            digest: The ``ids.RequestDigest``.
+            digest: The digest of a request or part.
             crash: The ``Crash``.
             weight: The ``CrashWeight``.
             at: When it was observed, s (monotonic).
+            companions: Digests of all that was there in the run.
+            survived_before: Whether runs of the suspect went on shortly before.
 
         Returns:
-            True if the crash was not recorded before, or only with a lower
-            weight.
+            True if this was not known before.
         """
+        record = CrashRecord(weight, at, companions | {digest}, survived_before)
+        is_new = self._add(digest, crash, record)
+        if is_new:
+            self._update((digest,))
+        return is_new
+
+    def record_broken_run(self, survived_before, crash, weight, at):
+        """Records a crash under all that was there in a run.
+
+        Args:
+            survived_before: ``digest -> bool`` of the request and its parts;
+                see ``record_crash``.
+            crash: The ``Crash``.
+            weight: The ``CrashWeight``.
+            at: When it was observed, s (monotonic).
+
+        Returns:
+            True if any of it was not known before.
+        """
+        companions = frozenset(survived_before)
+        new = [
+            digest for digest, survived in survived_before.items() if self._add(
+                digest, crash, CrashRecord(weight, at, companions, survived))
+        ]
+        self._update(new)
+        return bool(new)
+
+    def _add(self, digest, crash, record):
+        """Adds a ``CrashRecord``; returns whether it says more."""
         suspect = self._suspects.get(digest)
         if suspect is None:
             suspect = self._suspects[digest] = Suspect()
         known = suspect.crashes.get(crash)
         if known is not None:
-            if weight <= known.weight:
-                return False
-            known.weight = weight
-        elif (at <= suspect.last_completed_at or
-              len(suspect.crashes) >= MAX_CRASHES_PER_REQUEST):
+            return known.merge(record)
+        if record.seen_at <= suspect.cleared_at:
             return False
-        else:
-            suspect.crashes[crash] = CrashRecord(weight, at)
-            self._record_exit(crash, at)
+        suspect.crashes[crash] = record
+        if len(suspect.crashes) > MAX_CRASHES_PER_SUSPECT:
+            oldest = min(suspect.crashes,
+                         key=lambda c: (suspect.crashes[c].seen_at, c))
+            del suspect.crashes[oldest]
+            if oldest == crash:
+                return False
+        self._record_exit(crash, record.seen_at)
         self._evict(digest)
-        self._update(digest)
         return True
 
-    def record_completion(self, digest, at):
-        """Records that a run was completed at ``at``, s (monotonic).
+    def record_clearing(self, digest, at):
+        """Records that a run cleared a suspect at ``at``, s (monotonic).
 
         Returns:
-            False if a later completion was recorded before.
+            False if a later one was recorded before.
         """
         suspect = self._suspects.setdefault(digest, Suspect())
-        if at <= suspect.last_completed_at:
+        if at <= suspect.cleared_at:
             return False
         suspect.clear_before(at)
         self._evict(digest)
-        self._update(digest)
+        self._update((digest,))
         return True
 
+    def is_refuted(self, digest, at):
+        """Returns whether a run cleared a suspect after a crash at ``at``."""
+        suspect = self._suspects.get(digest)
+        return suspect is not None and at <= suspect.cleared_at
+
     def _record_exit(self, crash, at):
-        self._exits[crash] = min(at, self._exits.get(crash, at))
+        known_at = self._exits.get(crash)
+        if known_at is not None and known_at <= at:
+            return
+        if known_at is not None:
+            self._exits_in_order.remove((known_at, crash))
+        self._exits[crash] = at
+        bisect.insort(self._exits_in_order, (at, crash))
         if len(self._exits) > MAX_REPLICA_EXITS:
-            del self._exits[min(self._exits, key=self._exits.get)]
+            _, oldest = self._exits_in_order.pop(0)
+            del self._exits[oldest]
 
     def _evict(self, newest):
         if len(self._suspects) > MAX_SUSPECTS:
@@ -212,89 +296,136 @@
                          key=lambda d: (len(self._suspects[d].crashes), self.
                                         _suspects[d].last_seen_at))
             del self._suspects[victim]
-            self._reportable.discard(victim)
+            self._update((victim,))
 
     def expire(self, now):
-        """Forgets requests without a report for ``FORGET_AFTER_BLOCKS``."""
+        """Forgets suspects without a report for ``FORGET_AFTER_BLOCKS``."""
         expired = [
             digest for digest, suspect in self._suspects.items() if now -
             suspect.last_seen_at > FORGET_AFTER_BLOCKS * self._block_s(digest)
         ]
         for digest in expired:
             del self._suspects[digest]
-            self._update(digest)
+        self._update(expired)
 
     # -- conclusions -----------------------------------------------------------
 
-    def _update(self, digest):
-        suspect = self._suspects.get(digest)
-        if suspect is not None and len(suspect.crashes) >= REPORT_MIN_CRASHES:
-            self._reportable.add(digest)
-        elif digest in self._reportable:
-            self._reportable.remove(digest)
-        else:
+    def _update(self, changed):
+        """Finds the causes anew after reports on some digests."""
+        grave = {d for d in changed if self._is_reportable(d)}
+        if not grave and self._reportable.isdisjoint(changed):
             return
-        self._find_poison_requests()
-        self._summary = self._compute_summary()
-
-    def _find_poison_requests(self):
-        """Finds poison requests by the crashes that no other one explains."""
-        remaining = [
-            d for d in self._reportable if self.weight(d) >= POISON_WEIGHT
-        ]
-        explained = set()
-        self._poison = set()
-        while remaining:
-            weights = {d: self.weight(d, explained) for d in remaining}
-            heaviest = max(remaining, key=lambda d: (weights[d], d))
-            if weights[heaviest] < POISON_WEIGHT:
-                return
-            self._poison.add(heaviest)
-            explained.update(self._suspects[heaviest].crashes)
-            remaining.remove(heaviest)
+        self._reportable.difference_update(changed)
+        self._reportable |= grave
+        self._to_serialize = blame.find_causes(self, self._reportable,
+                                               SERIALIZE_WEIGHT)
+        self.causes = blame.find_causes(
+            self, self._reportable, BLAME_WEIGHT) if self._to_serialize else []
+        self.summary = self._compute_summary()
+
+    def _is_reportable(self, digest):
+        suspect = self._suspects.get(digest)
+        return suspect is not None and len(
+            suspect.crashes) >= REPORT_MIN_CRASHES
 
     def weight(self, digest, explained=frozenset()):
-        """Returns the total crash weight of a request.
+        """Returns the total crash weight of a suspect.
 
         Args:
-            digest: The ``ids.RequestDigest``.
-            explained: ``Crash`` objects that another request accounts for.
+            digest: The digest of a request or part.
+            explained: ``Crash`` objects that something else accounts for.
         """
         suspect = self._suspects.get(digest)
         if suspect is None:
             return 0
         return sum(
-            int(CrashWeight.OLD if self._has_common_cause(suspect, r) else r.
-                weight)
-            for c, r in suspect.crashes.items()
-            if c not in explained)
+            int(self._weight_of(suspect, record))
+            for crash, record in suspect.crashes.items()
+            if crash not in explained)
+
+    def _weight_of(self, suspect, record):
+        if record.survived_before or self._has_common_cause(suspect, record):
+            return CrashWeight.OLD
+        return record.weight
 
     def _has_common_cause(self, suspect, record):
-        return any(
-            abs(at - record.seen_at) < COMMON_CAUSE_S and
-            crash not in suspect.crashes for crash, at in self._exits.items())
+        first = bisect.bisect_left(self._exits_in_order,
+                                   (record.seen_at - COMMON_CAUSE_S,))
+        for at, crash in self._exits_in_order[first:]:
+            if at - record.seen_at >= COMMON_CAUSE_S:
+                return False
+            if crash not in suspect.crashes:
+                return True
+        return False
+
+    def survived_before(self, digest):
+        """Returns whether runs of a suspect went on shortly before a crash."""
+        suspect = self._suspects.get(digest)
+        return suspect is not None and any(
+            r.survived_before for r in suspect.crashes.values())
+
+    def companions(self, digest):
+        """Returns what was always there with a suspect, and its own digest."""
+        suspect = self._suspects.get(digest)
+        if suspect is None or not suspect.crashes:
+            return frozenset((digest,))
+        return frozenset.intersection(
+            *(r.companions for r in suspect.crashes.values()))
 
     def _block_s(self, digest):
-        doublings = max(
-            0,
-            self.weight(digest) - POISON_WEIGHT) // CrashWeight.YOUNG
-        return BLOCK_S * 2**min(MAX_DOUBLINGS, doublings)
+        doublings = max(0,
+                        self.weight(digest) - BLAME_WEIGHT) // CrashWeight.YOUNG
+        base_s = SURVIVED_BLOCK_S if self.survived_before(digest) else BLOCK_S
+        return base_s * 2**min(MAX_DOUBLINGS, doublings)
+
+    def blocking_cause(self, digests, now, may_try=lambda digest, turn: True):
+        """Returns the ``blame.Cause`` for which a request must not be sent now.
+
+        Args:
+            digests: The digests of the request, a frozenset.
+            now: Time, s (monotonic).
+            may_try: Returns whether this entry may run a cause whose block time
+                is over. It gets the digest and the number of block times.
+
+        Returns:
+            The cause, or None.
+        """
+        for cause in self.causes:
+            if cause.combination <= digests:
+                turn = self._block_times(cause.digest, now)
+                if not turn or not may_try(cause.digest, turn):
+                    return cause
+        return None
+
+    def _block_times(self, digest, now):
+        """Returns how many block times have passed since the last crash."""
+        since_s = now - self._suspects[digest].last_seen_at
+        return max(0, int(since_s // self._block_s(digest)))
 
     def is_blocked(self, digest, now):
-        """Returns whether a request must not be sent now."""
-        if digest not in self._poison:
-            return False
-        suspect = self._suspects[digest]
-        return now - suspect.last_seen_at < self._block_s(digest)
+        """Returns whether a request that is only that must not be sent now."""
+        return self.blocking_cause(frozenset((digest,)), now) is not None
+
+    def serialized(self, digests):
+        """Returns those digests of a request for which it runs alone, a set.
+
+        Args:
+            digests: The digests of the request, a frozenset.
+        """
+        found = set()
+        for cause in self._to_serialize:
+            if cause.combination <= digests:
+                found |= cause.combination
+        return found
 
     def must_serialize(self, digest):
-        """Returns whether a request may run at one replica at a time only."""
-        return self.weight(digest) >= SERIALIZE_WEIGHT
+        """Returns whether a request that is only that runs alone."""
+        return bool(self.serialized(frozenset((digest,))))
 
     @property
-    def poison_requests(self):
-        """The digests of all poison requests, a list."""
-        return list(self._poison)
+    def blamed(self):
+        """The digests of all causes, a list."""
+        return [cause.digest for cause in self.causes]
 
     # -- exchange with other entries -------------------------------------------
 
@@ -303,7 +434,7 @@
         return self._suspects.get(digest)
 
     def crashes(self, digest):
-        """Returns the ``Crash`` objects under a request, oldest first."""
+        """Returns the ``Crash`` objects under a suspect, oldest first."""
         suspect = self._suspects.get(digest)
         if suspect is None:
             return []
@@ -313,14 +444,6 @@
         """Returns the digests that all entries should receive, a list."""
         return list(self._reportable)
 
-    @property
-    def summary(self):
-        """A hash over the reportable requests and their crashes.
-
-        An entry whose own summary differs has missed a message.
-        """
-        return self._summary
-
     def _compute_summary(self):
         summary = 0
         for digest in self.reportable():
--- a/gorsefall/relay/crashes.py
+++ b/gorsefall/relay/crashes.py
@@ -1,6 +1,5 @@
-"""Crashes of replicas under requests, recorded and shared by all entries."""
+"""Crashes of replicas under requests, recorded by all entries."""
 
-import collections
 import functools
 import time
 import typing
@@ -9,20 +8,13 @@
 from gorsefall import errors
 from gorsefall import logs
 from gorsefall import metrics
-from gorsefall.policy import entrystatus
+from gorsefall.policy import rendezvous
 from gorsefall.policy import suspects
-from gorsefall.relay import messages
+from gorsefall.relay import crashreports
 from gorsefall.relay import prober
-
-MAX_REPORTS = 32
-"""Most reports in a status message, together 2 KB; the newest are sent."""
-
-MIN_QUERY_PAUSE_S = 1.0
-"""Shortest pause between two queries for the suspects of other entries, s."""
-
-MIN_RESPONSE_PAUSE_S = 0.1
-"""Shortest pause between two responses to such queries, s. All other entries
-query an entry at once after a status of it, and a response is 3 KB long."""
+from gorsefall.relay import serializedruns
+from gorsefall.relay import survivals
+from gorsefall.relay import undecidedexits
 
 EXPIRY_PERIOD_S = 30.0
 """Pause between removals of expired suspects, s."""
@@ -49,8 +41,7 @@
             # It was sent just as its previous replica crashed. Both crashes
             # may have one cause.
             return suspects.CrashWeight.OLD
-        if (self.first_event_at is None or
-                now - self.first_event_at < suspects.YOUNG_RUN_S):
+        if self.is_young(now):
             return suspects.CrashWeight.YOUNG
         return suspects.CrashWeight.OLD
 
@@ -58,18 +49,28 @@
         """Returns the time since its first event, ms; None without one."""
         if self.first_event_at is None:
             return None
-        return _age_ms(self.first_event_at, now)
+        return crashreports.age_ms(self.first_event_at, now)
+
+    def is_young(self, now):
+        """Returns whether it has not begun, or only just."""
+        return (self.first_event_at is None or
+                now - self.first_event_at < suspects.YOUNG_RUN_S)
 
 
 class CrashTracker:
-    """Tracks requests under which replicas crashed.
+    """Tracks what replicas crash under: requests, and parts of prompts.
 
     Attributes:
         suspects: The ``suspects.Suspects``.
-        on_poison_request: Called with the digest of a request that became a
-            poison request, if this entry observed one of its crashes.
-        on_cleared: Called with the digest of a poison request that a completed
-            run at this entry cleared.
+        survivals: The ``survivals.Survivals`` of its runs.
+        reports: The ``crashreports.CrashReports`` to and from other entries.
+        on_blamed: Called with the digest of a new cause, and whether this entry
+            observed one of its crashes.
+        on_cleared: Called with the digest of a cause that a run at this entry
+            cleared.
+        on_blocked: Called when requests that are under way may be blocked.
+        entry_names: Returns the names of this entry and of all other live ones,
+            this one first.
     """
 
     def __init__(self, loop, replica_prober, fleet, clock=time.monotonic):
@@ -85,79 +86,140 @@
         self._prober = replica_prober
         self._fleet = fleet
         self._clock = clock
-        self._peers = None
-        self._events = collections.deque(maxlen=MAX_REPORTS)
-        self._queried_at = self._responded_at = float('-inf')
-        self._running_exchanges = {}
-        self._parked_exchanges = collections.defaultdict(list)
         self._log = logs.get('crashes')
         self.suspects = suspects.Suspects()
-        self.on_poison_request = self.on_cleared = lambda digest: None
+        self.survivals = survivals.Survivals(loop, fleet, clock,
+                                             self._on_survived)
+        self.reports = crashreports.CrashReports(self.suspects, self.survivals,
+                                                 clock)
+        self.reports.on_merged = self._on_merged
+        self._undecided = undecidedexits.UndecidedExits(loop, fleet,
+                                                        replica_prober, clock)
+        self._serialized = serializedruns.SerializedRuns(loop)
+        self._known_causes = frozenset()
+        self.on_blamed = lambda digest, own: None
+        self.on_cleared = lambda digest: None
+        self.on_blocked = lambda: None
+        self.entry_names = lambda: ['']
 
     def start(self, peers):
         """Begins to share with other entries, if there are ``peers``."""
-        self._peers = peers
+        self.reports.start(peers)
         self._loop.call_later(EXPIRY_PERIOD_S, self._expire)
 
     def _expire(self):
         self._loop.call_later(EXPIRY_PERIOD_S, self._expire)
         self.suspects.expire(self._clock())
+        self._known_causes &= frozenset(self.suspects.blamed)
 
     # -- before an attempt -----------------------------------------------------
 
-    def _check(self, digest):
-        if self.suspects.is_blocked(digest, self._clock()):
-            metrics.CRASHING_REQUESTS.labels('refused').inc()
-            crashes = self.suspects.crashes(digest)
-            raise errors.PoisonRequestError(
-                f'{len(crashes)} replicas ended as they ran it: '
-                f'{", ".join(c.replica for c in crashes)}')
+    def check(self, causes):
+        """Checks whether a request may be sent.
 
-    def try_begin_run(self, digest, exchange):
+        Args:
+            causes: Its ``suspects.PossibleCauses``.
+
+        Raises:
+            errors.PoisonRequestError: Replicas crash as they run it.
+        """
+        cause = self.suspects.blocking_cause(causes.digests, self._clock(),
+                                             self._may_try)
+        if cause is None:
+            return
+        metrics.CRASHING_REQUESTS.labels('refused').inc()
+        crashes = self.suspects.crashes(cause.digest)
+        what = ('it' if cause.digest == causes.request else
+                'requests with a part of its prompt')
+        raise errors.PoisonRequestError(
+            f'{len(crashes)} replicas ended as they ran {what} '
+            f'({digests.abbreviate(cause.digest)}): '
+            f'{", ".join(c.replica for c in crashes)}')
+
+    def _may_try(self, digest, turn):
+        """Returns whether it is this entry that runs a cause once more."""
+        names = self.entry_names()
+        return names[0] in rendezvous.top(b'%s %d' % (digest, turn), names, 1)
+
+    def try_begin_run(self, causes, exchange):
         """Returns whether an exchange may send a request now.
 
         A request that must be serialized runs at one replica at a time, as
         concurrent runs could crash several replicas before the first crash is
         detected. The other exchanges are parked; their ``dispatch`` is called
-        when that run is over.
+        when that run is over, or has gone on for some time.
+
+        Args:
+            causes: The ``suspects.PossibleCauses`` of the request.
+            exchange: The ``exchange.Exchange``.
 
         Raises:
-            errors.PoisonRequestError: It is a poison request.
+            errors.PoisonRequestError: Replicas crash as they run it.
         """
-        self._check(digest)
-        if not self.suspects.must_serialize(digest):
-            return True
-        owner = self._running_exchanges.setdefault(digest, exchange)
-        if owner is exchange:
+        self.check(causes)
+        serialized = self.suspects.serialized(causes.digests)
+        if not serialized or self._serialized.try_begin(serialized, exchange):
             return True
         metrics.CRASHING_REQUESTS.labels('parked').inc()
-        self._parked_exchanges[digest].append(exchange)
         return False
 
-    def end_run(self, digest, exchange):
+    def must_serialize(self, causes):
+        """Returns whether a request runs at one replica at a time."""
+        return bool(self.suspects.serialized(causes.digests))
+
+    def end_run(self, exchange):
         """Records that an exchange is over; dispatches those that it parked."""
-        if self._running_exchanges.get(digest) is exchange:
-            del self._running_exchanges[digest]
-            for waiting in self._parked_exchanges.pop(digest, ()):
-                self._loop.call_later(0, waiting.dispatch)
+        self._serialized.end(exchange)
+
+    # -- runs that go on -------------------------------------------------------
+
+    def record_begun_run(self, attempt, causes, exchange):
+        """Records that a run has sent its first event.
+
+        Args:
+            attempt: The ``sending.Attempt``.
+            causes: The ``suspects.PossibleCauses`` of the request.
+            exchange: The ``exchange.Exchange``.
+        """
+        if causes.parts:
+            self.survivals.watch(attempt, causes, exchange)
+
+    def _on_survived(self, causes, exchange):
+        for part in causes.parts:
+            self._clear(part, 'part_cleared')
+        self._serialized.end(exchange)
+
+    def record_completed_run(self, digest):
+        """Records that a run completed."""
+        self._clear(digest, 'request_cleared')
+
+    def _clear(self, digest, event):
+        if not self.suspects.weight(digest):
+            return
+        was_cause = digest in self.suspects.blamed
+        self.reports.record_clearing(digest)
+        metrics.CRASHING_REQUESTS.labels('cleared').inc()
+        self._log.info(event, digest=digests.abbreviate(digest))
+        if was_cause:
+            self.on_cleared(digest)
 
     # -- crashes observed here -------------------------------------------------
 
     def handle_broken_run(self, replica, run, on_result):
         """Determines whether a ``replicas.Replica`` crashed under a run.
 
-        If the request is already a suspect, ``on_result`` is called only after
-        the probe: another attempt of a request that crashes replicas would
-        crash the next one.
+        If the request may have crashed others, ``on_result`` is called only
+        after the probe: another attempt of a request that crashes replicas
+        would crash the next one.
 
         Args:
             replica: The replica whose connection broke.
             run: The ``BrokenRun``.
             on_result: Called when the exchange may decide about the request.
         """
-        must_wait = self.suspects.weight(
-            run.causes.request) and self._expected_up(replica)
+        must_wait = False
         if self._expected_up(replica):
+            must_wait = any(self.suspects.weight(d) for d in run.causes.digests)
             done = on_result if must_wait else lambda: None
             self._prober.probe(
                 replica,
@@ -195,140 +257,64 @@
                 # Replicas that exit together are probed one after the other,
                 # and a busy entry gets the verdicts far apart.
                 self._record_crash(replica.record, run, broken_at)
+        elif verdict is prober.Verdict.UNKNOWN:
+            self._undecided.add(
+                replica, broken_at,
+                lambda: self._record_crash(replica.record, run, broken_at))
         done()
 
-    def _record_crash(self, record, run, now):
-        digest, weight = run.causes.request, run.weight(now)
+    def _record_crash(self, record, run, broken_at):
         crash = suspects.Crash(record.id, record.started_at_ms)
-        before = self.suspects.is_blocked(digest, now)
-        if not self.suspects.record_crash(digest, crash, weight, now):
+        weight = run.weight(broken_at)
+        parts = self._suspected_parts(run, broken_at)
+        if not self.reports.record_crash(run.causes.request, parts, crash,
+                                         weight, broken_at):
             return
-        blocked = self.suspects.is_blocked(digest, now)
+        counted = run.causes._replace(parts=tuple(p.digest for p in parts))
         metrics.CRASHING_REQUESTS.labels('seen').inc()
-        self._log.info('crash_under_request',
-                       digest=digests.abbreviate(digest),
-                       parts=digests.abbreviate_all(run.causes.parts),
-                       sent_ms=_age_ms(run.sent_at, now),
-                       begun_ms=run.begun_ms(now),
-                       replica=record.id,
-                       weight=int(weight),
-                       total=self.suspects.weight(digest),
-                       blocked=blocked)
-        self._events.append((now, digest, crash))
-        if self.suspects.must_serialize(digest):
-            self._send_to_all(digest)
-        if blocked and not before:
-            self._log_poison_request(digest)
-            self.on_poison_request(digest)
-
-    def _log_poison_request(self, digest):
+        self._log.info(
+            'crash_under_request',
+            digest=digests.abbreviate(run.causes.request),
+            parts=digests.abbreviate_all(run.causes.parts),
+            counted=digests.abbreviate_all(counted.parts),
+            sent_ms=crashreports.age_ms(run.sent_at, broken_at),
+            begun_ms=run.begun_ms(broken_at),
+            replica=record.id,
+            weight=int(weight),
+            total=max(self.suspects.weight(d) for d in counted.digests),
+            blocked=self.suspects.blocking_cause(counted.digests,
+                                                 self._clock()) is not None)
+        self.reports.send_suspects_to_all(
+            self.suspects.serialized(counted.digests))
+        self._find_new_causes()
+
+    def _suspected_parts(self, run, broken_at):
+        """Returns the ``entrystatus.PartReport`` objects of a crash."""
+        if not run.is_young(broken_at):
+            return ()
+        return self.reports.describe_parts(run.causes.parts, broken_at)
+
+    # -- causes ----------------------------------------------------------------
+
+    def _on_merged(self):
+        self._find_new_causes()
+
+    def _find_new_causes(self):
+        causes = frozenset(self.suspects.blamed)
+        new, self._known_causes = causes - self._known_causes, causes
+        for cause in self.suspects.causes:
+            if cause.digest in new:
+                self._announce_cause(cause)
+        if new:
+            self._serialized.dispatch_all()
+            self.on_blocked()
+
+    def _announce_cause(self, cause):
         metrics.CRASHING_REQUESTS.labels('blamed').inc()
         self._log.warning(
             'request_blamed',
-            digest=digests.abbreviate(digest),
-            replicas=[c.replica for c in self.suspects.crashes(digest)],
+            digest=digests.abbreviate(cause.digest),
+            combination=digests.abbreviate_all(sorted(cause.combination)),
+            replicas=[c.replica for c in self.suspects.crashes(cause.digest)],
             suspects=len(self.suspects))
-
-    def record_completed_run(self, digest):
-        """Records that a run completed."""
-        if not self.suspects.weight(digest):
-            return
-        now = self._clock()
-        was_poison = digest in self.suspects.poison_requests
-        if self.suspects.record_completion(digest, now):
-            metrics.CRASHING_REQUESTS.labels('cleared').inc()
-            self._log.info('request_cleared', digest=digests.abbreviate(digest))
-            self._events.append((now, digest, None))
-            if was_poison:
-                self.on_cleared(digest)
-
-    # -- reports to and from other entries -------------------------------------
-
-    def recent_reports(self, now):
-        """Returns the ``entrystatus.RunReport`` objects for a message."""
-        while self._events and self._events[0][
-                0] < now - entrystatus.REPORT_WINDOW_S:
-            self._events.popleft()
-        return tuple(
-            report for _, digest, crash in self._events
-            if (report := self._report(digest, crash, now)) is not None)
-
-    def _report(self, digest, crash, now):
-        suspect = self.suspects.find(digest)
-        if suspect is None:
-            return None
-        if crash is None:
-            return entrystatus.RunReport(
-                digest, _age_ms(suspect.last_completed_at, now))
-        record = suspect.crashes.get(crash)
-        if record is None:
-            return None
-        return entrystatus.RunReport(digest, _age_ms(record.seen_at, now),
-                                     crash.replica, crash.started_at_ms,
-                                     int(record.weight))
-
-    def reports_of(self, digest):
-        """Returns the ``entrystatus.RunReport`` objects of a suspect."""
-        now = self._clock()
-        crashes = self.suspects.find(digest).crashes
-        return [self._report(digest, crash, now) for crash in crashes]
-
-    def _send_to_all(self, digest):
-        if self._peers is not None:
-            reports = tuple(self.reports_of(digest))
-            self._peers.send_all(messages.Suspects(reports))
-
-    def handle_status(self, status, host):
-        """Handles the ``entrystatus.Status`` of another entry."""
-        self.merge_reports(status.run_reports)
-        if status.suspects_summary != self.suspects.summary:
-            self._query_suspects(host)
-
-    def _query_suspects(self, host):
-        # The summaries also differ while reports are on their way. A query
-        # brings missing reports to this entry, and one a second is cheap.
-        now = self._clock()
-        if now - self._queried_at >= MIN_QUERY_PAUSE_S:
-            self._queried_at = now
-            self._peers.send(messages.AskSuspects(), host)
-
-    def send_suspects(self, host):
-        """Sends an entry the reports of the suspects with the most weight.
-
-        An entry that gets no response queries another one a second later.
-        """
-        now = self._clock()
-        if now - self._responded_at < MIN_RESPONSE_PAUSE_S:
-            return
-        self._responded_at = now
-        digests_by_weight = sorted(self.suspects.reportable(),
-                                   key=self.suspects.weight,
-                                   reverse=True)
-        reports = []
-        for digest in digests_by_weight:
-            reports += self.reports_of(digest)
-        self._peers.send(messages.Suspects(tuple(reports[:2 * MAX_REPORTS])),
-                         host)
-
-    def merge_reports(self, reports):
-        """Merges the ``entrystatus.RunReport`` objects of another entry."""
-        now = self._clock()
-        before = set(self.suspects.poison_requests)
-        for report in reports[:4 * MAX_REPORTS]:
-            at = now - report.age_ms / 1000
-            if report.replica:
-                self.suspects.record_crash(
-                    report.digest,
-                    suspects.Crash(report.replica, report.started_at_ms),
-                    suspects.CrashWeight(report.weight), at)
-            else:
-                self.suspects.record_completion(report.digest, at)
-        own = {digest for _, digest, crash in self._events if crash is not None}
-        for digest in set(self.suspects.poison_requests) - before:
-            self._log_poison_request(digest)
-            if digest in own:
-                self.on_poison_request(digest)
-
-
-def _age_ms(at, now):
-    return max(0, int((now - at) * 1000))
+        self.on_blamed(cause.digest, self.reports.has_reported(cause.digest))
--- a/gorsefall/relay/crashstore.py
+++ b/gorsefall/relay/crashstore.py
@@ -1,4 +1,4 @@
-"""Stores poison requests so that they survive a restart of all entries."""
+"""Stores what crashes replicas, to outlast a restart of all entries."""
 
 import time
 
@@ -69,11 +69,10 @@
 
 
 class CrashStore:
-    """Writes poison requests to a topic and reads them after a start.
+    """Writes what crashes replicas to a topic and reads it after a start.
 
     Entries send each other their reports. Only if all of them restarted are
-    the reports lost, and a known poison request would crash three more
-    replicas.
+    the reports lost, and a known cause would crash three more replicas.
     """
 
     def __init__(self, loop, source, crashes):
@@ -90,7 +89,7 @@
         self._pending = {}
         self._writing = False
         self._log = logs.get('remembered')
-        crashes.on_poison_request = self._write
+        crashes.on_blamed = self._on_blamed
         crashes.on_cleared = self._drop
 
     # -- reading ---------------------------------------------------------------
@@ -129,17 +128,24 @@
         self._log.info('read', records=len(page.records))
         if page.more and page.records:
             self._read(page.records[-1].key)
+        else:
+            # Others would ask for them one after the other.
+            self._crashes.reports.send_gravest_to_all()
 
     def _merge(self, record):
         try:
-            self._crashes.merge_reports(decode(record.value, _now_ms()))
+            self._crashes.reports.merge(decode(record.value, _now_ms()))
         except errors.RecordError as exc:
             self._log.warning('record_spoilt', key=record.key, error=str(exc))
 
     # -- writing ---------------------------------------------------------------
 
+    def _on_blamed(self, digest, own):
+        if own:
+            self._write(digest)
+
     def _write(self, digest):
-        self._pending[digest] = encode(self._crashes.reports_of(digest),
+        self._pending[digest] = encode(self._crashes.reports.of(digest),
                                        _now_ms())
         self._flush()
 
--- a/gorsefall/relay/exchange.py
+++ b/gorsefall/relay/exchange.py
@@ -166,15 +166,14 @@
                 raise self.attempts.outcome_unknown_error(
                     'its route does not allow another run any more')
         self.causes = self._possible_causes()
-        if not self.node.crashes.try_begin_run(self.causes.request, self):
+        if not self.node.crashes.try_begin_run(self.causes, self):
             return
         choice = self._detours.take(
             self.node.fleet.replicas) or self.grant.choose_replica(
                 self.unfit(),
                 # A caller that has half a stream waits rather than lose it.
                 may_shed=not (self.attempts.replicas or self._version.bound),
-                least_loaded=self.node.crashes.suspects.must_serialize(
-                    self.causes.request))
+                least_loaded=self.node.crashes.must_serialize(self.causes))
         if choice is None or self._detours.is_in_vain(choice):
             raise errors.NoReplicaError(
                 f'no replica of {self.grant.service}'
@@ -299,6 +298,8 @@
             attempt.first_byte_at = time.monotonic()
             self.record_wait(attempt)
             attempt.record_response_start(self._speed())
+            if attempt.usable:
+                self.node.crashes.record_begun_run(attempt, self.causes, self)
             if self.grant.streams:
                 self._record_run()
         attempt.prefill_done()
@@ -346,6 +347,7 @@
 
     def on_whole_response(self, attempt, response):
         """Called when nothing more of a response is to come."""
+        attempt.whole = True
         self._close_attempt(attempt)
         if response.not_run:
             self._on_refused(attempt, response)
@@ -430,7 +432,7 @@
     def _handle_failure(self, attempt, reason):
         if self.done or self.attempt is not None:
             return
-        if self.node.crashes.suspects.must_serialize(self.causes.request):
+        if self.node.crashes.must_serialize(self.causes):
             self.fail(self.attempts.outcome_unknown_error(reason))
         elif self._restorer.possible:
             self._restorer.probe(attempt)
@@ -452,7 +454,7 @@
             errors.GorsefallError: It must not be sent now.
         """
         self.grant.renew(begun=True)
-        if not self.node.crashes.try_begin_run(self.causes.request, self):
+        if not self.node.crashes.try_begin_run(self.causes, self):
             raise self.attempts.outcome_unknown_error(
                 'another run of it is under way')
         self._send(replica, placement.Choice(replica.view), from_backup=True)
@@ -493,6 +495,18 @@
         exc = errors.DrainingError('the entry is shutting down')
         self.fail(self.attempts.reportable_error(exc, str(exc), self.terms))
 
+    def withdraw_if_blocked(self):
+        """Ends the exchange if its replica would crash and has not begun."""
+        attempt = self.attempt
+        if (self.done or attempt is None or attempt.response_started or
+                self.response_begun):
+            return
+        try:
+            self.node.crashes.check(self.causes)
+        except errors.PoisonRequestError as exc:
+            self._cancel_attempts()
+            self.fail(self.attempts.reportable_error(exc, str(exc), self.terms))
+
     def _cancel_attempts(self):
         self._takeover.cancel()
         attempt = self.attempt
@@ -509,6 +523,7 @@
 
     def release(self, attempt):
         """Ends the bookkeeping of an attempt whose connection is closed."""
+        attempt.released = True
         attempt.occupancy.close()
         self.longest_pause_s = max(self.longest_pause_s,
                                    attempt.longest_pause_s)
@@ -526,7 +541,7 @@
         if self._deadline_timer is not None:
             self._deadline_timer.cancel()
         self._backup.cancel_probe()
-        self.node.crashes.end_run(self.causes.request, self)
+        self.node.crashes.end_run(self)
         accesslog.record(self, outcome, exc)
         self.node.remove_exchange(self)
 
--- a/gorsefall/relay/node.py
+++ b/gorsefall/relay/node.py
@@ -101,6 +101,8 @@
         self.fleet = fleet.Fleet(self.loop, self._on_load_changed)
         self.prober = prober.ReplicaProber(self.loop)
         self.crashes = crashes.CrashTracker(self.loop, self.prober, self.fleet)
+        self.crashes.on_blocked = self._withdraw_blocked
+        self.crashes.entry_names = self._entry_names
         self.work = workload.Workload(self.cfg.name, self.fleet,
                                       self.cfg.retries.window_s)
         self.paths = paths.Paths(self)
@@ -164,14 +166,15 @@
     def _register_handlers(self):
         self._peers.on_status = self._handle_status
         self._peers.register_handler(
-            messages.Suspects, lambda message, host: self.crashes.merge_reports(
-                message.run_reports))
+            messages.Suspects,
+            lambda message, host: self.crashes.reports.handle_suspects(
+                message.run_reports, host))
         self._peers.register_handler(
             messages.AskSuspects,
-            lambda message, host: self.crashes.send_suspects(host))
+            lambda message, host: self.crashes.reports.send_suspects(host))
 
     def _handle_status(self, status, host):
-        self.crashes.handle_status(status, host)
+        self.crashes.reports.handle_status(status, host)
         self.announcements.handle_status(status)
         self.fleet.handle_status(status, self.loop.now)
         self.duties.handle_status(status, host)
@@ -253,7 +256,7 @@
             first_attempts=first_attempts,
             zone=self.cfg.zone,
             can_read_store=self.can_read_store,
-            run_reports=self.crashes.recent_reports(self.loop.now),
+            run_reports=self.crashes.reports.recent(self.loop.now),
             suspects_summary=self.crashes.suspects.summary,
             limit_reports=self.announcements.limits.recent_reports(
                 self.loop.now),
@@ -297,6 +300,14 @@
         new.start()
         return new
 
+    def _entry_names(self):
+        others = self.work.peer_view.members.probable_names(self.loop.now)
+        return [self.cfg.name, *others]
+
+    def _withdraw_blocked(self):
+        for active in list(self._exchanges):
+            active.withdraw_if_blocked()
+
     def remove_exchange(self, exchange_):
         """Called by an exchange when it has ended."""
         self._exchanges.discard(exchange_)
--- a/gorsefall/relay/sending.py
+++ b/gorsefall/relay/sending.py
@@ -24,6 +24,10 @@
             ``via``, the host of an entry that forwards the request or None.
         paused: Whether reading is paused as the caller is slow.
         failure: Its ``outbound.Failure``; None unless it has failed.
+        usable: Whether the head of a response shows that the replica serves the
+            request.
+        whole: Whether its response came to its end.
+        released: Whether its connection is closed, or used by another request.
         occupancy: Counts the request as in flight at the replica until closed.
         prefill_done: Call it when the response starts: the prompt tokens
             no longer wait for prefill.
@@ -48,6 +52,7 @@
         self.conn = None
         self.paused = False
         self.failure = None
+        self.usable = self.whole = self.released = False
         self.request_id = req.id
         self.choice = choice
         self.occupancy = contextlib.ExitStack()
@@ -64,6 +69,11 @@
         """Whether the first bytes of the response body have arrived."""
         return self.first_byte_at is not None
 
+    @property
+    def went_on(self):
+        """Whether its run goes on, or has come to its end."""
+        return self.failure is None and (self.whole or not self.released)
+
     def silent_s(self):
         """Returns the time without a byte of the response, s."""
         return 0.0 if self.paused else time.monotonic() - self.last_data_at
@@ -163,6 +173,7 @@
             self._exchange.node.record_load(self.replica, load)
         self._exchange.node.announcements.record_response(
             self.replica, self._response, self.sent_at)
+        self.usable = self._response.usable
         self._exchange.on_response_head(self, self._response)
 
     def on_data(self, data):
--- a/gorsefall/relay/silence.py
+++ b/gorsefall/relay/silence.py
@@ -74,12 +74,11 @@
         """Whether a retry is allowed and another replica is available."""
         exchange = self._exchange
         node, grant = exchange.node, exchange.grant
-        return (
-            exchange.attempts.may_run_concurrently(exchange.terms) and
-            not node.crashes.suspects.must_serialize(exchange.causes.request)
-            and grant.permits_another(begun=exchange.bound) and
-            exchange.budget.available(time.monotonic()) >= 1 and
-            bool(node.work.candidate_views(grant.service, exchange.unfit())))
+        return (exchange.attempts.may_run_concurrently(exchange.terms) and
+                not node.crashes.must_serialize(exchange.causes) and
+                grant.permits_another(begun=exchange.bound) and
+                exchange.budget.available(time.monotonic()) >= 1 and bool(
+                    node.work.candidate_views(grant.service, exchange.unfit())))
 
     def _cancel_unsent(self, attempt):
         """Cancels an attempt that reached nobody; returns its ``Failure``."""
--- /dev/null
+++ b/gorsefall/relay/undecidedexits.py
@@ -0,0 +1,111 @@
+"""Broken runs of which it is not known yet whether their replica exited."""
+
+import typing
+
+from gorsefall import logs
+from gorsefall.relay import prober
+from gorsefall.relay import replicas
+
+CHECK_PERIOD_S = 0.5
+"""Pause between two checks, s."""
+
+MAX_WAIT_S = 10.0
+"""Time after which a run is dropped without a verdict, s: crashed replicas are
+back by then, and their old records gone."""
+
+MAX_RUNS = 256
+"""Maximum number of runs that wait; further ones are dropped."""
+
+
+class _Undecided(typing.NamedTuple):
+    """A broken run that waits for a verdict.
+
+    Attributes:
+        replica: The ``replicas.Replica``.
+        broken_at: When its connection broke, s (monotonic).
+        on_exited: Called if the replica exited.
+    """
+    replica: replicas.Replica
+    broken_at: float
+    on_exited: typing.Callable
+
+
+class UndecidedExits:
+    """Finds out later whether replicas exited that could not be probed.
+
+    While no replica of a service can be reached, a refused connection may be
+    the fault of the path. If these exits were dropped, a request that takes all
+    replicas down would never be known, as nobody has any evidence of it. The
+    exit shows later: the probe succeeds elsewhere, another entry reports it,
+    or the replica's record is dropped though it did not announce its exit.
+    """
+
+    def __init__(self, loop, fleet, replica_prober, clock):
+        """Creates the state without runs.
+
+        Args:
+            loop: The ``reactor.Reactor``.
+            fleet: The ``fleet.Fleet``.
+            replica_prober: The ``prober.ReplicaProber``.
+            clock: Returns the time, s (monotonic).
+        """
+        self._loop = loop
+        self._fleet = fleet
+        self._prober = replica_prober
+        self._clock = clock
+        self._runs = []
+        self._alive = set()
+        self._scheduled = False
+        self._log = logs.get('ends')
+
+    def add(self, replica, broken_at, on_exited):
+        """Has ``on_exited()`` called if a replica turns out to have exited.
+
+        Args:
+            replica: The ``replicas.Replica``.
+            broken_at: When a connection to it broke, s (monotonic).
+            on_exited: Called without arguments.
+        """
+        if len(self._runs) >= MAX_RUNS:
+            self._log.warning('exit_not_followed', replica=replica.record.id)
+            return
+        self._runs.append(_Undecided(replica, broken_at, on_exited))
+        self._schedule()
+
+    def _schedule(self):
+        if self._runs and not self._scheduled:
+            self._scheduled = True
+            self._loop.call_later(CHECK_PERIOD_S, self._check)
+
+    def _check(self):
+        self._scheduled = False
+        now = self._clock()
+        runs, self._runs = self._runs, []
+        for run in runs:
+            if self._has_exited(run.replica):
+                run.on_exited()
+            elif (now - run.broken_at < MAX_WAIT_S and
+                  not run.replica.is_leaving and
+                  not run.replica.is_reported_leaving(now)):
+                self._runs.append(run)
+        waiting = {run.replica for run in self._runs}
+        self._alive &= waiting
+        for replica in waiting - self._alive:
+            self._probe(replica)
+        self._schedule()
+
+    def _has_exited(self, replica):
+        return (replica.exited_at is not None or
+                self._fleet.replicas.get(replica.record.id) is not replica)
+
+    def _probe(self, replica):
+
+        def on_probed(verdict):
+            if verdict is prober.Verdict.EXITED:
+                self._fleet.record_exit(replica, self._clock())
+            elif verdict is prober.Verdict.ALIVE:
+                # Something listens there: the replica, or its successor, whose
+                # record shows it soon.
+                self._alive.add(replica)
+
+        self._prober.probe(replica, on_probed)
--- a/tests/exchange_site.py
+++ b/tests/exchange_site.py
@@ -295,7 +295,7 @@
         node.work.candidate_views = self._candidates
         node.retry_budget.return_value.available.return_value = 5
         node.start_latency.return_value = attempt_timeouts.StartLatency()
-        node.crashes.suspects.must_serialize.return_value = False
+        node.crashes.must_serialize.return_value = False
         node.crashes.handle_broken_run = (
             lambda replica, run, done: loop.call_later(PROBE_S, done))
         node.crashes.check_exit = lambda replica, done: loop.call_later(
--- a/tests/test_exchange_orders.py
+++ b/tests/test_exchange_orders.py
@@ -6,8 +6,11 @@
 from hypothesis import given
 from hypothesis import settings
 from hypothesis import strategies as st
+import pytest
 
 import exchange_site
+
+from gorsefall import errors
 from gorsefall.policy import takeover
 
 NOT_RUN_STATUS = 503
@@ -231,8 +234,24 @@
     late = [(0.1, 'head'), (0.1, 'event'), (2.0, 'event'), (0.1, 'event'),
             (0.1, 'event')]
     with exchange_site.site([late, []]) as site:
-        site.node.crashes.suspects.must_serialize.return_value = True
+        site.node.crashes.must_serialize.return_value = True
         site.exchange.start()
         site.loop.run(site.loop.now + 4.0)
     assert site.writer.ended
     assert len(site.conns) == 1
+
+
+@pytest.mark.parametrize('script, status, is_withdrawn', [
+    ([(2.0, 'head')], 400, True),
+    ([(0.1, 'head'), (0.1, 'event'), (2.0, 'event')], None, False),
+])
+def test_what_waits_at_a_replica_is_withdrawn_when_it_is_blamed(
+        script, status, is_withdrawn):
+    """Requests that wait at replicas crash them after the cause is known."""
+    with exchange_site.site([script]) as site:
+        site.exchange.start()
+        site.loop.run(site.loop.now + 0.5)
+        site.node.crashes.check.side_effect = errors.PoisonRequestError('x')
+        site.exchange.withdraw_if_blocked()
+        assert (site.conns[0].cancelled_at is not None) == is_withdrawn
+        assert site.writer.status == status
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -10,6 +10,7 @@
 from gorsefall.emulator import crashing
 from gorsefall.policy import suspects
 from gorsefall.relay import crashes
+from gorsefall.relay import crashreports
 from gorsefall.relay import model
 from gorsefall.relay import prober
 
@@ -44,7 +45,7 @@
     tracker = suspects.Suspects()
     for i in range(9):
         tracker.record_crash(b'x', _crash(i), YOUNG, 10.0 * i)
-        tracker.record_completion(b'x', 10.0 * i + 5)
+        tracker.record_clearing(b'x', 10.0 * i + 5)
     assert not tracker.must_serialize(b'x')
 
 
@@ -55,7 +56,7 @@
         tracker.record_crash(b'guilty', _crash(i), YOUNG, 10.0 * i)
         if i < 3:
             tracker.record_crash(b'good', _crash(i), YOUNG, 10.0 * i)
-    assert tracker.poison_requests == [b'guilty']
+    assert tracker.blamed == [b'guilty']
 
 
 def test_simultaneous_exits_weigh_less():
@@ -66,7 +67,7 @@
             tracker.record_crash(b'%d' % (i if i else 0),
                                  _crash(12 * burst + i), YOUNG,
                                  5.0 * burst + 0.001 * i)
-    assert not tracker.poison_requests
+    assert not tracker.blamed
 
 
 def test_a_poison_request_is_tried_again_after_its_block_time():
@@ -78,8 +79,8 @@
     assert not tracker.is_blocked(b'x', later)
     tracker.record_crash(b'x', _crash(3), YOUNG, later)
     assert tracker.is_blocked(b'x', later + suspects.BLOCK_S + 1)
-    tracker.record_completion(b'x', later + 2 * suspects.BLOCK_S)
-    assert not tracker.poison_requests
+    tracker.record_clearing(b'x', later + 2 * suspects.BLOCK_S)
+    assert not tracker.blamed
 
 
 def test_stored_crashes_are_bounded():
@@ -101,7 +102,7 @@
 def _record(tracker, events):
     for at, (digest, number, weight) in events:
         if number < 0:
-            tracker.record_completion(digest, float(at))
+            tracker.record_clearing(digest, float(at))
         else:
             tracker.record_crash(digest, _crash(number), weight, float(at))
 
@@ -126,7 +127,7 @@
             if digest not in poison
         }
         worst = max(weights, key=lambda d: (weights[d], d), default=None)
-        if worst is None or weights[worst] < suspects.POISON_WEIGHT:
+        if worst is None or weights[worst] < suspects.BLAME_WEIGHT:
             return poison
         poison.add(worst)
         explained.update(crashes_by_digest[worst])
@@ -143,7 +144,7 @@
     rng.shuffle(reports)
     tracker = suspects.Suspects()
     _record(tracker, reports)
-    assert set(tracker.poison_requests) == _oracle(events)
+    assert set(tracker.blamed) == _oracle(events)
 
 
 @pytest.mark.parametrize('entries, replicas, seed', [(9, 6, 1), (9, 6, 2),
@@ -180,7 +181,7 @@
     for i in range(600):
         site.loop.call_later(0.01 * i, lambda i=i: site.submit(b'%d' % i, 0.5))
     site.loop.run(20.0)
-    blocked = [e.crashes.suspects.poison_requests for e in site.entries]
+    blocked = [e.crashes.suspects.blamed for e in site.entries]
     assert not any(blocked), blocked
     assert not site.good_outcomes['refused'], site.good_outcomes
     assert site.good_outcomes['served'] > 500, site.good_outcomes
@@ -194,8 +195,7 @@
                              lambda: site.submit(b'guilty', 0.0, poison=True))
     site.loop.run(10.0)
     site.entries[0].start()
-    site.loop.run(10.0 + 3 * site.heartbeat_s +
-                  crashing.crashes.MIN_QUERY_PAUSE_S)
+    site.loop.run(10.0 + 3 * site.heartbeat_s + crashreports.MIN_QUERY_PAUSE_S)
     assert site.entries[0].crashes.suspects.is_blocked(b'guilty', site.loop.now)
 
 
@@ -258,9 +258,9 @@
     tracker = crashes.CrashTracker(loop, None, None, lambda: loop.now)
     tracker.start(peers)
     for _ in range(3):
-        loop.run(loop.now + crashes.MIN_RESPONSE_PAUSE_S + 0.01)
+        loop.run(loop.now + crashreports.MIN_RESPONSE_PAUSE_S + 0.01)
         for host in range(86):
-            tracker.send_suspects(host)
+            tracker.reports.send_suspects(host)
     assert len(sent) == 3
 
 
@@ -297,7 +297,8 @@
     site = crashing.Site(9, 6, 6, loss=0.0)
     stored = []
     for entry in site.entries:
-        entry.crashes.on_poison_request = stored.append
+        entry.crashes.on_blamed = (lambda digest, own: stored.append(digest)
+                                   if own else None)
     # Each of three entries observes one crash before it receives the others.
     for entry in site.entries[:3]:
         replica = site.live_replicas()[0]
