A write that fails at once is reported after it has returned

Cause: the write of a request on a pooled connection that the peer has reset fails in the call; the failure called back while the call that sends had not returned, so that the sender did not know its connection yet (Attempt.conn is None in log_failed). The class: callbacks before the call that starts them has returned. connect had this deferred; write had not.

Ways: a guard where the connection is read (one place, the next one is open again), or report it in the next pass of the loop (all users: links between entries, forwarded calls, the store, callers).

Evidence: tests/test_tcp.py failed before (two tests on real sockets). Other callbacks read: probes, paths.check and probe_elsewhere call back at once only where their callers expect it.

--- a/gorsefall/net/tcp.py
+++ b/gorsefall/net/tcp.py
@@ -114,7 +114,7 @@
             return
         self._send_buffer += data
         if not self._connecting:
-            self._flush()
+            self._flush(self._fail_later)
 
     def set_time_limit(self, limit_s):
         """Sets how long the peer may leave bytes unread, s.
@@ -219,14 +219,14 @@
         self.was_refused = code == errno.ECONNREFUSED
         self._fail(os.strerror(code), code)
 
-    def _flush(self):
+    def _flush(self, on_error=None):
         if self._send_buffer:
             try:
                 n = self._sock.send(self._send_buffer)
             except BlockingIOError:
                 n = 0
             except OSError as exc:
-                self._fail(exc.strerror, exc.errno)
+                (on_error or self._fail)(exc.strerror, exc.errno)
                 return
             if n:
                 self.has_written = True
@@ -248,6 +248,12 @@
                          read=self._reading,
                          write=self._connecting or bool(self._send_buffer))
 
+    def _fail_later(self, reason, code):
+        # A request whose connection the peer has reset would fail before the
+        # call that sends it has returned, and its sender not know the
+        # connection yet.
+        self._loop.call_later(0, lambda: self._fail(reason, code))
+
     def _fail(self, reason, code=None):
         if self.is_open:
             self.broken_by_peer = code in _BROKEN_BY_PEER
--- a/tests/test_tcp.py
+++ b/tests/test_tcp.py
@@ -8,6 +8,7 @@
 
 import peers
 from gorsefall.net import tcp
+from gorsefall.standins import acceptor
 
 WINDOW_BYTES = 32768
 SENT_BYTES = 2_000_000
@@ -32,6 +33,21 @@
         raise AssertionError(reason)
 
 
+class _RecordingOwner(_IgnoringOwner):
+    """An owner that records why its connection failed.
+
+    Attributes:
+        reasons: Why, one for each call.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.reasons = []
+
+    def on_broken(self, reason):
+        self.reasons.append(reason)
+
+
 def _unread_bytes(sock):
     """Returns how many bytes the kernel holds for a reader."""
     count = array.array('i', [0])
@@ -88,3 +104,39 @@
         assert idle_s + (probes - 1) * interval_s < timeout_s
         assert timeout_s <= idle_s + probes * interval_s
         conn.close()
+
+
+def test_a_write_that_fails_at_once_is_reported_after_it_has_returned():
+    """A caller's handler fails because its request fails before the call that
+    sends it has returned."""
+    server = socket.create_server(('127.0.0.1', 0))
+    with peers.loop() as loop, server:
+        owner = _RecordingOwner()
+        conn = tcp.Connection(loop, owner)
+        conn.connect(server.getsockname())
+        peers.run(loop, lambda: owner.connected)
+        peer_sock, _ = server.accept()
+        acceptor.reset_connection(peer_sock)
+        for _ in range(2):
+            conn.write(b'x')
+            assert not owner.reasons
+        peers.run(loop, lambda: owner.reasons)
+        peers.run(loop, lambda: True)
+        assert len(owner.reasons) == 1
+        assert conn.broken_by_peer and not conn.is_open
+
+
+def test_a_connection_closed_after_a_failed_write_reports_nothing():
+    """A request that was cancelled fails all the same."""
+    server = socket.create_server(('127.0.0.1', 0))
+    with peers.loop() as loop, server:
+        owner = _RecordingOwner()
+        conn = tcp.Connection(loop, owner)
+        conn.connect(server.getsockname())
+        peers.run(loop, lambda: owner.connected)
+        peer_sock, _ = server.accept()
+        acceptor.reset_connection(peer_sock)
+        conn.write(b'x')
+        conn.close()
+        loop.step(0.05)
+        assert not owner.reasons
