--- a/gorsefall/explain.py
+++ b/gorsefall/explain.py
@@ -19,7 +19,8 @@
         'for revoked keys, so the key might have been revoked',
     'crashes_replicas':
         'replicas repeatedly crashed while running the same request (caller, '
-        'path and body), so it was not sent',
+        'path and body), or requests with the same part of their prompts, so '
+        'it was not sent',
     'no_replica':
         'no replica of the service was available for it',
     'replica_refused':
