--- a/features/steps/crashing_part_steps.py
+++ b/features/steps/crashing_part_steps.py
@@ -1,7 +1,6 @@
 """Steps of the feature on parts of prompts on which replicas crash."""
 
 import collections
-import concurrent.futures
 import itertools
 import signal
 import time
@@ -10,6 +9,7 @@
 from behave import given
 from behave import then
 from behave import when
+from steps import paced
 from steps import platform_site
 
 import standin
@@ -20,7 +20,7 @@
 
 ENTRY_COUNT = 5
 CALLER_THREADS = 48
-REPLICA_COUNT_RETRIES = 6.0
+ALL_UP_S = 6.0
 """Time in which all replicas are up again, s."""
 
 SOUND_PER_S, CRASHING_PER_S = 40, 2
@@ -146,41 +146,34 @@
 
     def __init__(self, context):
         self._context = context
-        self._pool = concurrent.futures.ThreadPoolExecutor(CALLER_THREADS)
-        self._futs = []
+        self._calls = paced.PacedCalls(CALLER_THREADS)
         self._entries = itertools.cycle(context.sites)
         self._prompts = {
             True: itertools.cycle(context.layout.crashing),
             False: itertools.cycle(context.layout.sound)
         }
 
-    def send(self, *, crashes):
-        """Sends one request at the next entry."""
+    def _send(self, crashes):
         rid = platform_site.new_rid(self._context)
         parts = (*next(self._prompts[crashes]), rid)
-        self._futs.append(
-            self._pool.submit(_send, next(self._entries), rid, parts, crashes))
+        self._calls.submit(_send, next(self._entries), rid, parts, crashes)
 
-    def run(self, duration_s, crashing_per_s):
+    def run(self, duration_s, crashing_per_s=0):
         """Sends requests for a time.
 
         Args:
             duration_s: For how long, s.
             crashing_per_s: Rate of those that crash replicas.
         """
-        begin = time.monotonic()
-        due = [(i / SOUND_PER_S, False)
+        due = [(i / SOUND_PER_S, lambda: self._send(False))
                for i in range(round(duration_s * SOUND_PER_S))]
-        due += [(i / crashing_per_s, True)
+        due += [(i / crashing_per_s, lambda: self._send(True))
                 for i in range(round(duration_s * crashing_per_s))]
-        for at_s, crashes in sorted(due):
-            time.sleep(max(0.0, begin + at_s - time.monotonic()))
-            self.send(crashes=crashes)
+        self._calls.run(due)
 
     def results(self):
         """Returns all ``Sent`` objects once their responses have ended."""
-        self._pool.shutdown(wait=True)
-        return [fut.result() for fut in self._futs]
+        return self._calls.results()
 
 
 def _send(site, rid, parts, crashes):
@@ -217,7 +210,7 @@
 @when('sound requests come, and then requests with that part among them')
 def step_both(context):
     load = _Load(context)
-    load.run(BEFORE_S, 0.01)
+    load.run(BEFORE_S)
     context.mixed_at = time.monotonic()
     load.run(DURING_S, CRASHING_PER_S)
     context.sent = load.results()
@@ -227,7 +220,7 @@
       'an entry is killed and restarted')
 def step_both_and_kill(context):
     load = _Load(context)
-    load.run(BEFORE_S, 0.01)
+    load.run(BEFORE_S)
     context.mixed_at = time.monotonic()
     load.run(KILLED_AFTER_S, CRASHING_PER_S)
     site = context.sites[-1]
@@ -290,12 +283,12 @@
       'seconds')
 def step_plain_crashes(context):
     load = _Load(context)
-    load.run(BEFORE_S, 0.01)
+    load.run(BEFORE_S)
     for _ in range(PLAIN_CRASHES):
-        load.run(PLAIN_CRASHES_S / PLAIN_CRASHES, 0.01)
+        load.run(PLAIN_CRASHES_S / PLAIN_CRASHES)
         waiting.until(lambda: _live(context), 'a replica to be up')[0].crash()
-    context.calm_at = time.monotonic() + REPLICA_COUNT_RETRIES
-    load.run(REPLICA_COUNT_RETRIES + BEFORE_S, 0.01)
+    context.calm_at = time.monotonic() + ALL_UP_S
+    load.run(ALL_UP_S + BEFORE_S)
     context.sent = load.results()
 
 
