Parts of announced limits follow the demand

Cause: each entry had an equal part of each limit, whoever has the callers.

Change: entries tell each other how many requests a second arrive for services with limits, and a part follows that.

--- a/gorsefall/emulator/announcing.py
+++ b/gorsefall/emulator/announcing.py
@@ -20,6 +20,9 @@
 from gorsefall.relay import peers
 from gorsefall.relay import replicalimits
 
+SERVICE = 's'
+"""Name of the service of all replicas."""
+
 ONE_WAY_DELAY_S = 0.001
 """Delay of a link besides its queue, s."""
 
@@ -95,6 +98,7 @@
             for r in site.replicas
         }
         self.tracker = replicalimits.LimitTracker(site.loop, self, self.members)
+        self.tracker.demand.heartbeat_s = lambda: site.heartbeat_s
         self.tracker.start()
 
     def find(self, report):
@@ -125,7 +129,8 @@
                 f'i-7a0079f9{i:02}': entrystatus.InFlight(2, 3000, 1)
                 for i in range(8)
             },
-            limit_reports=self.tracker.recent_reports(self.site.loop.now))
+            limit_reports=self.tracker.recent_reports(self.site.loop.now),
+            demand_per_s=self.tracker.demand_report())
         size = len(messages.encode(status)) + HEADER_BYTES
         for other in self.site.entries:
             if other is not self:
@@ -158,6 +163,7 @@
         now = self.site.loop.now
         if now < self._frozen_until:
             return
+        self.tracker.demand.record_arrival(SERVICE)
         allowed = [r for r in self.site.replicas if self._allows(r, now)]
         if not allowed:
             self.site.refused += 1
@@ -225,6 +231,7 @@
         self.replicas = [
             Replica(
                 types.SimpleNamespace(id=f'i-7a0079f9{i:02}',
+                                      service=SERVICE,
                                       started_at_ms=1764773806123))
             for i in range(replicas)
         ]
--- a/gorsefall/policy/announced_limits.py
+++ b/gorsefall/policy/announced_limits.py
@@ -30,22 +30,44 @@
 announced limit of 0 it would get none, and only its responses show that the
 limit has been lifted."""
 
+MIN_BUSY_RATIO = 4.0
+"""Least demand of an entry, relative to that of an average sender, with which
+it sends to all replicas."""
+
 PER_SENDER_PER_S = 1.0
 """Part of a limit for which there is one sender, requests per second."""
 
 
-def senders(replica, entries, per_s):
-    """Returns the entries that may send to a replica with a limit, a list.
+def own_share(replica, own, shares, per_s):
+    """Returns the share of a limit that an entry may use, 0 to 1.
+
+    Args:
+        replica: The replica's id.
+        own: Name of the entry.
+        shares: ``name -> share`` of the demand of all entries.
+        per_s: The limit, requests per second.
+    """
+    sending = senders(replica, shares, per_s)
+    if own not in sending:
+        return 0.0
+    return shares[own] / sum(shares[name] for name in sending)
+
+
+def senders(replica, shares, per_s):
+    """Returns the entries that may send to a replica with a limit, a set.
+
+    They are those whose share of the demand is worth a sender, and as many
+    others as the limit bears.
 
     Args:
         replica: The replica's id.
-        entries: Objects with a ``name``, including this entry's own.
+        shares: ``name -> share`` of the demand of all entries.
         per_s: The limit, requests per second.
     """
-    count = max(1, min(len(entries), int(per_s / PER_SENDER_PER_S)))
-    return sorted(entries,
-                  key=lambda e: rendezvous.rank(replica, e),
-                  reverse=True)[:count]
+    count = max(1, min(len(shares), int(per_s / PER_SENDER_PER_S)))
+    chosen = rendezvous.top(replica.encode(), shares, count)
+    busy = [n for n, share in shares.items() if share * count >= MIN_BUSY_RATIO]
+    return {*chosen, *busy}
 
 
 @dataclasses.dataclass
--- a/gorsefall/policy/entrystatus.py
+++ b/gorsefall/policy/entrystatus.py
@@ -14,6 +14,9 @@
 Count = typing.Annotated[int, msgspec.Meta(ge=0)]
 """A count; a message with a negative one is rejected as malformed."""
 
+NonNegative = typing.Annotated[float, msgspec.Meta(ge=0)]
+"""A quantity; a message with a negative one is rejected as malformed."""
+
 
 class InFlight(msgspec.Struct, frozen=True, array_like=True):
     """The work that one entry has in flight at one replica.
@@ -165,6 +168,8 @@
         decode_engines: ``service -> engines`` that it would use for
             decode-heavy requests.
         unreachable_services: Services whose replicas it does not reach itself.
+        demand_per_s: ``service -> requests per second`` that arrive at it, for
+            services whose replicas announce limits.
     """
     name: str
     started_at_ms: int
@@ -186,6 +191,7 @@
     duties: DutiesHeld | None = None
     decode_engines: dict[ids.ServiceName, Count] = {}
     unreachable_services: tuple[ids.ServiceName, ...] = ()
+    demand_per_s: dict[ids.ServiceName, NonNegative] = {}
 
     def without_reports(self):
         """Returns a copy without what may be left out of a message.
@@ -206,7 +212,8 @@
                       clock_ms=self.clock_ms,
                       duties=self.duties,
                       decode_engines=self.decode_engines,
-                      unreachable_services=self.unreachable_services)
+                      unreachable_services=self.unreachable_services,
+                      demand_per_s=self.demand_per_s)
 
     def responses_after(self, last):
         """Returns the responses that are not in the status ``last``.
--- a/gorsefall/relay/replicalimits.py
+++ b/gorsefall/relay/replicalimits.py
@@ -6,6 +6,7 @@
 from gorsefall import metrics
 from gorsefall.policy import announced_limits
 from gorsefall.policy import entrystatus
+from gorsefall.relay import demands
 from gorsefall.relay import replicas
 
 MAX_REPORTS = 16
@@ -15,11 +16,6 @@
 """Pause between updates of the entries that share a limit, s."""
 
 
-class _Sender(typing.NamedTuple):
-    """An entry, as ``announced_limits.senders`` takes it."""
-    name: str
-
-
 class _Announcement(typing.NamedTuple):
     """What a response to a request of this entry announced.
 
@@ -34,7 +30,11 @@
 
 
 class LimitTracker:
-    """Updates the ``announced_limits.AnnouncedLimit`` of each replica."""
+    """Updates the ``announced_limits.AnnouncedLimit`` of each replica.
+
+    Attributes:
+        demand: The ``demands.DemandTracker`` by which limits are divided.
+    """
 
     def __init__(self, loop, fleet, members):
         """Creates a tracker without limits; ``start`` begins.
@@ -47,6 +47,7 @@
         self._loop = loop
         self._fleet = fleet
         self._members = members
+        self.demand = demands.DemandTracker(members, lambda: loop.now)
         self._limited_replicas = {}
         self._announcements = {}
         self._log = logs.get('announcing')
@@ -64,13 +65,18 @@
 
     def _update_share(self, replica):
         limit = replica.limit
-        if limit.per_s is None:
-            return
-        own = _Sender(self._members.name)
-        others = map(_Sender, self._members.probable_names(self._loop.now))
-        senders = announced_limits.senders(replica.record.id, [own, *others],
-                                           limit.per_s)
-        limit.share = 1 / len(senders) if own in senders else 0.0
+        if limit.per_s is not None:
+            limit.share = announced_limits.own_share(
+                replica.record.id, self._members.name,
+                self.demand.shares(replica.record.service), limit.per_s)
+
+    def demand_report(self):
+        """Returns the demand for services with limits, for a status."""
+        return self.demand.report({
+            r.record.service
+            for r in self._limited_replicas.values()
+            if r.limit.per_s is not None
+        })
 
     def record_response(self, replica, per_s, sent_at):
         """Records the limit in a response of a ``replicas.Replica``.
@@ -131,6 +137,7 @@
 
     def handle_status(self, status):
         """Handles the ``entrystatus.Status`` of another entry."""
+        self.demand.handle_status(status)
         for limit in status.limit_reports:
             replica = self._fleet.find(limit)
             if replica is not None:
--- a/tests/test_announced_limits.py
+++ b/tests/test_announced_limits.py
@@ -47,7 +47,7 @@
     def act(self, found, per_s, now):
         """Sends as many requests as it may; returns their number."""
         self.limit.update(per_s, now)
-        self.limit.share = 1 / len(found) if self in found else 0.0
+        self.limit.share = 1 / len(found) if self.name in found else 0.0
         sent = 0
         while self.limit.allows(now):
             self.limit.record_sent(now)
@@ -55,6 +55,11 @@
         return sent
 
 
+def _equal(entries):
+    """Returns equal shares of the demand."""
+    return {e.name: 1 / len(entries) for e in entries}
+
+
 @pytest.mark.parametrize('count', [1, 6, 87, 195])
 @pytest.mark.parametrize('per_s', [0.3, 1.0, 1.9, 12.0, 150.0])
 def test_entries_together_keep_a_limit_as_they_come_and_go(count, per_s):
@@ -69,13 +74,14 @@
             gone.gone_at = now
             entries.append(_Entry(f'n{step}', now))
         known = [e for e in entries if e.is_observed(now)]
-        shared = announced_limits.senders('r', known, per_s)
+        shared = announced_limits.senders('r', _equal(known), per_s)
         for entry in entries:
             if entry.gone_at <= now:
                 continue
             found = shared
             if entry not in known:
-                found = announced_limits.senders('r', [*known, entry], per_s)
+                found = announced_limits.senders('r', _equal([*known, entry]),
+                                                 per_s)
             sent += [now] * entry.act(found, per_s, now)
     assert _max_in_window(sent) <= FACTOR * WINDOW_S * per_s + SPARE
     if per_s >= 1.0:
@@ -134,7 +140,7 @@
 
 def _entry(name):
     replica = types.SimpleNamespace(record=types.SimpleNamespace(
-        id='r', started_at_ms=7),
+        id='r', service='s', started_at_ms=7),
                                     limit=announced_limits.AnnouncedLimit())
     directory = fleet.Fleet(_Loop())
     directory.replicas['r'] = replica
