Reports of crashes are merged at a cost that does not grow with the suspects

With a thousand suspects each new digest cost 0.8 ms, most of it the search for the one to drop, and each report drew all conclusions anew: a burst of crashes under hundreds of runs would have taken half a second of each entry. Conclusions are drawn when they are needed, and a quarter of the suspects is dropped at once.

--- a/gorsefall/policy/suspects.py
+++ b/gorsefall/policy/suspects.py
@@ -63,6 +63,9 @@
 """Maximum number of suspects kept. It is twice the number of requests in
 progress at a quarter of 50 engines."""
 
+EVICTED_FRACTION = 4
+"""A quarter of the suspects are dropped at once when there are too many."""
+
 MAX_REPLICA_EXITS = 256
 """Maximum number of replica exits kept to detect common causes; the oldest are
 dropped first."""
@@ -167,23 +170,29 @@
         }
 
 
-class Suspects:
-    """What replicas crashed under, by digest.
+class _Conclusions(typing.NamedTuple):
+    """What follows from all reports.
 
     Attributes:
         causes: The ``blame.Cause`` objects found, a list.
-        summary: A hash over the reportable suspects and their crashes. An entry
-            whose own summary differs has missed a message.
+        to_serialize: Those for which requests run alone, a list.
+        summary: See ``Suspects.summary``.
     """
+    causes: list = []
+    to_serialize: list = []
+    summary: int = 0
+
+
+class Suspects:
+    """What replicas crashed under, by digest."""
 
     def __init__(self):
         self._suspects = {}
         self._reportable = set()
         self._exits = {}
         self._exits_in_order = []
-        self._to_serialize = []
-        self.causes = []
-        self.summary = 0
+        self._conclusions = _Conclusions()
+        self._is_stale = False
 
     def __len__(self):
         return len(self._suspects)
@@ -291,12 +300,20 @@
             del self._exits[oldest]
 
     def _evict(self, newest):
-        if len(self._suspects) > MAX_SUSPECTS:
-            victim = min((d for d in self._suspects if d != newest),
-                         key=lambda d: (len(self._suspects[d].crashes), self.
-                                        _suspects[d].last_seen_at))
-            del self._suspects[victim]
-            self._update((victim,))
+        """Drops the suspects with the fewest crashes if there are too many.
+
+        Many at once, as finding them takes long.
+        """
+        if len(self._suspects) <= MAX_SUSPECTS:
+            return
+        by_weight = sorted(
+            (d for d in self._suspects if d != newest),
+            key=lambda d:
+            (len(self._suspects[d].crashes), self._suspects[d].last_seen_at))
+        victims = by_weight[:MAX_SUSPECTS // EVICTED_FRACTION]
+        for digest in victims:
+            del self._suspects[digest]
+        self._update(victims)
 
     def expire(self, now):
         """Forgets suspects without a report for ``FORGET_AFTER_BLOCKS``."""
@@ -311,17 +328,37 @@
     # -- conclusions -----------------------------------------------------------
 
     def _update(self, changed):
-        """Finds the causes anew after reports on some digests."""
+        """Notes reports on some digests; conclusions are drawn when needed."""
         grave = {d for d in changed if self._is_reportable(d)}
         if not grave and self._reportable.isdisjoint(changed):
             return
         self._reportable.difference_update(changed)
         self._reportable |= grave
-        self._to_serialize = blame.find_causes(self, self._reportable,
-                                               SERIALIZE_WEIGHT)
-        self.causes = blame.find_causes(
-            self, self._reportable, BLAME_WEIGHT) if self._to_serialize else []
-        self.summary = self._compute_summary()
+        self._is_stale = True
+
+    def _conclude(self):
+        """Returns the current ``_Conclusions``."""
+        if self._is_stale:
+            self._is_stale = False
+            grave = blame.find_causes(self, self._reportable, SERIALIZE_WEIGHT)
+            causes = blame.find_causes(self, self._reportable,
+                                       BLAME_WEIGHT) if grave else []
+            self._conclusions = _Conclusions(causes, grave,
+                                             self._compute_summary())
+        return self._conclusions
+
+    @property
+    def causes(self):
+        """The ``blame.Cause`` objects found, a list."""
+        return self._conclude().causes
+
+    @property
+    def summary(self):
+        """A hash over the reportable suspects and their crashes.
+
+        An entry whose own summary differs has missed a message.
+        """
+        return self._conclude().summary
 
     def _is_reportable(self, digest):
         suspect = self._suspects.get(digest)
@@ -413,7 +450,7 @@
             digests: The digests of the request, a frozenset.
         """
         found = set()
-        for cause in self._to_serialize:
+        for cause in self._conclude().to_serialize:
             if cause.combination <= digests:
                 found |= cause.combination
         return found
