Probes of replicas that refuse connections keep their pause

Seen on an entry whose replicas and store were gone: it connected to them 740 times a second and took 95% of a core.

Cause: a failed probe recorded its failure first, which scheduled the first probe of a doubt, without a pause; the pause after a probe came too late.

Change: while a probe is under way no other is scheduled. Those of replicas of which nothing is known yet still follow at once, so that a doubt ends as soon as before. The new test of tests/test_paths.py failed before (real sockets).

--- a/gorsefall/policy/reachability.py
+++ b/gorsefall/policy/reachability.py
@@ -157,8 +157,11 @@
         """
         if not replicas or not self.is_in_doubt(now):
             return None
-        fresh = [
+        return rng.choice(self.untried(replicas) or replicas)
+
+    def untried(self, replicas):
+        """Returns those of ``replicas`` of whose paths nothing is known."""
+        return [
             n for n in replicas
             if n not in self._failed_at and n not in self._regained
         ]
-        return rng.choice(fresh or replicas)
--- a/gorsefall/relay/paths.py
+++ b/gorsefall/relay/paths.py
@@ -16,8 +16,8 @@
 replica at a time, so that a returning path is not met by a rush."""
 
 FIRST_PROBE_PAUSE_S = 0.0
-"""Pause before the first probe once paths are in doubt, s. If only some
-replicas have failed, it ends the doubt within a round trip."""
+"""Pause before the first probe of each replica once paths are in doubt, s. If
+only some replicas have failed, it ends the doubt within a round trip."""
 
 REGAINED_PROBE_PAUSE_S = 0.05
 """Pause after a probe that reached its replica, s."""
@@ -52,6 +52,7 @@
         self._unfit_until = {}
         self._shares = {}
         self._probe_timer = None
+        self._probing = False
         self._client = None
         if node.cfg.peers:
             _, port = settingsfile.split_addr(node.cfg.peers)
@@ -157,7 +158,7 @@
                            after_s=round(self._loop.now - lost_since, 3),
                            replica=replica.record.id)
             self._on_change(name)
-        elif not established and self.is_in_doubt(name):
+        elif (not established and not self._probing and self.is_in_doubt(name)):
             self._schedule_probe(FIRST_PROBE_PAUSE_S)
 
     def record_elsewhere(self, replica, reached, host):
@@ -212,12 +213,22 @@
             self.probe_elsewhere(replica, lambda verdict: None)
 
         def on_probed(verdict):
-            alive = verdict is prober.Verdict.ALIVE
+            self._probing = False
             self._schedule_probe(
-                REGAINED_PROBE_PAUSE_S if alive else PROBE_PAUSE_S)
+                self._pause_after(replica.record.service, verdict))
 
+        self._probing = True
         self.connect(replica, on_probed)
 
+    def _pause_after(self, service, verdict):
+        """Returns the pause after a probe of a replica of a service, s."""
+        if verdict is prober.Verdict.ALIVE:
+            return REGAINED_PROBE_PAUSE_S
+        names = [r.record.id for r in self._node.fleet.of_service(service)]
+        if self._service(service).untried(names):
+            return FIRST_PROBE_PAUSE_S
+        return PROBE_PAUSE_S
+
     def _next_to_probe(self):
         services = list(self.unreachable_services())
         if not services:
--- a/tests/test_paths.py
+++ b/tests/test_paths.py
@@ -1,5 +1,6 @@
 """Checks of an entry's own paths, and questions to other entries."""
 
+import time
 import types
 
 import pytest
@@ -84,3 +85,23 @@
         own.probe_elsewhere(_Replica('x', ('127.0.0.1', 1)), verdicts.append)
     assert verdicts == [prober.Verdict.EXITED]
     assert client.asked[-1] == 'c'
+
+
+def test_replicas_that_refuse_connections_are_probed_with_pauses():
+    """An entry spends its processor on connecting, as each failed probe has the
+    next one follow at once."""
+    servers = [peers.ScriptedPeer([]) for _ in range(2)]
+    for server in servers:
+        server.close()
+    replicas = [_Replica(f'r{i}', s.addr) for i, s in enumerate(servers)]
+    with peers.loop() as loop:
+        own = paths.Paths(_Node(loop, replicas))
+        probed = []
+        connect = own.connect
+        own.connect = lambda replica, done: (probed.append(replica),
+                                             connect(replica, done))
+        for replica in replicas:
+            own.record_connect(replica, False)
+        end = time.monotonic() + 4 * paths.PROBE_PAUSE_S
+        peers.run(loop, lambda: time.monotonic() > end)
+    assert 2 <= len(probed) <= 1 + 4 / paths.PAUSE_JITTER[0]
