A whole request under suspicion runs alone until its end

A run that has gone on for half a second let the others go on that waited behind it, also where the request itself was suspected, which only the end of a run clears. Found by reading the change; the test fails without it.

--- a/gorsefall/policy/suspects.py
+++ b/gorsefall/policy/suspects.py
@@ -455,10 +455,6 @@
                 found |= cause.combination
         return found
 
-    def must_serialize(self, digest):
-        """Returns whether a request that is only that runs alone."""
-        return bool(self.serialized(frozenset((digest,))))
-
     @property
     def blamed(self):
         """The digests of all causes, a list."""
--- a/gorsefall/relay/crashes.py
+++ b/gorsefall/relay/crashes.py
@@ -92,7 +92,7 @@
                                              self._on_survived)
         self.reports = crashreports.CrashReports(self.suspects, self.survivals,
                                                  clock)
-        self.reports.on_merged = self._on_merged
+        self.reports.on_merged = self._find_new_causes
         self._undecided = undecidedexits.UndecidedExits(loop, fleet,
                                                         replica_prober, clock)
         self._serialized = serializedruns.SerializedRuns(loop)
@@ -187,7 +187,9 @@
     def _on_survived(self, causes, exchange):
         for part in causes.parts:
             self._clear(part, 'part_cleared')
-        self._serialized.end(exchange)
+        # A whole request that crashed replicas is cleared by its end only.
+        if not self.must_serialize(causes):
+            self._serialized.end(exchange)
 
     def record_completed_run(self, digest):
         """Records that a run completed."""
@@ -296,9 +298,6 @@
 
     # -- causes ----------------------------------------------------------------
 
-    def _on_merged(self):
-        self._find_new_causes()
-
     def _find_new_causes(self):
         causes = frozenset(self.suspects.blamed)
         new, self._known_causes = causes - self._known_causes, causes
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -306,22 +306,41 @@
     loop = clock.Loop()
     runs = serializedruns.SerializedRuns(loop)
     dispatched = []
-    first, second, other = (types.SimpleNamespace(
-        dispatch=lambda i=i: dispatched.append(i)) for i in range(3))
-    hashable = [_Hashable(x.dispatch) for x in (first, second, other)]
-    assert runs.try_begin({BAD}, hashable[0])
-    assert not runs.try_begin({BAD, COMMON}, hashable[1])
-    assert runs.try_begin({FOLLOWER}, hashable[2])
-    runs.end(hashable[0])
+    first, second, other = (_Exchange(i, dispatched) for i in range(3))
+    assert runs.try_begin({BAD}, first)
+    assert not runs.try_begin({BAD, COMMON}, second)
+    assert runs.try_begin({FOLLOWER}, other)
+    runs.end(first)
     loop.run(1.0)
     assert dispatched == [1]
 
 
-class _Hashable:
-    """An exchange as ``serializedruns`` uses it."""
+class _Exchange:
+    """An exchange that may be parked."""
 
-    def __init__(self, dispatch):
-        self.dispatch = dispatch
+    def __init__(self, number, dispatched):
+        self.dispatch = lambda: dispatched.append(number)
+
+
+@pytest.mark.parametrize('suspect, dispatched', [(BAD, [1]), (b'same', [])])
+def test_a_run_that_goes_on_frees_others_unless_its_request_is_suspected(
+        suspect, dispatched):
+    """A request that crashes replicas late in its run is sent to several at
+    once."""
+    loop, replica = clock.Loop(), _replica()
+    tracker = crashes.CrashTracker(loop, None, _fleet(replica),
+                                   lambda: loop.now)
+    loop.run(100.0)
+    for i in range(2):
+        _record(tracker.suspects, i, suspect)
+    causes = suspects.PossibleCauses(b'same', (BAD,))
+    found = []
+    first, second = (_Exchange(i, found) for i in range(2))
+    assert tracker.try_begin_run(causes, first)
+    tracker.record_begun_run(_Run(replica), causes, first)
+    assert not tracker.try_begin_run(causes, second)
+    loop.run(102.0)
+    assert found == dispatched
 
 
 class _Undecided:
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -46,7 +46,7 @@
     for i in range(9):
         tracker.record_crash(b'x', _crash(i), YOUNG, 10.0 * i)
         tracker.record_clearing(b'x', 10.0 * i + 5)
-    assert not tracker.must_serialize(b'x')
+    assert not tracker.serialized(frozenset((b'x',)))
 
 
 def test_requests_beside_a_poison_request_are_not_blocked():
