--- a/gorsefall/policy/demandshares.py
+++ b/gorsefall/policy/demandshares.py
@@ -86,6 +86,6 @@
     if not total:
         return dict.fromkeys(demands, equal)
     return {
-        name: EQUAL_SHARE * equal + (1 - EQUAL_SHARE) * demand / total
+        name: EQUAL_SHARE * equal + (1 - EQUAL_SHARE) * (demand / total)
         for name, demand in filled.items()
     }
--- a/tests/test_demand_shares.py
+++ b/tests/test_demand_shares.py
@@ -3,6 +3,7 @@
 import types
 
 import pytest
+from hypothesis import example
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -21,6 +22,7 @@
                     max_size=8)
 
 
+@example([5e-324])
 @given(_DEMANDS)
 def test_shares_add_up_to_one_and_leave_nobody_out(values):
     """Entries together exceed a limit, or one cannot begin to send."""
