--- a/tests/test_tcp.py
+++ b/tests/test_tcp.py
@@ -1,6 +1,7 @@
 """Connections whose peer sends more than the reader consumes."""
 
 import array
+import contextlib
 import fcntl
 import socket
 import termios
@@ -106,9 +107,9 @@
         conn.close()
 
 
-def test_a_write_that_fails_at_once_is_reported_after_it_has_returned():
-    """A caller's handler fails because its request fails before the call that
-    sends it has returned."""
+@contextlib.contextmanager
+def _connection_reset_by_peer():
+    """Yields a loop, a connection whose peer has reset it, and its owner."""
     server = socket.create_server(('127.0.0.1', 0))
     with peers.loop() as loop, server:
         owner = _RecordingOwner()
@@ -117,6 +118,13 @@
         peers.run(loop, lambda: owner.connected)
         peer_sock, _ = server.accept()
         acceptor.reset_connection(peer_sock)
+        yield loop, conn, owner
+
+
+def test_a_write_that_fails_at_once_is_reported_after_it_has_returned():
+    """A caller's handler fails because its request fails before the call that
+    sends it has returned."""
+    with _connection_reset_by_peer() as (loop, conn, owner):
         for _ in range(2):
             conn.write(b'x')
             assert not owner.reasons
@@ -128,14 +136,7 @@
 
 def test_a_connection_closed_after_a_failed_write_reports_nothing():
     """A request that was cancelled fails all the same."""
-    server = socket.create_server(('127.0.0.1', 0))
-    with peers.loop() as loop, server:
-        owner = _RecordingOwner()
-        conn = tcp.Connection(loop, owner)
-        conn.connect(server.getsockname())
-        peers.run(loop, lambda: owner.connected)
-        peer_sock, _ = server.accept()
-        acceptor.reset_connection(peer_sock)
+    with _connection_reset_by_peer() as (loop, conn, owner):
         conn.write(b'x')
         conn.close()
         loop.step(0.05)
