A replica whose listener closes last is looked at again

Cause: a process that ends closes its sockets one after the other.

The new test of tests/test_crashing_parts.py, where the second look finds the replica ended, and its counterpart where it lives.

--- a/gorsefall/relay/crashes.py
+++ b/gorsefall/relay/crashes.py
@@ -259,12 +259,21 @@
                 # Replicas that exit together are probed one after the other,
                 # and a busy entry gets the verdicts far apart.
                 self._record_crash(replica.record, run, broken_at)
-        elif verdict is prober.Verdict.UNKNOWN:
-            self._undecided.add(
-                replica, broken_at,
-                lambda: self._record_crash(replica.record, run, broken_at))
+        else:
+            self._look_again(replica, run, broken_at, verdict)
         done()
 
+    def _look_again(self, replica, run, broken_at, verdict):
+        """Records the crash if the replica turns out to have exited."""
+
+        def record():
+            self._record_crash(replica.record, run, broken_at)
+
+        if verdict is prober.Verdict.UNKNOWN:
+            self._undecided.add(replica, record)
+        elif run.is_young(broken_at):
+            self._undecided.add(replica, record, undecidedexits.RECHECK_S)
+
     def _record_crash(self, record, run, broken_at):
         crash = suspects.Crash(record.id, record.started_at_ms)
         weight = run.weight(broken_at)
--- a/gorsefall/relay/undecidedexits.py
+++ b/gorsefall/relay/undecidedexits.py
@@ -13,6 +13,9 @@
 """Time after which a run is dropped without a verdict, s: crashed replicas are
 back by then, and their old records gone."""
 
+RECHECK_S = 1.0
+"""The same for a replica that was alive just after the run broke, s."""
+
 MAX_RUNS = 256
 """Maximum number of runs that wait; further ones are dropped."""
 
@@ -22,11 +25,11 @@
 
     Attributes:
         replica: The ``replicas.Replica``.
-        broken_at: When its connection broke, s (monotonic).
+        until: When it is dropped without a verdict, s (monotonic).
         on_exited: Called if the replica exited.
     """
     replica: replicas.Replica
-    broken_at: float
+    until: float
     on_exited: typing.Callable
 
 
@@ -38,6 +41,9 @@
     replicas down would never be known, as nobody has any evidence of it. The
     exit shows later: the probe succeeds elsewhere, another entry reports it,
     or the replica's record is dropped though it did not announce its exit.
+
+    A process that ends closes its sockets one after the other, so that the
+    listener may accept a probe after the connections of the runs have closed.
     """
 
     def __init__(self, loop, fleet, replica_prober, clock):
@@ -58,18 +64,19 @@
         self._scheduled = False
         self._log = logs.get('ends')
 
-    def add(self, replica, broken_at, on_exited):
+    def add(self, replica, on_exited, wait_s=MAX_WAIT_S):
         """Has ``on_exited()`` called if a replica turns out to have exited.
 
         Args:
             replica: The ``replicas.Replica``.
-            broken_at: When a connection to it broke, s (monotonic).
             on_exited: Called without arguments.
+            wait_s: Time after which it is not called any more, s.
         """
         if len(self._runs) >= MAX_RUNS:
             self._log.warning('exit_not_followed', replica=replica.record.id)
             return
-        self._runs.append(_Undecided(replica, broken_at, on_exited))
+        self._runs.append(_Undecided(replica,
+                                     self._clock() + wait_s, on_exited))
         self._schedule()
 
     def _schedule(self):
@@ -84,8 +91,7 @@
         for run in runs:
             if self._has_exited(run.replica):
                 run.on_exited()
-            elif (now - run.broken_at < MAX_WAIT_S and
-                  not run.replica.is_leaving and
+            elif (now < run.until and not run.replica.is_leaving and
                   not run.replica.is_reported_leaving(now)):
                 self._runs.append(run)
         waiting = {run.replica for run in self._runs}
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -357,7 +357,7 @@
         self.undecided = undecidedexits.UndecidedExits(self.loop, self.fleet,
                                                        probe,
                                                        lambda: self.loop.now)
-        self.undecided.add(self.replica, 0.0, lambda: self.exits.append(1))
+        self.undecided.add(self.replica, lambda: self.exits.append(1))
         self.loop.run(2.0)
 
     def is_recorded(self):
@@ -394,3 +394,22 @@
     site.loop.run(3.0)
     del site.fleet.replicas['r1']
     assert not site.is_recorded()
+
+
+@pytest.mark.parametrize('later, weight', [(prober.Verdict.EXITED, int(YOUNG)),
+                                           (prober.Verdict.ALIVE, 0)])
+def test_a_listener_that_closes_last_does_not_hide_a_crash(later, weight):
+    """A part crashes replica after replica, as each still accepts a connection
+    when its runs have just broken."""
+    loop, replica = clock.Loop(), _replica()
+    verdicts = [prober.Verdict.ALIVE]
+    probe = types.SimpleNamespace(
+        probe=lambda replica, done: done(verdicts.pop() if verdicts else later))
+    tracker = crashes.CrashTracker(loop, probe, _fleet(replica),
+                                   lambda: loop.now)
+    run = crashes.BrokenRun(suspects.PossibleCauses(b'x', (BAD,)), 0.0, 0.1)
+    loop.run(0.2)
+    tracker.handle_broken_run(replica, run, lambda: None)
+    assert not tracker.suspects.weight(BAD)
+    loop.run(5.0)
+    assert tracker.suspects.weight(BAD) == weight
