A silent run that may crash replicas is not restored at another one

A run under suspicion that said nothing for a while was continued from its KV backup: the one way by which such a request still reached a second replica by itself (retries, second attempts and restores after a break asked already). The test failed before.

--- a/gorsefall/relay/silence.py
+++ b/gorsefall/relay/silence.py
@@ -58,7 +58,7 @@
         attempt = exchange.attempt
         if attempt is None or attempt.paused:
             return
-        if self._restorer.possible:
+        if self._restorer.possible and not self._may_crash():
             self._restorer.probe(attempt)
         elif not self._can_try_another():
             # A run that the replica preempted for more urgent work is silent
@@ -70,12 +70,17 @@
         else:
             exchange.on_attempt_failed(attempt, self._cancel_unsent(attempt))
 
+    def _may_crash(self):
+        """Whether the request may crash the next replica as well."""
+        exchange = self._exchange
+        return exchange.node.crashes.must_serialize(exchange.causes)
+
     def _can_try_another(self):
         """Whether a retry is allowed and another replica is available."""
         exchange = self._exchange
         node, grant = exchange.node, exchange.grant
         return (exchange.attempts.may_run_concurrently(exchange.terms) and
-                not node.crashes.must_serialize(exchange.causes) and
+                not self._may_crash() and
                 grant.permits_another(begun=exchange.bound) and
                 exchange.budget.available(time.monotonic()) >= 1 and bool(
                     node.work.candidate_views(grant.service, exchange.unfit())))
--- a/tests/test_exchange_orders.py
+++ b/tests/test_exchange_orders.py
@@ -1,6 +1,7 @@
 """Orders of what replicas and configurations do while a stream is delivered."""
 
 import dataclasses
+import unittest.mock
 
 from hypothesis import example
 from hypothesis import given
@@ -241,6 +242,20 @@
     assert len(site.conns) == 1
 
 
+def test_a_silent_run_that_may_crash_replicas_is_not_restored_elsewhere():
+    """A run that may crash its replica is continued at another one."""
+    late = [(0.1, 'head'), (0.1, 'event'), (2.0, 'event'), (0.1, 'event'),
+            (0.1, 'event')]
+    with exchange_site.site([late, []]) as site:
+        site.node.crashes.must_serialize.return_value = True
+        site.exchange.start()
+        restorer = site.exchange.silence._restorer = unittest.mock.MagicMock()
+        restorer.possible = True
+        site.loop.run(site.loop.now + 4.0)
+    assert site.writer.ended
+    assert not restorer.probe.called
+
+
 @pytest.mark.parametrize('script, status, is_withdrawn', [
     ([(2.0, 'head')], 400, True),
     ([(0.1, 'head'), (0.1, 'event'), (2.0, 'event')], None, False),
