--- a/gorsefall/emulator/announcing.py
+++ b/gorsefall/emulator/announcing.py
@@ -16,6 +16,7 @@
 from gorsefall.policy import announced_limits
 from gorsefall.policy import entrystatus
 from gorsefall.policy import membership
+from gorsefall.relay import demands
 from gorsefall.relay import messages
 from gorsefall.relay import peers
 from gorsefall.relay import replicalimits
@@ -97,8 +98,10 @@
                                       limit=announced_limits.AnnouncedLimit())
             for r in site.replicas
         }
-        self.tracker = replicalimits.LimitTracker(site.loop, self, self.members)
-        self.tracker.demand.heartbeat_s = lambda: site.heartbeat_s
+        self.demand = demands.DemandTracker(self.members, lambda: site.loop.now)
+        self.tracker = replicalimits.LimitTracker(site.loop, self, self.members,
+                                                  self.demand)
+        self.demand.heartbeat_s = lambda: site.heartbeat_s
         self.tracker.start()
 
     def find(self, report):
@@ -130,7 +133,7 @@
                 for i in range(8)
             },
             limit_reports=self.tracker.recent_reports(self.site.loop.now),
-            demand_per_s=self.tracker.demand_report())
+            demand_per_s=self.demand.report(self.tracker.limited_services()))
         size = len(messages.encode(status)) + HEADER_BYTES
         for other in self.site.entries:
             if other is not self:
@@ -155,6 +158,7 @@
         """Handles the status of another entry."""
         now = self.site.loop.now
         if self.members.record_status(f'10.0.0.{number}', status, now):
+            self.demand.handle_status(status)
             self.tracker.handle_status(status)
         self.members.addresses(now)
 
@@ -163,7 +167,7 @@
         now = self.site.loop.now
         if now < self._frozen_until:
             return
-        self.tracker.demand.record_arrival(SERVICE)
+        self.demand.record_arrival(SERVICE)
         allowed = [r for r in self.site.replicas if self._allows(r, now)]
         if not allowed:
             self.site.refused += 1
--- a/gorsefall/relay/announcements.py
+++ b/gorsefall/relay/announcements.py
@@ -5,6 +5,7 @@
 from gorsefall.policy import acceptance
 from gorsefall.policy import entrystatus
 from gorsefall.relay import brittlereplicas
+from gorsefall.relay import demands
 from gorsefall.relay import replicalimits
 
 REPORT_TRUST_S = 30.0
@@ -23,6 +24,7 @@
     leave a service without replicas.
 
     Attributes:
+        demand: The ``demands.DemandTracker`` by which limits are divided.
         limits: The ``replicalimits.LimitTracker``.
         brittle: The ``brittlereplicas.BrittleTracker``.
     """
@@ -39,7 +41,9 @@
         self._fleet = fleet
         self._leaving_since = {}
         self._log = logs.get('announcing')
-        self.limits = replicalimits.LimitTracker(loop, fleet, members)
+        self.demand = demands.DemandTracker(members, lambda: loop.now)
+        self.limits = replicalimits.LimitTracker(loop, fleet, members,
+                                                 self.demand)
         self.brittle = brittlereplicas.BrittleTracker(loop, fleet, members)
 
     def start(self):
@@ -90,6 +94,10 @@
                        replica=replica.record.id,
                        record=replica.record.status.value)
 
+    def demand_report(self):
+        """Returns the demand for services with limits, for a status."""
+        return self.demand.report(self.limits.limited_services())
+
     def recent_leaving(self, now):
         """Returns the ``entrystatus.LeavingReplica`` objects for a status."""
         self._leaving_since = {
@@ -103,6 +111,7 @@
 
     def handle_status(self, status):
         """Handles the ``entrystatus.Status`` of another entry."""
+        self.demand.handle_status(status)
         self.limits.handle_status(status)
         for report in status.leaving_replicas:
             replica = self._fleet.find(report)
--- a/gorsefall/relay/grant.py
+++ b/gorsefall/relay/grant.py
@@ -169,7 +169,7 @@
         """Counts the request for its service and rank."""
         self._node.work.ranks(self.service).record_request(
             self.terms.admission_rank, self._target_ms)
-        self._node.announcements.limits.demand.record_arrival(self.service)
+        self._node.announcements.demand.record_arrival(self.service)
 
     def attempt_options(self, record, *, time_left_s, backup, from_backup,
                         resume_after, source):
--- a/gorsefall/relay/node.py
+++ b/gorsefall/relay/node.py
@@ -146,8 +146,7 @@
                                       settingsfile.split_addr(self.cfg.peers),
                                       self.cfg.seed_hosts)
             self._register_handlers()
-            self.announcements.limits.demand.heartbeat_s = (
-                self._peers.heartbeat_s)
+            self.announcements.demand.heartbeat_s = (self._peers.heartbeat_s)
             self._peers.start()
             self.forwarder = forwarder.Forwarder(
                 self, settingsfile.split_addr(self.cfg.peers))
@@ -265,7 +264,7 @@
             replica_exits=self.fleet.recent_exits(self.loop.now),
             leaving_replicas=self.announcements.recent_leaving(self.loop.now),
             unreachable_services=self.paths.unreachable_services(),
-            demand_per_s=self.announcements.limits.demand_report(),
+            demand_per_s=self.announcements.demand_report(),
             **self.duties.status_fields())
 
     @property
--- a/gorsefall/relay/replicalimits.py
+++ b/gorsefall/relay/replicalimits.py
@@ -6,7 +6,6 @@
 from gorsefall import metrics
 from gorsefall.policy import announced_limits
 from gorsefall.policy import entrystatus
-from gorsefall.relay import demands
 from gorsefall.relay import replicas
 
 MAX_REPORTS = 16
@@ -30,24 +29,21 @@
 
 
 class LimitTracker:
-    """Updates the ``announced_limits.AnnouncedLimit`` of each replica.
+    """Updates the ``announced_limits.AnnouncedLimit`` of each replica."""
 
-    Attributes:
-        demand: The ``demands.DemandTracker`` by which limits are divided.
-    """
-
-    def __init__(self, loop, fleet, members):
+    def __init__(self, loop, fleet, members, demand):
         """Creates a tracker without limits; ``start`` begins.
 
         Args:
             loop: The ``reactor.Reactor``.
             fleet: The ``fleet.Fleet``.
             members: The ``membership.Members``; has this entry's ``name``.
+            demand: The ``demands.DemandTracker`` by which limits are divided.
         """
         self._loop = loop
         self._fleet = fleet
         self._members = members
-        self.demand = demands.DemandTracker(members, lambda: loop.now)
+        self._demand = demand
         self._limited_replicas = {}
         self._announcements = {}
         self._log = logs.get('announcing')
@@ -68,15 +64,15 @@
         if limit.per_s is not None:
             limit.share = announced_limits.own_share(
                 replica.record.id, self._members.name,
-                self.demand.shares(replica.record.service), limit.per_s)
+                self._demand.shares(replica.record.service), limit.per_s)
 
-    def demand_report(self):
-        """Returns the demand for services with limits, for a status."""
-        return self.demand.report({
+    def limited_services(self):
+        """Returns the names of services whose replicas announce limits."""
+        return {
             r.record.service
             for r in self._limited_replicas.values()
             if r.limit.per_s is not None
-        })
+        }
 
     def record_response(self, replica, per_s, sent_at):
         """Records the limit in a response of a ``replicas.Replica``.
@@ -137,7 +133,6 @@
 
     def handle_status(self, status):
         """Handles the ``entrystatus.Status`` of another entry."""
-        self.demand.handle_status(status)
         for limit in status.limit_reports:
             replica = self._fleet.find(limit)
             if replica is not None:
--- a/tests/test_announced_limits.py
+++ b/tests/test_announced_limits.py
@@ -10,6 +10,7 @@
 from gorsefall.policy import announced_limits
 from gorsefall.policy import entrystatus
 from gorsefall.policy import membership
+from gorsefall.relay import demands
 from gorsefall.relay import fleet
 from gorsefall.relay import messages
 from gorsefall.relay import model
@@ -138,6 +139,11 @@
         pass
 
 
+def _tracker(loop, directory, members):
+    demand = demands.DemandTracker(members, lambda: loop.now)
+    return replicalimits.LimitTracker(loop, directory, members, demand)
+
+
 def _entry(name):
     replica = types.SimpleNamespace(record=types.SimpleNamespace(
         id='r', service='s', started_at_ms=7),
@@ -145,7 +151,7 @@
     directory = fleet.Fleet(_Loop())
     directory.replicas['r'] = replica
     loop = _Loop()
-    own = replicalimits.LimitTracker(loop, directory, membership.Members(name))
+    own = _tracker(loop, directory, membership.Members(name))
     return own, replica, loop
 
 
@@ -179,8 +185,7 @@
                                 slots=4,
                                 status=model.ReplicaStatus.READY,
                                 started_at_ms=1764773806123))
-    return replicalimits.LimitTracker(_Loop(), directory,
-                                      membership.Members(name)), directory
+    return _tracker(_Loop(), directory, membership.Members(name)), directory
 
 
 MAX_STATUS_BYTES = 800
