Prompts of many parts neither fill the table of suspects nor the messages

Reading the change: a caller whose prompts have many parts that nobody else has, at replicas that crash, could push a guilty part out of the table after one crash (64 runs of 33 digests for 1,024 places), and the reports of 32 such runs, 22 KB, would have had every status sent without reports.

The module of suspects is split: records and exits have modules of their own. More cases: two parts at once, entries that start in between, a fifth of the messages lost.

--- a/gorsefall/emulator/crashing.py
+++ b/gorsefall/emulator/crashing.py
@@ -13,10 +13,10 @@
 import random
 import types
 
-from gorsefall import errors
 from gorsefall.emulator import clock
+from gorsefall import errors
+from gorsefall.policy import crashrecords
 from gorsefall.policy import entrystatus
-from gorsefall.policy import suspects
 from gorsefall.relay import crashes
 from gorsefall.relay import messages
 from gorsefall.relay import model
@@ -50,7 +50,7 @@
     is_leaving: bool = False
     exited_at: float | None = None
     up: bool = True
-    runs: set = dataclasses.field(default_factory=set)
+    runs: dict = dataclasses.field(default_factory=dict)
 
     def is_reported_leaving(self, now):
         """See ``replicas.Replica``."""
@@ -163,7 +163,7 @@
             return
         self.replica = self._site.rng.choice(live)
         self._sent_at = self._site.loop.now
-        self.replica.runs.add(self)
+        self.replica.runs[self] = True
         if self._poison:
             self._site.poison_runs.append(self._sent_at)
         self._site.loop.call_later(BEGIN_DELAY_S,
@@ -189,7 +189,7 @@
             self._site.crash(replica)
             return
         self._whole = True
-        replica.runs.discard(self)
+        del replica.runs[self]
         self._entry.crashes.record_completed_run(self.causes.request)
         self._end('served')
 
@@ -271,9 +271,9 @@
     def crash(self, replica):
         """Crashes a replica, with all requests that run there."""
         replica.up = False
-        runs, replica.runs = replica.runs, set()
+        runs, replica.runs = replica.runs, {}
         self.loop.call_later(REPLICA_RESTART_S, lambda: self._restart(replica))
-        for run in sorted(runs, key=id):
+        for run in runs:
             run.on_replica_exit(replica)
 
     def _restart(self, replica):
@@ -289,5 +289,5 @@
             parts: The digests of the parts of its prompt.
             poison: Whether it crashes replicas.
         """
-        causes = suspects.PossibleCauses(digest, tuple(parts))
+        causes = crashrecords.PossibleCauses(digest, tuple(parts))
         CallerRequest(self, causes, run_s, poison=poison)
--- a/gorsefall/policy/entrystatus.py
+++ b/gorsefall/policy/entrystatus.py
@@ -71,7 +71,7 @@
         replica: The id of the crashed replica; '' for a run that clears.
         started_at_ms: When that incarnation of the replica started, ms since
             1970.
-        weight: The ``suspects.CrashWeight`` of the crash.
+        weight: The ``crashrecords.CrashWeight`` of the crash.
         parts: The ``PartReport`` objects of the request's prompt that count
             for the crash.
     """
--- a/gorsefall/policy/suspects.py
+++ b/gorsefall/policy/suspects.py
@@ -11,22 +11,12 @@
 may be repeated: each crash counts once.
 """
 
-import bisect
-import dataclasses
-import enum
 import hashlib
 import typing
 
-from gorsefall import ids
 from gorsefall.policy import blame
-
-YOUNG_RUN_S = 0.5
-"""Age since its first event up to which a run counts as young, s: a request
-that crashes its replica does so at the start of its run."""
-
-COMMON_CAUSE_S = 0.1
-"""Time within which exits of several replicas have a common cause, s. Entries
-observe an exit with an error of about 10 ms."""
+from gorsefall.policy import crashrecords
+from gorsefall.policy import replicaexits
 
 BLAME_WEIGHT = 6
 """Total crash weight from which on a suspect is the cause: three crashes under
@@ -56,20 +46,13 @@
 FORGET_AFTER_BLOCKS = 4
 """Block times after the last report until a suspect is forgotten."""
 
-MAX_PARTS_PER_REQUEST = 32
-"""Maximum number of parts of a prompt that are tracked, the first ones."""
-
-MAX_SUSPECTS = 1024
-"""Maximum number of suspects kept. It is twice the number of requests in
-progress at a quarter of 50 engines."""
+MAX_SUSPECTS = 4096
+"""Maximum number of suspects kept: all parts of three engines full of requests,
+so that requests with many parts of their own do not push out others."""
 
 EVICTED_FRACTION = 4
 """A quarter of the suspects are dropped at once when there are too many."""
 
-MAX_REPLICA_EXITS = 256
-"""Maximum number of replica exits kept to detect common causes; the oldest are
-dropped first."""
-
 MAX_CRASHES_PER_SUSPECT = 12
 """Maximum number of crashes kept for a suspect, the latest ones."""
 
@@ -78,98 +61,6 @@
 which not every encoding can carry."""
 
 
-class CrashWeight(enum.IntEnum):
-    """How strongly a crash counts against what ran at the replica.
-
-    Young runs count more: see ``YOUNG_RUN_S``.
-    """
-    OLD = 1
-    YOUNG = 2
-
-
-class PossibleCauses(typing.NamedTuple):
-    """What a replica may crash of as it runs a request.
-
-    Attributes:
-        request: The ``ids.RequestDigest`` of the whole request; None before
-            its account is known.
-        parts: The ``ids.PartDigest`` objects of the parts of its prompt that
-            other requests may share.
-    """
-    request: ids.RequestDigest | None
-    parts: tuple[ids.PartDigest, ...] = ()
-
-    @property
-    def digests(self):
-        """All of their digests, a frozenset."""
-        return frozenset((self.request, *self.parts))
-
-
-class Crash(typing.NamedTuple):
-    """The unexpected exit of one incarnation of a replica.
-
-    Attributes:
-        replica: The replica's id.
-        started_at_ms: When the incarnation started, ms since 1970; 0 if not
-            known.
-    """
-    replica: ids.ReplicaName
-    started_at_ms: int = 0
-
-
-@dataclasses.dataclass
-class CrashRecord:
-    """A crash under a suspect.
-
-    Attributes:
-        weight: The ``CrashWeight`` of the run.
-        seen_at: When the crash was observed, s (monotonic).
-        companions: Digests of all that was there in each run of the suspect at
-            the replica, a frozenset.
-        survived_before: Whether runs of the suspect went on shortly before.
-    """
-    weight: CrashWeight
-    seen_at: float
-    companions: frozenset
-    survived_before: bool = False
-
-    def merge(self, other):
-        """Adds another report of the crash; returns whether it says more."""
-        merged = CrashRecord(max(self.weight, other.weight), self.seen_at,
-                             self.companions & other.companions,
-                             self.survived_before or other.survived_before)
-        if merged == self:
-            return False
-        self.weight, self.companions = merged.weight, merged.companions
-        self.survived_before = merged.survived_before
-        return True
-
-
-@dataclasses.dataclass
-class Suspect:
-    """The reports on one request, or one part of prompts.
-
-    Attributes:
-        crashes: ``Crash -> CrashRecord``.
-        cleared_at: When a run last cleared it, s (monotonic).
-    """
-    crashes: dict[Crash, CrashRecord] = dataclasses.field(default_factory=dict)
-    cleared_at: float = float('-inf')
-
-    @property
-    def last_seen_at(self):
-        """Time of the last report on it, s."""
-        return max((r.seen_at for r in self.crashes.values()),
-                   default=self.cleared_at)
-
-    def clear_before(self, at):
-        """Drops the crashes before a run that cleared it at ``at``."""
-        self.cleared_at = max(self.cleared_at, at)
-        self.crashes = {
-            c: r for c, r in self.crashes.items() if r.seen_at > self.cleared_at
-        }
-
-
 class _Conclusions(typing.NamedTuple):
     """What follows from all reports.
 
@@ -189,8 +80,7 @@
     def __init__(self):
         self._suspects = {}
         self._reportable = set()
-        self._exits = {}
-        self._exits_in_order = []
+        self._exits = replicaexits.ReplicaExits()
         self._conclusions = _Conclusions()
         self._is_stale = False
 
@@ -211,8 +101,8 @@
 
         Args:
             digest: The digest of a request or part.
-            crash: The ``Crash``.
-            weight: The ``CrashWeight``.
+            crash: The ``crashrecords.Crash``.
+            weight: The ``crashrecords.CrashWeight``.
             at: When it was observed, s (monotonic).
             companions: Digests of all that was there in the run.
             survived_before: Whether runs of the suspect went on shortly before.
@@ -220,7 +110,8 @@
         Returns:
             True if this was not known before.
         """
-        record = CrashRecord(weight, at, companions | {digest}, survived_before)
+        record = crashrecords.CrashRecord(weight, at, companions | {digest},
+                                          survived_before)
         is_new = self._add(digest, crash, record)
         if is_new:
             self._update((digest,))
@@ -232,8 +123,8 @@
         Args:
             survived_before: ``digest -> bool`` of the request and its parts;
                 see ``record_crash``.
-            crash: The ``Crash``.
-            weight: The ``CrashWeight``.
+            crash: The ``crashrecords.Crash``.
+            weight: The ``crashrecords.CrashWeight``.
             at: When it was observed, s (monotonic).
 
         Returns:
@@ -242,16 +133,17 @@
         companions = frozenset(survived_before)
         new = [
             digest for digest, survived in survived_before.items() if self._add(
-                digest, crash, CrashRecord(weight, at, companions, survived))
+                digest, crash,
+                crashrecords.CrashRecord(weight, at, companions, survived))
         ]
         self._update(new)
         return bool(new)
 
     def _add(self, digest, crash, record):
-        """Adds a ``CrashRecord``; returns whether it says more."""
+        """Adds a ``crashrecords.CrashRecord``; returns whether it says more."""
         suspect = self._suspects.get(digest)
         if suspect is None:
-            suspect = self._suspects[digest] = Suspect()
+            suspect = self._suspects[digest] = crashrecords.Suspect()
         known = suspect.crashes.get(crash)
         if known is not None:
             return known.merge(record)
@@ -264,7 +156,7 @@
             del suspect.crashes[oldest]
             if oldest == crash:
                 return False
-        self._record_exit(crash, record.seen_at)
+        self._exits.record(crash, record.seen_at)
         self._evict(digest)
         return True
 
@@ -274,7 +166,7 @@
         Returns:
             False if a later one was recorded before.
         """
-        suspect = self._suspects.setdefault(digest, Suspect())
+        suspect = self._suspects.setdefault(digest, crashrecords.Suspect())
         if at <= suspect.cleared_at:
             return False
         suspect.clear_before(at)
@@ -287,18 +179,6 @@
         suspect = self._suspects.get(digest)
         return suspect is not None and at <= suspect.cleared_at
 
-    def _record_exit(self, crash, at):
-        known_at = self._exits.get(crash)
-        if known_at is not None and known_at <= at:
-            return
-        if known_at is not None:
-            self._exits_in_order.remove((known_at, crash))
-        self._exits[crash] = at
-        bisect.insort(self._exits_in_order, (at, crash))
-        if len(self._exits) > MAX_REPLICA_EXITS:
-            _, oldest = self._exits_in_order.pop(0)
-            del self._exits[oldest]
-
     def _evict(self, newest):
         """Drops the suspects with the fewest crashes if there are too many.
 
@@ -370,7 +250,8 @@
 
         Args:
             digest: The digest of a request or part.
-            explained: ``Crash`` objects that something else accounts for.
+            explained: ``crashrecords.Crash`` objects that something else
+                accounts for.
         """
         suspect = self._suspects.get(digest)
         if suspect is None:
@@ -381,20 +262,11 @@
             if crash not in explained)
 
     def _weight_of(self, suspect, record):
-        if record.survived_before or self._has_common_cause(suspect, record):
-            return CrashWeight.OLD
+        if (record.survived_before or
+                self._exits.any_other(record.seen_at, suspect.crashes)):
+            return crashrecords.CrashWeight.OLD
         return record.weight
 
-    def _has_common_cause(self, suspect, record):
-        first = bisect.bisect_left(self._exits_in_order,
-                                   (record.seen_at - COMMON_CAUSE_S,))
-        for at, crash in self._exits_in_order[first:]:
-            if at - record.seen_at >= COMMON_CAUSE_S:
-                return False
-            if crash not in suspect.crashes:
-                return True
-        return False
-
     def survived_before(self, digest):
         """Returns whether runs of a suspect went on shortly before a crash."""
         suspect = self._suspects.get(digest)
@@ -411,7 +283,8 @@
 
     def _block_s(self, digest):
         doublings = max(0,
-                        self.weight(digest) - BLAME_WEIGHT) // CrashWeight.YOUNG
+                        self.weight(digest) -
+                        BLAME_WEIGHT) // crashrecords.CrashWeight.YOUNG
         base_s = SURVIVED_BLOCK_S if self.survived_before(digest) else BLOCK_S
         return base_s * 2**min(MAX_DOUBLINGS, doublings)
 
@@ -463,11 +336,11 @@
     # -- exchange with other entries -------------------------------------------
 
     def find(self, digest):
-        """Returns the ``Suspect`` of a digest, or None."""
+        """Returns the ``crashrecords.Suspect`` of a digest, or None."""
         return self._suspects.get(digest)
 
     def crashes(self, digest):
-        """Returns the ``Crash`` objects under a suspect, oldest first."""
+        """Returns the ``crashrecords.Crash`` objects of a suspect, in order."""
         suspect = self._suspects.get(digest)
         if suspect is None:
             return []
--- a/gorsefall/relay/crashes.py
+++ b/gorsefall/relay/crashes.py
@@ -8,7 +8,9 @@
 from gorsefall import errors
 from gorsefall import logs
 from gorsefall import metrics
+from gorsefall.policy import crashrecords
 from gorsefall.policy import rendezvous
+from gorsefall.policy import replicaexits
 from gorsefall.policy import suspects
 from gorsefall.relay import crashreports
 from gorsefall.relay import prober
@@ -24,26 +26,26 @@
     """A run whose connection broke.
 
     Attributes:
-        causes: The ``suspects.PossibleCauses``.
+        causes: The ``crashrecords.PossibleCauses``.
         sent_at: When it was sent, s (monotonic).
         first_event_at: When its first event arrived, s; None before.
         after_broken_run: Whether an earlier run of the same exchange broke.
     """
-    causes: suspects.PossibleCauses
+    causes: crashrecords.PossibleCauses
     sent_at: float
     first_event_at: float | None
     after_broken_run: bool = False
 
     def weight(self, now):
-        """Returns the ``suspects.CrashWeight`` of a crash that broke it now."""
+        """Returns the ``crashrecords.CrashWeight`` of a crash now."""
         if (self.after_broken_run and
-                now - self.sent_at < suspects.COMMON_CAUSE_S):
+                now - self.sent_at < replicaexits.COMMON_CAUSE_S):
             # It was sent just as its previous replica crashed. Both crashes
             # may have one cause.
-            return suspects.CrashWeight.OLD
+            return crashrecords.CrashWeight.OLD
         if self.is_young(now):
-            return suspects.CrashWeight.YOUNG
-        return suspects.CrashWeight.OLD
+            return crashrecords.CrashWeight.YOUNG
+        return crashrecords.CrashWeight.OLD
 
     def begun_ms(self, now):
         """Returns the time since its first event, ms; None without one."""
@@ -54,7 +56,7 @@
     def is_young(self, now):
         """Returns whether it has not begun, or only just."""
         return (self.first_event_at is None or
-                now - self.first_event_at < suspects.YOUNG_RUN_S)
+                now - self.first_event_at < crashrecords.YOUNG_RUN_S)
 
 
 class CrashTracker:
@@ -118,7 +120,7 @@
         """Checks whether a request may be sent.
 
         Args:
-            causes: Its ``suspects.PossibleCauses``.
+            causes: Its ``crashrecords.PossibleCauses``.
 
         Raises:
             errors.PoisonRequestError: Replicas crash as they run it.
@@ -150,7 +152,7 @@
         when that run is over, or has gone on for some time.
 
         Args:
-            causes: The ``suspects.PossibleCauses`` of the request.
+            causes: The ``crashrecords.PossibleCauses`` of the request.
             exchange: The ``exchange.Exchange``.
 
         Raises:
@@ -178,7 +180,7 @@
 
         Args:
             attempt: The ``sending.Attempt``.
-            causes: The ``suspects.PossibleCauses`` of the request.
+            causes: The ``crashrecords.PossibleCauses`` of the request.
             exchange: The ``exchange.Exchange``.
         """
         if causes.parts:
@@ -275,7 +277,7 @@
             self._undecided.add(replica, record, undecidedexits.RECHECK_S)
 
     def _record_crash(self, record, run, broken_at):
-        crash = suspects.Crash(record.id, record.started_at_ms)
+        crash = crashrecords.Crash(record.id, record.started_at_ms)
         weight = run.weight(broken_at)
         parts = self._suspected_parts(run, broken_at)
         if not self.reports.record_crash(run.causes.request, parts, crash,
@@ -296,7 +298,7 @@
             blocked=self.suspects.blocking_cause(counted.digests,
                                                  self._clock()) is not None)
         self.reports.send_suspects_to_all(
-            self.suspects.serialized(counted.digests))
+            sorted(self.suspects.serialized(counted.digests)))
         self._find_new_causes()
 
     def _suspected_parts(self, run, broken_at):
--- a/gorsefall/relay/crashreports.py
+++ b/gorsefall/relay/crashreports.py
@@ -1,14 +1,26 @@
 """Reports of crashes and of runs that clear suspects, to and from entries."""
 
 import collections
+import random
 import typing
 
+from gorsefall.policy import crashrecords
 from gorsefall.policy import entrystatus
-from gorsefall.policy import suspects
 from gorsefall.relay import messages
 
-MAX_REPORTS = 32
-"""Most reports in a status message, together 4 KB; the newest are sent."""
+MAX_OWN_REPORTS = 256
+"""Most own reports that are kept for status messages, the newest ones."""
+
+MAX_STATUS_DIGESTS = 128
+"""Most digests in a status, 2.5 KB, and 2 KB for their reports. If there are
+more, others are drawn for each message, so that requests with many parts do not
+keep the reports of others from being sent."""
+
+MAX_DIGESTS = 256
+"""Most digests in a message on suspects."""
+
+MAX_MERGED_REPORTS = 128
+"""Most reports of a message that are merged."""
 
 MIN_QUERY_PAUSE_S = 1.0
 """Shortest pause between two queries for the suspects of other entries, s."""
@@ -30,10 +42,11 @@
 
     @property
     def crash(self):
-        """The ``suspects.Crash``; None for a run that clears a suspect."""
+        """The ``crashrecords.Crash``; None for a run that clears a suspect."""
         if not self.report.replica:
             return None
-        return suspects.Crash(self.report.replica, self.report.started_at_ms)
+        return crashrecords.Crash(self.report.replica,
+                                  self.report.started_at_ms)
 
     @property
     def digests(self):
@@ -50,6 +63,17 @@
     return max(0, int((now - at) * 1000))
 
 
+def _fitting(reports, max_digests=MAX_DIGESTS):
+    """Returns the first ``entrystatus.RunReport`` objects that fit, a tuple."""
+    total, count = 0, 0
+    for report in reports:
+        total += 1 + len(report.parts)
+        if total > max_digests:
+            break
+        count += 1
+    return tuple(reports[:count])
+
+
 def _with_age(report, age):
     return entrystatus.RunReport(report.digest, age, report.replica,
                                  report.started_at_ms, report.weight,
@@ -75,7 +99,7 @@
         self._survived = survived
         self._clock = clock
         self._peers = None
-        self._own = collections.deque(maxlen=MAX_REPORTS)
+        self._own = collections.deque(maxlen=MAX_OWN_REPORTS)
         self._queried_at = self._responded_at = float('-inf')
         self.on_merged = lambda: None
 
@@ -103,8 +127,8 @@
         Args:
             digest: The digest of the request.
             parts: ``entrystatus.PartReport`` objects of its prompt.
-            crash: The ``suspects.Crash``.
-            weight: The ``suspects.CrashWeight``.
+            crash: The ``crashrecords.Crash``.
+            weight: The ``crashrecords.CrashWeight``.
             at: When it was observed, s (monotonic).
 
         Returns:
@@ -135,10 +159,21 @@
         while (self._own and
                self._own[0].at < now - entrystatus.REPORT_WINDOW_S):
             self._own.popleft()
-        return tuple(
+        reports = [
             own.aged(now)
             for own in self._own
-            if own.crash is None or self._holds(own))
+            if own.crash is None or self._holds(own)
+        ]
+        if len(_fitting(reports, MAX_STATUS_DIGESTS)) < len(reports):
+            random.shuffle(reports)
+            reports.sort(key=self._gravity, reverse=True)
+        return _fitting(reports, MAX_STATUS_DIGESTS)
+
+    def _gravity(self, report):
+        """Returns the most weight of anything in a report that did not run."""
+        digests = [report.digest]
+        digests += [p.digest for p in report.parts if not p.survived_before]
+        return max(self._book.weight(digest) for digest in digests)
 
     def _holds(self, own):
         """Returns whether a crash still counts against anything."""
@@ -150,7 +185,8 @@
     def of(self, digest):
         """Returns the ``entrystatus.RunReport`` objects of a suspect, a list.
 
-        What was always there with it is reported as the parts of a prompt.
+        What was always there with it is reported as the parts of a prompt, and
+        itself, as only parts say whether runs with them went on before.
         """
         now = self._clock()
         return [
@@ -173,11 +209,15 @@
         return tuple(found)
 
     def send_suspects_to_all(self, digests):
-        """Sends the reports of suspects to all other entries at once."""
+        """Sends the reports of suspects to all other entries at once.
+
+        Args:
+            digests: Their digests, in order; those that do not fit are left
+                out.
+        """
         reports = [report for digest in digests for report in self.of(digest)]
         if reports and self._peers is not None:
-            self._peers.send_all(
-                messages.Suspects(tuple(reports[:2 * MAX_REPORTS])))
+            self._peers.send_all(messages.Suspects(_fitting(reports)))
 
     def send_gravest_to_all(self):
         """Sends all entries the reports of the heaviest suspects."""
@@ -186,7 +226,7 @@
     def _gravest(self):
         """Returns the reportable digests, those with the most weight first."""
         return sorted(self._book.reportable(),
-                      key=self._book.weight,
+                      key=lambda d: (self._book.weight(d), d),
                       reverse=True)
 
     def send_suspects(self, host):
@@ -199,8 +239,7 @@
             return
         self._responded_at = now
         reports = [report for d in self._gravest() for report in self.of(d)]
-        self._peers.send(messages.Suspects(tuple(reports[:2 * MAX_REPORTS])),
-                         host)
+        self._peers.send(messages.Suspects(_fitting(reports)), host)
 
     # -- from other entries ----------------------------------------------------
 
@@ -239,14 +278,13 @@
             clearings = tuple(
                 entrystatus.RunReport(
                     d, age_ms(self._book.find(d).cleared_at, now))
-                for d in refuted)
-            self._peers.send(messages.Suspects(clearings[:2 * MAX_REPORTS]),
-                             host)
+                for d in sorted(refuted))
+            self._peers.send(messages.Suspects(_fitting(clearings)), host)
 
     def merge(self, reports):
         """Merges the ``entrystatus.RunReport`` objects of another entry."""
         now = self._clock()
-        for report in reports[:4 * MAX_REPORTS]:
+        for report in reports[:MAX_MERGED_REPORTS]:
             at = now - report.age_ms / 1000
             if report.replica:
                 self._merge_crash(report, at)
@@ -268,5 +306,5 @@
             if survived_at > at:
                 self._book.record_clearing(digest, survived_at)
         return self._book.record_broken_run(
-            seen, suspects.Crash(report.replica, report.started_at_ms),
-            suspects.CrashWeight(report.weight), at)
+            seen, crashrecords.Crash(report.replica, report.started_at_ms),
+            crashrecords.CrashWeight(report.weight), at)
--- a/gorsefall/relay/exchange.py
+++ b/gorsefall/relay/exchange.py
@@ -9,12 +9,11 @@
 from gorsefall import digests
 from gorsefall import errors
 from gorsefall import logs
-from gorsefall import serving
 from gorsefall.net import outbound
 from gorsefall.policy import attempts
+from gorsefall.policy import crashrecords
 from gorsefall.policy import placement
 from gorsefall.policy import retry_delay
-from gorsefall.policy import suspects
 from gorsefall.relay import accesslog
 from gorsefall.relay import backups
 from gorsefall.relay import boundversion
@@ -28,6 +27,7 @@
 from gorsefall.relay import sending
 from gorsefall.relay import silence
 from gorsefall.relay import takeover
+from gorsefall import serving
 
 INTERNAL_ERROR_STATUS = 500
 TIMEOUT_STATUS = 504
@@ -47,7 +47,7 @@
         disconnect_reason: Why the caller's connection ended before the
             response, or None.
         response_end: The ``responseend.ResponseEnd``.
-        causes: The ``suspects.PossibleCauses`` of a crash under it.
+        causes: The ``crashrecords.PossibleCauses`` of a crash under it.
     """
 
     def __init__(self, node, req, writer):
@@ -56,7 +56,7 @@
         self.req = req
         self._delivery = delivery.Delivery(node.codec, writer)
         self.attempt = None
-        self.causes = suspects.PossibleCauses(None)
+        self.causes = crashrecords.PossibleCauses(None)
         self.grant = grant.Grant(node, req)
         self._deadline = None
         self._deadline_timer = None
@@ -92,7 +92,7 @@
         self._version.find(self.dispatch)
 
     def _possible_causes(self):
-        """Returns the ``suspects.PossibleCauses`` for its current service."""
+        """Returns its ``crashrecords.PossibleCauses`` at its service."""
         key = self.node.cfg.digest_key.encode()
         account = self.grant.account
         request = self.causes.request or digests.request_digest(
@@ -101,8 +101,8 @@
         shared = self.req.prompt.shared if self.req.prompt is not None else ()
         parts = dict.fromkeys(
             digests.part_digest(key, self.grant.service, part.name)
-            for part in shared[:suspects.MAX_PARTS_PER_REQUEST])
-        return suspects.PossibleCauses(request, tuple(parts))
+            for part in shared[:crashrecords.MAX_PARTS_PER_REQUEST])
+        return crashrecords.PossibleCauses(request, tuple(parts))
 
     @property
     def terms(self):
--- a/gorsefall/relay/survivals.py
+++ b/gorsefall/relay/survivals.py
@@ -3,7 +3,7 @@
 import collections
 import typing
 
-from gorsefall.policy import suspects
+from gorsefall.policy import crashrecords
 from gorsefall.relay import sending
 
 MAX_PARTS = 4096
@@ -24,20 +24,20 @@
     Attributes:
         due_at: When it will have gone on for long enough, s (monotonic).
         attempt: Its ``sending.Attempt``.
-        causes: Its ``suspects.PossibleCauses``.
+        causes: Its ``crashrecords.PossibleCauses``.
         exchange: The ``exchange.Exchange``.
     """
     due_at: float
     attempt: sending.Attempt
-    causes: suspects.PossibleCauses
+    causes: crashrecords.PossibleCauses
     exchange: object
 
 
 class Survivals:
     """When a run with each part of prompts last went on at this entry.
 
-    A run went on if its replica lives ``suspects.YOUNG_RUN_S`` after the first
-    event, and nobody cancelled the run before.
+    A run went on if its replica lives ``crashrecords.YOUNG_RUN_S`` after the
+    first event, and nobody cancelled the run before.
     """
 
     def __init__(self, loop, fleet, clock, on_survived):
@@ -47,7 +47,7 @@
             loop: The ``reactor.Reactor``.
             fleet: The ``fleet.Fleet``.
             clock: Returns the time, s (monotonic).
-            on_survived: Called with the ``suspects.PossibleCauses`` and the
+            on_survived: Called with the ``crashrecords.PossibleCauses`` and the
                 ``exchange.Exchange`` of a run that went on.
         """
         self._loop = loop
@@ -63,11 +63,11 @@
 
         Args:
             attempt: The ``sending.Attempt``.
-            causes: Its ``suspects.PossibleCauses``.
+            causes: Its ``crashrecords.PossibleCauses``.
             exchange: Its ``exchange.Exchange``.
         """
         self._begun.append(
-            _BegunRun(self._clock() + suspects.YOUNG_RUN_S, attempt, causes,
+            _BegunRun(self._clock() + crashrecords.YOUNG_RUN_S, attempt, causes,
                       exchange))
         self._schedule()
 
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -8,6 +8,7 @@
 
 from gorsefall.emulator import clock
 from gorsefall.emulator import crashing
+from gorsefall.policy import crashrecords
 from gorsefall.policy import entrystatus
 from gorsefall.policy import suspects
 from gorsefall.relay import crashes
@@ -18,7 +19,7 @@
 from gorsefall.relay import survivals
 from gorsefall.relay import undecidedexits
 
-YOUNG = suspects.CrashWeight.YOUNG
+YOUNG = crashrecords.CrashWeight.YOUNG
 BAD, COMMON, FOLLOWER = b'bad', b'common', b'follower'
 TOPICS = tuple(b'topic %d' % i for i in range(8))
 
@@ -26,6 +27,16 @@
 """The platform's bound: from that time after so many crashes on, at most so
 many requests with a part reach replicas."""
 
+MAX_REFUSED_SHARE = 0.5
+"""Most sound requests that may be refused while two parts crash replicas: the
+platform's bound."""
+
+SLOTS = 64
+"""Requests that a replica runs at once."""
+
+MAX_REPORT_BYTES = 6000
+"""Size of the reports in a status, bytes: the rest of one needs up to 2,000."""
+
 SPACING_S, NOW_S = 10.0, 55.0
 """Time between two crashes, and the time after all of them, s."""
 
@@ -46,7 +57,7 @@
 
 
 def _crash(number):
-    return suspects.Crash(f'r{number}')
+    return crashrecords.Crash(f'r{number}')
 
 
 def _record(book, number, *digests, survived=()):
@@ -132,7 +143,7 @@
 _RUNS = st.lists(st.tuples(
     st.integers(0, 6),
     st.frozensets(st.sampled_from([b'a', b'b', b'c', b'd']), min_size=1),
-    st.sampled_from(list(suspects.CrashWeight)), st.booleans()),
+    st.sampled_from(list(crashrecords.CrashWeight)), st.booleans()),
                  max_size=16)
 
 
@@ -168,6 +179,40 @@
     assert not book.causes
 
 
+def test_requests_with_many_parts_of_their_own_do_not_hide_a_part():
+    """A caller has a part that crashes replicas forgotten, or kept out of all
+    messages, by prompts of many parts that nobody else has."""
+    loop = clock.Loop()
+    reporting = suspects.Suspects()
+    nothing = types.SimpleNamespace(last=lambda part: float('-inf'),
+                                    is_recent=lambda part, at: False)
+    reports = crashreports.CrashReports(reporting, nothing, lambda: loop.now)
+    other = suspects.Suspects()
+    merging = crashreports.CrashReports(other, nothing, lambda: loop.now)
+    for i in range(4):
+        loop.run(10.0 * i + 10)
+        for j in range(SLOTS):
+            parts = [
+                b'%d %d %d' % (i, j, k)
+                for k in range(crashrecords.MAX_PARTS_PER_REQUEST)
+            ]
+            if j == SLOTS // 2:
+                parts = [COMMON, BAD]
+            reports.record_crash(b'request %d %d' % (i, j),
+                                 reports.describe_parts(parts, loop.now),
+                                 _crash(i), YOUNG, loop.now)
+        for _ in range(12):
+            loop.run(loop.now + 0.5)
+            sent = reports.recent(loop.now)
+            size = len(messages.encode(messages.Suspects(sent)))
+            assert size <= MAX_REPORT_BYTES
+            merging.merge(sent)
+    assert len(reporting) <= suspects.MAX_SUSPECTS
+    for book in (reporting, other):
+        cause = book.blocking_cause(frozenset((b'x', COMMON, BAD)), loop.now)
+        assert cause is not None and BAD in cause.combination
+
+
 # -- many entries --------------------------------------------------------------
 
 
@@ -201,6 +246,32 @@
     assert not site.good_outcomes['refused'], site.good_outcomes
 
 
+@pytest.mark.parametrize('entries, replicas, loss, cut', [(7, 6, 0.2, 0),
+                                                          (7, 12, 0.02, 1),
+                                                          (87, 45, 0.2, 3),
+                                                          (195, 50, 0.02, 10)])
+def test_two_parts_at_once_are_blocked_in_time(entries, replicas, loss, cut):
+    """One part hides another one, messages are lost, or an entry hears nothing
+    for a while."""
+    site = crashing.Site(entries, replicas, seed=4, loss=loss)
+    _submit(site, 16.0, 60, 2, 'second')
+    for i in range(26):
+        site.loop.call_later(
+            3.2 + 0.5 * i,
+            lambda i=i: site.submit(
+                b'other %d' % i, 0.0, parts=(COMMON, b'worse'), poison=True))
+    for entry in site.entries[:cut]:
+        site.loop.call_later(4.0, entry.start)
+    site.loop.run(20.0)
+    # Five crashes of each part, and what may still be sent of each.
+    known_at = site.poison_runs[2 * KNOWN_CRASHES - 1] if len(
+        site.poison_runs) >= 2 * KNOWN_CRASHES else site.poison_runs[-1]
+    late = [at for at in site.poison_runs if at > known_at + CONTACT_S]
+    assert len(late) <= 2 * MAX_LATE_RUNS, site.poison_runs
+    refused = site.good_outcomes['refused'] / site.good_outcomes.total()
+    assert refused <= MAX_REFUSED_SHARE, site.good_outcomes
+
+
 @pytest.mark.parametrize('entries, replicas', [(7, 6), (7, 12), (87, 45),
                                                (195, 50)])
 def test_crashes_of_other_causes_blame_no_part(entries, replicas):
@@ -223,7 +294,7 @@
     for entry in site.entries:
         for i in range(3):
             _record(entry.crashes.suspects, i, b'request %d' % i, BAD)
-    causes = suspects.PossibleCauses(b'another', (BAD,))
+    causes = crashrecords.PossibleCauses(b'another', (BAD,))
     for turn in (1, 2, 3):
         site.loop.run(2 * SPACING_S + turn * suspects.BLOCK_S + 1)
         trying = [e for e in site.entries if _may_send(e.crashes, causes)]
@@ -272,7 +343,7 @@
     memory = survivals.Survivals(loop, _fleet(replica), lambda: loop.now,
                                  lambda causes, exchange: survived.append(1))
     run = _Run(replica)
-    memory.watch(run, suspects.PossibleCauses(b'x', (BAD,)), None)
+    memory.watch(run, crashrecords.PossibleCauses(b'x', (BAD,)), None)
     loop.run(0.2)
     change(run)
     loop.run(2.0)
@@ -333,7 +404,7 @@
     loop.run(100.0)
     for i in range(2):
         _record(tracker.suspects, i, suspect)
-    causes = suspects.PossibleCauses(b'same', (BAD,))
+    causes = crashrecords.PossibleCauses(b'same', (BAD,))
     found = []
     first, second = (_Exchange(i, found) for i in range(2))
     assert tracker.try_begin_run(causes, first)
@@ -407,7 +478,7 @@
         probe=lambda replica, done: done(verdicts.pop() if verdicts else later))
     tracker = crashes.CrashTracker(loop, probe, _fleet(replica),
                                    lambda: loop.now)
-    run = crashes.BrokenRun(suspects.PossibleCauses(b'x', (BAD,)), 0.0, 0.1)
+    run = crashes.BrokenRun(crashrecords.PossibleCauses(b'x', (BAD,)), 0.0, 0.1)
     loop.run(0.2)
     tracker.handle_broken_run(replica, run, lambda: None)
     assert not tracker.suspects.weight(BAD)
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -8,19 +8,20 @@
 
 from gorsefall.emulator import clock
 from gorsefall.emulator import crashing
+from gorsefall.policy import crashrecords
 from gorsefall.policy import suspects
 from gorsefall.relay import crashes
 from gorsefall.relay import crashreports
 from gorsefall.relay import model
 from gorsefall.relay import prober
 
-YOUNG, OLD = suspects.CrashWeight.YOUNG, suspects.CrashWeight.OLD
+YOUNG, OLD = crashrecords.CrashWeight.YOUNG, crashrecords.CrashWeight.OLD
 CONTACT_S = 5.0
 MAX_RUNS_AFTER_CONTACT = 3
 
 
 def _crash(number):
-    return suspects.Crash(f'r{number}')
+    return crashrecords.Crash(f'r{number}')
 
 
 def test_the_third_crash_blocks_a_request():
@@ -225,10 +226,10 @@
     first, second = _replica('r1'), _replica('r2')
     loop, tracker, probes = _tracker_of(first, second)
     tracker.handle_broken_run(
-        first, crashes.BrokenRun(suspects.PossibleCauses(b'x'), 0.0, None),
+        first, crashes.BrokenRun(crashrecords.PossibleCauses(b'x'), 0.0, None),
         lambda: None)
     tracker.handle_broken_run(
-        second, crashes.BrokenRun(suspects.PossibleCauses(b'y'), 0.0, None),
+        second, crashes.BrokenRun(crashrecords.PossibleCauses(b'y'), 0.0, None),
         lambda: None)
     for done in probes:
         loop.run(loop.now + 0.3)
@@ -245,8 +246,9 @@
     _, tracker, probes = _tracker_of(leaving, reported)
     for replica in (leaving, reported):
         tracker.handle_broken_run(
-            replica, crashes.BrokenRun(suspects.PossibleCauses(b'x'), 0.0,
-                                       None), lambda: None)
+            replica,
+            crashes.BrokenRun(crashrecords.PossibleCauses(b'x'), 0.0, None),
+            lambda: None)
     assert not probes
 
 
@@ -282,7 +284,7 @@
 def test_an_attempt_during_an_exit_weighs_less():
     """A good request is blocked that was retried from one crashing replica of
     a burst to the next."""
-    run = crashes.BrokenRun(suspects.PossibleCauses(b'x'),
+    run = crashes.BrokenRun(crashrecords.PossibleCauses(b'x'),
                             sent_at=1.0,
                             first_event_at=None,
                             after_broken_run=True)
@@ -302,7 +304,7 @@
     # Each of three entries observes one crash before it receives the others.
     for entry in site.entries[:3]:
         replica = site.live_replicas()[0]
-        run = crashes.BrokenRun(suspects.PossibleCauses(b'x'),
+        run = crashes.BrokenRun(crashrecords.PossibleCauses(b'x'),
                                 sent_at=-1.0,
                                 first_event_at=None)
         replica.up = False
