Entries lend each other places at brittle replicas

Cause: the places are divided equally, once and for all.

Change: an entry says how many places it wants beyond its own; others lend it what they do not need.

Ways: parts of the number of places by demand, rounded down, leave 0.6 of eight places at five entries and none at 195; dividing by where the places are, with demands that differ from entry to entry, uses places twice; loans.

--- a/gorsefall/policy/entrystatus.py
+++ b/gorsefall/policy/entrystatus.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from gorsefall import ids
+from gorsefall.policy import placeloans
 from gorsefall.policy import prompts
 
 REPORT_WINDOW_S = 6.0
@@ -170,6 +171,9 @@
         unreachable_services: Services whose replicas it does not reach itself.
         demand_per_s: ``service -> requests per second`` that arrive at it, for
             services whose replicas announce limits.
+        wanted_places: ``service -> places`` of others at brittle replicas that
+            it wants.
+        place_loans: The ``placeloans.Loan`` objects that it grants.
     """
     name: str
     started_at_ms: int
@@ -192,6 +196,8 @@
     decode_engines: dict[ids.ServiceName, Count] = {}
     unreachable_services: tuple[ids.ServiceName, ...] = ()
     demand_per_s: dict[ids.ServiceName, NonNegative] = {}
+    wanted_places: dict[ids.ServiceName, Count] = {}
+    place_loans: tuple[placeloans.Loan, ...] = ()
 
     def without_reports(self):
         """Returns a copy without what may be left out of a message.
@@ -213,7 +219,9 @@
                       duties=self.duties,
                       decode_engines=self.decode_engines,
                       unreachable_services=self.unreachable_services,
-                      demand_per_s=self.demand_per_s)
+                      demand_per_s=self.demand_per_s,
+                      wanted_places=self.wanted_places,
+                      place_loans=self.place_loans)
 
     def responses_after(self, last):
         """Returns the responses that are not in the status ``last``.
--- a/gorsefall/relay/announcements.py
+++ b/gorsefall/relay/announcements.py
@@ -113,6 +113,7 @@
         """Handles the ``entrystatus.Status`` of another entry."""
         self.demand.handle_status(status)
         self.limits.handle_status(status)
+        self.brittle.handle_status(status)
         for report in status.leaving_replicas:
             replica = self._fleet.find(report)
             if replica is not None:
--- a/gorsefall/relay/exchange.py
+++ b/gorsefall/relay/exchange.py
@@ -175,6 +175,7 @@
                 may_shed=not (self.attempts.replicas or self._version.bound),
                 least_loaded=self.node.crashes.must_serialize(self.causes))
         if choice is None or self._detours.is_in_vain(choice):
+            self.node.announcements.brittle.record_unserved(self.grant.service)
             raise errors.NoReplicaError(
                 f'no replica of {self.grant.service}'
                 f'{self._version.described()} is left '
--- a/gorsefall/relay/node.py
+++ b/gorsefall/relay/node.py
@@ -265,6 +265,8 @@
             leaving_replicas=self.announcements.recent_leaving(self.loop.now),
             unreachable_services=self.paths.unreachable_services(),
             demand_per_s=self.announcements.demand_report(),
+            wanted_places=self.announcements.brittle.wanted_places(),
+            place_loans=self.announcements.brittle.grant_loans(),
             **self.duties.status_fields())
 
     @property
--- a/gorsefall/relay/replicalimits.py
+++ b/gorsefall/relay/replicalimits.py
@@ -11,6 +11,9 @@
 MAX_REPORTS = 16
 """Maximum number of limits in a status message, the last ones announced."""
 
+LOGGED_CHANGE = 2.0
+"""Factor by which the share of a limit must change to be logged."""
+
 SHARE_UPDATE_PERIOD_S = 0.5
 """Pause between updates of the entries that share a limit, s."""
 
@@ -61,10 +64,17 @@
 
     def _update_share(self, replica):
         limit = replica.limit
-        if limit.per_s is not None:
-            limit.share = announced_limits.own_share(
-                replica.record.id, self._members.name,
-                self._demand.shares(replica.record.service), limit.per_s)
+        if limit.per_s is None:
+            return
+        before = limit.share
+        limit.share = announced_limits.own_share(
+            replica.record.id, self._members.name,
+            self._demand.shares(replica.record.service), limit.per_s)
+        if max(before, limit.share) > LOGGED_CHANGE * min(before, limit.share):
+            self._log.info('limit_part_changed',
+                           replica=replica.record.id,
+                           part=round(limit.share, 3),
+                           before=round(before, 3))
 
     def limited_services(self):
         """Returns the names of services whose replicas announce limits."""
