--- a/gorsefall/explain.py
+++ b/gorsefall/explain.py
@@ -164,6 +164,18 @@
     return f'{event.replica} announced {limit}'
 
 
+@describe.register
+def _(event: loglines.LimitPartChanged):
+    return (f'this entry may use {event.part:.0%} of the limit of '
+            f'{event.replica}, by its demand')
+
+
+@describe.register
+def _(event: loglines.PlacesBorrowed):
+    lent = f'{event.places} places' if event.places else 'no places any more'
+    return f'other entries lent this one {lent} at replicas of {event.service}'
+
+
 @describe.register
 def _(event: loglines.AttemptFailed):
     reached = ('may have received the request'
@@ -196,6 +208,8 @@
         return 'confirmation'
     if isinstance(event, loglines.PathsLost | loglines.PathsRegained):
         return f'paths {event.service}'
+    if isinstance(event, loglines.PlacesBorrowed):
+        return f'places {event.service}'
     if isinstance(event, loglines.StoreLost | loglines.StoreRegained):
         return f'store {event.topic}'
     if isinstance(
@@ -204,7 +218,7 @@
         return f'replica {event.replica}'
     if isinstance(
             event, loglines.ReplicaLeaving | loglines.ReplicaPaused |
-            loglines.LimitAnnounced):
+            loglines.LimitAnnounced | loglines.LimitPartChanged):
         return f'{type(event).__name__} {event.replica}'
     return 'process'
 
--- a/gorsefall/loglines.py
+++ b/gorsefall/loglines.py
@@ -201,6 +201,18 @@
     per_s: float | None = None
 
 
+class LimitPartChanged(ObservedState, tag='limit_part_changed'):
+    """This entry may use another part of a limit, as the demand has moved."""
+    replica: str
+    part: float = 0.0
+
+
+class PlacesBorrowed(ObservedState, tag='places_borrowed'):
+    """Others lend this entry places at brittle replicas, or no more."""
+    service: str
+    places: int = 0
+
+
 class PathsLost(ObservedState, tag='paths_lost'):
     """This entry does not reach the replicas of a service itself."""
     service: str = ''
@@ -289,9 +301,10 @@
               NotTakenOver | Kept | Answered | Configuration | ProofLost |
               ProofRegained | StoreLost | StoreRegained | ReplicaSeen |
               ReplicaDoubtful | ReplicaGone | ReplicaLeaving | ReplicaPaused |
-              LimitAnnounced | Started | Stopping | Stopped | UsageCounted |
-              UsageReported | UsageMissed | Claimed | DutiesLost | ClaimFailed |
-              ClaimNotRead | PlatformCallFailed)
+              LimitAnnounced | LimitPartChanged | PlacesBorrowed | Started |
+              Stopping | Stopped | UsageCounted | UsageReported | UsageMissed |
+              Claimed | DutiesLost | ClaimFailed | ClaimNotRead |
+              PlatformCallFailed)
 _decoder = msgspec.json.Decoder(_EventType)
 
 
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -200,3 +200,15 @@
     assert 'ended by the end of its connection' in text
     assert 'i-1 failed after 9 ms (ended inside an event)' in text.split(
         'cause: ')[1]
+
+
+def test_what_an_entry_may_use_of_limits_and_places_is_explained(tmp_path):
+    """An engineer on call sees refusals before replicas that are idle."""
+    (tmp_path / 'a.log').write_text(
+        '{"event": "limit_part_changed", "replica": "i-1", "part": 0.725}\n'
+        '{"event": "places_borrowed", "service": "pool", "places": 7}\n'
+        '{"event": "sent", "rid": "r1", "replica": "i-1", "service": "pool"}\n'
+        '{"event": "answered", "rid": "r1", "outcome": "served"}\n')
+    text = explain.explain(loglines.read_files([tmp_path / 'a.log']), 'r1')
+    assert 'this entry may use 72% of the limit of i-1' in text
+    assert 'lent this one 7 places at replicas of pool' in text
