Observability: the era of the store's answers, and records dropped as outdated

What callers saw: CONFIG, entries stay at an old version after the store came back from an older copy. No decision uses them yet.

--- a/gorsefall/ids.py
+++ b/gorsefall/ids.py
@@ -13,3 +13,7 @@
 AccountName = typing.NewType('AccountName', str)
 SoftwareVersion = typing.NewType('SoftwareVersion', str)
 StreamDigest = typing.NewType('StreamDigest', bytes)
+Era = typing.NewType('Era', int)
+
+NO_ERA = Era(0)
+"""Era of a store that names none: all of its offsets belong to one history."""
--- a/gorsefall/metrics.py
+++ b/gorsefall/metrics.py
@@ -57,6 +57,10 @@
 READS_STORE = prom.Gauge('gorsefall_reads_store',
                          'Whether this entry reads the store by itself.',
                          registry=REGISTRY)
+STORE_ERA = prom.Gauge('gorsefall_store_era',
+                       'Number of the history that the store serves; it rises '
+                       'when the store comes back from an older copy.',
+                       registry=REGISTRY)
 PEER_READS = prom.Counter('gorsefall_reads_asked_total',
                           'Questions to other entries of what the store '
                           'holds, by outcome; read: nobody knew.', ('outcome',),
--- a/gorsefall/relay/topic.py
+++ b/gorsefall/relay/topic.py
@@ -5,6 +5,8 @@
 
 import typing
 
+from gorsefall import ids
+
 SILENCE_TIMEOUT_S = 0.9
 """Longest time without a byte of a response, beyond the requested wait, s. The
 store responds in 4 ms, at times 60 times as slowly. A dead connection shows
@@ -23,10 +25,12 @@
         records: List of ``changes.Record``.
         more: Whether another page follows.
         end: Offset after the topic's last record.
+        era: The ``ids.Era`` of the history that the offsets belong to.
     """
     records: list
     more: bool
     end: int
+    era: ids.Era = ids.NO_ERA
 
 
 class Batch(typing.NamedTuple):
@@ -36,10 +40,12 @@
         records: List of ``changes.Record``, in order.
         next: Offset to read from next.
         end: Offset after the topic's last record.
+        era: The ``ids.Era`` of the history that the offsets belong to.
     """
     records: list
     next: int
     end: int
+    era: ids.Era = ids.NO_ERA
 
 
 class Source:
--- a/gorsefall/relay/topicfollower.py
+++ b/gorsefall/relay/topicfollower.py
@@ -9,6 +9,7 @@
 import random
 
 from gorsefall import logs
+from gorsefall import metrics
 from gorsefall.policy import freshness
 from gorsefall.relay import changes
 from gorsefall.relay import topic
@@ -81,6 +82,7 @@
         self._last_read_slow = False
         self._sent_at = None
         self._newest_offsets = {}
+        self._era = None
         self._stopped = False
         self._log = logs.get('follower').bind(topic=name)
         self.pace = pace
@@ -208,6 +210,7 @@
             return
         self.failed_reads = 0
         self._record_success()
+        self._log_era(page.era, page.end)
         self.has_snapshot = True
         self.offset = self._snapshot_end
         self.recent.reset(self.offset)
@@ -259,6 +262,7 @@
             return
         self.failed_reads = 0
         self._record_success()
+        self._log_era(batch.era, batch.end)
         changed = [self._apply(record) for record in batch.records]
         self.offset = max(self.offset, batch.next)
         if self.offset < batch.end:
@@ -311,11 +315,26 @@
     def _is_new(self, record):
         # Responses may be late and snapshots overlap reads; a record must
         # not replace a newer one of its key.
-        if record.offset < self._newest_offsets.get(record.key, 0):
+        known = self._newest_offsets.get(record.key, 0)
+        if record.offset < known:
+            self._log.info('record_outdated',
+                           key=record.key,
+                           offset=record.offset,
+                           known=known)
             return False
         self._newest_offsets[record.key] = record.offset
         return True
 
+    def _log_era(self, era, end):
+        if era != self._era:
+            self._log.info('store_era',
+                           era=era,
+                           before=self._era,
+                           end=end,
+                           offset=self.offset)
+            self._era = era
+            metrics.STORE_ERA.set(era)
+
     def _record_success(self):
         if self._failures:
             self._log.info('store_regained', failures=self._failures)
