--- a/features/platform_duties.feature
+++ b/features/platform_duties.feature
@@ -38,6 +38,26 @@
       | reset  |
       | late   |
 
+  # Guards against tokens that are used twice, and windows that are counted
+  # anew, when the store loses claims that it had confirmed.
+  Scenario Outline: the store loses the last claims while the holder is <fault>
+    Given three entries on the platform with duties
+    When requests are served at all entries for 2 s
+    And a copy of the store is taken
+    And requests are served at all entries for 4 s
+    And the store comes back from the copy while the holder is <fault>
+    And requests are served at the other entries for 10 s
+    Then usage is reported after the return
+    And no two entries used the same token
+    And tokens only grew
+    And no window was reported with different counts
+
+    Examples:
+      | fault  |
+      | well   |
+      | killed |
+      | frozen |
+
   Scenario: spot replicas take over from regular ones
     Given three entries on the platform with duties
     When the pool's replicas may be ordered
--- a/features/steps/duty_steps.py
+++ b/features/steps/duty_steps.py
@@ -35,6 +35,9 @@
 TAKEOVER_S = 16.0
 """Time within which the duties have a holder, s."""
 
+RETURN_S = 1.0
+"""Time for which a store is away before it comes back from a copy, s."""
+
 PAUSE_S = 0.05
 """Pause between two rounds of requests, s."""
 
@@ -126,6 +129,40 @@
         context.add_cleanup(context.old_holder.proc.send_signal, signal.SIGCONT)
 
 
+@when('a copy of the store is taken')
+def step_copy(context):
+    context.copy = context.platform.store.save()
+
+
+@when('the store comes back from the copy while the holder is {fault}')
+def step_restore(context, fault):
+    store = context.platform.store
+    store.mode = 'reset'
+    store.reset_connections()
+    if fault == 'well':
+        context.old_holder = None
+    else:
+        step_fault(context, fault)
+    time.sleep(RETURN_S)
+    store.restore(context.copy)
+    store.mode = 'ok'
+    context.reports_before = len(context.cloud.reports)
+
+
+@then('usage is reported after the return')
+def step_reports_go_on(context):
+    waiting.until(
+        lambda: len(context.cloud.reports) > context.reports_before + 2,
+        'reports after the return',
+        timeout_s=TAKEOVER_S)
+
+
+@then('tokens only grew')
+def step_tokens_grew(context):
+    tokens = [token for _, token, _, _ in context.cloud.calls]
+    assert tokens == sorted(tokens), tokens
+
+
 @when("the platform's calls are {mode} for {seconds:g} s")
 def step_cloud(context, mode, seconds):
     context.cloud.mode = mode
