--- a/features/platform_restored.feature
+++ b/features/platform_restored.feature
@@ -43,9 +43,9 @@
     And it serves the lost version within 3 s
 
     Examples:
-      | what   | before | after   |
-      | starts | killed | started |
-      | wakes  | paused | resumed |
+      | what   | before | after                                   |
+      | starts | killed | started                                 |
+      | wakes  | paused | resumed after the bound on revoked keys |
 
   Scenario: a replica that says after the return that it leaves
     Given the replicas write their records again and again
--- a/features/steps/restored_steps.py
+++ b/features/steps/restored_steps.py
@@ -8,6 +8,7 @@
 from behave import then
 from behave import when
 from steps import platform_site
+from steps import sharing_steps
 
 import standin
 import wire_callers
@@ -115,6 +116,7 @@
     context.copy = context.platform.store.save()
     context.keys = standin.ACCOUNTS_BY_KEY
     _put_version(context, context.version + 1)
+    context.revoked_at = time.monotonic()
     time.sleep(SETTLE_S)
 
 
@@ -152,6 +154,9 @@
         site.proc.wait()
         site.start()
     else:
+        # Until then it may rely on what it knew.
+        time.sleep(context.revoked_at + sharing_steps.REVOKE_S -
+                   time.monotonic())
         site.proc.send_signal(signal.SIGCONT)
     context.continued_at = time.monotonic()
 
--- a/gorsefall/duties/claims.py
+++ b/gorsefall/duties/claims.py
@@ -1,6 +1,6 @@
 """The record that names the holder of the duties and what it decided.
 
-Its offset in the store is the holder's fencing token: no two records have the
+Its position in the store is the holder's fencing token: no two records have the
 same one, and it only grows. What a holder is about to tell the platform is in
 the record before the call is made, so that a successor repeats exactly that.
 """
@@ -59,6 +59,8 @@
         windows: The last ``WindowCounts`` objects that were fixed.
         settled_through: Number of the last window that needs no further call.
         orders: The ``Order`` objects in force.
+        follows_loss: Whether the store had lost claims before this one. They
+            may have fixed the counts of any window that had ended.
     """
     holder: str = ''
     nonce: int = 0
@@ -67,6 +69,7 @@
     windows: tuple[WindowCounts, ...] = ()
     settled_through: int = 0
     orders: tuple[Order, ...] = ()
+    follows_loss: bool = False
 
     def counts_of(self, window):
         """Returns the fixed counts of a window, or None."""
--- a/gorsefall/duties/coordinator.py
+++ b/gorsefall/duties/coordinator.py
@@ -311,6 +311,15 @@
         and would not be reported for as long.
         """
         current = self._window_at(self.true_time.now())
+        if claim.follows_loss:
+            # Claims that the store has lost may have fixed the counts of
+            # windows that have ended; others would contradict them.
+            self._log.warning('windows_left_out',
+                              first=claim.decided_through + 1,
+                              last=current - 1)
+            return msgspec.structs.replace(claim,
+                                           decided_through=current - 1,
+                                           follows_loss=False)
         if claim.decided_through < current:
             return claim
         return msgspec.structs.replace(claim, decided_through=current - 1)
--- a/gorsefall/duties/lease.py
+++ b/gorsefall/duties/lease.py
@@ -1,11 +1,17 @@
 """The lease on the duties: one holder at a time, agreed in the store.
 
 A holder appends a claim on the condition that the topic still ends where it
-knows it to end. The offset of the claim is its fencing token. It appends a new
-one before each action, and acts only for a part of the lease after it. Another
-entry may claim once the whole lease has passed since it first knew of the last
-claim. So the store is asked only when there is something to do, and no holder
-acts after a successor may have claimed.
+knows it to end. The position of the claim, its era first, is its fencing token.
+It appends a new one before each action, and acts only for a part of the lease
+after it. Another entry may claim once the whole lease has passed since it first
+knew of the last claim. So the store is asked only when there is something to
+do, and no holder acts after a successor may have claimed.
+
+A store that comes back from an older copy has lost claims and gives their
+offsets out again. Each era has a key of its own, so that a claim that was meant
+for a lost history counts for nothing. The holder of the last claim of the lost
+history claims again with what it had decided; any other entry that is first in
+a new era takes for decided whatever a lost claim may have decided.
 """
 
 import collections
@@ -16,13 +22,15 @@
 import msgspec
 
 from gorsefall import errors
+from gorsefall import ids
 from gorsefall import logs
 from gorsefall import metrics
 from gorsefall.duties import claims
 from gorsefall.policy import freshness
+from gorsefall.relay import positions
 
 CLAIM_KEY = 'holder'
-"""Key of the only record of the topic."""
+"""Key of the record of a store that names no era."""
 
 ACTION_SHARE = 0.4
 """Part of the lease in which a confirmed claim allows calls to be sent. The
@@ -53,11 +61,24 @@
     HOLDER = 'holder'
 
 
+def claim_key(era):
+    """Returns the key of the claims of an ``ids.Era``."""
+    return CLAIM_KEY if era == ids.NO_ERA else f'{CLAIM_KEY}.{era}'
+
+
+def _claim_era(key):
+    """Returns the era whose claims have a key, None if it is no such key."""
+    if key == CLAIM_KEY:
+        return ids.NO_ERA
+    name, _, era = key.partition('.')
+    return ids.Era(int(era)) if name == CLAIM_KEY and era.isdigit() else None
+
+
 class _Known(typing.NamedTuple):
     """The newest claim that is known.
 
     Attributes:
-        token: Its offset; -1 before the first.
+        token: Its token; -1 before the first.
         since: When it was sent, or first seen if that is not known, s.
     """
     token: int = -1
@@ -65,9 +86,40 @@
 
 
 class _Snapshot(typing.NamedTuple):
-    """What a read of the topic found; offsets are -1 without a record."""
-    offset: int
-    end: int
+    """What a read of the topic found.
+
+    Attributes:
+        claim: ``positions.Position`` of the newest claim, in the era that its
+            key names; None without one.
+        end: Position after the last record of the topic.
+        value: The claim's bytes; empty without one.
+    """
+    claim: positions.Position | None
+    end: positions.Position
+    value: bytes = b''
+
+    @property
+    def is_newest(self):
+        """Whether the claim is the last record of the topic."""
+        offset = -1 if self.claim is None else self.claim.offset
+        return offset + 1 == self.end.offset
+
+    @property
+    def history_lost(self):
+        """Whether claims that are not there may have been confirmed."""
+        return self.claim is not None and self.claim.era < self.end.era
+
+
+def _find_claim(page):
+    """Returns the ``_Snapshot`` of a ``topic.SnapshotPage``."""
+    end = positions.Position(page.era, page.end)
+    found = {
+        positions.Position(era, r.offset): r.value
+        for r in page.records
+        if (era := _claim_era(r.key)) is not None and era <= page.era
+    }
+    newest = max(found, default=None)
+    return _Snapshot(newest, end, found.get(newest, b''))
 
 
 class Lease:
@@ -119,6 +171,8 @@
         self._busy = False
         self._retry_at = self._unfit_until = float('-inf')
         self._ending = False
+        self._lost_era = None
+        self._loss_seen_at = float('-inf')
 
     # -- state -----------------------------------------------------------------
 
@@ -154,7 +208,7 @@
         """Records the claim of a holder as its status describes it.
 
         Args:
-            token: Its offset.
+            token: Its token.
             age_s: Time since it was sent, s.
         """
         self._record_known(token, self._clock() - age_s)
@@ -193,6 +247,10 @@
 
     def _free_at(self):
         """Returns when the lease of the last holder is over, s."""
+        if self.claim.follows_loss:
+            # The holder of a claim that was lost may act until its lease is
+            # over.
+            return max(self._known.since, self._loss_seen_at) + self._lease_s
         if self.claim.released or self.claim.holder in ('', self._name):
             # An earlier process of the same VM has ended.
             return float('-inf')
@@ -237,10 +295,11 @@
         self._busy = True
         sent_at = self._clock()
         self._source.append_at(
-            CLAIM_KEY, claims.encode(claim), end, CALL_TIMEOUT_S,
-            lambda offset, exc: self._on_appended(claim, sent_at, offset, exc))
+            claim_key(end.era), claims.encode(claim), end.offset,
+            CALL_TIMEOUT_S, lambda position, exc: self._on_appended(
+                claim, sent_at, end, position, exc))
 
-    def _on_appended(self, claim, sent_at, offset, exc):
+    def _on_appended(self, claim, sent_at, end, position, exc):
         self._busy = False
         if exc is not None:
             # The topic has to be read before the next append: another claim
@@ -252,17 +311,27 @@
                 self._record_failure('claim_failed', exc)
             return
         self._record_success()
+        if position.era != end.era:
+            # The store lost the history in which the topic was read, and the
+            # claim counts for nothing in this one.
+            self._log.warning('claim_in_another_era',
+                              expected=end.era,
+                              era=position.era)
+            self._end = None
+            return
         if claim.released:
             return
-        self.claim, self._end, self._sent_at = claim, offset + 1, sent_at
-        self._record_known(offset, sent_at)
+        token = positions.fencing_token(position)
+        self.claim, self._sent_at = claim, sent_at
+        self._end = position._replace(offset=position.offset + 1)
+        self._record_known(token, sent_at)
         taken = not self.held
         if taken:
             self.state = State.HOLDER
             metrics.DUTIES_HELD.set(1)
-        self._log.info('claimed', token=offset, before=self.token)
-        self.token = offset
-        metrics.DUTIES_TOKEN.set(offset)
+        self._log.info('claimed', token=token, before=self.token)
+        self.token = token
+        metrics.DUTIES_TOKEN.set(token)
         if taken:
             self.on_taken()
         self.on_confirmed()
@@ -279,26 +348,48 @@
             self._record_failure('claim_not_read', exc)
             return
         self._record_success()
-        record = next((r for r in page.records if r.key == CLAIM_KEY), None)
-        found = _Snapshot(record.offset if record else -1, page.end)
-        if found.offset + 1 != found.end and found != self._snapshot:
+        found = _find_claim(page)
+        if not found.is_newest and found != self._snapshot:
             # A claim may have been appended while the page was built. Only if
             # the next read finds the same is there no such claim.
             self._snapshot = found
             return
         self._snapshot = None
-        self._record_known(found.offset, self._clock())
-        claim = self._decode(record) if record else claims.Claim()
-        if self.held and claim.nonce not in self._nonces:
+        if found.claim is not None:
+            self._record_known(positions.fencing_token(found.claim),
+                               self._clock())
+        if not self.held:
+            self._follow(found)
+        elif not self._confirms_holder(found):
             self.lose('another claim was found')
             return
-        if not self.held:
-            self.claim = claim
         self._end = found.end
 
-    def _decode(self, record):
+    def _confirms_holder(self, found):
+        """Returns whether this holder has made the last claim."""
+        if not found.history_lost:
+            return self._claim_of(found).nonce in self._nonces
+        self._log.warning('claims_lost', era=found.end.era, token=self.token)
+        # While its lease lasts no other entry has claimed, also not in the
+        # history that was lost.
+        return self.claim_age_s() < self._lease_s
+
+    def _follow(self, found):
+        """Takes over what the last holder decided."""
+        self.claim = self._claim_of(found)
+        if not found.history_lost:
+            return
+        if self._lost_era != found.end.era:
+            self._lost_era, self._loss_seen_at = found.end.era, self._clock()
+        self.claim = msgspec.structs.replace(self.claim, follows_loss=True)
+
+    def _claim_of(self, found):
+        return claims.Claim() if found.claim is None else self._decode(
+            found.value)
+
+    def _decode(self, value):
         try:
-            return claims.decode(record.value)
+            return claims.decode(value)
         except errors.RecordError as exc:
             self._log.error('claim_unreadable', error=str(exc))
             return claims.UNREADABLE
--- a/gorsefall/policy/entrystatus.py
+++ b/gorsefall/policy/entrystatus.py
@@ -174,6 +174,7 @@
         wanted_places: ``service -> places`` of others at brittle replicas that
             it wants.
         place_loans: The ``placeloans.Loan`` objects that it grants.
+        configuration_version: Version of its configuration; 0 for none.
     """
     name: str
     started_at_ms: int
@@ -198,6 +199,7 @@
     demand_per_s: dict[ids.ServiceName, NonNegative] = {}
     wanted_places: dict[ids.ServiceName, Count] = {}
     place_loans: tuple[placeloans.Loan, ...] = ()
+    configuration_version: Count = 0
 
     def without_reports(self):
         """Returns a copy without what may be left out of a message.
@@ -221,7 +223,8 @@
                       unreachable_services=self.unreachable_services,
                       demand_per_s=self.demand_per_s,
                       wanted_places=self.wanted_places,
-                      place_loans=self.place_loans)
+                      place_loans=self.place_loans,
+                      configuration_version=self.configuration_version)
 
     def responses_after(self, last):
         """Returns the responses that are not in the status ``last``.
--- a/gorsefall/relay/changes.py
+++ b/gorsefall/relay/changes.py
@@ -6,6 +6,8 @@
 import msgspec
 
 from gorsefall import errors
+from gorsefall import ids
+from gorsefall.relay import positions
 
 MAX_RETAINED_BYTES = 65536
 """Most bytes of compressed changes retained: some hundred replicas' records
@@ -32,11 +34,18 @@
         offset: Its offset in the topic.
         well_formed: Whether the store's client could parse it. A record that
             is not well-formed has no value, but its key was not dropped.
+        era: The ``ids.Era`` of the history that the offset belongs to.
     """
     key: str
     value: bytes
     offset: int
     well_formed: bool = True
+    era: ids.Era = ids.NO_ERA
+
+    @property
+    def position(self):
+        """Its ``positions.Position``."""
+        return positions.Position(self.era, self.offset)
 
 
 class Change(typing.NamedTuple):
@@ -45,12 +54,12 @@
     Attributes:
         key: See ``Record``.
         packed: Its compressed value.
-        offset: See ``Record``.
+        position: See ``Record``.
         well_formed: See ``Record``.
     """
     key: str
     packed: bytes
-    offset: int
+    position: positions.Position
     well_formed: bool
 
     @property
@@ -61,7 +70,7 @@
 
 def pack(record):
     """Returns the ``Change`` of a ``Record``."""
-    return Change(record.key, zlib.compress(record.value), record.offset,
+    return Change(record.key, zlib.compress(record.value), record.position,
                   record.well_formed)
 
 
@@ -79,7 +88,8 @@
     if not stream.eof:
         raise errors.RecordError(
             f'{change.key}: compressed value is truncated or too long')
-    return Record(change.key, value, change.offset, change.well_formed)
+    era, offset = change.position
+    return Record(change.key, value, offset, change.well_formed, era)
 
 
 class ChangeSet(msgspec.Struct, frozen=True, array_like=True):
@@ -87,16 +97,21 @@
 
     Attributes:
         age_s: Age of the sender's newest confirmed read, s.
-        end: Offset after the last record that the sender has read.
-        changes: The newest ``Change`` of each key since the receiver's offset,
-            oldest first.
+        end: Position after the last record that the sender has read.
+        changes: The newest ``Change`` of each key since the receiver's
+            position, oldest first.
         complete: Whether these are all changes; if not, the receiver has to
             read the store.
+        version: The sender's ``topic.Listener.version``.
+        lost: A ``Change`` that the store has lost and the receiver lacks, or
+            None.
     """
     age_s: typing.Annotated[float, msgspec.Meta(ge=0.0)]
-    end: typing.Annotated[int, msgspec.Meta(ge=0)]
+    end: positions.Position
     changes: tuple[Change, ...] = ()
     complete: bool = True
+    version: typing.Annotated[int, msgspec.Meta(ge=0)] = 0
+    lost: Change | None = None
 
 
 class RecentChanges:
@@ -104,14 +119,24 @@
 
     def __init__(self):
         self._changes = {}
-        self._since = 0
+        self._since = positions.START
         self._size = 0
+        self._era_ends = {}
 
-    def reset(self, offset):
-        """Discards all changes; later ones start at ``offset``."""
+    def reset(self, position):
+        """Discards all changes; later ones start at ``position``."""
         self._changes.clear()
+        self._era_ends.clear()
         self._size = 0
-        self._since = offset
+        self._since = position
+
+    def end_era(self, position):
+        """Records that the store has lost its history.
+
+        Args:
+            position: What this entry had read of it, a ``positions.Position``.
+        """
+        self._era_ends[position.era] = position
 
     def add(self, record):
         """Adds a change, in place of an earlier one of its key."""
@@ -122,18 +147,30 @@
         while self._size > MAX_RETAINED_BYTES:
             oldest = self._changes.pop(next(iter(self._changes)))
             self._size -= oldest.size
-            self._since = oldest.offset + 1
+            era, offset = oldest.position
+            self._since = positions.Position(era, offset + 1)
 
-    def changes_since(self, offset, age_s, end, max_bytes=MAX_SENT_BYTES):
-        """Returns the ``ChangeSet`` for an entry that is at ``offset``.
+    def changes_since(self, position, age_s, end, max_bytes=MAX_SENT_BYTES):
+        """Returns the ``ChangeSet`` for an entry that is at ``position``.
 
         Args:
-            offset: Offset from which that entry would read.
+            position: Position from which that entry would read.
             age_s: Age of the newest confirmed read, s.
-            end: Offset after the last record read here.
+            end: Position after the last record read here.
             max_bytes: Most bytes of changes to send.
         """
-        changes = tuple(c for c in self._changes.values() if c.offset >= offset)
-        if (offset < self._since or sum(c.size for c in changes) > max_bytes):
+        changes = tuple(
+            c for c in self._changes.values() if c.position >= position)
+        if (position < self._since or self._is_ahead(position, end) or
+                sum(c.size for c in changes) > max_bytes):
             return ChangeSet(age_s, end, complete=False)
         return ChangeSet(age_s, end, changes)
+
+    def _is_ahead(self, position, end):
+        """Returns whether a position in a lost history was not reached here.
+
+        What that entry has read beyond it may differ from the copy, which only
+        the store can tell.
+        """
+        return position.era < end.era and position > self._era_ends.get(
+            position.era, positions.START)
--- a/gorsefall/relay/fleet.py
+++ b/gorsefall/relay/fleet.py
@@ -1,5 +1,6 @@
 """The replicas that an entry may send to, from the records that they write."""
 
+import functools
 import time
 
 from gorsefall import directory
@@ -281,11 +282,23 @@
         """Called when the store responds again."""
         if self._store_lost:
             self._store_lost = False
-            self._grace_until = now + REWRITE_GRACE_S
-            self._loop.call_later(REWRITE_GRACE_S, self._drop_lapsed)
+            self._begin_grace(now)
 
-    def _drop_lapsed(self):
-        if self._store_lost:
+    def on_store_restored(self, now):
+        """Called when the store came back from an older copy.
+
+        The copy lacks replicas that have started since and live.
+        """
+        self._begin_grace(now)
+
+    def _begin_grace(self, now):
+        self._grace_until = now + REWRITE_GRACE_S
+        self._loop.call_later(
+            REWRITE_GRACE_S,
+            functools.partial(self._drop_lapsed, self._grace_until))
+
+    def _drop_lapsed(self, grace_until):
+        if self._store_lost or grace_until != self._grace_until:
             return
         for replica_id, rep in list(self.replicas.items()):
             if rep.record_lapsed:
--- a/gorsefall/relay/followers.py
+++ b/gorsefall/relay/followers.py
@@ -10,6 +10,9 @@
 from gorsefall.relay import topicfollower
 from gorsefall.relay import topiclisteners
 
+CONFIGURATION = 'configuration'
+"""Name of the topic of the configuration in messages between entries."""
+
 MAX_CONFIG_READ_KB = 64
 """Most data of one read of the configuration, KB: several small ones, but no
 large one next to another, as only the newest is used."""
@@ -36,14 +39,23 @@
             host, _ = settingsfile.split_addr(self._node.cfg.peers)
             own = readers.Candidate(self._node.cfg.name, host,
                                     ids.ZoneName(self._node.cfg.zone))
-            self._sharing = sharing.SharedReads(self._node.loop, own,
-                                                self._candidates, peers.send)
+            self._sharing = sharing.SharedReads(self._node.loop,
+                                                own,
+                                                self._candidates,
+                                                peers.send,
+                                                known_hosts=self._known_hosts)
             for kind in (messages.Ask, messages.Told, messages.Hint):
                 peers.register_handler(kind, self._sharing.handle_message)
         self._start_followers()
         if self._sharing is not None:
             self._sharing.start()
 
+    def handle_status(self, status, host):
+        """Handles the ``entrystatus.Status`` of another entry."""
+        if self._sharing is not None:
+            self._sharing.handle_versions(
+                {CONFIGURATION: status.configuration_version}, host)
+
     @property
     def can_read_for_others(self):
         """Whether other entries can rely on this one to read the store."""
@@ -68,6 +80,9 @@
             # Shorter bounds require shorter waits at the store.
             self._start_followers()
 
+    def _known_hosts(self):
+        return self._node.work.peer_view.members.addresses(self._node.loop.now)
+
     def _candidates(self):
         """Returns the candidates among the other live entries, a list."""
         members = self._node.work.peer_view.members.live_statuses(
@@ -82,7 +97,7 @@
             followed.follower.stop()
         cfg, records = self._node.cfg, self._adapter.records
         self._topics = {
-            'configuration':
+            CONFIGURATION:
                 self._create_topic(
                     self._adapter.configuration_topic,
                     topiclisteners.ConfigurationListener(self._node, records),
--- a/gorsefall/relay/malformed.py
+++ b/gorsefall/relay/malformed.py
@@ -26,6 +26,7 @@
         self._log.error('record_spoilt',
                         key=record.key,
                         offset=record.offset,
+                        era=record.era,
                         error=str(exc))
 
     def record_valid(self, key):
--- a/gorsefall/relay/messages.py
+++ b/gorsefall/relay/messages.py
@@ -9,9 +9,10 @@
 from gorsefall.policy import entrystatus
 from gorsefall.policy import softwareversions
 from gorsefall.relay import changes
+from gorsefall.relay import positions
 
-Offsets = dict[str, typing.Annotated[int, msgspec.Meta(ge=0)]]
-"""For each topic, the offset after the last record that was read."""
+Positions = dict[str, positions.Position]
+"""For each topic, the position after the last record that was read."""
 
 
 class Ask(msgspec.Struct, frozen=True, array_like=True, tag='ask'):
@@ -19,14 +20,17 @@
 
     Attributes:
         query_id: Identifies the query; drawn at random.
-        store: ``host:port`` of the sender's store, to which offsets refer.
-        offsets: Offsets that the sender would read from.
+        store: ``host:port`` of the sender's store, to which positions refer.
+        positions: Positions that the sender would read from; topics that it
+            has not read are left out.
         store_unreachable: Whether the sender cannot reach the store.
+        versions: The ``topic.Listener.version`` of the topics that have one.
     """
     query_id: int
     store: str
-    offsets: Offsets
+    positions: Positions
     store_unreachable: bool = False
+    versions: dict[str, typing.Annotated[int, msgspec.Meta(ge=0)]] = {}
 
 
 class Told(msgspec.Struct, frozen=True, array_like=True, tag='told'):
@@ -46,10 +50,10 @@
 
     Attributes:
         store: ``host:port`` of the store.
-        end_offsets: Offset of each topic after its last record.
+        ends: Position after the last record of each topic.
     """
     store: str
-    end_offsets: Offsets
+    ends: Positions
 
 
 class Suspects(msgspec.Struct, frozen=True, array_like=True, tag='suspects'):
--- a/gorsefall/relay/model.py
+++ b/gorsefall/relay/model.py
@@ -161,6 +161,8 @@
             incarnations apart.
         spot: Whether the platform may reclaim it at short notice.
         software: Version of its software. Versions have no order.
+        number: Number of the record; the incarnation's next one has a higher
+            number. Records that differ in nothing else are equal.
     """
     id: ids.ReplicaName
     service: ids.ServiceName
@@ -171,6 +173,7 @@
     started_at_ms: int = 0
     spot: bool = False
     software: ids.SoftwareVersion = ids.SoftwareVersion('')
+    number: int = dataclasses.field(default=0, compare=False)
 
     def same_incarnation(self, other):
         """Whether ``other`` describes the same incarnation of the replica."""
--- a/gorsefall/relay/node.py
+++ b/gorsefall/relay/node.py
@@ -175,6 +175,7 @@
             lambda message, host: self.crashes.reports.send_suspects(host))
 
     def _handle_status(self, status, host):
+        self._followers.handle_status(status, host)
         self.crashes.reports.handle_status(status, host)
         self.announcements.handle_status(status)
         self.fleet.handle_status(status, self.loop.now)
@@ -183,10 +184,14 @@
     # -- observed state --------------------------------------------------------
 
     def adopt(self, table):
-        """Makes a configuration active unless a newer one already is."""
+        """Makes a configuration active unless it or a newer one already is.
+
+        Returns:
+            Whether it was made active.
+        """
         old = self.table.version if self.table else None
         if old is not None and table.version <= old:
-            return
+            return False
         self.table = table
         self.fleet.set_services(table.services)
         self.log.info('configuration',
@@ -194,6 +199,10 @@
                       before=old,
                       routes=len(table.routes),
                       keys=len(table.accounts))
+        return True
+
+    def on_store_restored(self):
+        """Called when the store came back from an older copy."""
 
     def record_confirmation(self, sent_at):
         """Records that a read confirmed the configuration.
@@ -257,6 +266,7 @@
             first_attempts=first_attempts,
             zone=self.cfg.zone,
             can_read_store=self.can_read_store,
+            configuration_version=self.table.version if self.table else 0,
             run_reports=self.crashes.reports.recent(self.loop.now),
             suspects_summary=self.crashes.suspects.summary,
             limit_reports=self.announcements.limits.recent_reports(
--- a/gorsefall/relay/sharing.py
+++ b/gorsefall/relay/sharing.py
@@ -47,6 +47,21 @@
 trying, and the entries that query them learn of the store's return within a
 second."""
 
+INQUIRY_HOSTS = 4
+"""Most entries that are asked what the store may have lost: one of them may
+have started just now, and another may be gone."""
+
+INQUIRY_TIMEOUT_S = 0.75
+"""Longest time for their answers, s: an entry that starts serves nothing until
+then, and entries that start together have nothing to wait for."""
+
+ENOUGH_ANSWERS = 2
+"""Answers of entries with a configuration after which no other is awaited."""
+
+VERSION_QUERY_DELAY_RANGE_S = (0.3, 0.6)
+"""Range of the time after which an entry that has an older configuration than
+another one queries it, s; a hint and a query take less."""
+
 HINT_SPREAD_S = 0.3
 """Time over which entries spread their queries after a hint, s: the responses
 of one entry share its link with its callers' streams."""
@@ -97,6 +112,26 @@
     hosts: tuple[str, ...]
 
 
+class _Inquiry:
+    """Queries to several entries at once about what the store may have lost.
+
+    Attributes:
+        query_id: Identifies it.
+        unanswered: Hosts whose answers are missing, a set.
+        answers: Answers so far of entries that have read the store.
+    """
+
+    def __init__(self, query_id, hosts):
+        self.query_id = query_id
+        self.unanswered = set(hosts)
+        self.answers = 0
+
+    @property
+    def complete(self):
+        """Whether no further answer is awaited."""
+        return not self.unanswered or self.answers >= ENOUGH_ANSWERS
+
+
 class SharedReads:
     """Has followers read the store, or apply the changes of other entries.
 
@@ -106,7 +141,14 @@
             own read.
     """
 
-    def __init__(self, loop, own, others, send, rng=random):
+    def __init__(self,
+                 loop,
+                 own,
+                 others,
+                 send,
+                 rng=random,
+                 *,
+                 known_hosts=lambda: ()):
         """Creates the shared reads of one entry; ``start`` begins.
 
         Args:
@@ -115,11 +157,16 @@
             others: Returns the ``readers.Candidate`` objects of live entries.
             send: Called with ``(message, host)``.
             rng: A ``random.Random``.
+            known_hosts: Returns the hosts of entries that may be live, also
+                such as have not sent anything yet.
         """
         self._loop = loop
         self._others = others
         self._send = send
         self._rng = rng
+        self._known_hosts = known_hosts
+        self._inquiry = None
+        self._version_query_pending = False
         self._selector = readers.ReaderSelector(own, rng)
         self._topics = {}
         self._store = ''
@@ -136,7 +183,11 @@
         self.source_host = None
 
     def start(self):
-        """Begins to query after other entries had time to send a message."""
+        """Begins to query after other entries had time to send a message.
+
+        What they know and the store may have lost is asked for at once.
+        """
+        self._inquire()
         self._loop.call_later(
             self._query_pause_s * self._rng.uniform(*PAUSE_JITTER),
             self._run_round)
@@ -154,6 +205,7 @@
         self._open_query = None
         for followed in topics.values():
             followed.follower.pace = followed.alone
+            followed.follower.on_own_era_change = self._inquire
             followed.follower.set_continuous(self.is_reader)
 
     def reaches_store(self):
@@ -218,15 +270,103 @@
         for followed in self._topics.values():
             followed.follower.read_once()
 
-    # -- queries ---------------------------------------------------------------
+    # -- what the store may have lost ------------------------------------------
 
-    def _query(self, hosts):
-        offsets = {
-            name: t.follower.offset
+    def _inquire(self):
+        """Asks several entries at once; nothing is confirmed until then."""
+        hosts = list(self._known_hosts())
+        hosts = self._rng.sample(hosts, min(INQUIRY_HOSTS, len(hosts)))
+        if not hosts:
+            return
+        query_id = self._rng.getrandbits(63)
+        self._inquiry = _Inquiry(query_id, hosts)
+        for followed in self._topics.values():
+            followed.follower.listener.hold_confirmations()
+        for host in hosts:
+            self._send_ask(query_id, host)
+        self._loop.call_later(INQUIRY_TIMEOUT_S,
+                              lambda: self._end_inquiry(query_id))
+
+    def _on_inquiry_answer(self, message, host):
+        self._inquiry.unanswered.discard(host)
+        if message.topic_changes:
+            self._inquiry.answers += 1
+        for name, change_set in message.topic_changes.items():
+            if name in self._topics:
+                self._learn(self._topics[name], change_set, host)
+        if self._inquiry.complete:
+            self._end_inquiry(message.query_id)
+
+    def _end_inquiry(self, query_id):
+        if self._inquiry is None or self._inquiry.query_id != query_id:
+            return
+        self._log.info('inquiry_ended',
+                       answers=self._inquiry.answers,
+                       unanswered=len(self._inquiry.unanswered))
+        self._inquiry = None
+        for followed in self._topics.values():
+            followed.follower.listener.release_confirmations()
+
+    def _learn(self, followed, change_set, host):
+        """Learns another entry's version; returns whether it was readable."""
+        try:
+            followed.follower.learn(change_set)
+        except errors.RecordError as exc:
+            self._log.error('news_spoilt', host=host, error=str(exc))
+            return False
+        return True
+
+    def handle_versions(self, versions, host):
+        """Handles the versions that another entry states to know.
+
+        Only a response to a query is believed: it says that both read the same
+        store.
+
+        Args:
+            versions: ``name of the topic -> version``.
+            host: Its host.
+        """
+        if not self._version_query_pending and self._is_behind(versions):
+            self._version_query_pending = True
+            self._loop.call_later(
+                self._rng.uniform(*VERSION_QUERY_DELAY_RANGE_S),
+                lambda: self._query_version(versions, host))
+
+    def _is_behind(self, versions):
+        return any(name in self._topics and
+                   version > self._topics[name].follower.listener.version
+                   for name, version in versions.items())
+
+    def _query_version(self, versions, host):
+        self._version_query_pending = False
+        if not self._is_behind(versions) or self._open_query is not None:
+            return
+        if self.is_reader:
+            self._query([host])
+        else:
+            self._query_first(host)
+
+    def _send_ask(self, query_id, host):
+        positions = {
+            name: t.follower.position
             for name, t in self._topics.items()
             if t.follower.has_snapshot
         }
-        if not offsets:
+        versions = {
+            name: t.follower.listener.version
+            for name, t in self._topics.items()
+            if t.follower.listener.version
+        }
+        unreachable = any(
+            t.follower.failed_reads for t in self._topics.values())
+        self._send(
+            messages.Ask(query_id, self._store, positions, unreachable,
+                         versions), host)
+
+    # -- queries ---------------------------------------------------------------
+
+    def _query(self, hosts):
+        if not any(t.follower.has_snapshot for t in self._topics.values()):
             return
         if not hosts:
             self._fall_back()
@@ -235,10 +375,7 @@
         self._open_query = _Query(query_id, freshness.clock(), tuple(hosts))
         self._loop.call_later(RESPONSE_TIMEOUT_S,
                               functools.partial(self._on_timeout, query_id))
-        unreachable = any(
-            t.follower.failed_reads for t in self._topics.values())
-        self._send(messages.Ask(query_id, self._store, offsets, unreachable),
-                   hosts[0])
+        self._send_ask(query_id, hosts[0])
 
     def _on_timeout(self, query_id):
         if self._open_query is None or self._open_query.query_id != query_id:
@@ -246,6 +383,10 @@
         metrics.PEER_READS.labels('unanswered').inc()
         self._response_missing = True
         host, *rest = self._open_query.hosts
+        if self.is_reader:
+            # Asked only for what the store has lost.
+            self._open_query = None
+            return
         self._selector.record_no_response(host, self._loop.now)
         self._query(rest)
 
@@ -304,15 +445,21 @@
                      if message.store_unreachable else changes.MAX_SENT_BYTES)
         found = {
             name:
-                followed.follower.changes_since(message.offsets[name],
-                                                max_bytes)
+                followed.follower.changes_since(message.positions.get(name),
+                                                max_bytes,
+                                                message.versions.get(name, 0))
             for name, followed in self._topics.items()
-            if name in message.offsets and followed.follower.has_snapshot
+            if followed.follower.has_snapshot
         }
         self._send(messages.Told(message.query_id, found), host)
 
     @handle_message.register
     def _(self, message: messages.Told, host):
+        if (self._inquiry is not None and
+                message.query_id == self._inquiry.query_id and
+                host in self._inquiry.unanswered):
+            self._on_inquiry_answer(message, host)
+            return
         query = self._open_query
         if (query is None or message.query_id != query.query_id or
                 host != query.hosts[0]):
@@ -323,6 +470,8 @@
             name for name, followed in self._topics.items()
             if not self._apply(followed, query, message.topic_changes.get(name))
         ]
+        if self.is_reader:
+            return
         metrics.PEER_READS.labels('stale' if stale else 'told').inc()
         if stale:
             self._query(query.hosts[1:])
@@ -337,6 +486,11 @@
         """Applies changes of a topic; returns whether they are current."""
         if change_set is None:
             return not followed.follower.has_snapshot
+        if (not self._learn(followed, change_set, query.hosts[0]) or
+                change_set.end.era < followed.follower.position.era):
+            return False
+        if self.is_reader:
+            return True
         if not change_set.complete:
             followed.follower.read_once(change_set.end)
             return True
@@ -353,8 +507,8 @@
         if self.is_reader or message.store != self._store:
             return
         missed = any(
-            name in self._topics and end > self._topics[name].follower.offset
-            for name, end in message.end_offsets.items())
+            name in self._topics and end > self._topics[name].follower.position
+            for name, end in message.ends.items())
         if missed and not self._hint_pending:
             self._hint_pending = True
             self._loop.call_later(
@@ -363,6 +517,10 @@
 
     def _query_after_hint(self, host):
         self._hint_pending = False
+        self._query_first(host)
+
+    def _query_first(self, host):
+        """Queries ``host``, and others if it does not respond."""
         hosts = self._selector.query_order(
             readers.with_store_access(self._others()), self._loop.now)
         self._query([host, *(h for h in hosts if h != host)])
@@ -381,7 +539,7 @@
         since = self._loop.now - HINT_WINDOW_S
         hint = messages.Hint(
             self._store, {
-                name: max(t.follower.offset, t.follower.known_end)
+                name: max(t.follower.position, t.follower.known_end)
                 for name, t in self._topics.items()
             })
         for host, at in self._query_times.items():
--- a/gorsefall/relay/topic.py
+++ b/gorsefall/relay/topic.py
@@ -66,9 +66,11 @@
     def append_at(self, key, value, end, silence_s, done):
         """Appends a record if the topic ends at the offset ``end``.
 
-        ``done(offset, exc)`` receives the offset of the record, or an
-        ``errors.ConflictError`` if the topic ends elsewhere. After any other
-        error the record may have been appended, or may still be.
+        ``done(position, exc)`` receives the ``positions.Position`` of the
+        record, or an ``errors.ConflictError`` if the topic ends elsewhere.
+        After any other error the record may have been appended, or may still
+        be. The history may be another one than that in which the topic was
+        seen to end there: the era of the position tells.
         """
         raise NotImplementedError
 
@@ -77,16 +79,53 @@
 
         The response holds up to ``max_kb`` KB of records, or a single larger
         one. In that case ``on_large(end)`` is called when ``max_kb`` KB have
-        arrived, with the offset after the topic's last record.
+        arrived, with the ``positions.Position`` after the topic's last record.
         """
         raise NotImplementedError
 
 
 class Listener:
-    """Receives what a follower reads; subclasses override what they need."""
+    """Receives what a follower reads; subclasses override what they need.
+
+    Attributes:
+        version: Version of the newest state that is known, if the topic's
+            records name their own order; 0 if they do not.
+        lost_record: The ``changes.Record`` of that version if the store has
+            lost it and nothing newer was written yet, else None.
+    """
+    version = 0
+    lost_record = None
 
     def on_snapshot(self, records):
-        """Called with the newest record of every key."""
+        """Called with the newest record of every key.
+
+        Returns:
+            The records that changed the observed state, a list; for a key that
+            is no longer there, one without value.
+        """
+        return records
+
+    def on_store_restored(self, entry):
+        """Called when the store came back from an older copy.
+
+        Args:
+            entry: The ``positions.Position`` from which on records have
+                certainly been written since.
+        """
+
+    def on_version_told(self, version, record):
+        """Called with the version that another entry knows.
+
+        Args:
+            version: Its ``version``.
+            record: Its ``lost_record`` if this entry has to be told, else None.
+        """
+
+    def hold_confirmations(self):
+        """Called before other entries are asked what the store has lost."""
+
+    def release_confirmations(self):
+        """Called when they have answered, or none did in time."""
 
     def on_record(self, record):
         """Called with each later record.
--- a/gorsefall/relay/topicfollower.py
+++ b/gorsefall/relay/topicfollower.py
@@ -8,10 +8,14 @@
 import functools
 import random
 
+import msgspec
+
+from gorsefall import errors
 from gorsefall import logs
 from gorsefall import metrics
 from gorsefall.policy import freshness
 from gorsefall.relay import changes
+from gorsefall.relay import positions
 from gorsefall.relay import topic
 
 RETRY_PAUSE_RANGE_S = (0.05, 0.2)
@@ -33,9 +37,9 @@
     """Keeps a listener up to date with one topic.
 
     Attributes:
-        offset: Offset the next read starts from.
-        known_end: Offset after the last record that is known to exist; records
-            from ``offset`` on are still to be read.
+        position: ``positions.Position`` that the next read starts from.
+        known_end: Position after the last record that is known to exist;
+            records from ``position`` on are still to be read.
         confirmed_at: When the newest read that returned all records was sent,
             s (``freshness.clock``), by this entry or another one.
         has_snapshot: Whether a snapshot was read.
@@ -43,6 +47,9 @@
         pace: The ``topic.ReadPace`` of its continuous reads.
         recent: The ``changes.RecentChanges`` that can be sent to other
             entries.
+        listener: The ``topic.Listener``.
+        on_own_era_change: Called when an own read showed that the store came
+            back from an older copy, before anything of it is confirmed.
     """
 
     def __init__(self,
@@ -69,7 +76,7 @@
         """
         self._loop = loop
         self._source = source
-        self._listener = listener
+        self.listener = self._listener = listener
         self._max_kb = max_kb
         self._on_change = on_change
         self._continuous = True
@@ -81,18 +88,17 @@
         self._failures = 0
         self._last_read_slow = False
         self._sent_at = None
-        self._newest_offsets = {}
-        self._era = None
+        self._newest = {}
         self._stopped = False
         self._log = logs.get('follower').bind(topic=name)
         self.pace = pace
-        self.offset = 0
-        self.known_end = 0
+        self.position = self.known_end = positions.START
         self._last_record_kb = 0.0
         self.confirmed_at = float('-inf')
         self.has_snapshot = False
         self.failed_reads = 0
         self.recent = changes.RecentChanges()
+        self.on_own_era_change = lambda: None
 
     def start(self):
         """Begins by reading a snapshot."""
@@ -106,12 +112,48 @@
         """Returns the age of the newest confirmation, s."""
         return freshness.clock() - self.confirmed_at
 
-    def changes_since(self, offset, max_bytes=changes.MAX_SENT_BYTES):
-        """Returns the ``changes.ChangeSet`` for a follower at ``offset``."""
+    def changes_since(self,
+                      position,
+                      max_bytes=changes.MAX_SENT_BYTES,
+                      version=0):
+        """Returns the ``changes.ChangeSet`` for another follower.
+
+        Args:
+            position: That of the follower; None if it has read nothing.
+            max_bytes: Most bytes of changes to send.
+            version: Its ``topic.Listener.version``.
+        """
         age_s = max(0.0, self.age_s())
-        if self.offset < self.known_end:
-            return changes.ChangeSet(age_s, self.known_end, complete=False)
-        return self.recent.changes_since(offset, age_s, self.offset, max_bytes)
+        if position is None:
+            found = changes.ChangeSet(age_s, self.position, complete=False)
+        elif self.position < self.known_end:
+            found = changes.ChangeSet(age_s, self.known_end, complete=False)
+        else:
+            found = self.recent.changes_since(position, age_s, self.position,
+                                              max_bytes)
+        return msgspec.structs.replace(found,
+                                       version=self.listener.version,
+                                       lost=self._lost_change(version))
+
+    def _lost_change(self, version):
+        record = self.listener.lost_record
+        if record is None or version >= self.listener.version:
+            return None
+        change = changes.pack(record)
+        return change if change.size <= changes.MAX_SENT_BYTES_CUT_OFF else None
+
+    def learn(self, change_set):
+        """Learns what another entry knows and the store may have lost.
+
+        Args:
+            change_set: Its ``changes.ChangeSet``.
+
+        Raises:
+            errors.RecordError: It cannot be unpacked; nothing was applied.
+        """
+        lost = change_set.lost
+        self._listener.on_version_told(change_set.version, lost and
+                                       changes.unpack(lost))
 
     # -- own reads and changes from other entries ------------------------------
 
@@ -121,16 +163,18 @@
         if continuous:
             self.read_once()
 
-    def read_once(self, end=0):
+    def read_once(self, end=positions.START):
         """Reads now, unless a read is in progress.
 
         Args:
-            end: Offset after the last record, if another entry reported it.
+            end: Position after the last record, if another entry reported it.
         """
         if not self._idle:
             return
         self._idle = False
-        if end - self.offset > 1 and self._last_record_kb > self._max_kb:
+        if (end.era == self.position.era and
+                end.offset - self.position.offset > 1 and
+                self._last_record_kb > self._max_kb):
             # Each of several large records takes as long as the newest, and
             # only that one is needed.
             self._read_snapshot('')
@@ -143,15 +187,16 @@
         Args:
             sent_at: When that entry's newest read was sent at the earliest,
                 s (``freshness.clock``).
-            change_set: Its complete ``changes.ChangeSet`` since ``offset``.
+            change_set: Its complete ``changes.ChangeSet`` since ``position``.
 
         Raises:
             errors.RecordError: It cannot be unpacked; nothing was applied.
         """
-        if self._continuous or not self.has_snapshot:
+        if (self._continuous or not self.has_snapshot or
+                change_set.end.era < self.position.era):
             return
         records = [changes.unpack(c) for c in change_set.changes]
-        if change_set.end > self.offset:
+        if change_set.end > self.position:
             # An own read in progress is older, and its response is ignored: a
             # snapshot would revert what is applied here. If nothing is new,
             # the read continues: it may be of a record that the other entry
@@ -164,9 +209,11 @@
             # lapsed.
             self._record_failure('not confirmed for long')
         self._record_success()
+        if change_set.end.era > self.position.era:
+            self._enter_era(change_set.end)
         for record in records:
             self._apply(record)
-        self.offset = max(self.offset, change_set.end)
+        self.position = max(self.position, change_set.end)
         self._confirm(sent_at)
 
     # -- reads -----------------------------------------------------------------
@@ -199,10 +246,17 @@
             self._retry_later(exc,
                               lambda: self._read_snapshot(self._snapshot_after))
             return
+        end = positions.Position(page.era, page.end)
         if self._snapshot_end is None:
             # Pages are read one after the other. Reading on from the end as
             # of the first page includes all changes since.
-            self._snapshot_end = page.end
+            self._snapshot_end = end
+        if page.era != self._snapshot_end.era or end.era < self.position.era:
+            # Pages of two histories do not fit together, and a history that
+            # was lost confirms nothing.
+            self._retry_later(errors.StoreError(f'history {page.era}'),
+                              lambda: self._read_snapshot(''))
+            return
         for record in page.records:
             self._snapshot[record.key] = record
         if page.more and page.records:
@@ -210,15 +264,7 @@
             return
         self.failed_reads = 0
         self._record_success()
-        self._log_era(page.era, page.end)
-        self.has_snapshot = True
-        self.offset = self._snapshot_end
-        self.recent.reset(self.offset)
-        records = [
-            r for r in self._snapshot.values() if r.value or not r.well_formed
-        ]
-        self._log.info('listed', keys=len(records), offset=self.offset)
-        self._listener.on_snapshot([r for r in records if self._is_new(r)])
+        self._apply_snapshot(self._snapshot_end)
         self._confirm(self._sent_at)
         self._on_change()
         if self._continuous:
@@ -226,6 +272,45 @@
         else:
             self._idle = True
 
+    def _apply_snapshot(self, end):
+        restored = self.has_snapshot and end.era > self.position.era
+        if restored:
+            self._enter_era(end)
+            self.on_own_era_change()
+        self.has_snapshot = True
+        self.position = end
+        records = [
+            r for r in self._snapshot.values() if r.value or not r.well_formed
+        ]
+        self._log.info('listed',
+                       keys=len(records),
+                       offset=end.offset,
+                       era=end.era)
+        changed = self._listener.on_snapshot(
+            [r for r in records if self._is_new(r)])
+        if not restored:
+            self.recent.reset(end)
+            return
+        # Entries that followed the lost history get the difference, so that
+        # they do not all read the store that has just come back.
+        for record in changed:
+            self.recent.add(record)
+
+    def _enter_era(self, end):
+        """Records that the store came back from an older copy.
+
+        Args:
+            end: Position after its last record.
+        """
+        self._log.warning('store_restored',
+                          era=end.era,
+                          before=self.position.era,
+                          end=end.offset,
+                          offset=self.position.offset)
+        metrics.STORE_ERA.set(end.era)
+        self.recent.end_era(self.position)
+        self._listener.on_store_restored(end)
+
     def _read(self):
         if self._stopped:
             return
@@ -237,7 +322,7 @@
                  not self._last_read_slow)
         self._sent_at = freshness.clock()
         callback = self._new_callback(self._on_batch)
-        self._source.read(self.offset,
+        self._source.read(self.position.offset,
                           self.pace.wait_s if waits else 0.0,
                           self._max_kb,
                           topic.SILENCE_TIMEOUT_S,
@@ -255,17 +340,21 @@
     def _on_batch(self, batch, exc):
         if exc is not None:
             if exc.records_expired:
-                self._log.info('history_forgotten', offset=self.offset)
+                self._log.info('history_forgotten', offset=self.position.offset)
                 self._read_snapshot('')
                 return
             self._retry_later(exc, self._read)
             return
         self.failed_reads = 0
         self._record_success()
-        self._log_era(batch.era, batch.end)
+        if batch.era != self.position.era:
+            # The offset that was read from belongs to another history.
+            self._read_snapshot('')
+            return
         changed = [self._apply(record) for record in batch.records]
-        self.offset = max(self.offset, batch.next)
-        if self.offset < batch.end:
+        self.position = max(self.position,
+                            positions.Position(batch.era, batch.next))
+        if self.position.offset < batch.end:
             # The read did not return all records. Confirming now would let
             # an old configuration accept keys that a newer one revokes. A
             # snapshot skips the versions in between: on a slow link each
@@ -315,26 +404,16 @@
     def _is_new(self, record):
         # Responses may be late and snapshots overlap reads; a record must
         # not replace a newer one of its key.
-        known = self._newest_offsets.get(record.key, 0)
-        if record.offset < known:
+        known = self._newest.get(record.key, positions.START)
+        if record.position < known:
             self._log.info('record_outdated',
                            key=record.key,
-                           offset=record.offset,
+                           position=record.position,
                            known=known)
             return False
-        self._newest_offsets[record.key] = record.offset
+        self._newest[record.key] = record.position
         return True
 
-    def _log_era(self, era, end):
-        if era != self._era:
-            self._log.info('store_era',
-                           era=era,
-                           before=self._era,
-                           end=end,
-                           offset=self.offset)
-            self._era = era
-            metrics.STORE_ERA.set(era)
-
     def _record_success(self):
         if self._failures:
             self._log.info('store_regained', failures=self._failures)
--- a/gorsefall/relay/topiclisteners.py
+++ b/gorsefall/relay/topiclisteners.py
@@ -4,9 +4,16 @@
 
 from gorsefall import errors
 from gorsefall import logs
+from gorsefall.relay import changes
 from gorsefall.relay import malformed
+from gorsefall.relay import model
+from gorsefall.relay import positions
 from gorsefall.relay import topic
 
+MAX_REMOVED = 4096
+"""Most replicas that left and are remembered: twice those planned in two
+years."""
+
 
 class ConfigurationListener(topic.Listener):
     """Keeps the node's routing table and its confirmation current."""
@@ -14,12 +21,29 @@
     def __init__(self, node, records):
         self._node = node
         self._records = records
-        self._malformed = malformed.MalformedRecords(logs.get('configuration'))
+        self._log = logs.get('configuration')
+        self._malformed = malformed.MalformedRecords(self._log)
+        self._undecodable = False
+        self._newest = None
+        self._stored_version = 0
+        self._told_version = 0
+        self._held = False
+        self._withheld_at = None
+        self._pending = None
+
+    @property
+    def version(self):
+        """See ``topic.Listener``."""
+        return self._node.table.version if self._node.table else 0
+
+    @property
+    def lost_record(self):
+        """See ``topic.Listener``."""
+        return self._newest if self._stored_version < self.version else None
 
     def on_snapshot(self, records):
         """See ``topic.Listener``."""
-        for record in records:
-            self.on_record(record)
+        return [r for r in records if self.on_record(r)]
 
     def on_record(self, record):
         """See ``topic.Listener``."""
@@ -29,16 +53,96 @@
             # The active configuration stays; a malformed one is never
             # applied in part.
             self._malformed.record_fault(record, exc)
+            self._undecodable = True
             return True
         self._malformed.record_valid(record.key)
-        if table is not None:
-            self._node.adopt(table)
-        return True
+        if table is None:
+            return True
+        self._undecodable = False
+        self._stored_version = table.version
+        return self._adopt(table, record)
+
+    def _adopt(self, table, record):
+        """Makes a configuration active; returns False if it is outdated."""
+        if table.version < self.version:
+            # The store came back without the newer one, which was confirmed
+            # and stays in force until it is written again.
+            self._log.warning('store_is_behind',
+                              version=self.version,
+                              stored=table.version)
+            return False
+        if self._node.table is None and (self._held or
+                                         table.version < self._told_version):
+            # Until others have said what they know, this entry would refuse
+            # what is in force.
+            if self._pending is None or self._pending[
+                    0].version <= table.version:
+                self._pending = table, record
+            return True
+        self._newest = record
+        return self._node.adopt(table)
+
+    def _adopt_pending(self):
+        if self._pending is not None:
+            pending, self._pending = self._pending, None
+            self._adopt(*pending)
+
+    def on_store_restored(self, entry):
+        """See ``topic.Listener``."""
+        self._node.on_store_restored()
+
+    # -- what other entries know -----------------------------------------------
+
+    def on_version_told(self, version, record):
+        """See ``topic.Listener``."""
+        if version <= self.version:
+            return
+        self._told_version = max(self._told_version, version)
+        if record is None:
+            return
+        try:
+            table = self._records.decode_table(record)
+        except errors.RecordError as exc:
+            self._malformed.record_fault(record, exc)
+            return
+        if table is not None and table.version > self.version:
+            self._log.info('lost_version_told',
+                           version=table.version,
+                           stored=self._stored_version)
+            self._adopt(table, record)
+            if not self._held:
+                self._adopt_pending()
+                self._confirm_withheld()
+
+    def hold_confirmations(self):
+        """See ``topic.Listener``."""
+        self._held = True
+
+    def release_confirmations(self):
+        """See ``topic.Listener``."""
+        self._held = False
+        self._adopt_pending()
+        self._confirm_withheld()
 
     def on_confirmed(self, sent_at):
         """See ``topic.Listener``."""
+        behind = self.version < self._told_version and not self._undecodable
+        if self._held or behind:
+            # The store may have lost a version that takes a key away, and
+            # would confirm an older one.
+            if self._withheld_at is None:
+                self._log.warning('confirmation_withheld',
+                                  version=self.version,
+                                  told=self._told_version)
+            self._withheld_at = sent_at
+            return
+        self._withheld_at = None
         self._node.record_confirmation(sent_at)
 
+    def _confirm_withheld(self):
+        if self._withheld_at is not None:
+            self.on_confirmed(self._withheld_at)
+
 
 class _Malformed(typing.NamedTuple):
     """Stands for a record that cannot be decoded; holds the error."""
@@ -52,25 +156,77 @@
         self._node = node
         self._records = records
         self._observed_states = {}
-        self._malformed = malformed.MalformedRecords(logs.get('replicas'))
+        self._log = logs.get('replicas')
+        self._malformed = malformed.MalformedRecords(self._log)
+        self._removed = {}
+        self._entry = positions.START
 
     def on_snapshot(self, records):
         """See ``topic.Listener``."""
         names = {r.key for r in records}
-        self._observed_states = {
-            k: v for k, v in self._observed_states.items() if k in names
-        }
+        # Dropped keys have the position from which on records are certainly
+        # new, so that one that is written again counts.
+        changed = [
+            changes.Record(key, b'', self._entry.offset, era=self._entry.era)
+            for key in self._observed_states
+            if key not in names
+        ]
+        for record in changed:
+            self._remove(record.key)
         self._node.fleet.keep_only(names, self._node.loop.now)
-        for record in records:
-            self.on_record(record)
+        changed += [
+            r for r in records if not self._is_outdated(r) and self.on_record(r)
+        ]
         self._node.replicas_known = True
+        return changed
+
+    def on_store_restored(self, entry):
+        """See ``topic.Listener``."""
+        self._entry = entry
+        self._node.fleet.on_store_restored(self._node.loop.now)
+
+    def _is_outdated(self, record):
+        """Returns whether a record of an older copy is known to be outdated.
+
+        Its replica is expected to write again soon if it lives. Until then a
+        replica that has announced its exit, or has left, would be used again.
+        """
+        if record.position >= self._entry:
+            return False
+        if record.key in self._removed:
+            self._log.info('outdated_record', replica=record.key, known='left')
+            return True
+        known = self._observed_states.get(record.key)
+        if not isinstance(known, model.ReplicaRecord):
+            return False
+        try:
+            copied = self._records.decode_replica(record)
+        except errors.RecordError:
+            # Logged when it is applied.
+            return False
+        if copied.number >= known.number or not known.same_incarnation(copied):
+            return False
+        if copied != known:
+            self._log.info('outdated_record',
+                           replica=record.key,
+                           known=known.status.value)
+        return True
+
+    def _remove(self, key):
+        """Drops what is known of a replica; returns whether it was known."""
+        self._malformed.record_valid(key)
+        self._node.fleet.remove(key, self._node.loop.now)
+        self._removed.pop(key, None)
+        self._removed[key] = None
+        if len(self._removed) > MAX_REMOVED:
+            del self._removed[next(iter(self._removed))]
+        return self._observed_states.pop(key, None) is not None
 
     def on_record(self, record):
         """See ``topic.Listener``."""
         if record.well_formed and not record.value:
-            self._malformed.record_valid(record.key)
-            self._node.fleet.remove(record.key, self._node.loop.now)
-            return self._observed_states.pop(record.key, None) is not None
+            return self._remove(record.key)
+        self._removed.pop(record.key, None)
         try:
             decoded = self._records.decode_replica(record)
         except errors.RecordError as exc:
@@ -83,10 +239,9 @@
 
     def _observe(self, key, state):
         """Stores the observed state of a key; returns whether it changed."""
-        if self._observed_states.get(key) == state:
-            return False
+        before = self._observed_states.get(key)
         self._observed_states[key] = state
-        return True
+        return before != state
 
     def on_store_lost(self):
         """See ``topic.Listener``."""
--- a/tests/duty_site.py
+++ b/tests/duty_site.py
@@ -22,6 +22,7 @@
 from gorsefall.policy import membership
 from gorsefall.relay import changes
 from gorsefall.relay import messages
+from gorsefall.relay import positions
 from gorsefall.relay import settings
 from gorsefall.relay import topic
 
@@ -52,19 +53,40 @@
 
     def __init__(self, loop):
         self.loop = loop
-        self.value = None
-        self.end = 0
-        self.holders = []
+        self.records = []
+        self.era = 0
+        self.holders = {}
         self.calls = 0
         self.up = True
 
-    def append(self, value, end):
-        """Appends if the topic ends there; returns the offset or None."""
+    def append(self, key, value, end):
+        """Appends if the topic ends there; returns the position or None."""
         if end != self.end:
             return None
-        self.value, self.end = value, self.end + 1
-        self.holders.append(claims.decode(value).holder)
-        return end
+        self.records.append((key, value))
+        position = positions.Position(self.era, end)
+        if key == lease.claim_key(self.era):
+            self.holders[positions.fencing_token(position)] = claims.decode(
+                value).holder
+        return position
+
+    @property
+    def end(self):
+        """Offset after the last record."""
+        return len(self.records)
+
+    def newest(self):
+        """Returns the newest ``changes.Record`` of each key, a list."""
+        found = {key: (value, i) for i, (key, value) in enumerate(self.records)}
+        return [
+            changes.Record(key, value, i, era=self.era)
+            for key, (value, i) in found.items()
+        ]
+
+    def restore(self, lost):
+        """Comes back without the last ``lost`` records."""
+        self.era += 1
+        del self.records[max(0, self.end - lost):]
 
 
 class StoreLink(topic.Source):
@@ -95,25 +117,23 @@
     def read_snapshot(self, after, silence_s, done):
         if not self._is_up(silence_s, done):
             return
-        records = []
-        if self._store.value is not None:
-            records.append(
-                changes.Record(lease.CLAIM_KEY, self._store.value,
-                               self._store.end - 1))
-        self._answer(done, topic.SnapshotPage(records, False, self._store.end))
+        self._answer(
+            done,
+            topic.SnapshotPage(self._store.newest(), False, self._store.end,
+                               self._store.era))
 
     def append_at(self, key, value, end, silence_s, done):
         if not self._is_up(silence_s, done):
             return
         fault = self.faults.popleft() if self.faults else None
         if fault == 'late':
-            self._store.loop.call_later(4.0,
-                                        lambda: self._store.append(value, end))
+            self._store.loop.call_later(
+                4.0, lambda: self._store.append(key, value, end))
         elif fault != 'dropped':
-            offset = self._store.append(value, end)
+            position = self._store.append(key, value, end)
             if fault is None:
-                exc = errors.ConflictError('end') if offset is None else None
-                self._answer(done, offset, exc)
+                exc = errors.ConflictError('end') if position is None else None
+                self._answer(done, position, exc)
                 return
         self._answer(done, None, errors.StoreError('lost'), after_s=silence_s)
 
@@ -145,7 +165,8 @@
         if self._store.holders[token] != holder:
             self.violations.append(f'{holder} used the token {token} of '
                                    f'{self._store.holders[token]}')
-        later = set(self._store.holders[token:]) - {holder}
+        later = {h for t, h in self._store.holders.items() if t >= token}
+        later -= {holder}
         if later:
             self.violations.append(f'{holder} acted after a claim of {later}')
         self.sent.append((self.loop.now, holder))
--- a/tests/entries.py
+++ b/tests/entries.py
@@ -8,6 +8,7 @@
 from gorsefall import errors
 from gorsefall.policy import readers
 from gorsefall.relay import messages
+from gorsefall.relay import positions
 from gorsefall.relay import sharing
 from gorsefall.relay import topic
 from gorsefall.relay import topicfollower
@@ -113,7 +114,8 @@
 
         def arrive(result, exc):
             if isinstance(result, topic.Batch) and self._is_large(result):
-                self._loop.call(lambda: on_large(result.end))
+                end = positions.Position(result.era, result.end)
+                self._loop.call(lambda: on_large(end))
             self._transfer(result,
                            lambda: self._loop.call(lambda: done(result, exc)))
 
--- a/tests/stores.py
+++ b/tests/stores.py
@@ -26,11 +26,21 @@
         self.records = []
         self.written_at = []
         self.first = 0
+        self.era = 0
 
     def put(self, key, value):
-        self.records.append(changes.Record(key, value, len(self.records)))
+        self.records.append(
+            changes.Record(key, value, len(self.records), era=self.era))
         self.written_at.append(self._loop.now)
 
+    def restore(self, lost):
+        """Comes back without the last ``lost`` records."""
+        self.era += 1
+        kept = max(0, len(self.records) - lost)
+        self.records = [r._replace(era=self.era) for r in self.records[:kept]]
+        del self.written_at[kept:]
+        self.first = min(self.first, kept)
+
     def _respond(self, make, silence_s, done):
         fault = next(self._faults, 'ok')
         if fault == 'late':
@@ -55,7 +65,8 @@
             found = sorted(
                 r for r in newest.values() if r.value and r.key > after)
             return topic.SnapshotPage(found[:2],
-                                      len(found) > 2, len(self.records))
+                                      len(found) > 2, len(self.records),
+                                      self.era)
 
         self._respond(make, silence_s, done)
 
@@ -70,7 +81,7 @@
                                           done,
                                           on_large=on_large))
             return
-        if offset < self.first:
+        if offset < self.first or offset > len(self.records):
             self._loop.call_later(
                 0.004, lambda: done(
                     None, errors.StoreError('gone', records_expired=True)))
@@ -82,7 +93,8 @@
         while len(found) > 1 and sum(
                 len(r.value) for r in found) > max_kb * 1024:
             found.pop()
-        return topic.Batch(found, offset + len(found), len(self.records))
+        return topic.Batch(found, offset + len(found), len(self.records),
+                           self.era)
 
 
 class ObservedState(topic.Listener):
@@ -99,6 +111,7 @@
             del self.newest[key]
         for record in records:
             self.on_record(record)
+        return records
 
     def on_record(self, record):
         assert record.offset >= self.offsets.get(record.key, 0)
--- a/tests/test_duties_lease.py
+++ b/tests/test_duties_lease.py
@@ -120,8 +120,8 @@
 def test_an_unreadable_claim_is_replaced():
     """One malformed record ends the duties for good."""
     site = duty_site.Site(2)
-    site.store.value, site.store.end = b'\xc1', 1
-    site.store.holders = ['?']
+    site.store.records = [(lease.CLAIM_KEY, b'\xc1')]
+    site.store.holders = {0: '?'}
     _add_work(site, 26.0)
     assert len(site.holders()) == 1
     assert site.platform.usage
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -16,6 +16,7 @@
 from gorsefall.policy import readers
 from gorsefall.relay import changes
 from gorsefall.relay import messages
+from gorsefall.relay import positions
 
 
 @pytest.fixture(autouse=True)
@@ -24,6 +25,10 @@
         yield
 
 
+def _at(offset):
+    return positions.Position(offset=offset)
+
+
 def _run(site, for_s):
     with mock.patch.object(freshness, 'clock', lambda: site.loop.now):
         site.run(for_s)
@@ -219,24 +224,25 @@
 
 def test_changes_are_sent_completely_or_not_at_all():
     recent = changes.RecentChanges()
-    recent.reset(10)
+    recent.reset(_at(10))
     small = [changes.Record(f'k{o}', b'x' * 100, o) for o in range(10, 15)]
     for record in small:
         recent.add(record)
-    assert not recent.changes_since(9, 0.5, 15).complete
-    sent = recent.changes_since(12, 0.5, 15).changes
+    assert not recent.changes_since(_at(9), 0.5, _at(15)).complete
+    sent = recent.changes_since(_at(12), 0.5, _at(15)).changes
     assert [changes.unpack(c) for c in sent] == small[2:]
-    assert recent.changes_since(15, 0.5, 15).changes == ()
+    assert recent.changes_since(_at(15), 0.5, _at(15)).changes == ()
     noise = random.Random(1).randbytes
     recent.add(changes.Record('k10', noise(changes.MAX_SENT_BYTES + 1), 15))
-    assert not recent.changes_since(15, 0.5, 16).complete
-    cut_off = recent.changes_since(15, 0.5, 16, changes.MAX_SENT_BYTES_CUT_OFF)
-    assert [c.offset for c in cut_off.changes] == [15]
+    assert not recent.changes_since(_at(15), 0.5, _at(16)).complete
+    cut_off = recent.changes_since(_at(15), 0.5, _at(16),
+                                   changes.MAX_SENT_BYTES_CUT_OFF)
+    assert [c.position for c in cut_off.changes] == [_at(15)]
     for offset in range(16, 30):
         recent.add(changes.Record(f'n{offset}', noise(8000), offset))
-    assert not recent.changes_since(16, 0.5, 600,
+    assert not recent.changes_since(_at(16), 0.5, _at(600),
                                     changes.MAX_SENT_BYTES_CUT_OFF).complete
-    assert recent.changes_since(29, 0.5, 600,
+    assert recent.changes_since(_at(29), 0.5, _at(600),
                                 changes.MAX_SENT_BYTES_CUT_OFF).complete
 
 
@@ -245,14 +251,14 @@
     site = _site(3)
     _run(site, 10.0)
     follower = next(e for e in site.entries if not e.sharing.is_reader).follower
-    before = follower.confirmed_at, follower.offset
+    before = follower.confirmed_at, follower.position
     good = changes.pack(changes.Record('b', b'y' * 9000, 1))
     for packed in (b'', b'no', good.packed[:-3]):
         malformed = good._replace(packed=packed)
         with pytest.raises(errors.RecordError):
             follower.apply_changes(site.loop.now,
-                                   changes.ChangeSet(0.0, 2, (malformed,)))
-    assert (follower.confirmed_at, follower.offset) == before
+                                   changes.ChangeSet(0.0, _at(2), (malformed,)))
+    assert (follower.confirmed_at, follower.position) == before
 
 
 def test_an_entry_cut_off_from_the_store_receives_a_large_record():
@@ -270,7 +276,7 @@
 
 def test_a_negative_age_is_rejected():
     """Guards against a confirmation from the future by a faulty entry."""
-    response = messages.Told(1, {'t': changes.ChangeSet(-5.0, 3)})
+    response = messages.Told(1, {'t': changes.ChangeSet(-5.0, _at(3))})
     with pytest.raises(msgspec.DecodeError):
         messages.decode(messages.encode(response))
 
@@ -282,6 +288,6 @@
     before = entry.follower.confirmed_at
     for number in (0, 1 << 62):
         entry.handle_message(
-            messages.Told(number, {'t': changes.ChangeSet(0.0, 99)}), 'a0')
+            messages.Told(number, {'t': changes.ChangeSet(0.0, _at(99))}), 'a0')
     assert entry.follower.confirmed_at == before
-    assert entry.follower.offset < 99
+    assert entry.follower.position < _at(99)
--- a/tests/test_topic.py
+++ b/tests/test_topic.py
@@ -8,6 +8,7 @@
 
 from gorsefall.policy import freshness
 from gorsefall.relay import changes
+from gorsefall.relay import positions
 from gorsefall.relay import topic
 from gorsefall.relay import topicfollower
 
@@ -123,11 +124,12 @@
     are still reading it confirm the state before it."""
     follower, source, values = _passive_follower()
     follower.read_once()
-    follower.apply_changes(freshness.clock(), changes.ChangeSet(0.0, 1))
+    follower.apply_changes(freshness.clock(),
+                           changes.ChangeSet(0.0, positions.Position(offset=1)))
     source.reads.pop()(topic.Batch([changes.Record('a', b'new', 1)], 2, 2),
                        None)
     assert values == [b'new']
-    assert follower.offset == 2
+    assert follower.position.offset == 2
 
 
 def test_superseded_large_records_are_skipped():
@@ -136,10 +138,10 @@
     follower.read_once()
     large = changes.Record('a', b'x' * 2048, 1)
     source.reads.pop()(topic.Batch([large], 2, 2), None)
-    follower.read_once(3)
+    follower.read_once(positions.Position(offset=3))
     assert len(source.reads) == 1
     source.reads.pop()(topic.Batch([large._replace(offset=2)], 3, 3), None)
-    follower.read_once(6)
+    follower.read_once(positions.Position(offset=6))
     assert len(source.snapshots) == 1 and not source.reads
 
 
