--- a/gorsefall/relay/crashstore.py
+++ b/gorsefall/relay/crashstore.py
@@ -1,5 +1,6 @@
 """Stores what crashes replicas, to outlast a restart of all entries."""
 
+import collections
 import time
 
 import msgspec
@@ -8,6 +9,7 @@
 from gorsefall import errors
 from gorsefall import logs
 from gorsefall.policy import entrystatus
+from gorsefall.policy import rendezvous
 from gorsefall.relay import topic
 
 READ_DELAY_S = 2.0
@@ -21,6 +23,10 @@
 RETRY_PAUSE_S = 2.0
 """Pause after a failed call, s."""
 
+MAX_DROPPED = 64
+"""Most digests that were cleared and are remembered, should the store come back
+with them."""
+
 
 class _StoredReport(msgspec.Struct, frozen=True, array_like=True):
     """A crash report as it is stored.
@@ -87,6 +93,7 @@
         self._source = source
         self._crashes = crashes
         self._pending = {}
+        self._dropped = collections.deque(maxlen=MAX_DROPPED)
         self._writing = False
         self._log = logs.get('remembered')
         crashes.on_blamed = self._on_blamed
@@ -140,16 +147,33 @@
 
     # -- writing ---------------------------------------------------------------
 
+    def write_again(self):
+        """Writes again what the store may have lost.
+
+        Each suspect has one entry that writes it, so that those whose first
+        writer has gone are kept too.
+        """
+        names = self._crashes.entry_names()
+        for digest in self._crashes.suspects.blamed:
+            if rendezvous.top(digest, names, 1) == names[:1]:
+                self._write(digest)
+        for digest in self._dropped:
+            self._pending[digest] = b''
+        self._flush()
+
     def _on_blamed(self, digest, own):
         if own:
             self._write(digest)
 
     def _write(self, digest):
+        if digest in self._dropped:
+            self._dropped.remove(digest)
         self._pending[digest] = encode(self._crashes.reports.of(digest),
                                        _now_ms())
         self._flush()
 
     def _drop(self, digest):
+        self._dropped.append(digest)
         self._pending[digest] = b''
         self._flush()
 
--- a/gorsefall/relay/node.py
+++ b/gorsefall/relay/node.py
@@ -203,6 +203,7 @@
 
     def on_store_restored(self):
         """Called when the store came back from an older copy."""
+        self._crash_store.write_again()
 
     def record_confirmation(self, sent_at):
         """Records that a read confirmed the configuration.
