Tests, soak and explain of a store that comes back from older copies

Found by them and mended here: an entry that started after the return and asked only entries that do not read the store stayed without a configuration at 195 entries; any entry now tells its newest version to one that has read the store as far and has an older one. The configuration's listener has a module of its own.

--- a/gorsefall/explain.py
+++ b/gorsefall/explain.py
@@ -75,6 +75,15 @@
         'the store stopped responding for {0.topic} ({0.error})',
     loglines.StoreRegained:
         'the store responded again for {0.topic}',
+    loglines.StoreRestored:
+        'the store came back from an older copy for {0.topic} (era {0.era})',
+    loglines.StoreIsBehind:
+        'the store held version {0.stored} only, {0.version} stayed active',
+    loglines.ConfirmationWithheld:
+        'version {0.version} was not confirmed, as the store may have lost a '
+        'newer one (another entry knew {0.told})',
+    loglines.LostVersionTold:
+        'another entry sent version {0.version}, which the store had lost',
     loglines.ReplicaSeen:
         '{0.replica} was reported as {0.status}',
     loglines.ReplicaDoubtful:
@@ -210,6 +219,13 @@
         return f'paths {event.service}'
     if isinstance(event, loglines.PlacesBorrowed):
         return f'places {event.service}'
+    if isinstance(event, loglines.StoreIsBehind):
+        return 'stored version'
+    if isinstance(event,
+                  loglines.ConfirmationWithheld | loglines.LostVersionTold):
+        return 'lost version'
+    if isinstance(event, loglines.StoreRestored):
+        return f'era {event.topic}'
     if isinstance(event, loglines.StoreLost | loglines.StoreRegained):
         return f'store {event.topic}'
     if isinstance(
--- a/gorsefall/loglines.py
+++ b/gorsefall/loglines.py
@@ -167,6 +167,33 @@
     topic: str
 
 
+class StoreRestored(ObservedState, tag='store_restored'):
+    """The store came back from an older copy, in a new era."""
+    topic: str
+    era: int
+    before: int = 0
+    end: int = 0
+    offset: int = 0
+
+
+class StoreIsBehind(ObservedState, tag='store_is_behind'):
+    """The store holds an older version than the active one."""
+    version: int
+    stored: int
+
+
+class ConfirmationWithheld(ObservedState, tag='confirmation_withheld'):
+    """The store may have lost a version that another entry knows."""
+    version: int
+    told: int
+
+
+class LostVersionTold(ObservedState, tag='lost_version_told'):
+    """Another entry sent a version that the store has lost."""
+    version: int
+    stored: int
+
+
 class ReplicaSeen(ObservedState, tag='replica_seen'):
     """A replica has a new record, or its status changed."""
     replica: str
@@ -299,12 +326,13 @@
 _EventType = (Sent | AttemptFailed | Forwarded | PathsLost | PathsRegained |
               NotRun | Retry | Parked | Restored | StreamTakenUp |
               NotTakenOver | Kept | Answered | Configuration | ProofLost |
-              ProofRegained | StoreLost | StoreRegained | ReplicaSeen |
-              ReplicaDoubtful | ReplicaGone | ReplicaLeaving | ReplicaPaused |
-              LimitAnnounced | LimitPartChanged | PlacesBorrowed | Started |
-              Stopping | Stopped | UsageCounted | UsageReported | UsageMissed |
-              Claimed | DutiesLost | ClaimFailed | ClaimNotRead |
-              PlatformCallFailed)
+              ProofRegained | StoreLost | StoreRegained | StoreRestored |
+              StoreIsBehind | ConfirmationWithheld | LostVersionTold |
+              ReplicaSeen | ReplicaDoubtful | ReplicaGone | ReplicaLeaving |
+              ReplicaPaused | LimitAnnounced | LimitPartChanged |
+              PlacesBorrowed | Started | Stopping | Stopped | UsageCounted |
+              UsageReported | UsageMissed | Claimed | DutiesLost | ClaimFailed |
+              ClaimNotRead | PlatformCallFailed)
 _decoder = msgspec.json.Decoder(_EventType)
 
 
--- a/gorsefall/relay/followers.py
+++ b/gorsefall/relay/followers.py
@@ -3,6 +3,7 @@
 from gorsefall import ids
 from gorsefall import settingsfile
 from gorsefall.policy import readers
+from gorsefall.relay import configurationlistener
 from gorsefall.relay import messages
 from gorsefall.relay import pacing
 from gorsefall.relay import sharing
@@ -100,7 +101,8 @@
             CONFIGURATION:
                 self._create_topic(
                     self._adapter.configuration_topic,
-                    topiclisteners.ConfigurationListener(self._node, records),
+                    configurationlistener.ConfigurationListener(
+                        self._node, records),
                     alone=topic.ReadPace(wait_s=pacing.config_wait_s(cfg)),
                     shared=topic.ReadPace(wait_s=pacing.shared_wait_s(cfg)),
                     max_kb=MAX_CONFIG_READ_KB),
--- a/gorsefall/relay/sharing.py
+++ b/gorsefall/relay/sharing.py
@@ -47,15 +47,15 @@
 trying, and the entries that query them learn of the store's return within a
 second."""
 
-INQUIRY_HOSTS = 4
-"""Most entries that are asked what the store may have lost: one of them may
-have started just now, and another may be gone."""
+INQUIRY_HOSTS = 6
+"""Most entries that are asked what the store may have lost: some of them may
+have started just now, and others may be gone or have been suspended."""
 
 INQUIRY_TIMEOUT_S = 0.75
 """Longest time for their answers, s: an entry that starts serves nothing until
 then, and entries that start together have nothing to wait for."""
 
-ENOUGH_ANSWERS = 2
+ENOUGH_ANSWERS = 3
 """Answers of entries with a configuration after which no other is awaited."""
 
 VERSION_QUERY_DELAY_RANGE_S = (0.3, 0.6)
@@ -118,7 +118,7 @@
     Attributes:
         query_id: Identifies it.
         unanswered: Hosts whose answers are missing, a set.
-        answers: Answers so far of entries that have read the store.
+        answers: Answers so far of entries that have a configuration.
     """
 
     def __init__(self, query_id, hosts):
@@ -167,6 +167,7 @@
         self._known_hosts = known_hosts
         self._inquiry = None
         self._version_query_pending = False
+        self._ahead_host = None
         self._selector = readers.ReaderSelector(own, rng)
         self._topics = {}
         self._store = ''
@@ -226,6 +227,7 @@
         self._set_reader(not others or (may_read and self._should_read(others)))
         if self.is_reader:
             self._set_paces(others)
+            self._query_ahead()
         else:
             self._probe_store()
             self._response_missing = False
@@ -289,7 +291,7 @@
 
     def _on_inquiry_answer(self, message, host):
         self._inquiry.unanswered.discard(host)
-        if message.topic_changes:
+        if any(c.version for c in message.topic_changes.values()):
             self._inquiry.answers += 1
         for name, change_set in message.topic_changes.items():
             if name in self._topics:
@@ -306,6 +308,16 @@
         self._inquiry = None
         for followed in self._topics.values():
             followed.follower.listener.release_confirmations()
+        self._query_ahead()
+
+    def _query_ahead(self):
+        """Queries an entry that knows a version that the store has lost."""
+        if self._ahead_host is None or self._open_query is not None:
+            return
+        if self.is_reader:
+            self._query([self._ahead_host])
+        else:
+            self._query_first(self._ahead_host)
 
     def _learn(self, followed, change_set, host):
         """Learns another entry's version; returns whether it was readable."""
@@ -314,6 +326,10 @@
         except errors.RecordError as exc:
             self._log.error('news_spoilt', host=host, error=str(exc))
             return False
+        if change_set.version > followed.follower.listener.version:
+            self._ahead_host = host
+        elif self._ahead_host == host and change_set.version:
+            self._ahead_host = None
         return True
 
     def handle_versions(self, versions, host):
@@ -339,12 +355,9 @@
 
     def _query_version(self, versions, host):
         self._version_query_pending = False
-        if not self._is_behind(versions) or self._open_query is not None:
-            return
-        if self.is_reader:
-            self._query([host])
-        else:
-            self._query_first(host)
+        if self._is_behind(versions):
+            self._ahead_host = host
+            self._query_ahead()
 
     def _send_ask(self, query_id, host):
         positions = {
--- a/gorsefall/relay/topic.py
+++ b/gorsefall/relay/topic.py
@@ -90,11 +90,10 @@
     Attributes:
         version: Version of the newest state that is known, if the topic's
             records name their own order; 0 if they do not.
-        lost_record: The ``changes.Record`` of that version if the store has
-            lost it and nothing newer was written yet, else None.
+        newest_record: The ``changes.Record`` of that version; None without.
     """
     version = 0
-    lost_record = None
+    newest_record = None
 
     def on_snapshot(self, records):
         """Called with the newest record of every key.
@@ -118,7 +117,7 @@
 
         Args:
             version: Its ``version``.
-            record: Its ``lost_record`` if this entry has to be told, else None.
+            record: Its ``newest_record`` if the store has lost it, else None.
         """
 
     def hold_confirmations(self):
--- a/gorsefall/relay/topicfollower.py
+++ b/gorsefall/relay/topicfollower.py
@@ -133,11 +133,17 @@
                                               max_bytes)
         return msgspec.structs.replace(found,
                                        version=self.listener.version,
-                                       lost=self._lost_change(version))
+                                       lost=self._lost_change(
+                                           position, version))
 
-    def _lost_change(self, version):
-        record = self.listener.lost_record
-        if record is None or version >= self.listener.version:
+    def _lost_change(self, position, version):
+        """Returns the newest record for a follower that the store fails.
+
+        It has read the store as far as this one and has an older version.
+        """
+        record = self.listener.newest_record
+        if (record is None or version >= self.listener.version or
+                position is None or position < self.position):
             return None
         change = changes.pack(record)
         return change if change.size <= changes.MAX_SENT_BYTES_CUT_OFF else None
@@ -404,12 +410,7 @@
     def _is_new(self, record):
         # Responses may be late and snapshots overlap reads; a record must
         # not replace a newer one of its key.
-        known = self._newest.get(record.key, positions.START)
-        if record.position < known:
-            self._log.info('record_outdated',
-                           key=record.key,
-                           position=record.position,
-                           known=known)
+        if record.position < self._newest.get(record.key, positions.START):
             return False
         self._newest[record.key] = record.position
         return True
--- a/tests/entries.py
+++ b/tests/entries.py
@@ -153,11 +153,15 @@
         self.loop = EntryLoop(self.site.loop)
         self.client = StoreClient(self.loop, self.site.store,
                                   self.site.bytes_per_s)
-        self.observed = stores.ObservedState(self.site.store)
+        self.observed = self.site.new_listener(self)
         self.sharing = sharing.SharedReads(
-            self.loop, self.own, lambda: self.site.others(self),
+            self.loop,
+            self.own,
+            lambda: self.site.others(self),
             lambda message, host: self.site.network.send(
-                self.own.host, message, host), self.site.rng)
+                self.own.host, message, host),
+            self.site.rng,
+            known_hosts=lambda: [e.own.host for e in self.site.others_of(self)])
         follower = topicfollower.Follower(self.loop,
                                           self.client,
                                           self.observed,
@@ -188,13 +192,17 @@
                  outcomes=(),
                  seed=1,
                  *,
-                 bytes_per_s=float('inf')):
+                 bytes_per_s=float('inf'),
+                 new_listener=None,
+                 first=('a', b'first')):
         self.bytes_per_s = bytes_per_s
+        self.new_listener = new_listener or (
+            lambda entry: stores.ObservedState(self.store))
         self.loop = stores.Loop()
         self.rng = random.Random(seed)
         self.store = stores.Store(self.loop, faults)
         self.network = Network(self.loop, outcomes)
-        self.store.put('a', b'first')
+        self.store.put(*first)
         for zone, number in itertools.product(zones, range(per_zone)):
             host = f'{zone}{number}'
             self.network.entries[host] = Entry(self, host, zone)
@@ -203,6 +211,10 @@
     def entries(self):
         return list(self.network.entries.values())
 
+    def others_of(self, entry):
+        """Returns the other entries, whether they run or not."""
+        return [e for e in self.entries if e is not entry]
+
     def others(self, entry):
         """Returns the candidates that an entry knows from others' statuses."""
         return [
--- a/tests/test_duties_lease.py
+++ b/tests/test_duties_lease.py
@@ -153,8 +153,66 @@
         last[holder] = at
 
 
+@pytest.mark.parametrize('lost', [1, 2, 5, 100])
+@pytest.mark.parametrize('fault', [None, 'kill', 'freeze'])
+def test_a_store_that_comes_back_from_an_older_copy(lost, fault):
+    """Two holders use one token, or a window is counted again."""
+    site = _site()
+    _add_work(site, 30.0)
+    old, = site.holders()
+    if fault:
+        _inject(site, old, fault, 15.0)
+    _restore(site, 1.0, lost)
+    _add_work(site, 30.0)
+    assert len(site.holders()) == 1
+    assert not site.platform.violations
+    _check_alternation(site.platform.sent)
+    last = int((duty_site.EPOCH_S + site.loop.now) // duty_site.WINDOW_S)
+    assert last - 2 in site.platform.usage
+
+
+def test_the_store_loses_claims_twice_within_a_second():
+    """A holder takes a claim of the first return for one of the second."""
+    site = _site()
+    _add_work(site, 20.0)
+    _restore(site, 0.4, 2)
+    _add_work(site, 0.6)
+    _restore(site, 0.4, 1)
+    _add_work(site, 25.0)
+    assert len(site.holders()) == 1
+    assert not site.platform.violations
+
+
+def test_a_claim_for_a_lost_history_counts_for_nothing():
+    """A holder that was frozen claims at an offset that was given out again,
+    and its decisions replace those of its successor."""
+    site = _site()
+    _add_work(site, 20.0)
+    old, = site.holders()
+    old.freeze(12.0)
+    _restore(site, 0.5, 3)
+    _add_work(site, 40.0)
+    assert not site.platform.violations
+    new, = site.holders()
+    key, _ = site.store.records[-1]
+    assert key == lease.claim_key(site.store.era)
+    assert new is not old
+
+
 FAULTS = ('kill', 'freeze', 'store', 'cloud', 'peers', 'outage', 'cloud_down',
-          'lost', 'dropped', 'late', 'call_lost', 'call_late', 'clock')
+          'lost', 'dropped', 'late', 'call_lost', 'call_late', 'clock',
+          'older_copy')
+
+
+def _restore(site, away_s, lost):
+    """The store is away, and comes back without its last records."""
+
+    def come_back():
+        site.store.restore(lost)
+        site.store.up = True
+
+    site.store.up = False
+    site.loop.call_later(away_s, come_back)
 
 
 def _inject(site, entry, fault, for_s):
@@ -169,6 +227,8 @@
         site.loop.call_later(for_s, entry.restart)
     elif fault == 'freeze':
         entry.freeze(for_s)
+    elif fault == 'older_copy':
+        _restore(site, min(for_s, 2.0), int(for_s))
     elif fault == 'clock':
         entry.clock_step_s += 7.0 if for_s > 3 else -7.0
     elif fault in ('lost', 'dropped', 'late'):
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -212,3 +212,19 @@
     text = explain.explain(loglines.read_files([tmp_path / 'a.log']), 'r1')
     assert 'this entry may use 72% of the limit of i-1' in text
     assert 'lent this one 7 places at replicas of pool' in text
+
+
+def test_a_store_that_came_back_older_is_explained(tmp_path):
+    """An engineer on call cannot tell why an entry used which version."""
+    (tmp_path / 'a.log').write_text(
+        '{"event": "store_restored", "topic": "keyed.op", "era": 2, '
+        '"before": 1, "end": 20, "offset": 24}\n'
+        '{"event": "store_is_behind", "version": 83, "stored": 71}\n'
+        '{"event": "confirmation_withheld", "version": 79, "told": 83}\n'
+        '{"event": "lost_version_told", "version": 83, "stored": 71}\n'
+        '{"event": "sent", "rid": "r1", "replica": "i-1", "service": "pool"}\n'
+        '{"event": "answered", "rid": "r1", "outcome": "served"}\n')
+    text = explain.explain(loglines.read_files([tmp_path / 'a.log']), 'r1')
+    assert 'came back from an older copy for keyed.op (era 2)' in text
+    assert 'the store held version 71 only, 83 stayed active' in text
+    assert 'another entry sent version 83' in text
--- /dev/null
+++ b/tests/test_restored_store.py
@@ -0,0 +1,263 @@
+"""Versions of a configuration in a store that comes back from older copies."""
+
+import types
+from unittest import mock
+
+import entries
+import pytest
+import stores
+from hypothesis import example
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from gorsefall.policy import freshness
+from gorsefall.policy import readers
+from gorsefall.relay import configurationlistener
+from gorsefall.relay import topiclisteners
+
+APPLY_S = 2.0
+"""Time within which a version that was confirmed has to be in force, s."""
+
+IN_TOUCH_S = 3.0
+"""Time without a fault after which that bound holds, s."""
+
+AWAY_S = 1.0
+
+CONFIG = 'config'
+
+
+@pytest.fixture(autouse=True)
+def _quiet():
+    with mock.patch('gorsefall.logs.get', lambda name: mock.MagicMock()):
+        yield
+
+
+class _Records(topiclisteners.RecordDecoder):
+
+    def decode_table(self, record):
+        return types.SimpleNamespace(version=int(record.value))
+
+
+class _Node:
+    """One process: its active version, and what its confirmations claim."""
+
+    def __init__(self, site, loop):
+        self._site = site
+        self._loop = loop
+        self.table = None
+        self.confirmed_at = float('-inf')
+
+    def adopt(self, table):
+        if self.table is not None and table.version <= self.table.version:
+            return False
+        self.table = table
+        return True
+
+    def on_store_restored(self):
+        pass
+
+    def record_confirmation(self, sent_at):
+        self._site.check_confirmation(self.table.version, sent_at)
+        self.confirmed_at = max(self.confirmed_at, sent_at)
+
+
+class _Site(entries.Site):
+    """Entries that follow the versions that an operator writes.
+
+    Attributes:
+        versions: ``(written at, version)`` of each version, also of lost ones.
+        violations: What must not happen, a list of str.
+    """
+
+    def __init__(self, *args, **options):
+        self.versions = [(-1.0, 1)]
+        self.violations = []
+        super().__init__(*args,
+                         new_listener=self._new_listener,
+                         first=(CONFIG, b'1'),
+                         **options)
+
+    def _new_listener(self, entry):
+        entry.node = _Node(self, entry.loop)
+        return configurationlistener.ConfigurationListener(
+            entry.node, _Records())
+
+    def write(self, version):
+        self.versions.append((self.loop.now, version))
+        self.store.put(CONFIG, b'%d' % version)
+
+    def check_confirmation(self, version, sent_at):
+        newest = max(v for at, v in self.versions if at < sent_at)
+        if version < newest:
+            self.violations.append(
+                f'{version} confirmed as of {sent_at:.2f}, {newest} is newer')
+
+    def away(self, lost):
+        """The store is away for a moment, and back without the last records."""
+        for entry in self.entries:
+            entry.client.unreachable = True
+        self.run(AWAY_S)
+        self.store.restore(lost)
+        for entry in self.entries:
+            entry.client.unreachable = False
+
+    def active_versions(self):
+        """Returns the active version of each running entry, 0 for none."""
+        return [
+            e.node.table.version if e.node.table else 0
+            for e in self.entries
+            if not e.loop.dead
+        ]
+
+
+@pytest.fixture(name='site_of')
+def _site_of():
+    """Creates sites whose clock is that of the simulation."""
+    loops = []
+
+    def now():
+        return loops[-1].now
+
+    def create(*args, **options):
+        site = _Site(*args, **options)
+        return site
+
+    original = stores.Loop
+
+    def new_loop():
+        loops.append(original())
+        return loops[-1]
+
+    with (mock.patch.object(stores, 'Loop', new_loop),
+          mock.patch.object(freshness, 'clock', now)):
+        yield create
+
+
+SIZES = [('a', 7), ('abc', 29), ('abcde', 39)]
+"""Zones and entries of each: 7, 87 and 195 entries."""
+
+
+@pytest.mark.parametrize('size', SIZES, ids=lambda s: str(len(s[0]) * s[1]))
+@pytest.mark.parametrize('lost', [1, 4])
+@pytest.mark.parametrize('wait_s', [0.0, 1.0, 4.0])
+def test_versions_after_the_return_are_in_force_in_time(site_of, size, lost,
+                                                        wait_s):
+    """Entries drop what has an offset that they have seen before."""
+    zones, per_zone = size
+    site = site_of(per_zone, zones)
+    site.run(8.0)
+    for version in range(2, 7):
+        site.write(version)
+        site.run(1.0)
+    site.run(IN_TOUCH_S)
+    before = site.calls()
+    site.away(lost)
+    site.run(wait_s)
+    assert set(site.active_versions()) == {6}
+    for version in (7, 8):
+        site.write(version)
+        site.run(0.1)
+    site.run(APPLY_S - 0.1)
+    assert set(site.active_versions()) == {8}
+    assert site.violations == []
+    # The store that has just come back is not stormed by all entries.
+    reader_count = max(readers.MIN_READERS,
+                       -(-len(site.entries) // readers.ENTRIES_PER_READER))
+    per_s = (site.calls() - before) / (AWAY_S + wait_s + APPLY_S)
+    assert per_s <= 2.0 * len(site.entries) + 20.0 * reader_count
+
+
+@pytest.mark.parametrize('size', SIZES, ids=lambda s: str(len(s[0]) * s[1]))
+def test_an_entry_that_starts_gets_what_the_store_has_lost(site_of, size):
+    """It would use the version of the copy, with keys that were revoked."""
+    zones, per_zone = size
+    site = site_of(per_zone, zones)
+    site.run(8.0)
+    for version in range(2, 7):
+        site.write(version)
+        site.run(0.5)
+    site.run(IN_TOUCH_S)
+    site.away(4)
+    site.run(1.5)
+    for entry in site.entries[::5]:
+        entry.loop.dead = True
+        entry.start()
+    for _ in range(30):
+        site.run(0.1)
+        assert set(site.active_versions()) <= {0, 6}
+    assert set(site.active_versions()) == {6}
+    assert site.violations == []
+
+
+def test_entries_that_all_start_use_what_the_store_has(site_of):
+    """They would wait for others that know no more than the copy holds."""
+    site = site_of(3, 'ab')
+    site.run(8.0)
+    site.write(2)
+    site.run(1.0)
+    site.away(1)
+    for entry in site.entries:
+        entry.loop.dead = True
+        entry.start()
+    # Nobody knows the lost version any more.
+    site.versions.pop()
+    site.run(2.0)
+    assert set(site.active_versions()) == {1}
+    site.write(2)
+    site.run(APPLY_S)
+    assert set(site.active_versions()) == {2}
+    assert site.violations == []
+
+
+_STEPS = st.lists(st.tuples(
+    st.sampled_from(
+        ['write', 'write', 'away', 'away', 'freeze', 'restart', 'wait']),
+    st.integers(0, 7), st.floats(0.0, 3.0)),
+                  max_size=12)
+
+
+@settings(max_examples=120, deadline=None)
+@given(_STEPS, st.integers(0, 1000))
+@example([('write', 0, 1.0), ('freeze', 3, 0.0), ('write', 0, 1.0),
+          ('away', 1, 0.2), ('away', 1, 0.5)], 1)
+def test_drills_in_any_order(steps, seed):
+    """Under several returns, restarts and frozen entries one of them confirms
+    or goes back to an older version, or never follows again."""
+    loops = []
+    original = stores.Loop
+
+    def new_loop():
+        loops.append(original())
+        return loops[-1]
+
+    with (mock.patch.object(stores, 'Loop', new_loop),
+          mock.patch.object(freshness, 'clock', lambda: loops[-1].now)):
+        site = _Site(4, 'ab', seed=seed)
+        site.run(6.0)
+        version = 1
+        for what, number, wait_s in steps:
+            entry = site.entries[number]
+            if what == 'write':
+                version += 1
+                site.write(version)
+                # Readers have it before the next fault.
+                site.run(1.0)
+            elif what == 'away':
+                site.away(number % 4)
+            elif what == 'freeze':
+                entry.loop.frozen_until = site.loop.now + 4.0
+            elif what == 'restart' and number < 4:
+                # The others know what the store may have lost.
+                entry.loop.dead = True
+                entry.start()
+            site.run(wait_s)
+        site.run(6.0)
+        version += 1
+        site.write(version)
+        site.run(APPLY_S + 0.5)
+        assert set(site.active_versions()) == {version}
+        assert site.violations == []
+        for entry in site.entries:
+            age_s = site.loop.now - entry.node.confirmed_at
+            assert age_s < entries.MAX_CONFIRMATION_AGE_S
--- a/tests/test_topic.py
+++ b/tests/test_topic.py
@@ -6,6 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from gorsefall import ids
 from gorsefall.policy import freshness
 from gorsefall.relay import changes
 from gorsefall.relay import positions
@@ -145,6 +146,83 @@
     assert len(source.snapshots) == 1 and not source.reads
 
 
+def _started_follower():
+    """Returns a reading follower at position (1, 5), its source and keys."""
+    source, listener = _HeldSource(), topic.Listener()
+    listener.confirmed = []
+    listener.on_confirmed = listener.confirmed.append
+    listener.keys = []
+    listener.on_record = lambda record: listener.keys.append(record.key)
+    follower = topicfollower.Follower(stores.Loop(), source, listener, name='t')
+    follower.start()
+    source.snapshots.pop()(topic.SnapshotPage([], False, 5, ids.Era(1)), None)
+    return follower, source, listener
+
+
+def test_a_read_answered_in_another_history_is_not_applied():
+    """The records between the copy's end and the offset that was read from are
+    skipped for good."""
+    follower, source, listener = _started_follower()
+    confirmed = len(listener.confirmed)
+    record = changes.Record('b', b'new', 5, era=ids.Era(2))
+    source.reads.pop()(topic.Batch([record], 6, 6, ids.Era(2)), None)
+    assert listener.keys == [] and len(listener.confirmed) == confirmed
+    missed = changes.Record('a', b'missed', 3, era=ids.Era(2))
+    source.snapshots.pop()(topic.SnapshotPage([missed, record], False, 6,
+                                              ids.Era(2)), None)
+    assert follower.position == positions.Position(ids.Era(2), 6)
+    assert len(listener.confirmed) == confirmed + 1
+
+
+def test_pages_of_two_histories_are_not_put_together():
+    """A return during a snapshot mixes records of both histories."""
+    follower, source, listener = _started_follower()
+    record = changes.Record('a', b'1', 3, era=ids.Era(2))
+    source.reads.pop()(topic.Batch([], 5, 5, ids.Era(2)), None)
+    source.snapshots.pop()(topic.SnapshotPage([record], True, 4, ids.Era(2)),
+                           None)
+    confirmed = len(listener.confirmed)
+    source.snapshots.pop()(topic.SnapshotPage([], False, 3, ids.Era(3)), None)
+    assert follower.position.era == 1 and len(listener.confirmed) == confirmed
+    follower._loop.run(follower._loop.now + 1.0)
+    source.snapshots.pop()(topic.SnapshotPage([], False, 3, ids.Era(3)), None)
+    assert follower.position == positions.Position(ids.Era(3), 3)
+
+
+def test_a_late_answer_of_a_lost_history_confirms_nothing():
+    """An old configuration is proven current by a store that is gone."""
+    follower, source, listener = _started_follower()
+    source.reads.pop()(topic.Batch([], 5, 5, ids.Era(2)), None)
+    source.snapshots.pop()(topic.SnapshotPage([], False, 4, ids.Era(2)), None)
+    confirmed = len(listener.confirmed)
+    late = changes.Record('a', b'late', 4, era=ids.Era(1))
+    source.reads.pop()(topic.Batch([late], 5, 5, ids.Era(1)), None)
+    source.snapshots.pop()(topic.SnapshotPage([late], False, 5, ids.Era(1)),
+                           None)
+    assert listener.keys == [] and len(listener.confirmed) == confirmed
+    assert follower.position == positions.Position(ids.Era(2), 4)
+
+
+def test_an_entry_in_a_lost_history_gets_the_difference():
+    """All entries read the whole topic from a store that has just come back."""
+    recent = changes.RecentChanges()
+    recent.reset(positions.Position(1, 10))
+    recent.add(changes.Record('a', b'1', 11, era=1))
+    recent.end_era(positions.Position(1, 12))
+    recent.add(changes.Record('b', b'', 8, era=2))
+    end = positions.Position(2, 8)
+
+    def since(era, offset):
+        return recent.changes_since(positions.Position(era, offset), 0.1, end)
+
+    assert [c.key for c in since(1, 10).changes] == ['a', 'b']
+    assert [c.key for c in since(1, 12).changes] == ['b']
+    assert since(1, 12).complete
+    # It knows what was never read here; only the store can tell it the rest.
+    assert not since(1, 13).complete
+    assert not since(0, 99).complete
+
+
 def test_a_confirmation_dates_from_when_the_read_was_sent(monkeypatch):
     """Guards against accepting a revoked key after a late response."""
     now = [100.0]
