--- a/gorsefall/relay/sharing.py
+++ b/gorsefall/relay/sharing.py
@@ -398,7 +398,7 @@
         host, *rest = self._open_query.hosts
         if self.is_reader:
             # Asked only for what the store has lost.
-            self._open_query = None
+            self._open_query = self._ahead_host = None
             return
         self._selector.record_no_response(host, self._loop.now)
         self._query(rest)
