--- a/gorsefall/relay/sharing.py
+++ b/gorsefall/relay/sharing.py
@@ -19,6 +19,7 @@
 from gorsefall.policy import membership
 from gorsefall.policy import readers
 from gorsefall.relay import changes
+from gorsefall.relay import lostversions
 from gorsefall.relay import messages
 from gorsefall.relay import topic
 from gorsefall.relay import topicfollower
@@ -47,21 +48,6 @@
 trying, and the entries that query them learn of the store's return within a
 second."""
 
-INQUIRY_HOSTS = 6
-"""Most entries that are asked what the store may have lost: some of them may
-have started just now, and others may be gone or have been suspended."""
-
-INQUIRY_TIMEOUT_S = 0.75
-"""Longest time for their answers, s: an entry that starts serves nothing until
-then, and entries that start together have nothing to wait for."""
-
-ENOUGH_ANSWERS = 3
-"""Answers of entries with a configuration after which no other is awaited."""
-
-VERSION_QUERY_DELAY_RANGE_S = (0.3, 0.6)
-"""Range of the time after which an entry that has an older configuration than
-another one queries it, s; a hint and a query take less."""
-
 HINT_SPREAD_S = 0.3
 """Time over which entries spread their queries after a hint, s: the responses
 of one entry share its link with its callers' streams."""
@@ -112,26 +98,6 @@
     hosts: tuple[str, ...]
 
 
-class _Inquiry:
-    """Queries to several entries at once about what the store may have lost.
-
-    Attributes:
-        query_id: Identifies it.
-        unanswered: Hosts whose answers are missing, a set.
-        answers: Answers so far of entries that have a configuration.
-    """
-
-    def __init__(self, query_id, hosts):
-        self.query_id = query_id
-        self.unanswered = set(hosts)
-        self.answers = 0
-
-    @property
-    def complete(self):
-        """Whether no further answer is awaited."""
-        return not self.unanswered or self.answers >= ENOUGH_ANSWERS
-
-
 class SharedReads:
     """Has followers read the store, or apply the changes of other entries.
 
@@ -164,10 +130,8 @@
         self._others = others
         self._send = send
         self._rng = rng
-        self._known_hosts = known_hosts
-        self._inquiry = None
-        self._version_query_pending = False
-        self._ahead_host = None
+        self._lost = lostversions.LostVersions(loop, rng, known_hosts,
+                                               self._send_ask, self._query_host)
         self._selector = readers.ReaderSelector(own, rng)
         self._topics = {}
         self._store = ''
@@ -188,7 +152,7 @@
 
         What they know and the store may have lost is asked for at once.
         """
-        self._inquire()
+        self._lost.inquire()
         self._loop.call_later(
             self._query_pause_s * self._rng.uniform(*PAUSE_JITTER),
             self._run_round)
@@ -204,9 +168,12 @@
         self._topics, self._store, self._query_pause_s = (topics, store,
                                                           query_pause_s)
         self._open_query = None
+        self._lost.listeners = {
+            name: t.follower.listener for name, t in topics.items()
+        }
         for followed in topics.values():
             followed.follower.pace = followed.alone
-            followed.follower.on_own_era_change = self._inquire
+            followed.follower.on_own_era_change = self._lost.inquire
             followed.follower.set_continuous(self.is_reader)
 
     def reaches_store(self):
@@ -214,6 +181,10 @@
         return all(t.follower.failed_reads < MAX_FAILED_READS
                    for t in self._topics.values())
 
+    def handle_versions(self, versions, host):
+        """See ``lostversions.LostVersions``."""
+        self._lost.handle_versions(versions, host)
+
     # -- whether to read -------------------------------------------------------
 
     def _run_round(self):
@@ -227,7 +198,7 @@
         self._set_reader(not others or (may_read and self._should_read(others)))
         if self.is_reader:
             self._set_paces(others)
-            self._query_ahead()
+            self._lost.query_ahead()
         else:
             self._probe_store()
             self._response_missing = False
@@ -272,92 +243,19 @@
         for followed in self._topics.values():
             followed.follower.read_once()
 
-    # -- what the store may have lost ------------------------------------------
+    # -- queries ---------------------------------------------------------------
 
-    def _inquire(self):
-        """Asks several entries at once; nothing is confirmed until then."""
-        hosts = list(self._known_hosts())
-        hosts = self._rng.sample(hosts, min(INQUIRY_HOSTS, len(hosts)))
+    def _query(self, hosts):
+        if not any(t.follower.has_snapshot for t in self._topics.values()):
+            return
         if not hosts:
+            self._fall_back()
             return
         query_id = self._rng.getrandbits(63)
-        self._inquiry = _Inquiry(query_id, hosts)
-        for followed in self._topics.values():
-            followed.follower.listener.hold_confirmations()
-        for host in hosts:
-            self._send_ask(query_id, host)
-        self._loop.call_later(INQUIRY_TIMEOUT_S,
-                              lambda: self._end_inquiry(query_id))
-
-    def _on_inquiry_answer(self, message, host):
-        self._inquiry.unanswered.discard(host)
-        if any(c.version for c in message.topic_changes.values()):
-            self._inquiry.answers += 1
-        for name, change_set in message.topic_changes.items():
-            if name in self._topics:
-                self._learn(self._topics[name], change_set, host)
-        if self._inquiry.complete:
-            self._end_inquiry(message.query_id)
-
-    def _end_inquiry(self, query_id):
-        if self._inquiry is None or self._inquiry.query_id != query_id:
-            return
-        self._log.info('inquiry_ended',
-                       answers=self._inquiry.answers,
-                       unanswered=len(self._inquiry.unanswered))
-        self._inquiry = None
-        for followed in self._topics.values():
-            followed.follower.listener.release_confirmations()
-        self._query_ahead()
-
-    def _query_ahead(self):
-        """Queries an entry that knows a version that the store has lost."""
-        if self._ahead_host is None or self._open_query is not None:
-            return
-        if self.is_reader:
-            self._query([self._ahead_host])
-        else:
-            self._query_first(self._ahead_host)
-
-    def _learn(self, followed, change_set, host):
-        """Learns another entry's version; returns whether it was readable."""
-        try:
-            followed.follower.learn(change_set)
-        except errors.RecordError as exc:
-            self._log.error('news_spoilt', host=host, error=str(exc))
-            return False
-        if change_set.version > followed.follower.listener.version:
-            self._ahead_host = host
-        elif self._ahead_host == host and change_set.version:
-            self._ahead_host = None
-        return True
-
-    def handle_versions(self, versions, host):
-        """Handles the versions that another entry states to know.
-
-        Only a response to a query is believed: it says that both read the same
-        store.
-
-        Args:
-            versions: ``name of the topic -> version``.
-            host: Its host.
-        """
-        if not self._version_query_pending and self._is_behind(versions):
-            self._version_query_pending = True
-            self._loop.call_later(
-                self._rng.uniform(*VERSION_QUERY_DELAY_RANGE_S),
-                lambda: self._query_version(versions, host))
-
-    def _is_behind(self, versions):
-        return any(name in self._topics and
-                   version > self._topics[name].follower.listener.version
-                   for name, version in versions.items())
-
-    def _query_version(self, versions, host):
-        self._version_query_pending = False
-        if self._is_behind(versions):
-            self._ahead_host = host
-            self._query_ahead()
+        self._open_query = _Query(query_id, freshness.clock(), tuple(hosts))
+        self._loop.call_later(RESPONSE_TIMEOUT_S,
+                              functools.partial(self._on_timeout, query_id))
+        self._send_ask(query_id, hosts[0])
 
     def _send_ask(self, query_id, host):
         positions = {
@@ -376,20 +274,6 @@
             messages.Ask(query_id, self._store, positions, unreachable,
                          versions), host)
 
-    # -- queries ---------------------------------------------------------------
-
-    def _query(self, hosts):
-        if not any(t.follower.has_snapshot for t in self._topics.values()):
-            return
-        if not hosts:
-            self._fall_back()
-            return
-        query_id = self._rng.getrandbits(63)
-        self._open_query = _Query(query_id, freshness.clock(), tuple(hosts))
-        self._loop.call_later(RESPONSE_TIMEOUT_S,
-                              functools.partial(self._on_timeout, query_id))
-        self._send_ask(query_id, hosts[0])
-
     def _on_timeout(self, query_id):
         if self._open_query is None or self._open_query.query_id != query_id:
             return
@@ -398,7 +282,8 @@
         host, *rest = self._open_query.hosts
         if self.is_reader:
             # Asked only for what the store has lost.
-            self._open_query = self._ahead_host = None
+            self._open_query = None
+            self._lost.forget_ahead()
             return
         self._selector.record_no_response(host, self._loop.now)
         self._query(rest)
@@ -468,10 +353,10 @@
 
     @handle_message.register
     def _(self, message: messages.Told, host):
-        if (self._inquiry is not None and
-                message.query_id == self._inquiry.query_id and
-                host in self._inquiry.unanswered):
-            self._on_inquiry_answer(message, host)
+        if self._lost.is_answer(message, host):
+            self._lost.handle_answer(message, {
+                n: t.follower for n, t in self._topics.items()
+            }, host)
             return
         query = self._open_query
         if (query is None or message.query_id != query.query_id or
@@ -499,8 +384,8 @@
         """Applies changes of a topic; returns whether they are current."""
         if change_set is None:
             return not followed.follower.has_snapshot
-        if (not self._learn(followed, change_set, query.hosts[0]) or
-                change_set.end.era < followed.follower.position.era):
+        if (not self._lost.learn(followed.follower, change_set, query.hosts[0])
+                or change_set.end.era < followed.follower.position.era):
             return False
         if self.is_reader:
             return True
@@ -532,6 +417,14 @@
         self._hint_pending = False
         self._query_first(host)
 
+    def _query_host(self, host):
+        """Queries an entry that knows what the store has lost."""
+        if self._open_query is None:
+            if self.is_reader:
+                self._query([host])
+            else:
+                self._query_first(host)
+
     def _query_first(self, host):
         """Queries ``host``, and others if it does not respond."""
         hosts = self._selector.query_order(
