A topic without any claim is a loss to whoever knows of one

Found by reading the change. tests/test_duties_lease.py::test_a_store_that_lost_all_claims failed before: the first claim after the return did not say that it follows a loss.

--- a/gorsefall/duties/lease.py
+++ b/gorsefall/duties/lease.py
@@ -104,11 +104,6 @@
         offset = -1 if self.claim is None else self.claim.offset
         return offset + 1 == self.end.offset
 
-    @property
-    def history_lost(self):
-        """Whether claims that are not there may have been confirmed."""
-        return self.claim is not None and self.claim.era < self.end.era
-
 
 def _find_claim(page):
     """Returns the ``_Snapshot`` of a ``topic.SnapshotPage``."""
@@ -365,9 +360,15 @@
             return
         self._end = found.end
 
+    def _misses_claims(self, found):
+        """Returns whether claims that are not there may have been confirmed."""
+        if found.claim is None:
+            return self._known.token >= 0
+        return found.claim.era < found.end.era
+
     def _confirms_holder(self, found):
         """Returns whether this holder has made the last claim."""
-        if not found.history_lost:
+        if not self._misses_claims(found):
             return self._claim_of(found).nonce in self._nonces
         self._log.warning('claims_lost', era=found.end.era, token=self.token)
         # While its lease lasts no other entry has claimed, also not in the
@@ -377,7 +378,7 @@
     def _follow(self, found):
         """Takes over what the last holder decided."""
         self.claim = self._claim_of(found)
-        if not found.history_lost:
+        if not self._misses_claims(found):
             return
         if self._lost_era != found.end.era:
             self._lost_era, self._loss_seen_at = found.end.era, self._clock()
--- a/tests/test_duties_lease.py
+++ b/tests/test_duties_lease.py
@@ -183,6 +183,20 @@
     assert not site.platform.violations
 
 
+def test_a_store_that_lost_all_claims():
+    """A window that a lost claim had fixed is counted again, as no claim is
+    taken for none before."""
+    site = _site()
+    _add_work(site, 12.0)
+    old, = site.holders()
+    old.kill()
+    _restore(site, 0.5, 100)
+    _add_work(site, 20.0)
+    first = claims.decode(site.store.records[0][1])
+    assert first.follows_loss and first.holder != old.name
+    assert not site.platform.violations
+
+
 def test_a_claim_for_a_lost_history_counts_for_nothing():
     """A holder that was frozen claims at an offset that was given out again,
     and its decisions replace those of its successor."""
