An entry that dropped a replica, as the copy lacks it, learns that it wrote again

Cause: two entries read the copy at different moments. The first told that a replica is missing; the second read when it had written again, so that it was no difference to what it knew. Asked from a position between the two, it said that nothing had changed.

--- a/gorsefall/relay/changes.py
+++ b/gorsefall/relay/changes.py
@@ -122,21 +122,26 @@
         self._since = positions.START
         self._size = 0
         self._era_ends = {}
+        self._era_entries = {}
 
     def reset(self, position):
         """Discards all changes; later ones start at ``position``."""
         self._changes.clear()
         self._era_ends.clear()
+        self._era_entries.clear()
         self._size = 0
         self._since = position
 
-    def end_era(self, position):
+    def end_era(self, position, entry):
         """Records that the store has lost its history.
 
         Args:
             position: What this entry had read of it, a ``positions.Position``.
+            entry: Position up to which the difference to the new history is
+                added next.
         """
         self._era_ends[position.era] = position
+        self._era_entries[entry.era] = entry
 
     def add(self, record):
         """Adds a change, in place of an earlier one of its key."""
@@ -162,10 +167,20 @@
         changes = tuple(
             c for c in self._changes.values() if c.position >= position)
         if (position < self._since or self._is_ahead(position, end) or
+                self._is_between(position) or
                 sum(c.size for c in changes) > max_bytes):
             return ChangeSet(age_s, end, complete=False)
         return ChangeSet(age_s, end, changes)
 
+    def _is_between(self, position):
+        """Returns whether a position is in the part that was read at once.
+
+        Only the difference to the lost history is known of that part. What an
+        entry at such a position has dropped, and was written again since, is
+        no difference.
+        """
+        return position < self._era_entries.get(position.era, positions.START)
+
     def _is_ahead(self, position, end):
         """Returns whether a position in a lost history was not reached here.
 
--- a/gorsefall/relay/topicfollower.py
+++ b/gorsefall/relay/topicfollower.py
@@ -314,7 +314,7 @@
                           end=end.offset,
                           offset=self.position.offset)
         metrics.STORE_ERA.set(end.era)
-        self.recent.end_era(self.position)
+        self.recent.end_era(self.position, end)
         self._listener.on_store_restored(end)
 
     def _read(self):
--- a/tests/test_topic.py
+++ b/tests/test_topic.py
@@ -208,7 +208,7 @@
     recent = changes.RecentChanges()
     recent.reset(positions.Position(1, 10))
     recent.add(changes.Record('a', b'1', 11, era=1))
-    recent.end_era(positions.Position(1, 12))
+    recent.end_era(positions.Position(1, 12), positions.Position(2, 8))
     recent.add(changes.Record('b', b'', 8, era=2))
     end = positions.Position(2, 8)
 
@@ -223,6 +223,29 @@
     assert not since(0, 99).complete
 
 
+def test_an_entry_within_the_new_history_gets_no_difference_to_the_lost_one():
+    """An entry that dropped a replica, as the copy lacks it, asks one that has
+    read the copy later, when the replica had written again, and never uses the
+    replica again."""
+    recent = changes.RecentChanges()
+    recent.reset(positions.Position(1, 10))
+    recent.end_era(positions.Position(1, 12), positions.Position(2, 8))
+    end = positions.Position(2, 9)
+    recent.add(changes.Record('later', b'1', 8, era=2))
+
+    def since(era, offset):
+        return recent.changes_since(positions.Position(era, offset), 0.1, end)
+
+    assert not since(2, 6).complete
+    assert since(2, 8).complete and len(since(2, 8).changes) == 1
+    assert since(1, 12).complete
+    # The same within a history that has been lost meanwhile.
+    recent.end_era(positions.Position(2, 9), positions.Position(3, 2))
+    end = positions.Position(3, 2)
+    assert not since(2, 6).complete
+    assert since(2, 8).complete
+
+
 def test_a_confirmation_dates_from_when_the_read_was_sent(monkeypatch):
     """Guards against accepting a revoked key after a late response."""
     now = [100.0]
