--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -208,6 +208,38 @@
     assert site.violations == []
 
 
+@pytest.mark.parametrize('seed', [1, 2, 3])
+@pytest.mark.parametrize('reads', [False, True])
+@pytest.mark.parametrize('cut', ['store', 'others', 'both'])
+def test_an_entry_that_is_cut_off_through_a_return(site_of, cut, reads, seed):
+    """It confirms what is gone, or compares with it what it reads later."""
+    site = site_of(7, 'abc', seed=seed)
+    site.run(8.0)
+    for version in range(2, 7):
+        site.write(version)
+        site.run(1.0)
+    site.run(IN_TOUCH_S)
+    entry = next(e for e in site.entries if e.sharing.is_reader == reads)
+    if cut != 'store':
+        site.network.cut.add(entry.own.host)
+    entry.client.unreachable = cut != 'others'
+    site.run(0.5)
+    site.away(4)
+    entry.client.unreachable = cut != 'others'
+    site.run(2.0)
+    site.write(7)
+    site.run(APPLY_S)
+    assert set(site.active_versions()) == ({6, 7} if cut == 'both' else {7})
+    site.network.cut.clear()
+    entry.client.unreachable = False
+    site.run(IN_TOUCH_S)
+    assert set(site.active_versions()) == {7}
+    site.write(8)
+    site.run(APPLY_S)
+    assert set(site.active_versions()) == {8}
+    assert site.violations == []
+
+
 def test_a_lost_answer_does_not_hide_a_lost_version(site_of):
     """An entry that starts uses the copy as a datagram was lost."""
     site = site_of(2, 'a')
