Test: places in use, not requests, tell whether brittle replicas are used

It asks for half of the 320 requests that the places allow in two seconds; traced by three more failures beside that load: 102, 80 and 121 served of 357, 235 and 450 answers in all, where a quiet machine gives 1,500 answers and 260 served. The same rush on replicas that bear any number of rejections was served as seldom beside the same load (83 to 209; brittle ones 101 to 174 in the same six runs): callers and stand-ins in one process are the limit.

The check was wrong, as its bound is a count in a time. It asks now how many places were in use on average, as callers see it: a served request takes 0.15 s on a quiet machine (19.6 to 20.5 in use at 252 to 265 served), so 12 in use are the 160 requests of before there. Tried and dropped: a control run before or after (load changes between them; one of six failed), places as the replica sees them (7.4 to 13.2: the delay is not at the replica).

--- a/features/steps/announcement_steps.py
+++ b/features/steps/announcement_steps.py
@@ -1,5 +1,6 @@
 """Steps of the feature on what replicas announce in their responses."""
 
+import collections
 import threading
 import time
 
@@ -258,15 +259,18 @@
     assert _send(context).status == 200
     end = time.monotonic() + RUSH_S
     context.statuses = []
+    context.served_s = []
 
     def call(number):
-        while time.monotonic() < end:
+        while (start := time.monotonic()) < end:
             response = wire_callers.send_request(
                 context.platform.callers,
                 PLAIN_PATH,
                 f'{number:04x}{len(context.statuses):08x}',
                 key=None)
             context.statuses.append(response.status)
+            if response.status == 200:
+                context.served_s.append(time.monotonic() - start)
             time.sleep(PAUSE_S)
 
     threads = [
@@ -285,7 +289,10 @@
 
 @then('callers are served in the meantime')
 def step_rush_served(context):
+    # Half of what the places allow: a served request takes half as long again
+    # as its work. On a busy machine it takes longer, and fewer are served.
+    in_use = sum(context.served_s) / RUSH_S
     slots = wire_replica.SLOTS * len(context.replicas)
-    possible = slots * RUSH_S / wire_replica.BRITTLE_WORK_S
-    assert context.statuses.count(200) > possible / 2
-    assert set(context.statuses) == {200, 503}
+    counts = collections.Counter(context.statuses)
+    assert in_use > slots * 0.75, (in_use, counts)
+    assert set(counts) == {200, 503}, counts
