gorsefall_store_era is set from the first read on

What an engineer on call saw: 0, as of a store that names no history, until the store came back for the first time. Cause: the gauge was set only where an entry enters a new history. Found by reading the change again. Test: test_the_history_is_shown_before_the_first_return; fails before.

--- a/gorsefall/relay/topicfollower.py
+++ b/gorsefall/relay/topicfollower.py
@@ -288,6 +288,7 @@
         if restored:
             self._enter_era(end)
             self.on_own_era_change()
+        metrics.STORE_ERA.set(end.era)
         self.has_snapshot = True
         self.position = end
         records = [
--- a/tests/test_topic.py
+++ b/tests/test_topic.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 
 from gorsefall import ids
+from gorsefall import metrics
 from gorsefall.policy import freshness
 from gorsefall.relay import changes
 from gorsefall.relay import positions
@@ -176,6 +177,12 @@
     return follower, source, listener
 
 
+def test_the_history_is_shown_before_the_first_return():
+    """An engineer on call reads that the store names no history."""
+    _started_follower()
+    assert metrics.REGISTRY.get_sample_value('gorsefall_store_era') == 1.0
+
+
 def test_a_read_answered_in_another_history_is_not_applied():
     """The records between the copy's end and the offset that was read from are
     skipped for good."""
