Reading the change: one way to tell whether a read may wait; steps that stood twice

- Whether a read waits at the store hung on four things (continuous, no failure, no slow response, not the first).
It is one: the last confirmation came from a prompt read of its own.
- The stand-in store: switch() for the mode and the reset of connections, which stood together in eight places; restore() ends the outage itself.
- Simulated entries: what several tests do first and check last stands once.
No check, bound or expectation changed.

--- a/features/steps/duty_steps.py
+++ b/features/steps/duty_steps.py
@@ -137,15 +137,13 @@
 @when('the store comes back from the copy while the holder is {fault}')
 def step_restore(context, fault):
     store = context.platform.store
-    store.mode = 'reset'
-    store.reset_connections()
+    store.switch('reset')
     if fault == 'well':
         context.old_holder = None
     else:
         step_fault(context, fault)
     time.sleep(RETURN_S)
     store.restore(context.copy)
-    store.mode = 'ok'
     context.reports_before = len(context.cloud.reports)
 
 
--- a/features/steps/platform_store_steps.py
+++ b/features/steps/platform_store_steps.py
@@ -47,8 +47,7 @@
 
 @when('the store stops responding')
 def step_store_silent(context):
-    context.platform.store.mode = 'silent'
-    context.platform.store.reset_connections()
+    context.platform.store.switch('silent')
 
 
 @then('requests with a key get status {status:d} within the revocation bound')
@@ -72,8 +71,7 @@
 
 @when('the store responds again')
 def step_store_returns(context):
-    context.platform.store.mode = 'ok'
-    context.platform.store.reset_connections()
+    context.platform.store.switch('ok')
 
 
 @then('requests with a key are served again')
@@ -150,8 +148,7 @@
 @when('the store is unavailable while all plain replicas\' records lapse')
 def step_records_lapse(context):
     site = context.platform
-    site.store.mode = 'busy'
-    site.store.reset_connections()
+    site.store.switch('busy')
     waiting.until(
         lambda: sum(ln['event'] == 'store_lost' for ln in site.log()) == 2,
         'the entry to lose the store on both topics')
--- a/features/steps/restored_steps.py
+++ b/features/steps/restored_steps.py
@@ -71,11 +71,9 @@
 def _lose(context, away_s, copy):
     """The store is away and comes back from ``copy``."""
     store = context.platform.store
-    store.mode = 'reset'
-    store.reset_connections()
+    store.switch('reset')
     time.sleep(away_s)
     store.restore(copy)
-    store.mode = 'ok'
 
 
 @when('the store is away for {away:g} s and back from a copy without versions '
@@ -256,13 +254,18 @@
     return refused
 
 
+@then('no request is refused')
+def step_none_refused(context):
+    refused = _serve(context)
+    assert not refused, (len(refused), refused[0])
+
+
 @then('it gets no request later than {bound:g} s, and none is refused')
 def step_unused(context, bound):
     since = context.sent_until + bound
-    refused = _serve(context)
+    step_none_refused(context)
     late = [r for r in context.leaving.received_requests if r.at > since]
     assert not late, len(late)
-    assert not refused, (len(refused), refused[0])
 
 
 @when('a plain replica ends and its record is removed')
@@ -278,8 +281,7 @@
 
 @then('no entry uses it again, and no request is refused')
 def step_not_back(context):
-    refused = _serve(context)
-    assert not refused, (len(refused), refused[0])
+    step_none_refused(context)
     for site in context.sites:
         seen = [
             ln for ln in site.log()
@@ -301,9 +303,3 @@
         site.replicas[name].close()
         site.store.put('keyed.servers', name, None)
     time.sleep(2 * SETTLE_S)
-
-
-@then('no request is refused')
-def step_none_refused(context):
-    refused = _serve(context)
-    assert not refused, (len(refused), refused[0])
--- a/features/steps/sharing_steps.py
+++ b/features/steps/sharing_steps.py
@@ -117,8 +117,7 @@
 
 @when('the store stops responding to all five entries')
 def step_store_silent(context):
-    context.platform.store.mode = 'silent'
-    context.platform.store.reset_connections()
+    context.platform.store.switch('silent')
 
 
 @then('requests with a key are refused at all five within the revocation bound')
@@ -131,8 +130,7 @@
 
 @then('they are served at all five when the store responds again')
 def step_store_returns(context):
-    context.platform.store.mode = 'ok'
-    context.platform.store.reset_connections()
+    context.platform.store.switch('ok')
     for site in context.sites:
         waiting.until(lambda s=site: _send_request(context, s).status == 200,
                       'requests to be served')
--- a/gorsefall/relay/topicfollower.py
+++ b/gorsefall/relay/topicfollower.py
@@ -83,14 +83,13 @@
         self._on_change = on_change
         self._rng = rng
         self._continuous = True
-        self._first_read = False
+        self._may_wait = False
         self._read_number = 0
         self._idle = False
         self._snapshot = {}
         self._snapshot_after = ''
         self._snapshot_end = None
         self._failures = 0
-        self._last_read_slow = False
         self._sent_at = None
         self._newest = {}
         self._stopped = False
@@ -169,8 +168,8 @@
 
     def set_continuous(self, continuous):
         """Sets whether to read the store continuously."""
-        self._first_read |= continuous and not self._continuous
         self._continuous = continuous
+        self._may_wait &= continuous
         if continuous:
             self.read_once()
 
@@ -326,20 +325,10 @@
     def _read(self):
         if self._stopped:
             return
-        # The first read after a failure does not wait, so that it shows at
-        # once that the store is back and renews the confirmation. Nor does
-        # the read after a slow response, as that response confirms only the
-        # state at the time of its request.
-        # Nor does the first read of an entry that others sent changes before:
-        # they may not have reached the store for a while, and beyond the end
-        # of an older copy a read waits in vain.
-        waits = (self._continuous and not self._first_read and
-                 not self._failures and not self._last_read_slow)
-        self._first_read = False
         self._sent_at = freshness.clock()
         callback = self._new_callback(self._on_batch)
         self._source.read(self.position.offset,
-                          self.pace.wait_s if waits else 0.0,
+                          self.pace.wait_s if self._may_wait else 0.0,
                           self._max_kb,
                           topic.SILENCE_TIMEOUT_S,
                           callback,
@@ -411,9 +400,14 @@
         return changed
 
     def _confirm(self, sent_at):
+        # Only a read after a prompt one may wait. After a failure one that does
+        # not shows at once that the store is back. A slow response confirms
+        # only the state at the time of its request. What others sent may be
+        # from before an outage, and beyond the end of an older copy a read
+        # waits in vain.
         took_s = freshness.clock() - sent_at
-        self._last_read_slow = (took_s
-                                > self.pace.wait_s + topic.SILENCE_TIMEOUT_S)
+        self._may_wait = (self._continuous and
+                          took_s <= self.pace.wait_s + topic.SILENCE_TIMEOUT_S)
         self.confirmed_at = max(self.confirmed_at, sent_at)
         self.listener.on_confirmed(sent_at)
 
@@ -435,6 +429,7 @@
         if not self._failures:
             self._log.warning('store_lost', error=error)
             self.listener.on_store_lost()
+        self._may_wait = False
         self._failures += 1
 
     def _retry_later(self, exc, retry):
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -218,13 +218,13 @@
     """An engineer on call cannot tell why an entry used which version."""
     (tmp_path / 'a.log').write_text(
         '{"event": "store_restored", "topic": "keyed.op", "era": 2, '
-        '"before": 1, "end": 20, "offset": 24}\n'
-        '{"event": "store_is_behind", "version": 83, "stored": 71}\n'
-        '{"event": "confirmation_withheld", "version": 79, "told": 83}\n'
-        '{"event": "lost_version_told", "version": 83, "stored": 71}\n'
+        '"before": 1, "end": 5, "offset": 8}\n'
+        '{"event": "store_is_behind", "version": 6, "stored": 4}\n'
+        '{"event": "confirmation_withheld", "version": 5, "told": 6}\n'
+        '{"event": "lost_version_told", "version": 6, "stored": 4}\n'
         '{"event": "sent", "rid": "r1", "replica": "i-1", "service": "pool"}\n'
         '{"event": "answered", "rid": "r1", "outcome": "served"}\n')
     text = explain.explain(loglines.read_files([tmp_path / 'a.log']), 'r1')
     assert 'came back from an older copy for keyed.op (era 2)' in text
-    assert 'the store held version 71 only, 83 stayed active' in text
-    assert 'another entry sent version 83' in text
+    assert 'the store held version 4 only, 6 stayed active' in text
+    assert 'another entry sent version 6' in text
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -83,6 +83,14 @@
         return configurationlistener.ConfigurationListener(
             entry.node, _Records())
 
+    def reach_version_6(self, pause_s=1.0):
+        """Writes versions 2 to 6, and waits until entries are in touch."""
+        self.run(8.0)
+        for version in range(2, 7):
+            self.write(version)
+            self.run(pause_s)
+        self.run(IN_TOUCH_S)
+
     def write(self, version):
         self.versions.append((self.loop.now, version))
         self.store.put(CONFIG, b'%d' % version)
@@ -102,6 +110,15 @@
         for entry in self.entries:
             entry.client.unreachable = False
 
+    def check_versions_7_and_8(self):
+        """Two versions at once; the newest has to be in force in time."""
+        for version in (7, 8):
+            self.write(version)
+            self.run(0.1)
+        self.run(APPLY_S - 0.1)
+        assert set(self.active_versions()) == {8}
+        assert self.violations == []
+
     def active_versions(self):
         """Returns the active version of each running entry, 0 for none."""
         return [
@@ -146,21 +163,12 @@
     """Entries drop what has an offset that they have seen before."""
     zones, per_zone = size
     site = site_of(per_zone, zones)
-    site.run(8.0)
-    for version in range(2, 7):
-        site.write(version)
-        site.run(1.0)
-    site.run(IN_TOUCH_S)
+    site.reach_version_6()
     before = site.calls()
     site.away(lost)
     site.run(wait_s)
     assert set(site.active_versions()) == {6}
-    for version in (7, 8):
-        site.write(version)
-        site.run(0.1)
-    site.run(APPLY_S - 0.1)
-    assert set(site.active_versions()) == {8}
-    assert site.violations == []
+    site.check_versions_7_and_8()
     # The store that has just come back is not stormed by all entries.
     reader_count = max(readers.MIN_READERS,
                        -(-len(site.entries) // readers.ENTRIES_PER_READER))
@@ -172,18 +180,9 @@
 def test_an_entry_that_begins_to_read_after_the_return(site_of, seed):
     """It waits in the lost history for records that the copy gave to others."""
     site = site_of(39, 'abcde', seed=seed)
-    site.run(8.0)
-    for version in range(2, 7):
-        site.write(version)
-        site.run(1.0)
-    site.run(IN_TOUCH_S)
+    site.reach_version_6()
     site.away(4)
-    for version in (7, 8):
-        site.write(version)
-        site.run(0.1)
-    site.run(APPLY_S - 0.1)
-    assert set(site.active_versions()) == {8}
-    assert site.violations == []
+    site.check_versions_7_and_8()
 
 
 @pytest.mark.parametrize('size', SIZES, ids=lambda s: str(len(s[0]) * s[1]))
@@ -191,11 +190,7 @@
     """It would use the version of the copy, with keys that were revoked."""
     zones, per_zone = size
     site = site_of(per_zone, zones)
-    site.run(8.0)
-    for version in range(2, 7):
-        site.write(version)
-        site.run(0.5)
-    site.run(IN_TOUCH_S)
+    site.reach_version_6(pause_s=0.5)
     site.away(4)
     site.run(1.5)
     for entry in site.entries[::5]:
@@ -214,11 +209,7 @@
 def test_an_entry_that_is_cut_off_through_a_return(site_of, cut, reads, seed):
     """It confirms what is gone, or compares with it what it reads later."""
     site = site_of(7, 'abc', seed=seed)
-    site.run(8.0)
-    for version in range(2, 7):
-        site.write(version)
-        site.run(1.0)
-    site.run(IN_TOUCH_S)
+    site.reach_version_6()
     entry = next(e for e in site.entries if e.sharing.is_reader == reads)
     if cut != 'store':
         site.network.cut.add(entry.own.host)
