Logs: when the crashes behind a blame were, and when it was last cleared; parked

request_blamed did not show whether the exits it counts fall in one moment, nor whether a run had cleared the suspect before. A request that waits left no line, though OPERATIONS lists one. No decision changes.

--- a/gorsefall/relay/crashes.py
+++ b/gorsefall/relay/crashes.py
@@ -326,5 +326,23 @@
             digest=digests.abbreviate(cause.digest),
             combination=digests.abbreviate_all(sorted(cause.combination)),
             replicas=[c.replica for c in self.suspects.crashes(cause.digest)],
+            crash_ages_ms=self._crash_ages_ms(cause.digest),
+            cleared_ms=self._cleared_ms(cause.digest),
             suspects=len(self.suspects))
         self.on_blamed(cause.digest, self.reports.has_reported(cause.digest))
+
+    def _crash_ages_ms(self, digest):
+        """Returns the time since each crash under a suspect, ms, a list."""
+        found = self.suspects.find(digest).crashes
+        now = self._clock()
+        return [
+            crashreports.age_ms(found[crash].seen_at, now)
+            for crash in self.suspects.crashes(digest)
+        ]
+
+    def _cleared_ms(self, digest):
+        """Returns the time since a run cleared a suspect, ms, or None."""
+        cleared_at = self.suspects.find(digest).cleared_at
+        if cleared_at == float('-inf'):
+            return None
+        return crashreports.age_ms(cleared_at, self._clock())
--- a/gorsefall/relay/exchange.py
+++ b/gorsefall/relay/exchange.py
@@ -167,6 +167,8 @@
                     'its route does not allow another run any more')
         self.causes = self._possible_causes()
         if not self.node.crashes.try_begin_run(self.causes, self):
+            self.log.info('parked',
+                          digest=digests.abbreviate(self.causes.request))
             return
         choice = self._detours.take(
             self.node.fleet.replicas) or self.grant.choose_replica(
