--- /dev/null
+++ b/tests/test_common_causes.py
@@ -0,0 +1,181 @@
+"""Exits of several replicas at one moment: one cause, and one observation."""
+
+import itertools
+import random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from gorsefall.emulator import crashing
+from gorsefall.policy import crashrecords
+from gorsefall.policy import suspects
+
+YOUNG = crashrecords.CrashWeight.YOUNG
+COMMON, HOT, BAD = b'common', b'hot', b'bad'
+GROUPS = tuple(b'group %d' % i for i in range(4))
+TOPICS = tuple(b'topic %d' % i for i in range(16))
+
+RUNS_PER_REPLICA = 5
+"""Young runs at a replica when it exits."""
+
+CALLER_SAMPLES = 400
+"""Sound prompts of which the share that is refused is counted."""
+
+
+def _sound_parts(rng):
+    return COMMON, rng.choice(GROUPS), rng.choice(TOPICS)
+
+
+class _Book:
+    """A book of crashes, and who really caused them."""
+
+    def __init__(self, seed, survived=False):
+        self.rng = random.Random(seed)
+        self.book = suspects.Suspects()
+        self._survived = survived
+        self._numbers = itertools.count()
+
+    def exit_replica(self, at, extra=()):
+        """Records that a replica exited under sound runs, and ``extra``."""
+        crash = crashrecords.Crash(f'r{next(self._numbers)}')
+        prompts = [_sound_parts(self.rng) for _ in range(RUNS_PER_REPLICA)]
+        for parts in (*prompts, *extra):
+            seen = dict.fromkeys(parts, self._survived and BAD not in parts)
+            seen[b'request %d' % next(self._numbers)] = False
+            self.book.record_broken_run(seen, crash, YOUNG, at)
+
+    def burst(self, at, count, span_s=0.02):
+        """Records that ``count`` replicas exited in a moment."""
+        for _ in range(count):
+            self.exit_replica(at + self.rng.random() * span_s)
+
+    def refused_share(self, at):
+        """Returns the share of sound requests that would be refused."""
+        refused = sum(
+            self.book.blocking_cause(
+                frozenset((b'new %d' % i,
+                           *_sound_parts(self.rng))), at) is not None
+            for i in range(CALLER_SAMPLES))
+        return refused / CALLER_SAMPLES
+
+
+@pytest.mark.parametrize('survived', [False, True])
+@pytest.mark.parametrize('count', [2, 4, 10, 19, 38])
+@pytest.mark.parametrize('seed', range(5))
+def test_replicas_that_exit_at_one_moment_blame_no_part(seed, count, survived):
+    """Sound requests are answered 400 as many replicas exited at one moment,
+    and parts that many prompts share ran at most of them."""
+    site = _Book(seed, survived)
+    site.burst(100.0, count)
+    assert not site.book.causes
+    assert not site.refused_share(100.1)
+
+
+@pytest.mark.parametrize('bursts', [2, 3])
+@pytest.mark.parametrize('seed', range(5))
+def test_bursts_within_half_a_second_blame_no_part_that_served(seed, bursts):
+    """Sound requests are answered 400 after two or three moments at which many
+    replicas exited."""
+    site = _Book(seed, survived=True)
+    for i in range(bursts):
+        site.burst(100.0 + 0.2 * i, 12)
+    assert not site.book.causes
+    assert not site.refused_share(101.0)
+
+
+@pytest.mark.parametrize('beside', [0, 2, 12, 40])
+@pytest.mark.parametrize('seed', range(3))
+def test_a_part_that_crashes_replicas_is_found_beside_bursts(seed, beside):
+    """A part goes on to crash replicas as others exited at other moments."""
+    site = _Book(seed, survived=True)
+    for i in range(3):
+        site.burst(100.0 + 2.0 * i, beside)
+        site.exit_replica(101.0 + 2.0 * i, extra=[(COMMON, BAD)])
+    requests = frozenset((b'new', COMMON, BAD))
+    cause = site.book.blocking_cause(requests, 106.0)
+    assert cause is not None and BAD in cause.combination
+    assert not site.refused_share(106.0)
+
+
+def test_a_part_under_a_burst_is_found_by_its_other_crashes():
+    """A crash beside others hides a part for good."""
+    site = _Book(1, survived=True)
+    for i in range(4):
+        site.exit_replica(100.0 + i, extra=[(COMMON, BAD)])
+        if i == 1:
+            site.burst(100.0 + i, 12)
+    cause = site.book.blocking_cause(frozenset((b'new', COMMON, BAD)), 104.0)
+    assert cause is not None and BAD in cause.combination
+    assert not site.refused_share(104.0)
+
+
+_MOMENTS = st.lists(st.tuples(st.integers(1, 40), st.booleans()),
+                    min_size=1,
+                    max_size=8)
+
+
+@given(_MOMENTS, st.integers(0, 1000))
+def test_sound_parts_are_blamed_for_no_moment_whatever_its_size(moments, seed):
+    """The number of replicas that exit at a moment decides whether sound
+    requests are refused. Whoever knows the cause of each moment would refuse
+    those with the bad part, from its third crash on, and nobody else."""
+    site = _Book(seed, survived=True)
+    known_bad = 0
+    for i, (count, is_bad) in enumerate(moments):
+        at = 100.0 + 10.0 * i
+        if is_bad:
+            site.exit_replica(at, extra=[(COMMON, BAD)])
+            known_bad += 1
+        else:
+            site.burst(at, count)
+        assert not site.refused_share(at + 0.1)
+        # Runs of sound parts go on after each moment; none of the bad part.
+        for part in (COMMON, *GROUPS, *TOPICS):
+            site.book.record_clearing(part, at + 1.0)
+    end = 100.0 + 10.0 * len(moments)
+    cause = site.book.blocking_cause(frozenset((b'new', COMMON, BAD)), end)
+    assert (cause is not None) == (known_bad >= 3)
+    assert not site.refused_share(end)
+
+
+BURSTS = {
+    'one': ((0.0, 0.3),),
+    'two in a quarter of a second': ((0.0, 0.08), (0.25, 0.12)),
+    'three in 0.4 s': ((0.0, 0.3), (0.2, 0.3), (0.4, 0.3)),
+}
+"""When replicas exit, s, and which share of all."""
+
+
+def _submit_sound(site, duration_s, per_s):
+    rng = random.Random(0)
+    for i in range(int(duration_s * per_s)):
+        topic = HOT if rng.random() < 0.5 else rng.choice(TOPICS)
+        run_s = rng.uniform(0.3, 1.5)
+        site.loop.call_later(i / per_s,
+                             lambda i=i, topic=topic, run_s=run_s: site.submit(
+                                 b'sound %d' % i, run_s, parts=(COMMON, topic)))
+
+
+def _crash_share(site, share):
+    live = site.live_replicas()
+    count = max(1, round(share * len(site.replicas)))
+    for replica in site.rng.sample(live, min(len(live), count)):
+        site.crash(replica)
+
+
+@pytest.mark.parametrize('bursts', BURSTS)
+@pytest.mark.parametrize('begin_s', [0.4, 3.0])
+@pytest.mark.parametrize('entries, replicas', [(7, 6), (7, 12), (87, 112),
+                                               (195, 112)])
+def test_entries_refuse_no_sound_request_after_bursts(entries, replicas,
+                                                      begin_s, bursts):
+    """Sound requests are answered 400 after bursts, also in the first second of
+    the traffic, when no run has gone on yet."""
+    site = crashing.Site(entries, replicas, seed=1)
+    _submit_sound(site, begin_s + 1.5, 200)
+    for after_s, share in BURSTS[bursts]:
+        site.loop.call_later(begin_s + after_s,
+                             lambda share=share: _crash_share(site, share))
+    site.loop.run(begin_s + 5.0)
+    assert not site.good_outcomes['refused'], site.good_outcomes
