Replicas that exit at one moment are one observation against what ran there

Callers got 400 for sound requests after bursts of exits: a part that many prompts share runs at most replicas that exit, and each of them counted 1, so that six exits of one moment weighed as much as three clear crashes.

A burst is all exits within 0.1 s of its first one, and counts once: 2 if all of them ran the suspect and no run went on before, else 1. What explains crashes of something else is counted by bursts too. Of a suspect's dozen crashes one of each burst is kept, and those who are told of a crash learn how many replicas exited with it, as they do not know the others.

A test had three replicas exit at one instant under one request, by chance of its clock, and asked for the blame of three crashes; they are 0.2 s apart now, the assertions are the same.

--- a/gorsefall/policy/blame.py
+++ b/gorsefall/policy/blame.py
@@ -10,10 +10,10 @@
 
 from gorsefall import ids
 
-MIN_CRASHES_APART = 2
-"""Crashes that a part must have without something that was always there with
-it, from which on that does not explain them: one may have nothing to do with
-either."""
+MIN_BURSTS_APART = 2
+"""Bursts of crashes that a part must have without something that was always
+there with it, from which on that does not explain them: one may have nothing to
+do with either, however many replicas exited."""
 
 
 class Cause(typing.NamedTuple):
@@ -61,15 +61,11 @@
         explained.update(crashes)
         if digest not in cause.combination:
             explained_apart.update(crashes)
-    if _count_without(book.crashes(digest), explained) < MIN_CRASHES_APART:
+    if book.count_bursts_without(digest, explained) < MIN_BURSTS_APART:
         return book.weight(digest, explained)
     return book.weight(digest, explained_apart)
 
 
-def _count_without(crashes, explained):
-    return sum(crash not in explained for crash in crashes)
-
-
 def _narrowest(book, weights):
     """Returns the heaviest digest, or one that explains nearly as much.
 
@@ -97,5 +93,5 @@
 
 def _is_narrower(book, digest, other):
     return (other in book.companions(digest) and
-            digest not in book.companions(other) and _count_without(
-                book.crashes(other), book.crashes(digest)) < MIN_CRASHES_APART)
+            digest not in book.companions(other) and book.count_bursts_without(
+                other, book.crashes(digest)) < MIN_BURSTS_APART)
--- a/gorsefall/policy/crashrecords.py
+++ b/gorsefall/policy/crashrecords.py
@@ -63,21 +63,25 @@
         companions: Digests of all that was there in each run of the suspect at
             the replica, a frozenset.
         survived_before: Whether runs of the suspect went on shortly before.
+        burst: Number of replicas that exited at that moment, as far as those
+            know who reported it.
     """
     weight: CrashWeight
     seen_at: float
     companions: frozenset
     survived_before: bool = False
+    burst: int = 1
 
     def merge(self, other):
         """Adds another report of the crash; returns whether it says more."""
         merged = CrashRecord(max(self.weight, other.weight), self.seen_at,
                              self.companions & other.companions,
-                             self.survived_before or other.survived_before)
+                             self.survived_before or other.survived_before,
+                             max(self.burst, other.burst))
         if merged == self:
             return False
         self.weight, self.companions = merged.weight, merged.companions
-        self.survived_before = merged.survived_before
+        self.survived_before, self.burst = merged.survived_before, merged.burst
         return True
 
 
--- a/gorsefall/policy/replicaexits.py
+++ b/gorsefall/policy/replicaexits.py
@@ -1,47 +1,97 @@
 """Exits of replicas that happen at the same time have a common cause."""
 
 import bisect
+import collections
+import typing
+
+from gorsefall.policy import crashrecords
 
 COMMON_CAUSE_S = 0.1
 """Time within which exits of several replicas have a common cause, s. Entries
 observe an exit with an error of about 10 ms."""
 
-MAX_REPLICA_EXITS = 256
+MAX_REPLICA_EXITS = 1024
 """Maximum number of replica exits kept to detect common causes; the oldest are
 dropped first."""
 
 
+class _Exit(typing.NamedTuple):
+    """When a replica was first seen to exit, s (monotonic), and its crash."""
+    at: float
+    crash: crashrecords.Crash
+
+
 class ReplicaExits:
-    """When replicas were first seen to exit."""
+    """When replicas were first seen to exit, and which exits form one burst.
+
+    A burst is all exits within ``COMMON_CAUSE_S`` of its first one. It has one
+    cause, so that it is one observation, however many replicas exited.
+    """
 
     def __init__(self):
         self._seen_at = {}
         self._in_order = []
+        self._bursts = None
 
     def record(self, crash, at):
-        """Records that a ``crashrecords.Crash`` was seen at ``at``, s."""
+        """Records that a ``crashrecords.Crash`` was seen at ``at``, s.
+
+        Returns:
+            False if it was seen before.
+        """
         known_at = self._seen_at.get(crash)
         if known_at is not None and known_at <= at:
-            return
+            return False
         if known_at is not None:
-            self._in_order.remove((known_at, crash))
+            self._in_order.remove(_Exit(known_at, crash))
         self._seen_at[crash] = at
-        bisect.insort(self._in_order, (at, crash))
+        bisect.insort(self._in_order, _Exit(at, crash))
         if len(self._seen_at) > MAX_REPLICA_EXITS:
-            _, oldest = self._in_order.pop(0)
-            del self._seen_at[oldest]
+            oldest = self._in_order.pop(0)
+            del self._seen_at[oldest.crash]
+        self._bursts = None
+        return True
 
-    def any_other(self, at, crashes):
-        """Returns whether a replica exited about then that is not in a set.
+    def group(self, crashes):
+        """Returns ``crashes`` by the burst they belong to.
 
         Args:
-            at: Time, s (monotonic).
-            crashes: The ``crashrecords.Crash`` objects to leave out.
+            crashes: ``crashrecords.Crash`` objects. One that is no longer kept
+                here is a burst of its own.
+
+        Returns:
+            A list of ``(burst, crashes)``: all ``crashrecords.Crash`` objects
+            of a burst, a frozenset, and those of them that were asked for, a
+            list.
         """
-        first = bisect.bisect_left(self._in_order, (at - COMMON_CAUSE_S,))
-        for seen_at, crash in self._in_order[first:]:
-            if seen_at - at >= COMMON_CAUSE_S:
-                return False
-            if crash not in crashes:
-                return True
-        return False
+        bursts = self._find_bursts()
+        grouped = collections.defaultdict(list)
+        for crash in crashes:
+            grouped[bursts.get(crash, frozenset((crash,)))].append(crash)
+        return list(grouped.items())
+
+    def burst_size(self, crash):
+        """Returns how many replicas exited in the burst of a crash."""
+        return len(self._find_bursts().get(crash, (crash,)))
+
+    def count_bursts(self, crashes):
+        """Returns in how many bursts some crashes fall."""
+        return len(self.group(crashes))
+
+    def _find_bursts(self):
+        """Returns ``crash -> burst`` for all exits kept."""
+        if self._bursts is None:
+            self._bursts = {}
+            rest = collections.deque(self._in_order)
+            while rest:
+                self._bursts.update(_take_burst(rest))
+        return self._bursts
+
+
+def _take_burst(exits):
+    """Takes the first burst off a deque; returns ``crash -> burst``."""
+    ends_at = exits[0].at + COMMON_CAUSE_S
+    crashes = []
+    while exits and exits[0].at < ends_at:
+        crashes.append(exits.popleft().crash)
+    return dict.fromkeys(crashes, frozenset(crashes))
--- a/gorsefall/policy/suspects.py
+++ b/gorsefall/policy/suspects.py
@@ -5,10 +5,11 @@
 them caused the exit. A completed run clears a request; a run that goes on for
 some time after its first event clears its parts. ``blame`` finds causes among
 the remaining suspects: the crashes that one explains no longer count against
-any other. A crash weighs less if other replicas exited at the same time without
-this suspect, as such exits have a common cause, and against a part of which
-runs went on shortly before. Reports of several entries merge in any order and
-may be repeated: each crash counts once.
+any other. Replicas that exit at the same time have a common cause, whichever it
+is: such a burst counts once, not for each replica, and counts less if some of
+them did not run the suspect. So does a crash under a part of which runs went on
+shortly before. Reports of several entries merge in any order and may be
+repeated: each crash counts once.
 """
 
 import hashlib
@@ -39,6 +40,14 @@
 """The same for a part of which runs went on shortly before its crashes, s: it
 may be blamed wrongly, and then all that share it wait."""
 
+POPULAR_BLOCK_S = 3.0
+"""The same for a part that many requests share, s: after an outage of most
+replicas, nothing but its own runs can clear it."""
+
+POPULAR_BLOCK_FACTOR = 4
+"""Factor by which that time grows with each further crash, so that a part that
+does crash replicas is tried three times in two minutes."""
+
 MAX_DOUBLINGS = 6
 """Maximum number of times that the block time doubles, once for each further
 crash: up to ten hours."""
@@ -54,7 +63,8 @@
 """A quarter of the suspects are dropped at once when there are too many."""
 
 MAX_CRASHES_PER_SUSPECT = 12
-"""Maximum number of crashes kept for a suspect, the latest ones."""
+"""Maximum number of crashes kept for a suspect: the latest ones, but first of
+all one of each burst."""
 
 SUMMARY_BYTES = 7
 """Size of the summary: with 8 bytes it could exceed a signed 64-bit integer,
@@ -77,7 +87,13 @@
 class Suspects:
     """What replicas crashed under, by digest."""
 
-    def __init__(self):
+    def __init__(self, is_popular=lambda digest: False):
+        """Creates a book without crashes.
+
+        Args:
+            is_popular: Returns whether many requests share a part.
+        """
+        self._is_popular = is_popular
         self._suspects = {}
         self._reportable = set()
         self._exits = replicaexits.ReplicaExits()
@@ -96,7 +112,8 @@
                      at,
                      *,
                      companions=frozenset(),
-                     survived_before=False):
+                     survived_before=False,
+                     burst=1):
         """Records a crash under a suspect.
 
         Args:
@@ -106,18 +123,19 @@
             at: When it was observed, s (monotonic).
             companions: Digests of all that was there in the run.
             survived_before: Whether runs of the suspect went on shortly before.
+            burst: Number of replicas that are known to have exited then.
 
         Returns:
             True if this was not known before.
         """
         record = crashrecords.CrashRecord(weight, at, companions | {digest},
-                                          survived_before)
+                                          survived_before, burst)
         is_new = self._add(digest, crash, record)
         if is_new:
             self._update((digest,))
         return is_new
 
-    def record_broken_run(self, survived_before, crash, weight, at):
+    def record_broken_run(self, survived_before, crash, weight, at, burst=1):
         """Records a crash under all that was there in a run.
 
         Args:
@@ -126,6 +144,7 @@
             crash: The ``crashrecords.Crash``.
             weight: The ``crashrecords.CrashWeight``.
             at: When it was observed, s (monotonic).
+            burst: Number of replicas that are known to have exited then.
 
         Returns:
             True if any of it was not known before.
@@ -134,7 +153,8 @@
         new = [
             digest for digest, survived in survived_before.items() if self._add(
                 digest, crash,
-                crashrecords.CrashRecord(weight, at, companions, survived))
+                crashrecords.CrashRecord(weight, at, companions, survived,
+                                         burst))
         ]
         self._update(new)
         return bool(new)
@@ -144,6 +164,9 @@
         suspect = self._suspects.get(digest)
         if suspect is None:
             suspect = self._suspects[digest] = crashrecords.Suspect()
+        if self._exits.record(crash, record.seen_at):
+            # It may be one of a burst that counts against other suspects.
+            self._is_stale = True
         known = suspect.crashes.get(crash)
         if known is not None:
             return known.merge(record)
@@ -151,15 +174,28 @@
             return False
         suspect.crashes[crash] = record
         if len(suspect.crashes) > MAX_CRASHES_PER_SUSPECT:
-            oldest = min(suspect.crashes,
-                         key=lambda c: (suspect.crashes[c].seen_at, c))
-            del suspect.crashes[oldest]
-            if oldest == crash:
+            dropped = self._least_telling(suspect)
+            del suspect.crashes[dropped]
+            if dropped == crash:
                 return False
-        self._exits.record(crash, record.seen_at)
         self._evict(digest)
         return True
 
+    def _least_telling(self, suspect):
+        """Returns the oldest crash of the burst that has most under a suspect.
+
+        Without the burst of many replicas, their crashes would push out the
+        earlier ones that show the cause.
+        """
+
+        def seen_at(crash):
+            return suspect.crashes[crash].seen_at, crash
+
+        oldest_first = sorted(suspect.crashes, key=seen_at)
+        _, crashes = max(self._exits.group(oldest_first),
+                         key=lambda group: len(group[1]))
+        return crashes[0]
+
     def record_clearing(self, digest, at):
         """Records that a run cleared a suspect at ``at``, s (monotonic).
 
@@ -198,8 +234,9 @@
     def expire(self, now):
         """Forgets suspects without a report for ``FORGET_AFTER_BLOCKS``."""
         expired = [
-            digest for digest, suspect in self._suspects.items() if now -
-            suspect.last_seen_at > FORGET_AFTER_BLOCKS * self._block_s(digest)
+            digest for digest, suspect in self._suspects.items()
+            if now - suspect.last_seen_at > FORGET_AFTER_BLOCKS *
+            self._full_block_s(digest)
         ]
         for digest in expired:
             del self._suspects[digest]
@@ -257,15 +294,38 @@
         if suspect is None:
             return 0
         return sum(
-            int(self._weight_of(suspect, record))
-            for crash, record in suspect.crashes.items()
-            if crash not in explained)
+            self._burst_weight(burst, [suspect.crashes[c]
+                                       for c in crashes], suspect)
+            for burst, crashes in self._exits.group(
+                c for c in suspect.crashes if c not in explained))
 
-    def _weight_of(self, suspect, record):
-        if (record.survived_before or
-                self._exits.any_other(record.seen_at, suspect.crashes)):
-            return crashrecords.CrashWeight.OLD
-        return record.weight
+    def _burst_weight(self, burst, records, suspect):
+        """Returns how much a burst of exits counts against a suspect.
+
+        Args:
+            burst: The ``crashrecords.Crash`` objects of the burst.
+            records: The ``crashrecords.CrashRecord`` objects to count.
+            suspect: The ``crashrecords.Suspect``.
+        """
+        reported = max(record.burst for record in records)
+        if (any(record.survived_before for record in records) or
+                not burst <= suspect.crashes.keys() or len(burst) < reported):
+            return int(crashrecords.CrashWeight.OLD)
+        return max(int(record.weight) for record in records)
+
+    def burst_size(self, crash):
+        """Returns how many replicas exited at the moment of a crash."""
+        return self._exits.burst_size(crash)
+
+    def count_bursts_without(self, digest, explained):
+        """Returns the number of bursts of crashes under a suspect.
+
+        Args:
+            digest: The digest of a request or part.
+            explained: ``crashrecords.Crash`` objects that do not count.
+        """
+        return self._exits.count_bursts(
+            c for c in self.crashes(digest) if c not in explained)
 
     def survived_before(self, digest):
         """Returns whether runs of a suspect went on shortly before a crash."""
@@ -282,11 +342,26 @@
             *(r.companions for r in suspect.crashes.values()))
 
     def _block_s(self, digest):
-        doublings = max(0,
-                        self.weight(digest) -
-                        BLAME_WEIGHT) // crashrecords.CrashWeight.YOUNG
+        """Returns after how long one run of a cause is tried, s."""
+        if not self._is_popular(digest):
+            return self._full_block_s(digest)
+        return min(
+            self._full_block_s(digest),
+            POPULAR_BLOCK_S * POPULAR_BLOCK_FACTOR**self._further(digest))
+
+    def _full_block_s(self, digest):
         base_s = SURVIVED_BLOCK_S if self.survived_before(digest) else BLOCK_S
-        return base_s * 2**min(MAX_DOUBLINGS, doublings)
+        return base_s * 2**min(MAX_DOUBLINGS, self._further(digest))
+
+    def _further(self, digest):
+        """Returns the number of clear crashes beyond those that blame."""
+        weight = max(0, self.weight(digest) - BLAME_WEIGHT)
+        return weight // crashrecords.CrashWeight.YOUNG
+
+    def blocked_for_s(self, digest, now):
+        """Returns the time until one run of a cause is tried, s."""
+        block_s = self._block_s(digest)
+        return block_s - (now - self._suspects[digest].last_seen_at) % block_s
 
     def blocking_cause(self, digests, now, may_try=lambda digest, turn: True):
         """Returns the ``blame.Cause`` for which a request must not be sent now.
@@ -300,12 +375,15 @@
         Returns:
             The cause, or None.
         """
+        return next(self.blocking_causes(digests, now, may_try), None)
+
+    def blocking_causes(self, digests, now, may_try):
+        """Yields all ``blame.Cause`` objects; see ``blocking_cause``."""
         for cause in self.causes:
             if cause.combination <= digests:
                 turn = self._block_times(cause.digest, now)
                 if not turn or not may_try(cause.digest, turn):
-                    return cause
-        return None
+                    yield cause
 
     def _block_times(self, digest, now):
         """Returns how many block times have passed since the last crash."""
@@ -323,11 +401,18 @@
             digests: The digests of the request, a frozenset.
         """
         found = set()
-        for cause in self._conclude().to_serialize:
+        conclusions = self._conclude()
+        # The lower threshold may find a request that explains most crashes of
+        # its part, and then not that part.
+        for cause in (*conclusions.to_serialize, *conclusions.causes):
             if cause.combination <= digests:
                 found |= cause.combination
         return found
 
+    def is_grave(self, digest):
+        """Returns whether requests may run alone for a suspect."""
+        return self.weight(digest) >= SERIALIZE_WEIGHT
+
     @property
     def blamed(self):
         """The digests of all causes, a list."""
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -9,6 +9,7 @@
 from gorsefall.emulator import clock
 from gorsefall.emulator import crashing
 from gorsefall.policy import crashrecords
+from gorsefall.policy import replicaexits
 from gorsefall.policy import suspects
 from gorsefall.relay import crashes
 from gorsefall.relay import crashreports
@@ -309,6 +310,8 @@
                                 first_event_at=None)
         replica.up = False
         entry.crashes.handle_broken_run(replica, run, lambda: None)
+        # Exits at one moment would be one observation.
+        site.loop.run(site.loop.now + 2 * replicaexits.COMMON_CAUSE_S)
     site.loop.run(3 * site.heartbeat_s)
     assert stored and set(stored) == {b'x'}
     assert all(e.crashes.suspects.is_blocked(b'x', 2.0) for e in site.entries)
