A new cause waits until runs under way could refute it; refutations are told at once

A cause refused requests in the moment in which it was found, though a run shows half a second after its first event that it goes on.

Requests with a cause just found wait 0.7 s after its last crash, and are sent if a run has cleared it by then; only then are they answered 400, withdrawn at replicas, and the cause stored. A run that clears a grave suspect is told to all at once, and clearings go first in a status; who has seen a run after a crash that it is told of says so. A part that a third of an entry's requests share is refused with 503 and tried after 3 s, 12 s, ...: in an outage of all replicas nothing but its own runs can clear it. Reports are collected for 20 ms, and name causes that the lower threshold explains by a repeated request.

--- a/gorsefall/emulator/crashing.py
+++ b/gorsefall/emulator/crashing.py
@@ -145,6 +145,7 @@
         self._entry = site.rng.choice(site.entries)
         self._attempts_left = MAX_ATTEMPTS
         self._sent_at = 0.0
+        self._entry.crashes.record_arrival(causes)
         self.dispatch()
 
     def dispatch(self):
@@ -156,6 +157,9 @@
         except errors.PoisonRequestError:
             self._end('refused')
             return
+        except errors.SuspectedPartError as exc:
+            self._end('postponed', exc.retry_after)
+            return
         self._attempts_left -= 1
         live = self._site.live_replicas()
         if not live:
@@ -210,10 +214,10 @@
         else:
             self._end('failed')
 
-    def _end(self, outcome):
+    def _end(self, outcome, retry_after_s=CALLER_RETRY_DELAY_S):
         self._entry.crashes.end_run(self)
-        if outcome == 'failed' and self._retries:
-            self._site.loop.call_later(CALLER_RETRY_DELAY_S, self._caller_retry)
+        if outcome in {'failed', 'postponed'} and self._retries:
+            self._site.loop.call_later(retry_after_s, self._caller_retry)
         elif not self._poison:
             self._site.good_outcomes[outcome] += 1
 
--- a/gorsefall/errors.py
+++ b/gorsefall/errors.py
@@ -119,6 +119,11 @@
     code = 'crashes_replicas'
 
 
+class SuspectedPartError(NotRunError):
+    """Replicas crash as they run a part that many requests share; not sent."""
+    code = 'part_suspected'
+
+
 class NoReplicaError(NotRunError):
     """No available replica serves the requested model or service."""
     code = 'no_replica'
--- a/gorsefall/policy/entrystatus.py
+++ b/gorsefall/policy/entrystatus.py
@@ -75,6 +75,8 @@
         weight: The ``crashrecords.CrashWeight`` of the crash.
         parts: The ``PartReport`` objects of the request's prompt that count
             for the crash.
+        burst: Number of replicas that exited at that moment, as far as the
+            sender knows.
     """
     digest: ids.RequestDigest
     age_ms: Count
@@ -82,6 +84,7 @@
     started_at_ms: Count = 0
     weight: typing.Annotated[int, msgspec.Meta(ge=1, le=2)] = 1
     parts: tuple[PartReport, ...] = ()
+    burst: Count = 1
 
 
 class ReplicaExit(msgspec.Struct, frozen=True, array_like=True):
--- a/gorsefall/relay/crashes.py
+++ b/gorsefall/relay/crashes.py
@@ -9,9 +9,11 @@
 from gorsefall import logs
 from gorsefall import metrics
 from gorsefall.policy import crashrecords
+from gorsefall.policy import recentparts
 from gorsefall.policy import rendezvous
 from gorsefall.policy import replicaexits
 from gorsefall.policy import suspects
+from gorsefall.relay import confirmation
 from gorsefall.relay import crashreports
 from gorsefall.relay import prober
 from gorsefall.relay import serializedruns
@@ -21,6 +23,10 @@
 EXPIRY_PERIOD_S = 30.0
 """Pause between removals of expired suspects, s."""
 
+SEND_DELAY_S = 0.02
+"""Time for which suspects are collected before they are sent to all, s: the
+runs at replicas that exit together break one after the other."""
+
 
 class BrokenRun(typing.NamedTuple):
     """A run whose connection broke.
@@ -89,7 +95,8 @@
         self._fleet = fleet
         self._clock = clock
         self._log = logs.get('crashes')
-        self.suspects = suspects.Suspects()
+        self._recent = recentparts.RecentParts()
+        self.suspects = suspects.Suspects(self._recent.is_popular)
         self.survivals = survivals.Survivals(loop, fleet, clock,
                                              self._on_survived)
         self.reports = crashreports.CrashReports(self.suspects, self.survivals,
@@ -98,7 +105,10 @@
         self._undecided = undecidedexits.UndecidedExits(loop, fleet,
                                                         replica_prober, clock)
         self._serialized = serializedruns.SerializedRuns(loop)
+        self._unconfirmed = confirmation.UnconfirmedCauses(
+            loop, clock, self._on_confirmed)
         self._known_causes = frozenset()
+        self._to_send = set()
         self.on_blamed = lambda digest, own: None
         self.on_cleared = lambda digest: None
         self.on_blocked = lambda: None
@@ -116,6 +126,14 @@
 
     # -- before an attempt -----------------------------------------------------
 
+    def record_arrival(self, causes):
+        """Records that a caller has sent a request.
+
+        Args:
+            causes: Its ``crashrecords.PossibleCauses``.
+        """
+        self._recent.record(causes.parts)
+
     def check(self, causes):
         """Checks whether a request may be sent.
 
@@ -124,19 +142,30 @@
 
         Raises:
             errors.PoisonRequestError: Replicas crash as they run it.
+            errors.SuspectedPartError: The same, but it shares the part with
+                many requests, so that the cause may be another one.
         """
-        cause = self.suspects.blocking_cause(causes.digests, self._clock(),
-                                             self._may_try)
+        cause = next((cause for cause in self._blocking_causes(causes)
+                      if cause.digest not in self._unconfirmed), None)
         if cause is None:
             return
         metrics.CRASHING_REQUESTS.labels('refused').inc()
         crashes = self.suspects.crashes(cause.digest)
         what = ('it' if cause.digest == causes.request else
                 'requests with a part of its prompt')
-        raise errors.PoisonRequestError(
-            f'{len(crashes)} replicas ended as they ran {what} '
-            f'({digests.abbreviate(cause.digest)}): '
-            f'{", ".join(c.replica for c in crashes)}')
+        reason = (f'{len(crashes)} replicas ended as they ran {what} '
+                  f'({digests.abbreviate(cause.digest)}): '
+                  f'{", ".join(c.replica for c in crashes)}')
+        if self._recent.is_popular(cause.digest):
+            raise errors.SuspectedPartError(
+                reason,
+                retry_after=self.suspects.blocked_for_s(cause.digest,
+                                                        self._clock()))
+        raise errors.PoisonRequestError(reason)
+
+    def _blocking_causes(self, causes):
+        return self.suspects.blocking_causes(causes.digests, self._clock(),
+                                             self._may_try)
 
     def _may_try(self, digest, turn):
         """Returns whether it is this entry that runs a cause once more."""
@@ -149,7 +178,8 @@
         A request that must be serialized runs at one replica at a time, as
         concurrent runs could crash several replicas before the first crash is
         detected. The other exchanges are parked; their ``dispatch`` is called
-        when that run is over, or has gone on for some time.
+        when that run is over, or has gone on for some time. So are those that
+        a cause blocks which was found just now, until it is decided.
 
         Args:
             causes: The ``crashrecords.PossibleCauses`` of the request.
@@ -159,6 +189,10 @@
             errors.PoisonRequestError: Replicas crash as they run it.
         """
         self.check(causes)
+        if any(self._blocking_causes(causes)):
+            self._unconfirmed.park(exchange)
+            metrics.CRASHING_REQUESTS.labels('held').inc()
+            return False
         serialized = self.suspects.serialized(causes.digests)
         if not serialized or self._serialized.try_begin(serialized, exchange):
             return True
@@ -187,24 +221,25 @@
             self.survivals.watch(attempt, causes, exchange)
 
     def _on_survived(self, causes, exchange):
-        for part in causes.parts:
-            self._clear(part, 'part_cleared')
+        self._clear(causes.parts, 'part_cleared')
         # A whole request that crashed replicas is cleared by its end only.
         if not self.must_serialize(causes):
             self._serialized.end(exchange)
 
     def record_completed_run(self, digest):
         """Records that a run completed."""
-        self._clear(digest, 'request_cleared')
-
-    def _clear(self, digest, event):
-        if not self.suspects.weight(digest):
-            return
-        was_cause = digest in self.suspects.blamed
-        self.reports.record_clearing(digest)
-        metrics.CRASHING_REQUESTS.labels('cleared').inc()
-        self._log.info(event, digest=digests.abbreviate(digest))
-        if was_cause:
+        self._clear((digest,), 'request_cleared')
+
+    def _clear(self, cleared, event):
+        found = [d for d in cleared if self.suspects.weight(d)]
+        blamed = self._known_causes.intersection(found)
+        self.reports.record_clearings(found)
+        for digest in found:
+            metrics.CRASHING_REQUESTS.labels('cleared').inc()
+            self._log.info(event, digest=digests.abbreviate(digest))
+        if found:
+            self._find_new_causes()
+        for digest in blamed:
             self.on_cleared(digest)
 
     # -- crashes observed here -------------------------------------------------
@@ -282,6 +317,7 @@
         parts = self._suspected_parts(run, broken_at)
         if not self.reports.record_crash(run.causes.request, parts, crash,
                                          weight, broken_at):
+            self._find_new_causes()
             return
         counted = run.causes._replace(parts=tuple(p.digest for p in parts))
         metrics.CRASHING_REQUESTS.labels('seen').inc()
@@ -297,10 +333,20 @@
             total=max(self.suspects.weight(d) for d in counted.digests),
             blocked=self.suspects.blocking_cause(counted.digests,
                                                  self._clock()) is not None)
-        self.reports.send_suspects_to_all(
-            sorted(self.suspects.serialized(counted.digests)))
+        self._send_soon(self.suspects.serialized(counted.digests))
         self._find_new_causes()
 
+    def _send_soon(self, suspected):
+        """Has the reports of suspects sent to all other entries."""
+        if suspected and not self._to_send:
+            self._loop.call_later(SEND_DELAY_S, self._send_collected)
+        self._to_send |= suspected
+
+    def _send_collected(self):
+        collected, self._to_send = self._to_send, set()
+        self.reports.send_suspects_to_all(
+            sorted(d for d in collected if self.suspects.is_grave(d)))
+
     def _suspected_parts(self, run, broken_at):
         """Returns the ``entrystatus.PartReport`` objects of a crash."""
         if not run.is_young(broken_at):
@@ -311,25 +357,45 @@
 
     def _find_new_causes(self):
         causes = frozenset(self.suspects.blamed)
-        new, self._known_causes = causes - self._known_causes, causes
+        self._known_causes &= causes
+        for digest in self._unconfirmed:
+            if digest not in causes:
+                self._log.info('suspicion_dropped',
+                               digest=digests.abbreviate(digest))
+                self._unconfirmed.drop(digest)
+        for cause in self.suspects.causes:
+            if (cause.digest not in self._known_causes and
+                    cause.digest not in self._unconfirmed):
+                self._suspect(cause)
+
+    def _suspect(self, cause):
+        metrics.CRASHING_REQUESTS.labels('suspected').inc()
+        self._log_cause('request_suspected', cause)
+        found = self.suspects.find(cause.digest)
+        self._unconfirmed.add(cause.digest, found.last_seen_at)
+
+    def _on_confirmed(self, digest):
         for cause in self.suspects.causes:
-            if cause.digest in new:
+            if cause.digest == digest:
+                self._known_causes |= {digest}
                 self._announce_cause(cause)
-        if new:
-            self._serialized.dispatch_all()
-            self.on_blocked()
+                self._serialized.dispatch_all()
+                self.on_blocked()
 
     def _announce_cause(self, cause):
         metrics.CRASHING_REQUESTS.labels('blamed').inc()
+        self._log_cause('request_blamed', cause)
+        self.on_blamed(cause.digest, self.reports.has_reported(cause.digest))
+
+    def _log_cause(self, event, cause):
         self._log.warning(
-            'request_blamed',
+            event,
             digest=digests.abbreviate(cause.digest),
             combination=digests.abbreviate_all(sorted(cause.combination)),
             replicas=[c.replica for c in self.suspects.crashes(cause.digest)],
             crash_ages_ms=self._crash_ages_ms(cause.digest),
             cleared_ms=self._cleared_ms(cause.digest),
             suspects=len(self.suspects))
-        self.on_blamed(cause.digest, self.reports.has_reported(cause.digest))
 
     def _crash_ages_ms(self, digest):
         """Returns the time since each crash under a suspect, ms, a list."""
--- a/gorsefall/relay/crashreports.py
+++ b/gorsefall/relay/crashreports.py
@@ -1,9 +1,12 @@
 """Reports of crashes and of runs that clear suspects, to and from entries."""
 
 import collections
+import math
 import random
 import typing
 
+import msgspec
+
 from gorsefall.policy import crashrecords
 from gorsefall.policy import entrystatus
 from gorsefall.relay import messages
@@ -77,7 +80,7 @@
 def _with_age(report, age):
     return entrystatus.RunReport(report.digest, age, report.replica,
                                  report.started_at_ms, report.weight,
-                                 report.parts)
+                                 report.parts, report.burst)
 
 
 class CrashReports:
@@ -141,13 +144,33 @@
         self._own.append(_OwnReport(at, report))
         return True
 
-    def record_clearing(self, digest):
-        """Records that a run at this entry cleared a suspect."""
+    def record_clearings(self, cleared):
+        """Records that a run at this entry cleared suspects.
+
+        Args:
+            cleared: Their digests. Those for which requests wait are told to
+                all other entries at once, as their crashes were.
+        """
+        now = self._clock()
+        grave = [digest for digest in cleared if self._book.is_grave(digest)]
+        for digest in cleared:
+            known_to_all = digest in self._book.reportable()
+            if self._book.record_clearing(digest,
+                                          now) and (known_to_all or
+                                                    self.has_reported(digest)):
+                self._own.append(
+                    _OwnReport(now, entrystatus.RunReport(digest, 0)))
+        if grave and self._peers is not None:
+            self._peers.send_all(messages.Suspects(self._clearings(grave)))
+
+    def _clearings(self, cleared):
+        """Returns the ``entrystatus.RunReport`` objects of clearings."""
         now = self._clock()
-        known_to_all = digest in self._book.reportable()
-        if self._book.record_clearing(
-                digest, now) and (known_to_all or self.has_reported(digest)):
-            self._own.append(_OwnReport(now, entrystatus.RunReport(digest, 0)))
+        return _fitting([
+            entrystatus.RunReport(
+                digest, age_ms(self._book.find(digest).cleared_at, now))
+            for digest in cleared
+        ])
 
     def has_reported(self, digest):
         """Returns whether this entry observed a crash under a suspect."""
@@ -160,7 +183,7 @@
                self._own[0].at < now - entrystatus.REPORT_WINDOW_S):
             self._own.popleft()
         reports = [
-            own.aged(now)
+            self._with_burst(own.aged(now), own.crash)
             for own in self._own
             if own.crash is None or self._holds(own)
         ]
@@ -169,8 +192,21 @@
             reports.sort(key=self._gravity, reverse=True)
         return _fitting(reports, MAX_STATUS_DIGESTS)
 
+    def _with_burst(self, report, crash):
+        """Adds how many replicas are known by now to have exited then."""
+        if crash is None:
+            return report
+        return msgspec.structs.replace(report,
+                                       burst=self._book.burst_size(crash))
+
     def _gravity(self, report):
-        """Returns the most weight of anything in a report that did not run."""
+        """Returns the most weight of anything in a report that did not run.
+
+        A run that clears goes first: without it, others keep to crashes that it
+        has refuted.
+        """
+        if not report.replica:
+            return math.inf
         digests = [report.digest]
         digests += [p.digest for p in report.parts if not p.survived_before]
         return max(self._book.weight(digest) for digest in digests)
@@ -193,10 +229,14 @@
             entrystatus.RunReport(digest, age_ms(record.seen_at, now),
                                   crash.replica, crash.started_at_ms,
                                   int(record.weight),
-                                  self._companions(digest, crash, record))
+                                  self._companions(digest, crash, record),
+                                  self._burst_size(crash, record))
             for crash, record in self._book.find(digest).crashes.items()
         ]
 
+    def _burst_size(self, crash, record):
+        return max(record.burst, self._book.burst_size(crash))
+
     def _companions(self, digest, crash, record):
         found = []
         for other in sorted(record.companions):
@@ -275,11 +315,8 @@
             if self._book.is_refuted(digest, now - report.age_ms / 1000)
         }
         if refuted:
-            clearings = tuple(
-                entrystatus.RunReport(
-                    d, age_ms(self._book.find(d).cleared_at, now))
-                for d in sorted(refuted))
-            self._peers.send(messages.Suspects(_fitting(clearings)), host)
+            self._peers.send(
+                messages.Suspects(self._clearings(sorted(refuted))), host)
 
     def merge(self, reports):
         """Merges the ``entrystatus.RunReport`` objects of another entry."""
@@ -303,8 +340,11 @@
         seen |= {p.digest: p.survived_before for p in report.parts}
         for digest in list(seen):
             survived_at = self._survived.last(digest)
-            if survived_at > at:
-                self._book.record_clearing(digest, survived_at)
+            if survived_at > at and self._book.record_clearing(
+                    digest, survived_at):
+                # Others that were told of the crash have not seen that run.
+                self._own.append(
+                    _OwnReport(survived_at, entrystatus.RunReport(digest, 0)))
         return self._book.record_broken_run(
             seen, crashrecords.Crash(report.replica, report.started_at_ms),
-            crashrecords.CrashWeight(report.weight), at)
+            crashrecords.CrashWeight(report.weight), at, report.burst)
--- a/gorsefall/relay/exchange.py
+++ b/gorsefall/relay/exchange.py
@@ -81,6 +81,7 @@
             self.fail(exc)
             return
         self.causes = self._possible_causes()
+        self.node.crashes.record_arrival(self.causes)
         time_left_s = self.grant.route.timeout_s
         if self.req.time_left_s is not None:
             time_left_s = min(time_left_s, self.req.time_left_s)
@@ -509,6 +510,9 @@
         except errors.PoisonRequestError as exc:
             self._cancel_attempts()
             self.fail(self.attempts.reportable_error(exc, str(exc), self.terms))
+        except errors.SuspectedPartError:
+            # Too many requests share the part to break off what may be sound.
+            pass
 
     def _cancel_attempts(self):
         self._takeover.cancel()
