--- a/gorsefall/explain.py
+++ b/gorsefall/explain.py
@@ -21,6 +21,10 @@
         'replicas repeatedly crashed while running the same request (caller, '
         'path and body), or requests with the same part of their prompts, so '
         'it was not sent',
+    'part_suspected':
+        'replicas crashed while running requests with a part of its prompt '
+        'that many requests share; one of them shows soon whether they may be '
+        'sent again',
     'no_replica':
         'no replica of the service was available for it',
     'replica_refused':
--- a/gorsefall/metrics.py
+++ b/gorsefall/metrics.py
@@ -178,7 +178,7 @@
 CRASHING_REQUESTS = prom.Counter(
     'gorsefall_crashing_requests_total',
     'Sightings of and decisions on requests under which '
-    'replicas crashed: seen, blamed, refused, parked, '
+    'replicas crashed: seen, suspected, held, blamed, refused, parked, '
     'cleared.', ('what',),
     registry=REGISTRY)
 ANNOUNCEMENTS = prom.Counter(
