Test: a burst under a good request at all of its replicas counts once

Exits counted half only if another replica exited beside them without the suspect. A request that ran at both replicas of one burst (p0, p1) and at one of each other (p3, p4) weighed 2 + 2 + 1 + 1 = 6, which blames, with these four replicas.

Suspected for that run, not shown: how the request got to both, and with weight 2 at both.

--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -72,6 +72,21 @@
     assert not tracker.blamed
 
 
+def test_a_burst_under_a_request_at_all_its_replicas_counts_once():
+    """A good request is blocked as it ran at both replicas of a burst."""
+    tracker = suspects.Suspects()
+    bursts = [('p0', 'p1'), ('p2', 'p3'), ('p4', 'p5')]
+    ran_at = {'p0', 'p1', 'p3', 'p4'}
+    for i, replicas in enumerate(bursts):
+        for j, replica in enumerate(replicas):
+            crash = crashrecords.Crash(replica)
+            at = 10.0 * i + 0.004 * j
+            tracker.record_crash(b'beside %d %d' % (i, j), crash, YOUNG, at)
+            if replica in ran_at:
+                tracker.record_crash(b'good', crash, YOUNG, at)
+    assert not tracker.blamed
+
+
 def test_a_poison_request_is_tried_again_after_its_block_time():
     """A request stays blocked that a new service version can handle."""
     tracker = suspects.Suspects()
