Limits: what exceeds the usual ones is refused with 503 until a configuration is known

Callers got 413 or 431, after which they do not retry, for a body over 4 MB or a head over 16 KB from an entry that had just started, though the limits of the configuration allow it: before it is known, the usual limits were enforced as if they were. They still bound what is read; the response says that it has not run.

--- a/gorsefall/relay/servers.py
+++ b/gorsefall/relay/servers.py
@@ -1,5 +1,7 @@
 """Servers of a relay entry: callers, readiness checks and metrics."""
 
+from gorsefall import directory
+from gorsefall import errors
 from gorsefall import metrics
 from gorsefall.relay import inbound
 from gorsefall.relay import model
@@ -44,6 +46,20 @@
         """Starts the exchange of a complete request; returns it or None."""
         return self.node.start_exchange(method, target, fields, body, writer)
 
+    def error_response(self, exc):
+        """See ``_Server``.
+
+        Until a configuration is known, its limits may allow what exceeds the
+        usual ones.
+        """
+        if isinstance(exc,
+                      (errors.HeadTooLargeError, errors.BodyTooLargeError)):
+            try:
+                directory.require_loaded(self.node.table)
+            except errors.NoCatalogueError as unknown:
+                return super().error_response(unknown)
+        return super().error_response(exc)
+
     def has_unsent(self):
         """Returns whether response bytes are still to be sent to a caller."""
         return any(conn.has_unsent for conn in self.conns)
--- /dev/null
+++ b/tests/test_unknown_configuration.py
@@ -0,0 +1,134 @@
+"""Proper requests at an entry without a configuration or with an old one."""
+
+import contextlib
+import types
+
+import pytest
+
+import peers
+import test_inbound
+from gorsefall import errors
+from gorsefall.net import headers
+from gorsefall.policy import freshness
+from gorsefall.relay import grant
+from gorsefall.relay import model
+from gorsefall.relay import outcomes
+from gorsefall.relay import routes
+from gorsefall.relay import servers
+from gorsefall.relay import settings
+
+LARGE_LIMITS = model.CallerLimits(header_bytes=1 << 16, body_bytes=1 << 23)
+
+
+def _table(*hosts, limits=LARGE_LIMITS):
+    found = [
+        model.Route(name=host,
+                    host=host,
+                    prefix='/',
+                    kind=model.RouteKind.IDEMPOTENT,
+                    timeout_s=1.0,
+                    target_s=0.2,
+                    priority=0,
+                    services=(('s', 1.0),),
+                    public=True) for host in hosts
+    ]
+    return routes.Table(version=1,
+                        routes=found,
+                        services={},
+                        limits=limits,
+                        accounts={},
+                        requires_key=True)
+
+
+def _node(table):
+    return types.SimpleNamespace(table=table,
+                                 draining=False,
+                                 confirmation=freshness.Confirmation(1.0),
+                                 cfg=settings.Relay(name='e',
+                                                    zone='z',
+                                                    callers='h:1',
+                                                    readiness='h:2',
+                                                    store='h:3'))
+
+
+def _renew(node, host):
+    req = model.CallerRequest(id='1',
+                              method=b'GET',
+                              target=b'/x',
+                              host=host,
+                              headers=headers.from_items([]),
+                              key='k')
+    grant.Grant(node, req).renew()
+
+
+def test_without_a_configuration_nothing_is_denied():
+    """An entry that starts denies what it does not know yet."""
+    with pytest.raises(errors.NoCatalogueError):
+        _renew(_node(None), 'h')
+
+
+@contextlib.contextmanager
+def _caller(node):
+    """Yields a function that sends bytes and returns the whole response."""
+    with peers.loop() as loop:
+        node.loop = loop
+        node.start_exchange = (lambda method, target, fields, body, writer:
+                               writer.send(200, [], b'%d' % len(body.data)))
+        client, accepted = test_inbound._connected()
+        servers.CallerServer(node).accept(accepted)
+        client.setblocking(False)
+
+        def send(*pieces):
+            got = bytearray()
+
+            def receive():
+                with contextlib.suppress(BlockingIOError):
+                    got.extend(client.recv(65536))
+                return b'\r\n\r\n' in got
+
+            for piece in pieces:
+                sent = 0
+                while sent < len(piece):
+                    with contextlib.suppress(BlockingIOError):
+                        sent += client.send(piece[sent:])
+                    loop.step(0.002)
+            peers.run(loop, receive)
+            return bytes(got)
+
+        yield send
+        client.close()
+
+
+def _request(*, header_bytes=0, body_bytes=0):
+    return (b'POST /x HTTP/1.1\r\nHost: h\r\nX: ' + b'x' * header_bytes +
+            b'\r\nContent-Length: %d\r\n\r\n' % body_bytes)
+
+
+TOO_LARGE = {
+    'head': [_request(header_bytes=30000)],
+    'part of a head': [_request(header_bytes=30000)[:-2]],
+    'body': [_request(body_bytes=5 << 20)],
+    'chunks': [
+        b'POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n',
+        b'%x\r\n' % (5 << 20), b'x' * (5 << 20)
+    ]
+}
+"""What the usual limits refuse."""
+
+
+@pytest.mark.parametrize('kind', TOO_LARGE)
+def test_no_limit_is_enforced_for_good_before_it_is_known(kind):
+    """An entry that starts says that what the limits allow is too large."""
+    with _caller(_node(None)) as send:
+        got = send(*TOO_LARGE[kind])
+    assert got.startswith(b'HTTP/1.1 503 ')
+    assert b'Retry-After' in got
+
+
+@pytest.mark.parametrize('kind', TOO_LARGE)
+def test_limits_that_are_known_are_enforced(kind):
+    """What is too large is read on and on."""
+    with _caller(_node(_table(limits=model.CallerLimits()))) as send:
+        got = send(*TOO_LARGE[kind])
+    assert got[9:12] in (b'413', b'431')
+    assert b'Retry-After' not in got
