Limits: a kept connection takes a head that newer limits allow

Callers got 431 for a head over the limit at which their connection was opened, if it arrived in parts: h11 takes the limit of an incomplete head once, at the start, so that a connection from before the first configuration, or before one that raised the limit, kept the old one for good. The entry now compares the incomplete head with the limits in force; a complete one was compared so already. Two of the tests failed before.

--- a/gorsefall/relay/inbound.py
+++ b/gorsefall/relay/inbound.py
@@ -3,6 +3,8 @@
 Reports to the exchange of a request when its caller disconnects.
 """
 
+import sys
+
 import h11
 
 from gorsefall import digests
@@ -103,8 +105,9 @@
         self._closing = False
         self._timer = None
         self._limits = server.limits
-        self._h11 = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=self._limits.header_bytes)
+        # The limit may rise while the connection is open: see `_advance`.
+        self._h11 = h11.Connection(h11.SERVER,
+                                   max_incomplete_event_size=sys.maxsize)
         self._conn = tcp.Connection(loop, self, sock)
         self._start_timer(self._limits.idle_timeout_s)
 
@@ -155,6 +158,7 @@
                self._conn.is_open):
             event = self._h11.next_event()
             if event is h11.NEED_DATA:
+                self._check_incomplete()
                 if self._h11.they_are_waiting_for_100_continue:
                     self._conn.write(
                         self._h11.send(
@@ -172,6 +176,15 @@
         if len(self._h11.trailing_data[0]) > MAX_PENDING_BYTES:
             self._conn.pause()
 
+    def _check_incomplete(self):
+        """Refuses a request of which an incomplete head or line is too long."""
+        if self._head is None:
+            self._limits = self._server.limits
+        if len(self._h11.trailing_data[0]) > self._limits.header_bytes:
+            self._refuse(
+                errors.HeadTooLargeError(
+                    f'head over {self._limits.header_bytes} bytes'))
+
     def _on_head(self, event):
         self._limits = self._server.limits
         self._head = event
--- a/tests/test_unknown_configuration.py
+++ b/tests/test_unknown_configuration.py
@@ -132,3 +132,15 @@
         got = send(*TOO_LARGE[kind])
     assert got[9:12] in (b'413', b'431')
     assert b'Retry-After' not in got
+
+
+@pytest.mark.parametrize('before', [None, model.CallerLimits()])
+def test_a_connection_takes_what_newer_limits_allow(before):
+    """A connection from before a configuration has the old limit for good."""
+    node = _node(_table(limits=before) if before else None)
+    head = _request(header_bytes=30000)
+    with _caller(node) as send:
+        send(_request())
+        node.table = _table()
+        got = send(head[:20000], head[20000:])
+    assert got.startswith(b'HTTP/1.1 200 ')
