Routes: a path is denied only by a configuration that is confirmed

Callers got 404, after which they do not retry, for a route that was added while the entry was suspended or cut off: its configuration was as old as its last read, and only known keys were checked for that. Such a request now gets 503, which is true (not run), until the entry has read the store or been told; a confirmed configuration denies as before. The test failed before. Keys that an unconfirmed configuration lacks still get 401: test_revocation holds that a revoked key is denied at once, and a table does not tell it from a new one.

--- a/gorsefall/errors.py
+++ b/gorsefall/errors.py
@@ -145,7 +145,7 @@
 
 
 class UnconfirmedError(NotRunError):
-    """The configuration is not confirmed: the key may have been revoked."""
+    """The configuration is not confirmed: key or route may have changed."""
     code = 'unproven'
 
 
--- a/gorsefall/explain.py
+++ b/gorsefall/explain.py
@@ -16,7 +16,8 @@
         'whether the request is allowed',
     'unproven':
         'the entry could not confirm its configuration within the time limit '
-        'for revoked keys, so the key might have been revoked',
+        'for revoked keys, so the key might have been revoked, or a route '
+        'added',
     'crashes_replicas':
         'replicas repeatedly crashed while running the same request (caller, '
         'path and body), or requests with the same part of their prompts, so '
--- a/gorsefall/relay/grant.py
+++ b/gorsefall/relay/grant.py
@@ -77,8 +77,8 @@
         Raises:
             errors.NoCatalogueError: No configuration was read yet.
             errors.BadRequestError: No route matches, or the key is invalid.
-            errors.UnconfirmedError: The key may have been revoked since the
-                configuration was last confirmed.
+            errors.UnconfirmedError: The key may have been revoked, or the route
+                added, since the configuration was last confirmed.
         """
         table, route, account = self._look_up(begun)
         if account is not None and not self._node.confirmation.is_current():
@@ -113,12 +113,29 @@
     def _look_up(self, begun):
         """Returns the current ``(table, route, account)``; see ``renew``."""
         table = directory.require_loaded(self._node.table)
-        route = self.route if begun else table.match(self._req)
+        route = self.route if begun else self._match(table)
         if self.route is None:
             # The log names the route of a request whose key is refused.
             self.terms = Terms(route)
         return table, route, table.account(self._req, route)
 
+    def _match(self, table):
+        """Returns the request's route in a table; see ``renew``."""
+        try:
+            return table.match(self._req)
+        except errors.NoRouteError:
+            if self._node.confirmation.is_current():
+                raise
+            # It may have been added since, as at an entry that was suspended.
+            raise self._unconfirmed_error(table) from None
+
+    def _unconfirmed_error(self, table):
+        age_s = self._node.confirmation.age_s()
+        return errors.UnconfirmedError(
+            f'configuration {table.version} was last confirmed {age_s:.2f} s '
+            'ago',
+            retry_after=retry_delay.short_delay_s())
+
     def _handle_unconfirmed(self, table):
         """Handles a key that may have been revoked in the meantime.
 
@@ -127,10 +144,7 @@
         the store is unreachable.
         """
         if self._node.cfg.strict_revocation:
-            raise errors.UnconfirmedError(
-                f'configuration {table.version} was last confirmed '
-                f'{self._node.confirmation.age_s():.2f} s ago',
-                retry_after=retry_delay.short_delay_s())
+            raise self._unconfirmed_error(table)
         metrics.UNCONFIRMED_REQUESTS.inc()
 
     @property
--- a/tests/test_unknown_configuration.py
+++ b/tests/test_unknown_configuration.py
@@ -67,6 +67,18 @@
         _renew(_node(None), 'h')
 
 
+def test_an_outdated_configuration_denies_no_route():
+    """An entry that wakes denies what was added while it was suspended."""
+    node = _node(_table('old'))
+    _renew(node, 'old')
+    with pytest.raises(errors.UnconfirmedError) as caught:
+        _renew(node, 'new')
+    assert outcomes.error_response(caught.value)[0] == 503
+    node.confirmation.record_read(freshness.clock())
+    with pytest.raises(errors.NoRouteError):
+        _renew(node, 'new')
+
+
 @contextlib.contextmanager
 def _caller(node):
     """Yields a function that sends bytes and returns the whole response."""
