Starts: others are asked again if settings change before they have answered

Callers could get 401 or 404 for what is in force: an entry that starts uses no configuration until others have told theirs, as the store may have come back from an older copy. Settings that change meanwhile (store, shorter bounds) begin with new listeners, which were not held, so that the copy was used, and confirmed, at once. Every set of followers now asks before it begins to read. The test failed before (version 1 in use where 2 is in force).

--- a/gorsefall/relay/sharing.py
+++ b/gorsefall/relay/sharing.py
@@ -148,17 +148,16 @@
         self.source_host = None
 
     def start(self):
-        """Begins to query after other entries had time to send a message.
-
-        What they know and the store may have lost is asked for at once.
-        """
-        self._lost.inquire()
+        """Begins to query after other entries had time to send a message."""
         self._loop.call_later(
             self._query_pause_s * self._rng.uniform(*PAUSE_JITTER),
             self._run_round)
 
     def set_followers(self, topics, store, query_pause_s):
-        """Sets the followers of a store.
+        """Sets the followers of a store, which have not begun to read.
+
+        What other entries know and the store may have lost is asked for at
+        once.
 
         Args:
             topics: ``name -> FollowedTopic``.
@@ -173,6 +172,7 @@
             followed.follower.pace = followed.alone
             followed.follower.on_own_era_change = self._lost.inquire
             followed.follower.set_continuous(self.is_reader)
+        self._lost.inquire()
 
     def reaches_store(self):
         """Returns False if several reads of the store failed in a row."""
--- a/tests/entries.py
+++ b/tests/entries.py
@@ -153,7 +153,6 @@
         self.loop = EntryLoop(self.site.loop)
         self.client = StoreClient(self.loop, self.site.store,
                                   self.site.bytes_per_s)
-        self.observed = self.site.new_listener(self)
         self.sharing = sharing.SharedReads(
             self.loop,
             self.own,
@@ -162,6 +161,12 @@
                 self.own.host, message, host),
             self.site.rng,
             known_hosts=lambda: [e.own.host for e in self.site.others_of(self)])
+        self.follow()
+        self.sharing.start()
+
+    def follow(self):
+        """Follows the store anew, as after a start or a change of settings."""
+        self.observed = self.site.new_listener(self)
         follower = topicfollower.Follower(self.loop,
                                           self.client,
                                           self.observed,
@@ -174,7 +179,6 @@
             QUERY_PAUSE_S)
         self.follower = follower
         follower.start()
-        self.sharing.start()
 
     def handle_message(self, message, host):
         self.loop.call(lambda: self.sharing.handle_message(message, host))
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -249,6 +249,29 @@
     assert set(site.active_versions()) == {2}
 
 
+def test_settings_that_change_at_the_start_do_not_end_the_inquiry(site_of):
+    """An entry that starts uses the copy, and denies what was added since, as
+    its settings changed before others have told what they know."""
+    site = site_of(3, 'ab')
+    site.run(8.0)
+    site.write(2)
+    site.run(1.0)
+    site.away(1)
+    site.run(2.0)
+    entry = site.entries[0]
+    entry.loop.dead = True
+    site.network.outcomes = iter(['lost'] * len(site.entries[1:]))
+    entry.start()
+    site.run(0.05)
+    entry.follower.stop()
+    entry.follow()
+    for _ in range(40):
+        site.run(0.05)
+        assert set(site.active_versions()) <= {0, 2}
+    assert set(site.active_versions()) == {2}
+    assert site.violations == []
+
+
 def test_entries_that_all_start_use_what_the_store_has(site_of):
     """They would wait for others that know no more than the copy holds."""
     site = site_of(3, 'ab')
