Crash store: a lost read is made up for soon, and by whoever reads later

Entries read what is stored 2 s after their start, once, if they read the store for others just then. A lost answer was noticed after 0.9 s and asked for again after 2 s more: 4.9 s after the start, where 3 s after it was ready an entry is to know. And if those that read at 2 s were gone before they had it, nobody ever read it. A failed read is now repeated after 0.3 s, later more rarely, and an entry that knows nothing reads when it has become one that reads. Two tests in simulated time failed before.

--- a/gorsefall/relay/crashstore.py
+++ b/gorsefall/relay/crashstore.py
@@ -20,8 +20,15 @@
 """The same as a multiple of the pause between messages of other entries, if
 that is longer."""
 
+READER_CHECK_PERIOD_S = 1.0
+"""Period of the checks whether this entry has become one that reads, s."""
+
+READ_RETRY_PAUSE_S = 0.3
+"""Pause after a failed read, s, times the number of failures: requests that
+crash replicas run until then."""
+
 RETRY_PAUSE_S = 2.0
-"""Pause after a failed call, s."""
+"""Pause after a failed write, and longest one after a failed read, s."""
 
 MAX_DROPPED = 64
 """Most digests that were cleared and are remembered, should the store come back
@@ -95,6 +102,7 @@
         self._pending = {}
         self._dropped = collections.deque(maxlen=MAX_DROPPED)
         self._writing = False
+        self._failed_reads = 0
         self._log = logs.get('remembered')
         crashes.on_blamed = self._on_blamed
         crashes.on_cleared = self._drop
@@ -115,8 +123,14 @@
                       self._loop.now)
             if wait_s > 0:
                 self._loop.call_later(wait_s, read_if_due)
-            elif is_reader() and not self._crashes.suspects.summary:
+            elif self._crashes.suspects.summary:
+                # What is stored, or what others have observed since.
+                return
+            elif is_reader():
                 self._read('')
+            else:
+                # The entries that read may be gone before they have read it.
+                self._loop.call_later(READER_CHECK_PERIOD_S, read_if_due)
 
         self._loop.call_later(READ_DELAY_S, read_if_due)
 
@@ -128,8 +142,12 @@
     def _on_page(self, after, page, exc):
         if exc is not None:
             self._log.warning('not_read', error=str(exc))
-            self._loop.call_later(RETRY_PAUSE_S, lambda: self._read(after))
+            self._failed_reads += 1
+            pause_s = min(RETRY_PAUSE_S,
+                          READ_RETRY_PAUSE_S * self._failed_reads)
+            self._loop.call_later(pause_s, lambda: self._read(after))
             return
+        self._failed_reads = 0
         for record in page.records:
             self._merge(record)
         self._log.info('read', records=len(page.records))
--- a/tests/test_crash_store.py
+++ b/tests/test_crash_store.py
@@ -2,15 +2,23 @@
 
 import types
 
+from gorsefall import errors
 from gorsefall.emulator import clock
 from gorsefall.policy import entrystatus
 from gorsefall.policy import rendezvous
+from gorsefall.relay import changes
 from gorsefall.relay import crashstore
 from gorsefall.relay import topic
 
 NAMES = ['a', 'b', 'c']
 DIGESTS = [b'one', b'two', b'three', b'four']
 
+PROPAGATION_S = 3.0
+"""Time in which all entries learn what one has observed, s."""
+
+READY_S = 0.3
+"""Time from the start of an entry until it is ready, s."""
+
 
 class _Store(topic.Source):
     """Keeps the newest value of each key and who wrote it."""
@@ -82,3 +90,83 @@
         entry.write_again()
     loop.run(1.0)
     assert source.values == {DIGESTS[0].hex(): b''}
+
+
+class _Book:
+    """What a ``crashstore.CrashStore`` uses of a ``CrashTracker`` that reads.
+
+    Attributes:
+        known_at: When anything was merged, s; None before.
+    """
+
+    def __init__(self, loop):
+        self._loop = loop
+        self.known_at = None
+        self.reports = types.SimpleNamespace(merge=self._merge,
+                                             send_gravest_to_all=lambda: None)
+        self.suspects = types.SimpleNamespace(summary=0)
+
+    def _merge(self, reports):
+        self.known_at = self._loop.now
+        self.suspects.summary = 1
+
+
+class _Reads(topic.Source):
+    """Has one blamed request; the first reads fail.
+
+    Attributes:
+        reads: Number of reads.
+    """
+
+    def __init__(self, loop, failures=0):
+        self._loop = loop
+        self._failures = failures
+        self.reads = 0
+
+    def read_snapshot(self, after, silence_s, done):
+        self.reads += 1
+        if self.reads <= self._failures:
+            self._loop.call_later(silence_s,
+                                  lambda: done(None, errors.StoreError('')))
+            return
+        report = entrystatus.RunReport(b'one', 5, 'r1', 1)
+        record = changes.Record('6f6e65', crashstore.encode([report], 0), 1)
+        page = topic.SnapshotPage([record], False, 2, 0)
+        self._loop.call_later(0.004, lambda: done(page, None))
+
+
+def _start_reading(is_reader, failures=0):
+    loop = clock.Loop()
+    source, book = _Reads(loop, failures), _Book(loop)
+    crashstore.CrashStore(loop, source, book).start(lambda: is_reader(loop.now),
+                                                    lambda: 0.5)
+    return loop, source, book
+
+
+def test_a_lost_read_is_soon_made_up_for():
+    """All entries restarted, and a known cause runs again as the answer to the
+    first read of it was lost."""
+    loop, _, book = _start_reading(lambda now: True, failures=1)
+    loop.run(PROPAGATION_S + READY_S)
+    assert book.known_at is not None
+
+
+def test_an_entry_that_reads_for_others_later_learns_of_causes():
+    """All entries restarted, and a known cause crashes three more replicas as
+    the entry that should have read it was gone again."""
+    loop, source, book = _start_reading(lambda now: now > 4.0)
+    loop.run(3.9)
+    assert source.reads == 0
+    loop.run(4.0 + PROPAGATION_S)
+    assert book.known_at is not None
+    loop.run(60.0)
+    assert source.reads == 1
+
+
+def test_an_entry_that_was_told_reads_nothing():
+    """All entries read at the store what one of them has told the others."""
+    loop, source, book = _start_reading(lambda now: now > 4.0)
+    loop.run(3.0)
+    book.reports.merge([])
+    loop.run(60.0)
+    assert source.reads == 0
