Crash store: entries that read for others read it whatever crashed since

A request known to crash replicas would crash three more after all entries had restarted, if others crashed under something else within 2 s: the reports of these were taken to say that another entry knew what is stored, so that nobody read it. The few entries that read for others now always do: one call each after a start. The test failed before.

--- a/gorsefall/relay/crashstore.py
+++ b/gorsefall/relay/crashstore.py
@@ -13,8 +13,8 @@
 from gorsefall.relay import topic
 
 READ_DELAY_S = 2.0
-"""Time after the start until the store is read, s. By then another entry has
-sent its reports, so that few entries read the store."""
+"""Time after the start until the store is read, s. By then it is known which
+few entries read the store for others."""
 
 READ_DELAY_HEARTBEATS = 1.25
 """The same as a multiple of the pause between messages of other entries, if
@@ -110,7 +110,9 @@
     # -- reading ---------------------------------------------------------------
 
     def start(self, is_reader, heartbeat_s):
-        """Reads the topic soon, unless another entry sends reports first.
+        """Reads the topic soon if this entry reads the store for others.
+
+        One that does so later reads it then, unless others sent reports.
 
         Args:
             is_reader: Returns whether this entry reads the store for others.
@@ -123,12 +125,11 @@
                       self._loop.now)
             if wait_s > 0:
                 self._loop.call_later(wait_s, read_if_due)
-            elif self._crashes.suspects.summary:
-                # What is stored, or what others have observed since.
-                return
             elif is_reader():
+                # Also if others have sent reports: all of them may have
+                # restarted, and report only what crashed since.
                 self._read('')
-            else:
+            elif not self._crashes.suspects.summary:
                 # The entries that read may be gone before they have read it.
                 self._loop.call_later(READER_CHECK_PERIOD_S, read_if_due)
 
--- a/tests/test_crash_store.py
+++ b/tests/test_crash_store.py
@@ -170,3 +170,13 @@
     book.reports.merge([])
     loop.run(60.0)
     assert source.reads == 0
+
+
+def test_crashes_after_the_start_do_not_stand_for_those_before():
+    """All entries restarted, and a known cause crashes three more replicas as
+    others crashed under something else before the store was read."""
+    loop, _, book = _start_reading(lambda now: True)
+    loop.run(1.0)
+    book.suspects.summary = 7
+    loop.run(PROPAGATION_S + READY_S)
+    assert book.known_at is not None
