--- a/tests/test_unknown_configuration.py
+++ b/tests/test_unknown_configuration.py
@@ -2,20 +2,29 @@
 
 import contextlib
 import types
+from unittest import mock
 
 import pytest
+import stores
 
 import peers
 import test_inbound
 from gorsefall import errors
 from gorsefall.net import headers
 from gorsefall.policy import freshness
+from gorsefall.relay import changes
+from gorsefall.relay import configurationlistener
 from gorsefall.relay import grant
 from gorsefall.relay import model
 from gorsefall.relay import outcomes
 from gorsefall.relay import routes
 from gorsefall.relay import servers
 from gorsefall.relay import settings
+from gorsefall.relay import topic
+from gorsefall.relay import topicfollower
+from gorsefall.relay import topiclisteners
+
+CONFIG = 'config'
 
 LARGE_LIMITS = model.CallerLimits(header_bytes=1 << 16, body_bytes=1 << 23)
 
@@ -156,3 +165,65 @@
         node.table = _table()
         got = send(head[:20000], head[20000:])
     assert got.startswith(b'HTTP/1.1 200 ')
+
+
+class _Records(topiclisteners.RecordDecoder):
+    """Decodes values that are whole: a version and an exclamation mark."""
+
+    def decode_table(self, record):
+        if record.key != CONFIG:
+            return None
+        if not record.value.endswith(b'!'):
+            raise errors.RecordError(record.key)
+        return types.SimpleNamespace(version=int(record.value[:-1]))
+
+
+def _listener():
+    """Returns a node without a configuration and its listener."""
+    node = _node(None)
+    node.adopt = lambda table: setattr(node, 'table', table) or True
+    node.record_confirmation = node.confirmation.record_read
+    return node, configurationlistener.ConfigurationListener(node, _Records())
+
+
+def test_part_of_a_configuration_that_was_told_is_not_used():
+    """An entry that starts denies what the rest of it allows."""
+    node, listener = _listener()
+    listener.on_version_told(7, changes.Record(CONFIG, b'7', 1))
+    listener.on_confirmed(1.0)
+    assert node.table is None
+    assert not node.confirmation.is_current()
+    listener.on_version_told(7, changes.Record(CONFIG, b'7!', 1))
+    assert node.table.version == 7
+
+
+def test_a_known_configuration_stays_when_part_of_another_is_told():
+    """An entry denies everything, as it drops what it has for a part."""
+    node, listener = _listener()
+    listener.on_record(changes.Record(CONFIG, b'6!', 1))
+    listener.on_version_told(7, changes.Record(CONFIG, b'7', 1))
+    listener.on_record(changes.Record(CONFIG, b'7', 2))
+    assert node.table.version == 6
+
+
+def test_nothing_is_used_of_a_snapshot_that_lacks_a_page():
+    """An entry that starts takes the pages it has for all, and denies what is
+    on the others."""
+    loop = stores.Loop()
+    store = stores.Store(loop, ['ok', 'lost', 'busy', 'lost'])
+    for key, value in (('a', b'1'), ('b', b'2'), (CONFIG, b'6!')):
+        store.put(key, value)
+    node, listener = _listener()
+    with mock.patch.object(freshness, 'clock', lambda: loop.now):
+        follower = topicfollower.Follower(loop,
+                                          store,
+                                          listener,
+                                          name='t',
+                                          pace=topic.ReadPace(pause_s=0.1))
+        follower.start()
+        loop.run(1.5)
+        with pytest.raises(errors.NoCatalogueError):
+            _renew(node, 'h')
+        assert not node.confirmation.is_current()
+        loop.run(10.0)
+    assert node.table.version == 6
