Replicas: a 3xx or 4xx without a replica's mark is not passed on

Callers got 404 or another final denial for a proper request from whatever answered at a replica's address: only a success had to bear the replica's mark. To the caller such a denial is one of our own. It is now treated like a success without the mark: sent again where it may be, else 502, as it may have run. The replica's own denials bear the mark and pass as before. Both tests failed before. Found by reading; not seen in a run.

--- a/gorsefall/relay/exchange.py
+++ b/gorsefall/relay/exchange.py
@@ -364,7 +364,8 @@
         self.node.work.record_response(
             attempt.replica, response.status < INTERNAL_ERROR_STATUS or
             response.status == TIMEOUT_STATUS)
-        if response.success and not response.genuine:
+        if not response.genuine and response.status < INTERNAL_ERROR_STATUS:
+            # Also a denial: the caller would not retry after it.
             view.record_failure(time.monotonic())
             self.retry_or_fail_unknown('its answer is not its own')
         elif self._delivery.streaming:
--- a/tests/exchange_site.py
+++ b/tests/exchange_site.py
@@ -120,6 +120,12 @@
         if self.cancelled_at is None:
             self._call.on_end()
 
+    def _stray(self):
+        self.responded_at = self.ended_at = self._site.loop.now
+        self._call.matches_response(404, headers.from_items([]))
+        self._call.on_head(404, headers.from_items([]))
+        self._call.on_end()
+
     def _close(self):
         self.ended_at = self._site.loop.now
         self._call.ending = outbound.Ending.CLOSED
@@ -354,9 +360,9 @@
 
     Args:
         scripts: For each replica, ``(pause in s, step)`` pairs; a step is
-            ``head``, ``event``, ``refuse``, ``reset``, ``close`` (the
-            connection ends, which is no error), ``part`` (of an event) or
-            ``cut`` (both).
+            ``head``, ``event``, ``refuse``, ``stray`` (a 404 that does not
+            bear a replica's mark), ``reset``, ``close`` (the connection ends,
+            which is no error), ``part`` (of an event) or ``cut`` (both).
     """
     loop = Loop()
     with unittest.mock.patch('time.monotonic', lambda: loop.now):
--- a/tests/test_exchange_orders.py
+++ b/tests/test_exchange_orders.py
@@ -272,3 +272,16 @@
         site.exchange.withdraw_if_blocked()
         assert (site.conns[0].cancelled_at is not None) == is_withdrawn
         assert site.writer.status == status
+
+
+@pytest.mark.parametrize('scripts, status', [
+    ([[(0.1, 'stray')], [(0.1, 'head'), *[(0.1, 'event')] * 4]], None),
+    ([[(0.1, 'stray')]], 502),
+])
+def test_a_denial_that_no_replica_sent_is_not_passed_on(scripts, status):
+    """Another program at a replica's address denies a proper request."""
+    with exchange_site.site(scripts) as site:
+        site.exchange.start()
+        site.loop.run(site.loop.now + 3.0)
+    assert site.writer.ended == (status is None)
+    assert site.writer.status == status
