Runs of one exit no longer push out the broken runs at other replicas

A request that crashes replicas went on where an entry could not probe them: 256 broken runs are followed, each run of one exit took a place, and the run at the next replica was dropped (exit_not_followed). Of the replica with the most runs one is dropped now, so that every replica keeps one.

--- a/gorsefall/relay/undecidedexits.py
+++ b/gorsefall/relay/undecidedexits.py
@@ -1,5 +1,6 @@
 """Broken runs of which it is not known yet whether their replica exited."""
 
+import collections
 import typing
 
 from gorsefall import logs
@@ -17,7 +18,8 @@
 """The same for a replica that was alive just after the run broke, s."""
 
 MAX_RUNS = 256
-"""Maximum number of runs that wait; further ones are dropped."""
+"""Maximum number of runs that wait; of the replica with the most of them one is
+dropped for another."""
 
 
 class _Undecided(typing.NamedTuple):
@@ -72,13 +74,21 @@
             on_exited: Called without arguments.
             wait_s: Time after which it is not called any more, s.
         """
-        if len(self._runs) >= MAX_RUNS:
-            self._log.warning('exit_not_followed', replica=replica.record.id)
-            return
         self._runs.append(_Undecided(replica,
                                      self._clock() + wait_s, on_exited))
+        if len(self._runs) > MAX_RUNS:
+            self._drop_one()
         self._schedule()
 
+    def _drop_one(self):
+        """Drops the newest run of the replica that has the most."""
+        counts = collections.Counter(run.replica for run in self._runs)
+        fullest, _ = counts.most_common(1)[0]
+        newest = max(
+            i for i, run in enumerate(self._runs) if run.replica is fullest)
+        del self._runs[newest]
+        self._log.warning('exit_not_followed', replica=fullest.record.id)
+
     def _schedule(self):
         if self._runs and not self._scheduled:
             self._scheduled = True
