A request that is sent again counts once among those that make a part popular

A part that crashes replicas was tried after 3, 12 and 48 s instead of after ten minutes, and its callers got 503 instead of 400: each dispatch of a parked exchange, each retry and each copy of a caller counted as a request with that part. The sample goes by the request's digest, which copies share.

--- a/gorsefall/policy/recentparts.py
+++ b/gorsefall/policy/recentparts.py
@@ -16,17 +16,21 @@
     """The parts of the latest requests at this entry."""
 
     def __init__(self):
-        self._requests = collections.deque()
+        self._requests = collections.OrderedDict()
         self._counts = collections.Counter()
 
-    def record(self, parts):
-        """Records a request with these ``ids.PartDigest`` objects."""
-        if not parts:
+    def record(self, causes):
+        """Records the ``crashrecords.PossibleCauses`` of a request.
+
+        One that is sent again counts once: a part that crashes replicas would
+        look popular by its retries.
+        """
+        if not causes.parts or causes.request in self._requests:
             return
-        self._requests.append(parts)
-        self._counts.update(parts)
+        self._requests[causes.request] = causes.parts
+        self._counts.update(causes.parts)
         if len(self._requests) > SAMPLE_REQUESTS:
-            dropped = self._requests.popleft()
+            _, dropped = self._requests.popitem(last=False)
             self._counts.subtract(dropped)
             for part in dropped:
                 if not self._counts[part]:
--- a/gorsefall/relay/crashes.py
+++ b/gorsefall/relay/crashes.py
@@ -132,7 +132,7 @@
         Args:
             causes: Its ``crashrecords.PossibleCauses``.
         """
-        self._recent.record(causes.parts)
+        self._recent.record(causes)
 
     def check(self, causes):
         """Checks whether a request may be sent.
--- a/tests/test_common_causes_review.py
+++ b/tests/test_common_causes_review.py
@@ -255,7 +255,8 @@
     """The sample of the latest requests grows without bound."""
     recent = recentparts.RecentParts()
     for i in range(1000):
-        recent.record((b'%d' % i, COMMON))
+        recent.record(
+            crashrecords.PossibleCauses(b'request %d' % i, (b'%d' % i, COMMON)))
     assert recent.is_popular(COMMON)
     assert len(recent._counts) <= 2 * recentparts.SAMPLE_REQUESTS
 
