A clearing is told again only by an entry in whose book it drops a crash

Each hop makes the time of a clearing later by the time of its message, so it was new to all that had reported, and was sent to all for as long as the suspect was grave; the time drifted past crashes that came after the run. The new test passes a clearing among three entries 100 times; before, it went on to the end.

--- a/gorsefall/relay/crashreports.py
+++ b/gorsefall/relay/crashreports.py
@@ -1,7 +1,6 @@
 """Reports of crashes and of runs that clear suspects, to and from entries."""
 
 import collections
-import math
 import random
 import typing
 
@@ -19,6 +18,9 @@
 more, others are drawn for each message, so that requests with many parts do not
 keep the reports of others from being sent."""
 
+MAX_STATUS_CLEARINGS = MAX_STATUS_DIGESTS // 2
+"""Most clearings in a status that has no room for all reports."""
+
 MAX_DIGESTS = 256
 """Most digests in a message on suspects."""
 
@@ -182,31 +184,29 @@
         while (self._own and
                self._own[0].at < now - entrystatus.REPORT_WINDOW_S):
             self._own.popleft()
-        reports = [
+        crashes = [
             self._with_burst(own.aged(now), own.crash)
             for own in self._own
-            if own.crash is None or self._holds(own)
+            if own.crash is not None and self._holds(own)
         ]
+        clearings = [own.aged(now) for own in self._own if own.crash is None]
+        reports = crashes + clearings
         if len(_fitting(reports, MAX_STATUS_DIGESTS)) < len(reports):
-            random.shuffle(reports)
-            reports.sort(key=self._gravity, reverse=True)
-        return _fitting(reports, MAX_STATUS_DIGESTS)
+            random.shuffle(crashes)
+            crashes.sort(key=self._gravity, reverse=True)
+            random.shuffle(clearings)
+            # What is cleared weighs nothing, and would never be told.
+            clearings = _fitting(clearings, MAX_STATUS_CLEARINGS)
+        return (*clearings,
+                *_fitting(crashes, MAX_STATUS_DIGESTS - len(clearings)))
 
     def _with_burst(self, report, crash):
         """Adds how many replicas are known by now to have exited then."""
-        if crash is None:
-            return report
         return msgspec.structs.replace(report,
                                        burst=self._book.burst_size(crash))
 
     def _gravity(self, report):
-        """Returns the most weight of anything in a report that did not run.
-
-        A run that clears goes first: without it, others keep to crashes that it
-        has refuted.
-        """
-        if not report.replica:
-            return math.inf
+        """Returns the most weight of anything in a report that did not run."""
         digests = [report.digest]
         digests += [p.digest for p in report.parts if not p.survived_before]
         return max(self._book.weight(digest) for digest in digests)
@@ -330,7 +330,16 @@
         self.on_merged()
 
     def _merge_clearing(self, digest, at):
-        if self._book.record_clearing(digest, at) and self.has_reported(digest):
+        """Records a clearing, and tells it where it drops a crash.
+
+        Each hop makes it later by the time that its message takes. If it were
+        told again though it drops nothing here, it would go round among the
+        entries until it refutes crashes that came after the run.
+        """
+        crashes = self._book.crashes(digest)
+        self._book.record_clearing(digest, at)
+        dropped = self._book.crashes(digest) != crashes
+        if dropped and self.has_reported(digest):
             # Whoever has received the crash from this entry learns of it too.
             self._own.append(_OwnReport(at, entrystatus.RunReport(digest, 0)))
 
--- a/tests/test_common_causes_review.py
+++ b/tests/test_common_causes_review.py
@@ -199,6 +199,36 @@
                    for r in reports.recent(loop.now))
 
 
+def test_a_clearing_does_not_go_round_among_entries():
+    """Thousands of messages in a second, and a crash is refuted by a run that
+    went on before it: each entry tells a clearing again, a little later."""
+    loop = clock.Loop()
+    entries = [_reports(suspects.Suspects(), loop) for _ in range(3)]
+    for i, at in enumerate((0.5, 1.5, 2.0, 2.5)):
+        loop.run(at)
+        for entry in entries:
+            entry.record_crash(b'request %d' % i,
+                               entry.describe_parts((BAD,), at),
+                               crashrecords.Crash(f'r{i}'), YOUNG, at)
+    # A run went on just before the last three crashes.
+    first = entries[0]
+    first._book.record_clearing(BAD, 1.45)
+    loop.run(2.6)
+    to_deliver = [(0, first._clearings([BAD]))]
+    for _ in range(100):
+        loop.run(loop.now + 0.002)
+        delivered, to_deliver = to_deliver, []
+        for sender, run_reports in delivered:
+            for i, entry in enumerate(entries):
+                if i != sender:
+                    entry._peers.sent.clear()
+                    entry.merge(run_reports)
+                    to_deliver += [(i, m.run_reports) for m in entry._peers.sent
+                                  ]
+    assert not to_deliver
+    assert all(len(e._book.crashes(BAD)) == 3 for e in entries)
+
+
 def test_who_has_seen_a_part_go_on_tells_those_that_blame_it_by_statuses():
     """Three entries report a crash each in their statuses, and all others blame
     the part; the only one at which a run of it went on since says nothing."""
