Scenarios: many replicas exit at one moment under sound requests

Callers whose sound requests share parts got 400 for a moment after bursts of replica exits: exits of one cause counted as evidence each. Real sockets, five entries, twelve model replicas: one burst of six; six and four within a quarter of a second; three bursts within half a second, warm and in the first second; and a part that crashes replicas beside two bursts.

In step crash times, replicas that exit in a burst do not count as crashes under the part.

--- a/features/steps/crashing_part_steps.py
+++ b/features/steps/crashing_part_steps.py
@@ -1,6 +1,7 @@
 """Steps of the feature on parts of prompts on which replicas crash."""
 
 import collections
+import functools
 import itertools
 import signal
 import time
@@ -16,16 +17,21 @@
 import wire_callers
 import wire_replica
 
+from gorsefall.standins import acceptor
 from gorsefall.standins import waiting
 
 ENTRY_COUNT = 5
-CALLER_THREADS = 48
+CALLER_THREADS = 96
 ALL_UP_S = 6.0
 """Time in which all replicas are up again, s."""
 
 SOUND_PER_S, CRASHING_PER_S = 40, 2
 """Requests per second at all entries."""
 
+BURST_SOUND_PER_S = 70
+"""Sound requests per second where many replicas exit at one moment: several
+run at each replica."""
+
 BEFORE_S, DURING_S = 3.0, 14.0
 """Time for which only sound requests come, and then both, s."""
 
@@ -36,6 +42,9 @@
 EVENT_PAUSE_S = 0.08
 """Pause between events, s: a sound stream runs for a third of a second."""
 
+RECENT_RUN_S = 0.3
+"""Time for which a run is recent: most of them are still under way, s."""
+
 PROPAGATION_S = 3.0
 """Time in which all entries learn what one has observed, s: the platform's
 bound."""
@@ -53,10 +62,22 @@
 PLAIN_CRASHES, PLAIN_CRASHES_S = 10, 8.0
 """Replicas that crash by themselves, and the time in which they do, s."""
 
+BURSTS_AFTER_S = 1.0
+"""When replicas exit at one moment after the first request that crashes, s."""
+
+MAX_REFUSED, MAX_REFUSED_RATIO = 5, 1 / 500
+"""Sound requests that may be refused for good: a number, and a share of all,
+which the platform's rules add up."""
+
+TRANSIENT_STATUSES = 408, 421, 429
+"""Statuses that do not say that the request is wrong."""
+
 DEADLINE_MS = 1500
 BAD, COMMON = wire_replica.CRASH_PART, 'c0'
 FIRST_PARTS, TOPICS = ('c1', 'c2', 'c3'), ('d1', 'd2', 'd3', 'd4')
 
+MANY_TOPICS = tuple(f'd{i}' for i in range(1, 25))
+
 
 class Layout(typing.NamedTuple):
     """The shared parts of prompts.
@@ -85,6 +106,8 @@
                                                              TOPICS)),
     'always before the same sound part':
         Layout(((COMMON, BAD, TOPICS[0]),), _product((COMMON,), TOPICS)),
+    'second, and sound prompts have many second parts':
+        Layout(((COMMON, BAD),), _product((COMMON,), MANY_TOPICS)),
 }
 
 
@@ -112,6 +135,7 @@
 @given('five entries on the platform before {count:d} model replicas that can '
        'crash')
 def step_site(context, count):
+    context.exited = []
     context.sites = platform_site.new_sites(context, ENTRY_COUNT, revoke_s=4.0)
     first = context.platform = context.sites[0]
 
@@ -144,8 +168,9 @@
 class _Load:
     """Sends requests at a fixed rate and collects what their callers got."""
 
-    def __init__(self, context):
+    def __init__(self, context, sound_per_s=SOUND_PER_S):
         self._context = context
+        self._sound_per_s = sound_per_s
         self._calls = paced.PacedCalls(CALLER_THREADS)
         self._entries = itertools.cycle(context.sites)
         self._prompts = {
@@ -158,18 +183,19 @@
         parts = (*next(self._prompts[crashes]), rid)
         self._calls.submit(_send, next(self._entries), rid, parts, crashes)
 
-    def run(self, duration_s, crashing_per_s=0):
+    def run(self, duration_s, crashing_per_s=0, actions=()):
         """Sends requests for a time.
 
         Args:
             duration_s: For how long, s.
             crashing_per_s: Rate of those that crash replicas.
+            actions: Other ``(time from now in s, action)`` pairs.
         """
-        due = [(i / SOUND_PER_S, lambda: self._send(False))
-               for i in range(round(duration_s * SOUND_PER_S))]
+        due = [(i / self._sound_per_s, lambda: self._send(False))
+               for i in range(round(duration_s * self._sound_per_s))]
         due += [(i / crashing_per_s, lambda: self._send(True))
                 for i in range(round(duration_s * crashing_per_s))]
-        self._calls.run(due)
+        self._calls.run([*due, *actions])
 
     def results(self):
         """Returns all ``Sent`` objects once their responses have ended."""
@@ -202,9 +228,10 @@
 
 
 def _crash_times(context):
+    """Returns the sorted times of the crashes, without those of bursts."""
     return sorted(r.crashed_at
                   for r in list(context.platform.replicas.values())
-                  if r.crashed)
+                  if r.crashed and r not in context.exited)
 
 
 @when('sound requests come, and then requests with that part among them')
@@ -292,6 +319,80 @@
     context.sent = load.results()
 
 
+def _busiest(context):
+    """Returns the live replicas, those that began most runs just now first."""
+    since = time.monotonic() - RECENT_RUN_S
+
+    def recent_run_count(replica):
+        return sum(req.at > since for req in replica.runs)
+
+    return sorted(_live(context), key=recent_run_count, reverse=True)
+
+
+def _bursts(context, counts, span_s, after_s=0.0):
+    """Returns actions in each of which replicas exit at one moment.
+
+    Args:
+        context: The context of the scenario.
+        counts: Number of replicas for each, separated by commas.
+        span_s: Time from the first to the last, s.
+        after_s: When the first is due, s from now.
+    """
+    counts = [int(count) for count in counts.split(',')]
+
+    def exit_at_once(count):
+        exiting = _busiest(context)[:count]
+        context.exited += exiting
+        acceptor.shut_down_together(exiting)
+        for replica in exiting:
+            replica.crash()
+        assert _live(context), 'no replica is left'
+
+    gap_s = span_s / max(1, len(counts) - 1)
+    return [(after_s + i * gap_s, functools.partial(exit_at_once, count))
+            for i, count in enumerate(counts)]
+
+
+@when('sound requests come for {warm_up_s:g} s, and then {counts} replicas '
+      'exit, each time at one moment, within {span_s:g} s')
+def step_bursts(context, warm_up_s, counts, span_s):
+    load = _Load(context, BURST_SOUND_PER_S)
+    load.run(warm_up_s)
+    context.calm_at = time.monotonic() + span_s + ALL_UP_S
+    load.run(span_s + ALL_UP_S + BEFORE_S,
+             actions=_bursts(context, counts, span_s))
+    context.sent = load.results()
+
+
+@when('sound requests come, and then requests with that part among them, and '
+      '{counts} replicas exit, each time at one moment, within {span_s:g} s')
+def step_both_and_bursts(context, counts, span_s):
+    load = _Load(context)
+    load.run(BEFORE_S)
+    context.mixed_at = time.monotonic()
+    load.run(DURING_S,
+             CRASHING_PER_S,
+             actions=_bursts(context, counts, span_s, BURSTS_AFTER_S))
+    context.sent = load.results()
+
+
+def _refused_for_good(sent):
+    """Whether the caller got an entry's own 3xx or 4xx that is final."""
+    response = sent.response
+    return (response is not None and 300 <= response.status < 500 and
+            response.status not in TRANSIENT_STATUSES and
+            'replica-seal' not in response.headers)
+
+
+@then('almost no sound request is refused for good')
+def step_few_refused(context):
+    sound = [s for s in context.sent if not s.crashes]
+    refused = [s for s in sound if _refused_for_good(s)]
+    assert len(refused) <= MAX_REFUSED + MAX_REFUSED_RATIO * len(sound), (
+        len(refused), len(sound),
+        collections.Counter(s.response.status for s in refused))
+
+
 def _live(context):
     return [
         r for r in list(context.platform.replicas.values()) if not r.crashed
--- a/gorsefall/standins/acceptor.py
+++ b/gorsefall/standins/acceptor.py
@@ -5,6 +5,7 @@
 """
 
 import contextlib
+import ctypes
 import socket
 import struct
 import threading
@@ -13,6 +14,16 @@
 """Connections that fill the queue of a listener that accepts none."""
 
 
+def shut_down_together(acceptors):
+    """Ends listeners and connections of several ``Acceptor``s at one moment."""
+    # socket.shutdown lets other threads run in between, for tenths of a second
+    # on a busy machine; PyDLL keeps the interpreter's lock.
+    libc = ctypes.PyDLL(None)
+    for server in acceptors:
+        for sock in server.open_sockets():
+            libc.shutdown(sock.fileno(), socket.SHUT_RDWR)
+
+
 class Acceptor:
     """Accepts connections on a free port; subclasses serve them.
 
@@ -73,6 +84,10 @@
         self._sock.listen()
         self._accepting.set()
 
+    def open_sockets(self):
+        """Returns the listener and all connections."""
+        return [self._sock, *self._conns]
+
     def stop_listening(self):
         """Releases the port; open connections stay open."""
         # Without the shutdown, a thread blocked in accept() keeps the port.
