--- a/tests/duty_site.py
+++ b/tests/duty_site.py
@@ -261,12 +261,12 @@
         tracker = demand.DemandTracker()
         self.lease = lease.Lease(self.source,
                                  self.name,
-                                 LEASE_S,
+                                 self.site.lease_s,
                                  clock=lambda: self.site.loop.now,
                                  rng=self.site.rng)
         self.duties = coordinator.Coordinator(
             self.node,
-            settings.Duties(lease_s=LEASE_S,
+            settings.Duties(lease_s=self.site.lease_s,
                             report_window_s=self.site.window_s,
                             report_due_s=DUE_S),
             lease=self.lease,
@@ -327,8 +327,9 @@
 class Site:
     """All entries, the store and the platform."""
 
-    def __init__(self, count, seed=0, window_s=WINDOW_S):
+    def __init__(self, count, seed=0, window_s=WINDOW_S, lease_s=LEASE_S):
         self.window_s = window_s
+        self.lease_s = lease_s
         self.rng = random.Random(seed)
         self.loop = clock.Loop()
         self.store = Store(self.loop)
