Duties: a process that starts hears of claims that the store has lost

The platform could get two usage reports of one window with different counts (simulated time, lease 3 s: the holder restarts while the store loses all claims; three windows of 10 and of 15 requests). The new process knew of no claim and took the empty topic for one that had none; entries that had heard of claims did not tell it.

Each status names the newest token that its sender knows; a process that knows of none takes it over, and its first claim then follows a loss. All entries that restart at once, before a store without any claim, still know of none.

--- a/gorsefall/duties/coordinator.py
+++ b/gorsefall/duties/coordinator.py
@@ -177,7 +177,11 @@
             held = entrystatus.DutiesHeld(
                 self.lease.token, max(0, int(self.lease.claim_age_s() * 1000)),
                 self.lease.claim.decided_through)
-        return {'clock_ms': self.true_time.own_clock_ms(), 'duties': held}
+        return {
+            'clock_ms': self.true_time.own_clock_ms(),
+            'duties': held,
+            'newest_claim': self.lease.newest_token + 1,
+        }
 
     def handle_status(self, status, host):
         """See ``NoDuties``."""
@@ -186,6 +190,8 @@
         if status.duties is not None:
             self.lease.record_claim(status.duties.token,
                                     status.duties.age_ms / 1000)
+        elif status.newest_claim:
+            self.lease.hear_of_claim(status.newest_claim - 1)
 
     # -- following -------------------------------------------------------------
 
--- a/gorsefall/duties/lease.py
+++ b/gorsefall/duties/lease.py
@@ -210,6 +210,20 @@
         if self.held and token > self.token:
             self.lose('another entry has a later claim')
 
+    @property
+    def newest_token(self):
+        """The newest token that is known; -1 for none."""
+        return self._known.token
+
+    def hear_of_claim(self, token):
+        """Records that another entry knows of a claim.
+
+        A process that knows of none would take a store that has lost all
+        claims for one that had none.
+        """
+        if self._known.token < 0:
+            self._record_known(token, self._clock())
+
     def _record_known(self, token, since):
         if token > self._known.token:
             self._known = _Known(token, since)
--- a/gorsefall/policy/entrystatus.py
+++ b/gorsefall/policy/entrystatus.py
@@ -178,6 +178,8 @@
             it wants.
         place_loans: The ``placeloans.Loan`` objects that it grants.
         configuration_version: Version of its configuration; 0 for none.
+        newest_claim: One more than the newest token of the duties that it
+            knows; 0 for none.
     """
     name: str
     started_at_ms: int
@@ -203,6 +205,7 @@
     wanted_places: dict[ids.ServiceName, Count] = {}
     place_loans: tuple[placeloans.Loan, ...] = ()
     configuration_version: Count = 0
+    newest_claim: Count = 0
 
     def without_reports(self):
         """Returns a copy without what may be left out of a message.
@@ -227,7 +230,8 @@
                       demand_per_s=self.demand_per_s,
                       wanted_places=self.wanted_places,
                       place_loans=self.place_loans,
-                      configuration_version=self.configuration_version)
+                      configuration_version=self.configuration_version,
+                      newest_claim=self.newest_claim)
 
     def responses_after(self, last):
         """Returns the responses that are not in the status ``last``.
--- a/tests/test_duties_lease.py
+++ b/tests/test_duties_lease.py
@@ -197,6 +197,19 @@
     assert not site.platform.violations
 
 
+def test_a_process_that_starts_hears_of_claims_that_are_gone():
+    """It takes a store that lost all claims for one that had none, and counts
+    again what its predecessor has reported."""
+    site = _site()
+    _add_work(site, 12.0)
+    old, = site.holders()
+    old.restart()
+    _restore(site, 0.5, 100)
+    _add_work(site, 20.0)
+    assert claims.decode(site.store.records[0][1]).follows_loss
+    assert not site.platform.violations
+
+
 def test_a_claim_for_a_lost_history_counts_for_nothing():
     """A holder that was frozen claims at an offset that was given out again,
     and its decisions replace those of its successor."""
