Duties: windows whose claims the store has lost are reported as they were

Usage of 5 or 6 windows in a row (leases of 1 s), 9 or 10 (3 s) was never reported after the store came back without the last claims. Cause: the holder's lease ends while the store is away, and whoever takes over leaves out every window that a lost claim may have fixed, though entries that are there know which they told.

A holder whose claim follows a loss now asks all: after a lease since it saw the loss only entries that hold nothing answer, so no call on a lost claim is to come. It repeats what was told, counts the rest, and leaves out as before what an entry that does not answer, or an earlier process, may have told.

--- a/gorsefall/duties/coordinator.py
+++ b/gorsefall/duties/coordinator.py
@@ -9,6 +9,7 @@
 from gorsefall.duties import claims
 from gorsefall.duties import demand
 from gorsefall.duties import kinds
+from gorsefall.duties import pastcalls
 from gorsefall.duties import reports
 from gorsefall.duties import usage
 from gorsefall.policy import entrystatus
@@ -126,6 +127,11 @@
                                                cfg.report_due_s)
         self._counter = usage.UsageCounter(self._max_windows)
         self._collector = usage.UsageCollector(self._max_windows)
+        self._own_calls = pastcalls.OwnCalls(2 * self._max_windows)
+        self._recall = None
+        self._names = pastcalls.Names()
+        self._began_at = node.loop.now
+        self._taken_in = 0
         self._demand = demand.DemandCounter()
         self._vacant_since = None
         self._last_holder = None
@@ -176,7 +182,7 @@
         if self.lease.held:
             held = entrystatus.DutiesHeld(
                 self.lease.token, max(0, int(self.lease.claim_age_s() * 1000)),
-                self.lease.claim.decided_through)
+                self.lease.claim.decided_through, self._recall is not None)
         return {
             'clock_ms': self.true_time.own_clock_ms(),
             'duties': held,
@@ -185,6 +191,7 @@
 
     def handle_status(self, status, host):
         """See ``NoDuties``."""
+        self._names.record(status.name, self._loop.now)
         if status.clock_ms:
             self.true_time.record_clock(host, status.clock_ms / 1000)
         if status.duties is not None:
@@ -241,6 +248,13 @@
             REPORT_PERIOD_S,
             len(self._members.live_hosts(now)) / MAX_REPORTS_PER_S)
         report = self._build_report(status.duties.decided_through + 1)
+        if status.duties.asks_calls:
+            # Not by the holder of an earlier claim: it may still act.
+            report = msgspec.structs.replace(
+                report,
+                past_calls=self._own_calls.answer(
+                    status.duties.token, now - self._began_at,
+                    sorted(self._names.remembered(now))))
         self._send(report, host)
 
     def update_gauges(self):
@@ -269,6 +283,9 @@
         self._collector.record(report)
         self._tracker.record((report.name, report.started_at_ms), report.totals,
                              self._loop.now)
+        if self._recall is not None and report.past_calls is not None:
+            self._recall.record(report.name, report.past_calls,
+                                self.true_time.now())
 
     # -- holding ---------------------------------------------------------------
 
@@ -294,6 +311,8 @@
             self.lease.renew(
                 msgspec.structs.replace(
                     claim, settled_through=self._settled_through(claim)))
+            if not self.lease.claim.follows_loss:
+                self._recall = None
 
     def _settled_through(self, claim):
         """Returns the last window up to which no report is to be made."""
@@ -302,7 +321,16 @@
 
     def _on_taken(self):
         self._held_since = self._loop.now
+        self._taken_in = self._window_at(self.true_time.now())
+        if self.lease.claim.holder:
+            self._names.record(self.lease.claim.holder, self._loop.now)
         self.lease.claim = self._normalized(self.lease.claim)
+        self._recall = None
+        if self.lease.claim.follows_loss:
+            started_s = (self.true_time.now() -
+                         (self._loop.now - self._began_at))
+            self._recall = pastcalls.Recall(self.lease.token, self._own_calls,
+                                            started_s)
         if self._scaler is not None:
             self._scaler.reset()
 
@@ -316,17 +344,60 @@
         Those were decided by a wrong clock, or by a claim that is unreadable,
         and would not be reported for as long.
         """
+        if not self._reports_usage:
+            return msgspec.structs.replace(claim, follows_loss=False)
         current = self._window_at(self.true_time.now())
-        if claim.follows_loss:
-            # Claims that the store has lost may have fixed the counts of
-            # windows that have ended; others would contradict them.
-            self._log.warning('windows_left_out',
-                              first=claim.decided_through + 1,
-                              last=current - 1)
-        elif claim.decided_through < current:
+        if claim.decided_through < current:
+            return claim
+        return msgspec.structs.replace(claim, decided_through=current - 1)
+
+    def _recover_windows(self, claim, current):
+        """Returns a claim that agrees with all calls on claims that were lost.
+
+        Args:
+            claim: A claim that follows a loss.
+            current: Number of the present window.
+
+        Returns:
+            The claim as it is while it waits for answers, else one that does
+            not follow a loss: it repeats what is known to have been reported
+            and leaves out what an entry that can't be asked may have reported.
+        """
+        lacking = self._recall.lacking(self._node.cfg.name,
+                                       self._names.remembered(self._loop.now))
+        wait_s = WINDOW_WAIT_SHARE * self._cfg.report_due_s
+        if lacking and self._loop.now - self._held_since < wait_s:
             return claim
+        # Windows that ended later than this takeover are in no lost claim.
+        left_out = min(self._taken_in, current) - 1
+        if not lacking:
+            left_out = min(left_out,
+                           self._window_at(self._recall.complete_since))
+        calls = self._recall.windows
+        last = max((w for w in calls if w < current), default=0)
+        first = max(claim.decided_through + 1, current - self._max_windows + 1)
+        missed = []
+        for window in range(first, max(left_out, last) + 1):
+            if claim.counts_of(window) is not None:
+                continue
+            if window in calls:
+                claim = self._with_window(claim, window, calls[window])
+            elif window <= left_out:
+                claim = msgspec.structs.replace(claim, decided_through=window)
+                missed.append(window)
+            else:
+                claim = self._fix(claim, window, self._since_end_s(window))
+        # A holder with a wrong clock may have reported windows to come.
+        early = tuple(
+            claims.WindowCounts(w, calls[w])
+            for w in sorted(calls)
+            if w >= current and claim.counts_of(w) is None)
+        self._log.warning('windows_recovered',
+                          repeated=sorted(calls),
+                          left_out=missed,
+                          lacking=len(lacking))
         return msgspec.structs.replace(claim,
-                                       decided_through=current - 1,
+                                       windows=claim.windows + early,
                                        follows_loss=False)
 
     def _decide_windows(self, claim):
@@ -334,6 +405,10 @@
         if not self._reports_usage:
             return claim
         current = self._window_at(self.true_time.now())
+        if claim.follows_loss:
+            claim = self._recover_windows(claim, current)
+            if claim.follows_loss:
+                return claim
         # Entries that are silent for a moment report later.
         names = self._members.known_names()
         held_s = self._loop.now - self._held_since
@@ -357,6 +432,9 @@
                        requests=sum(counts.values()),
                        accounts=len(counts),
                        after_s=round(ended_s, 2))
+        return self._with_window(claim, window, counts)
+
+    def _with_window(self, claim, window, counts):
         return claim.with_window(
             window, counts, max(claims.RETAINED_WINDOWS, self._max_windows + 2))
 
@@ -399,6 +477,7 @@
             if not self.lease.may_act():
                 return
             self._open_calls += 1
+            self._own_calls.record(counts.window, counts.counts)
             self._client.report_usage(
                 token,
                 counts.window,
--- a/gorsefall/policy/entrystatus.py
+++ b/gorsefall/policy/entrystatus.py
@@ -137,10 +137,13 @@
         age_ms: Time since the claim was sent, ms.
         decided_through: Number of the last usage window whose counts are
             fixed.
+        asks_calls: Whether it asks which windows others have reported, as the
+            store has lost claims.
     """
     token: Count
     age_ms: Count
     decided_through: int = 0
+    asks_calls: bool = False
 
 
 class Status(msgspec.Struct, frozen=True, array_like=True, tag='status'):
--- a/tests/duty_site.py
+++ b/tests/duty_site.py
@@ -268,7 +268,7 @@
             self.node,
             settings.Duties(lease_s=self.site.lease_s,
                             report_window_s=self.site.window_s,
-                            report_due_s=DUE_S),
+                            report_due_s=self.site.due_s),
             lease=self.lease,
             client=self.client,
             true_time=truetime.TrueTime(lambda: self.site.loop.now,
@@ -327,8 +327,14 @@
 class Site:
     """All entries, the store and the platform."""
 
-    def __init__(self, count, seed=0, window_s=WINDOW_S, lease_s=LEASE_S):
+    def __init__(self,
+                 count,
+                 seed=0,
+                 window_s=WINDOW_S,
+                 lease_s=LEASE_S,
+                 due_s=DUE_S):
         self.window_s = window_s
+        self.due_s = due_s
         self.lease_s = lease_s
         self.rng = random.Random(seed)
         self.loop = clock.Loop()
