Suspects: an exit is dated by the earliest report of it

An entry went on sending a request that crashes replicas for 8.9 s after all others had blamed it. That one had dated the first crash 52 ms later (its age plus the time that the report took), within 0.1 s of another replica's exit, which the others saw apart. Statuses repeat reports for 6 s, but an exit kept the time of the first one; the earliest is the closest to the true time. That the exit beside it was the one at 23.854 s follows from the times, the log does not name it.

What is left: the summary that entries compare covers crashes, not what they weigh, so that a difference that stays is not noticed.

--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -87,6 +87,18 @@
     assert not tracker.blamed
 
 
+def test_a_late_report_does_not_put_exits_into_one_burst_for_good():
+    """An entry goes on sending a request that all others have blamed, as it was
+    told of one crash late, and takes it for one of a burst."""
+    tracker = suspects.Suspects()
+    for i, at in enumerate((0.052, 5.0, 10.0)):
+        tracker.record_crash(b'guilty', _crash(i), YOUNG, at)
+    tracker.record_crash(b'beside', _crash(9), YOUNG, 0.146)
+    # The report that each status repeats, which took no time now.
+    tracker.record_crash(b'guilty', _crash(0), YOUNG, 0.0)
+    assert tracker.blamed == [b'guilty']
+
+
 def test_a_poison_request_is_tried_again_after_its_block_time():
     """A request stays blocked that a new service version can handle."""
     tracker = suspects.Suspects()
