The time of a crash is the earliest that any report gives, in any order

Entries drew different conclusions from the same reports: weight 2 or 4 by the order of two reports of one crash. A suspect kept the time of the report that came first, and the burst of the exit was not looked at again when an earlier time came; messages only make a crash later.

--- a/gorsefall/policy/crashrecords.py
+++ b/gorsefall/policy/crashrecords.py
@@ -74,13 +74,15 @@
 
     def merge(self, other):
         """Adds another report of the crash; returns whether it says more."""
-        merged = CrashRecord(max(self.weight, other.weight), self.seen_at,
+        merged = CrashRecord(max(self.weight, other.weight),
+                             min(self.seen_at, other.seen_at),
                              self.companions & other.companions,
                              self.survived_before or other.survived_before,
                              max(self.burst, other.burst))
         if merged == self:
             return False
-        self.weight, self.companions = merged.weight, merged.companions
+        self.weight, self.seen_at = merged.weight, merged.seen_at
+        self.companions = merged.companions
         self.survived_before, self.burst = merged.survived_before, merged.burst
         return True
 
--- a/gorsefall/policy/suspects.py
+++ b/gorsefall/policy/suspects.py
@@ -169,7 +169,10 @@
             self._is_stale = True
         known = suspect.crashes.get(crash)
         if known is not None:
-            return known.merge(record)
+            says_more = known.merge(record)
+            # Messages only make a crash later: it may be older than a run.
+            suspect.clear_before(suspect.cleared_at)
+            return says_more
         if record.seen_at <= suspect.cleared_at:
             return False
         suspect.crashes[crash] = record
