--- a/features/platform_duties.feature
+++ b/features/platform_duties.feature
@@ -58,6 +58,19 @@
       | killed |
       | frozen |
 
+  # Guards against usage that is left out although entries know all about it.
+  Scenario: the store loses the last claims and nothing else happens
+    Given three entries on the platform with duties
+    When requests are served at all entries for 2 s
+    And a copy of the store is taken
+    And requests are served at all entries for 4 s
+    And the store comes back from the copy while the holder is well
+    And requests are served at all entries for 10 s
+    Then the reports contain each request once
+    And no two entries used the same token
+    And tokens only grew
+    And no window was reported with different counts
+
   Scenario: spot replicas take over from regular ones
     Given three entries on the platform with duties
     When the pool's replicas may be ordered
