A cause that shows without a report makes requests wait as well

Callers could get 400 at once, without the wait, for a cause that is found as other suspects are dropped for room or forgotten: only reports looked for new causes. Found by the review, by reading. What waits at a replica and is left there, as many requests share its part, has a log line.

--- a/gorsefall/relay/crashes.py
+++ b/gorsefall/relay/crashes.py
@@ -164,8 +164,17 @@
         raise errors.PoisonRequestError(reason)
 
     def _blocking_causes(self, causes):
-        return self.suspects.blocking_causes(causes.digests, self._clock(),
-                                             self._may_try)
+        found = list(
+            self.suspects.blocking_causes(causes.digests, self._clock(),
+                                          self._may_try))
+        if any(self._is_unnoticed(cause.digest) for cause in found):
+            # What is left of other suspects may show a cause without a report.
+            self._find_new_causes()
+        return found
+
+    def _is_unnoticed(self, digest):
+        return (digest not in self._known_causes and
+                digest not in self._unconfirmed)
 
     def _may_try(self, digest, turn):
         """Returns whether it is this entry that runs a cause once more."""
@@ -364,8 +373,7 @@
                                digest=digests.abbreviate(digest))
                 self._unconfirmed.drop(digest)
         for cause in self.suspects.causes:
-            if (cause.digest not in self._known_causes and
-                    cause.digest not in self._unconfirmed):
+            if self._is_unnoticed(cause.digest):
                 self._suspect(cause)
 
     def _suspect(self, cause):
--- a/gorsefall/relay/exchange.py
+++ b/gorsefall/relay/exchange.py
@@ -511,9 +511,9 @@
         except errors.PoisonRequestError as exc:
             self._cancel_attempts()
             self.fail(self.attempts.reportable_error(exc, str(exc), self.terms))
-        except errors.SuspectedPartError:
+        except errors.SuspectedPartError as exc:
             # Too many requests share the part to break off what may be sound.
-            pass
+            self.log.info('not_withdrawn', replica=attempt.name, error=str(exc))
 
     def _cancel_attempts(self):
         self._takeover.cancel()
--- a/tests/test_common_causes.py
+++ b/tests/test_common_causes.py
@@ -2,14 +2,21 @@
 
 import itertools
 import random
+import types
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
+from gorsefall import errors
+from gorsefall.emulator import clock
 from gorsefall.emulator import crashing
 from gorsefall.policy import crashrecords
+from gorsefall.policy import entrystatus
+from gorsefall.policy import recentparts
 from gorsefall.policy import suspects
+from gorsefall.relay import confirmation
+from gorsefall.relay import crashes
 
 YOUNG = crashrecords.CrashWeight.YOUNG
 COMMON, HOT, BAD = b'common', b'hot', b'bad'
@@ -211,6 +218,82 @@
     assert served >= 950, (outcomes, site.good_outcomes)
 
 
+def test_a_cause_that_shows_without_a_report_makes_requests_wait():
+    """A request is answered 400 at once for a cause that is found as other
+    suspects are dropped."""
+    loop = clock.Loop()
+    tracker = crashes.CrashTracker(loop, None, None, lambda: loop.now)
+    causes = crashrecords.PossibleCauses(b'new', (COMMON, BAD))
+    for i in range(3):
+        loop.run(10.0 * (i + 1))
+        tracker.suspects.record_crash(BAD, crashrecords.Crash(f'r{i}'), YOUNG,
+                                      loop.now)
+    dispatched = []
+    exchange = types.SimpleNamespace(dispatch=lambda: dispatched.append(1))
+    assert not tracker.try_begin_run(causes, exchange)
+    loop.run(loop.now + confirmation.CONFIRM_S + 0.01)
+    assert dispatched
+    with pytest.raises(errors.PoisonRequestError):
+        tracker.try_begin_run(causes, exchange)
+
+
+@pytest.mark.parametrize('is_cleared', [False, True])
+def test_what_waits_for_a_decision_goes_on_once_it_is_made(is_cleared):
+    """A request that waits while a cause is confirmed is never sent nor
+    answered."""
+    loop = clock.Loop()
+    tracker = crashes.CrashTracker(loop, None, None, lambda: loop.now)
+    loop.run(100.0)
+    reports = [
+        entrystatus.RunReport(b'sent %d' % i, age, f'r{i}', 0, 2,
+                              (entrystatus.PartReport(BAD),))
+        for i, age in enumerate((800, 400, 0))
+    ]
+    tracker.reports.merge(reports)
+    causes = crashrecords.PossibleCauses(b'new', (COMMON, BAD))
+    dispatched = []
+    exchange = types.SimpleNamespace(
+        dispatch=lambda: dispatched.append(loop.now))
+    assert not tracker.try_begin_run(causes, exchange)
+    loop.run(100.3)
+    assert not dispatched
+    if is_cleared:
+        tracker.reports.merge([entrystatus.RunReport(BAD, 0)])
+    loop.run(100.0 + confirmation.CONFIRM_S + 0.01)
+    assert len(dispatched) == 1
+    if is_cleared:
+        assert tracker.try_begin_run(causes, exchange)
+    else:
+        with pytest.raises(errors.PoisonRequestError):
+            tracker.check(causes)
+
+
+@pytest.mark.parametrize('every', [2, 8])
+def test_a_part_of_many_requests_is_refused_for_a_short_time_only(every):
+    """What most requests share is refused for good and for ten minutes, as it
+    was there in an outage."""
+    loop = clock.Loop()
+    tracker = crashes.CrashTracker(loop, None, None, lambda: loop.now)
+    for i in range(recentparts.SAMPLE_REQUESTS):
+        parts = (COMMON, BAD) if i % every == 0 else (COMMON,)
+        tracker.record_arrival(
+            crashrecords.PossibleCauses(b'request %d' % i, parts))
+    for i in range(3):
+        tracker.suspects.record_crash(BAD, crashrecords.Crash(f'r{i}'), YOUNG,
+                                      10.0 * i)
+    loop.run(20.0 + confirmation.CONFIRM_S)
+    causes = crashrecords.PossibleCauses(b'new', (COMMON, BAD))
+    expected = (errors.SuspectedPartError
+                if every == 2 else errors.PoisonRequestError)
+    with pytest.raises(expected) as raised:
+        tracker.check(causes)
+    if every == 2:
+        assert 0 < raised.value.retry_after <= suspects.POPULAR_BLOCK_S
+    loop.run(20.0 + suspects.POPULAR_BLOCK_S + 0.01)
+    is_tried = tracker.suspects.blocking_cause(causes.digests, loop.now) is None
+    assert is_tried == (every == 2)
+
+
 def test_a_burst_does_not_push_out_the_crashes_that_show_a_cause():
     """A part goes on to crash replicas, as those that exit at one moment push
     out its earlier crashes."""
