Review case 2: long bodies to a service that hangs end the process, and requests to another service with it

The case shows an entry killed for its memory while the replicas of one service hang, and requests to a sound service that end without an answer.

--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -426,10 +426,7 @@
         return [int(n) for n in re.findall(rb'(?m)^id: (\d+)', self.body)]
 
 
-def call(addr, rid, path, *, method='POST', body=b'', key=KEY, deadline_ms=12000,
-         stream=True, extra=()):
-    """Sends one request on a new channel and reads its whole answer."""
-    ans = Answer()
+def _request(rid, path, method, body, key, deadline_ms, stream, extra):
     lines = [f'{method} {path} HTTP/1.1', f'Host: {HOST}', f'Attempt-Id: {rid}',
              f'Deadline-Ms: {deadline_ms}', f'Authorization: Bearer {key}']
     if stream:
@@ -438,14 +435,54 @@
     lines += [f'{k}: {v}' for k, v in extra]
     if body or method == 'POST':
         lines.append(f'Content-Length: {len(body)}')
-    try:
-        sock = socket.create_connection(addr, 1)
-        sock.settimeout(deadline_ms / 1000)
-        sock.sendall('\r\n'.join(lines).encode() + b'\r\n\r\n' + body)
-        f = sock.makefile('rb')
+    return '\r\n'.join(lines).encode() + b'\r\n\r\n' + body
+
+
+class Channel:
+    """A channel of a caller, for one request after the other."""
+
+    def __init__(self, addr, recv_bytes=None):
+        self.sock = self.file = None
+        try:
+            self.sock = socket.socket()
+            if recv_bytes:
+                self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF,
+                                     recv_bytes)
+            self.sock.settimeout(1)
+            self.sock.connect(addr)
+            self.file = self.sock.makefile('rb')
+        except OSError:
+            self.sock = None
+
+    def close(self):
+        if self.sock is not None:
+            self.file.close()
+            self.sock.close()
+
+    def call(self, rid, path, *, method='POST', body=b'', key=KEY,
+             deadline_ms=12000, stream=True, extra=()):
+        """Sends a request and reads its whole answer."""
+        ans = Answer()
+        if self.sock is None:
+            ans.end = 'no channel'
+            return ans
+        try:
+            self.sock.settimeout(deadline_ms / 1000)
+            self.sock.sendall(_request(rid, path, method, body, key,
+                                       deadline_ms, stream, extra))
+            self._read(ans)
+        except TimeoutError:
+            ans.end = 'time limit'
+        except (OSError, ValueError):
+            pass
+        ans.ended = time.monotonic()
+        return ans
+
+    def _read(self, ans):
+        f = self.file
         line = f.readline()
         if not line:
-            return ans
+            return
         ans.status = int(line.split()[1])
         ans.end = 'cut'
         while (h := f.readline()).strip():
@@ -456,15 +493,15 @@
             while True:
                 size = f.readline()
                 if not size.endswith(b'\n'):
-                    break
+                    return
                 n = int(size, 16)
                 piece = f.read(n)
                 ans.body += piece
                 if len(piece) < n or f.read(2) != b'\r\n':
-                    break
+                    return
                 if not n:
                     ans.end = 'whole'
-                    break
+                    return
         elif 'content-length' in ans.headers:
             n = int(ans.headers['content-length'])
             ans.body = f.read(n)
@@ -472,8 +509,11 @@
         else:
             ans.body = f.read()
             ans.end = 'whole'
-        sock.close()
-    except (OSError, ValueError):
-        pass
-    ans.ended = time.monotonic()
+
+
+def call(addr, rid, path, **options):
+    """Sends one request on a new channel and reads its whole answer."""
+    channel = Channel(addr)
+    ans = channel.call(rid, path, **options)
+    channel.close()
     return ans
--- a/review/common/replica.py
+++ b/review/common/replica.py
@@ -4,11 +4,13 @@
     events, gap_s        length of a stream and the pause between its events
     work_s, size, pieces an answer that is no stream: time, bytes, pieces
     framing              "chunked", "length" or "close" (it ends with the channel)
+    hang_share           between SIGUSR1 and SIGUSR2 it reads this share of the
+                         requests and says nothing
 """
 
 import json
 import os
-import re
+import random
 import signal
 import socket
 import sys
@@ -17,8 +19,9 @@
 
 NAME, ADDR, LOG = sys.argv[1:4]
 OPT = {'events': 40, 'gap_s': 0.05, 'work_s': 0.02, 'size': 800, 'pieces': 1,
-       'framing': 'chunked', 'limit': 360} | json.loads(sys.argv[4])
+       'framing': 'chunked', 'hang_share': 0.0} | json.loads(sys.argv[4])
 SEAL = '3e1b.07.5a2.600.0.c9f2a4d1'
+hanging = threading.Event()
 log = os.open(LOG, os.O_WRONLY | os.O_CREAT | os.O_APPEND)
 
 
@@ -59,6 +62,8 @@
     """Runs a request; returns whether the channel stays open."""
     rid = h['attempt-id']
     say(run=rid, target=target, headers=h, size=len(body), resumed=h.get('last-event-id'))
+    if hanging.is_set() and random.random() < OPT['hang_share']:
+        pause(sock, 3600)
     close = OPT['framing'] == 'close'
     fields = [('Attempt-Id', rid), ('Replica-Seal', SEAL)]
     if close:
@@ -132,6 +137,8 @@
 
 def main():
     signal.signal(signal.SIGTERM, lambda *a: os._exit(0))
+    signal.signal(signal.SIGUSR1, lambda *a: hanging.set())
+    signal.signal(signal.SIGUSR2, lambda *a: hanging.clear())
     host, port = ADDR.rsplit(':', 1)
     server = socket.socket()
     server.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
