Review case 4: bodies without end from one service hold up requests to another

The case shows an entry whose only thread searches ever longer unfinished events, so that requests to a sound service get no answer at their timeout nor half a second later.

--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -64,7 +64,10 @@
         class Handler(socketserver.BaseRequestHandler):
 
             def handle(self):
-                store.serve(self.request)
+                try:
+                    store.serve(self.request)
+                except OSError:
+                    pass  # The entry was killed or has closed its channel.
 
         class Server(socketserver.ThreadingTCPServer):
             allow_reuse_address = True
--- a/review/common/replica.py
+++ b/review/common/replica.py
@@ -6,6 +6,9 @@
     framing              "chunked", "length" or "close" (it ends with the channel)
     hang_share           between SIGUSR1 and SIGUSR2 it reads this share of the
                          requests and says nothing
+    endless_share        between these signals this share of the streams gets
+                         bytes without end, and no event, until the channel closes
+    endless              the bytes, repeated
 """
 
 import json
@@ -19,9 +22,10 @@
 
 NAME, ADDR, LOG = sys.argv[1:4]
 OPT = {'events': 40, 'gap_s': 0.05, 'work_s': 0.02, 'size': 800, 'pieces': 1,
-       'framing': 'chunked', 'hang_share': 0.0} | json.loads(sys.argv[4])
+       'framing': 'chunked', 'hang_share': 0.0,
+       'endless_share': 0.0, 'endless': 'x'} | json.loads(sys.argv[4])
 SEAL = '3e1b.07.5a2.600.0.c9f2a4d1'
-hanging = threading.Event()
+troubled = threading.Event()
 log = os.open(LOG, os.O_WRONLY | os.O_CREAT | os.O_APPEND)
 
 
@@ -62,7 +66,7 @@
     """Runs a request; returns whether the channel stays open."""
     rid = h['attempt-id']
     say(run=rid, target=target, headers=h, size=len(body), resumed=h.get('last-event-id'))
-    if hanging.is_set() and random.random() < OPT['hang_share']:
+    if troubled.is_set() and random.random() < OPT['hang_share']:
         pause(sock, 3600)
     close = OPT['framing'] == 'close'
     fields = [('Attempt-Id', rid), ('Replica-Seal', SEAL)]
@@ -75,6 +79,12 @@
         head = 'HTTP/1.1 200 OK\r\n' + ''.join(f'{k}: {v}\r\n' for k, v in fields)
         pause(sock, OPT['work_s'])
         sock.sendall(head.encode() + b'\r\n')
+        if troubled.is_set() and random.random() < OPT['endless_share']:
+            say(endless=rid)
+            piece = (OPT['endless'] * 65536)[:65536].encode()
+            while True:
+                sock.sendall(piece if close else b'%x\r\n%s\r\n' %
+                             (len(piece), piece))
         first = int(h.get('last-event-id', 0)) + 1
         for i in range(first, OPT['events'] + 1):
             event = b'id: %d\ndata: %s piece %d\n\n' % (i, rid.encode(), i)
@@ -137,8 +147,8 @@
 
 def main():
     signal.signal(signal.SIGTERM, lambda *a: os._exit(0))
-    signal.signal(signal.SIGUSR1, lambda *a: hanging.set())
-    signal.signal(signal.SIGUSR2, lambda *a: hanging.clear())
+    signal.signal(signal.SIGUSR1, lambda *a: troubled.set())
+    signal.signal(signal.SIGUSR2, lambda *a: troubled.clear())
     host, port = ADDR.rsplit(':', 1)
     server = socket.socket()
     server.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
