Review case 5: a revoked key is accepted by entries that start as the store comes back from an older copy

The case shows requests with a key that was taken away over five seconds ago, run by replicas through entries that have started again, while the other entries know the newer configuration.

--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -11,6 +11,7 @@
 import json
 import os
 import pathlib
+import random
 import re
 import shutil
 import signal
@@ -50,13 +51,36 @@
     return ports
 
 
+METRICS_PORT = 9464  # Fixed by the template.
+
+
+def free_net(entries):
+    """Returns a loopback network where the entries' metrics port is free."""
+    while True:
+        net = f'127.{random.randrange(1, 255)}.{random.randrange(1, 255)}'
+        try:
+            for n in range(1, entries + 1):
+                with socket.socket() as s:
+                    s.bind((f'{net}.{10 + n}', METRICS_PORT))
+            return net
+        except OSError:
+            continue
+
+
 # -- the platform's store ------------------------------------------------------
 
 
 class Store:
-    """The platform's store: keyed topics of one partition, form "log"."""
+    """The platform's store: keyed topics of one partition, form "log".
+
+    Attributes:
+        era: Number in the header ``Store-Era`` of all answers.
+        away: Whether it resets all channels.
+    """
 
     def __init__(self):
+        self.era, self.away = 1, False
+        self._socks = set()
         self._cond = threading.Condition()
         self.topics = collections.defaultdict(list)
         store = self
@@ -90,9 +114,47 @@
             self._cond.notify_all()
             return first, len(self.topics[topic])
 
+    def save(self):
+        """Returns a copy of all topics."""
+        with self._cond:
+            return {name: list(t) for name, t in self.topics.items()}
+
+    def leave(self):
+        """Resets all channels, and new ones, until ``restore``."""
+        self.away = True
+        for sock in list(self._socks):
+            self._reset(sock)
+
+    def restore(self, copy):
+        """Comes back from an older copy: what was written since is lost."""
+        with self._cond:
+            self.topics.clear()
+            self.topics.update({name: list(t) for name, t in copy.items()})
+            self.era += 1
+            self.away = False
+            self._cond.notify_all()
+
+    def _reset(self, sock):
+        try:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                            struct.pack('ii', 1, 0))
+            sock.shutdown(socket.SHUT_RD)
+        except OSError:
+            pass
+
     def serve(self, sock):
+        self._socks.add(sock)
+        try:
+            self._serve(sock)
+        finally:
+            self._socks.discard(sock)
+
+    def _serve(self, sock):
         f = sock.makefile('rb')
         while True:
+            if self.away:
+                self._reset(sock)
+                return
             line = f.readline()
             if not line.strip():
                 return
@@ -108,10 +170,14 @@
             kind = ('application/octet-stream'
                     if url.path == '/api/log-read' else 'application/json')
             time.sleep(0.004)
+            if self.away:
+                self._reset(sock)
+                return
             try:
                 sock.sendall(b'HTTP/1.1 %d X\r\nContent-Type: %s\r\n'
+                             b'Store-Era: %d\r\n'
                              b'Content-Length: %d\r\n\r\n%s' %
-                             (status, kind.encode(), len(out), out))
+                             (status, kind.encode(), self.era, len(out), out))
             except OSError:
                 return
 
@@ -134,9 +200,13 @@
         if path == '/api/log-read':
             start = int(query['from'])
             with self._cond:
-                self._cond.wait_for(lambda: len(self.topics[topic]) > start,
-                                    float(query.get('wait-ms', 0)) / 1000)
+                era = self.era
+                self._cond.wait_for(
+                    lambda: len(self.topics[topic]) > start or self.era != era
+                    or self.away, float(query.get('wait-ms', 0)) / 1000)
                 records = self.topics[topic]
+                if start > len(records):
+                    return 410, b'{"first":0}'
                 out = struct.pack('>QQ', len(records), 0)
                 limit = int(query.get('max-kb', 1024)) * 1024
                 for i, c in enumerate(records[start:]):
@@ -229,7 +299,7 @@
     def __init__(self, site, number, seeds, zone):
         self.site = site
         self.number = number
-        self.ip = f'127.0.0.{10 + number}'
+        self.ip = f'{site.net}.{10 + number}'
         self.front = (self.ip, site.ports[0])
         self.ready_addr = (self.ip, site.ports[1])
         self.zone = zone
@@ -352,7 +422,8 @@
         self.replicas = {}
         self.store = Store()
         self.ports = free_ports(4)
-        seeds = [f'127.0.0.{10 + n}' for n in range(1, min(3, entries) + 1)]
+        self.net = free_net(entries)
+        seeds = [f'{self.net}.{10 + n}' for n in range(1, min(3, entries) + 1)]
         self.entries = [Entry(self, n, seeds, f'z{(n - 1) % 3 + 1}')
                         for n in range(1, entries + 1)]
         self.began = time.monotonic()
