Streams of a version that has left go on at another one after all entries start anew: failing tests

Callers saw take-ups answered 200 whose text was joined from two versions, after all entries were killed at once.

--- a/features/platform_versions.feature
+++ b/features/platform_versions.feature
@@ -63,6 +63,41 @@
     When ten long responses are generated
     Then no run has a KV backup
 
+  # Guards against entries that start anew, know of one version and go on there
+  # with streams of another one that has left.
+  Scenario Outline: <first>, <then>, and callers take their streams up
+    Given more replicas of the versions "v1 v2 v2"
+    When ten callers leave their streams after two events
+    And <first>
+    And <then>
+    And the callers take their streams up at all entries in turn
+    Then no stream is joined from two versions, and what is refused has not run
+
+    Examples:
+      | first                                        | then                                         |
+      | the replicas of the version "v1" are gone    | all entries are killed and start again       |
+      | the replicas of the version "v1" are gone    | each entry is killed and started in turn     |
+      | all entries are killed, and "v1" leaves      | all entries start again                      |
+      | all entries are killed, and "v1" leaves      | all entries start again without the store    |
+      | the replicas of the version "v1" are gone    | all entries are replaced by new ones         |
+
+  # Guards against streams that nobody goes on with though their replicas serve.
+  Scenario: all entries are killed while two versions serve
+    Given more replicas of the versions "v1 v2 v2"
+    When ten callers leave their streams after two events
+    And the streams have run for a second
+    And all entries are killed and start again
+    And the callers take their streams up at all entries in turn
+    Then no stream is joined from two versions, and what is refused has not run
+    And at least half of the streams go on
+
+  Scenario: all entries are killed while one version serves
+    Given three entries before replicas of the versions "v1 v1"
+    When ten callers leave their streams after two events
+    And all entries are killed and start again
+    And the callers take their streams up at all entries in turn
+    Then all ten get the rest of their streams
+
   Scenario: a chain of takes
     Given more replicas of the versions "v1 v2 v2"
     When ten callers leave their streams after two events
--- a/features/steps/platform_site.py
+++ b/features/steps/platform_site.py
@@ -74,6 +74,29 @@
     return sites
 
 
+def replacements(context):
+    """Returns sites of new entries at new hosts in place of the old ones.
+
+    Args:
+        context: The context of the scenario, whose ``sites`` have no running
+            entry.
+    """
+    sites = []
+    for old in context.sites:
+        host, port = old.peers.rsplit(':', 1)
+        first, last = host.rsplit('.', 1)
+        site = standin.Site(tempfile.mkdtemp(dir=context.tmp),
+                            context.site_resources.enter_context(
+                                ports.allocator()),
+                            store=context.platform.store,
+                            peers=f'{first}.{int(last) + 100}:{port}',
+                            revoke_s=old.revoke_s)
+        site.seed = sites[0].peers_host if sites else site.peers_host
+        context.add_cleanup(site.close)
+        sites.append(site)
+    return sites
+
+
 def wait_until_ready(sites):
     """Waits until the entries of all ``sites`` are ready."""
     for site in sites:
--- a/gorsefall/loglines.py
+++ b/gorsefall/loglines.py
@@ -97,6 +97,7 @@
     began_as: str | None = None
     software: str | None = None
     answers: int = 0
+    entry_age_s: float | None = None
     ms: float | None = None
 
 
--- a/gorsefall/relay/boundversion.py
+++ b/gorsefall/relay/boundversion.py
@@ -65,6 +65,7 @@
                               software=self.software,
                               reason=decision.reason.value,
                               answers=answers,
+                              entry_age_s=exchange.node.streams.age_s,
                               ms=round((time.monotonic() - began) * 1000, 1))
             if decision.origin is not None:
                 done()
--- a/gorsefall/relay/streamorigins.py
+++ b/gorsefall/relay/streamorigins.py
@@ -64,6 +64,7 @@
         self._peers = None
         self._lookups = {}
         self._rng = rng
+        self._started_at = loop.now
         self._log = logs.get('streams')
         fleet.on_version_added = self._on_version_added
 
@@ -91,6 +92,11 @@
     def __len__(self):
         return len(self._memory)
 
+    @property
+    def age_s(self):
+        """Time for which this entry has observed streams and versions, s."""
+        return round(self._loop.now - self._started_at, 1)
+
     # -- streams of this entry -------------------------------------------------
 
     def record_begun(self, digest, origin, services):
