A response that ends with its connection is whole only if its replica runs

Cause: check_exit asked only for replicas whose exit would be a crash, and took 'may exit' for 'has not exited', for those that are leaving, reported as leaving, lapsed or dropped. Nothing shown was taken for alive, too, and so was an address at which another process answers. Class: absence of a sign of trouble taken for a proof of none.

Now the replica is asked for whatever is known of it, and only a process that accepts a connection, and has not been replaced, is evidence of a whole answer. Weighed: asking for announced exits only (a lapsed or dropped record is the same case); breaking off every unframed end of a leaving replica without asking (whole streams of the seconds before its exit would be lost).

What is left: a replica that ends a stream and exits within the same moment has it cut.

--- a/gorsefall/relay/crashes.py
+++ b/gorsefall/relay/crashes.py
@@ -277,17 +277,18 @@
             on_result()
 
     def check_exit(self, replica, done):
-        """Determines whether a replica has exited that should run.
+        """Determines whether a replica has exited, announced or not.
 
         Args:
             replica: The ``replicas.Replica``.
-            done: Called with whether it has; at once if it may exit.
+            done: Called with whether it has, or may have: nothing shows that it
+                runs.
         """
-        if not self._expected_up(replica):
-            done(False)
+        if self._fleet.is_replaced(replica):
+            done(True)
             return
         self._prober.probe(
-            replica, lambda verdict: done(verdict is prober.Verdict.EXITED))
+            replica, lambda verdict: done(verdict is not prober.Verdict.ALIVE))
 
     def _expected_up(self, replica):
         """Returns whether the replica should run: its exit is then a crash."""
--- a/gorsefall/relay/fleet.py
+++ b/gorsefall/relay/fleet.py
@@ -254,6 +254,11 @@
         if replica_id in self.replicas:
             self._drop(replica_id, 'another replica has its address')
 
+    def is_replaced(self, replica):
+        """Returns whether another process has a replica's id or address."""
+        known = self.replicas.get(replica.record.id, replica)
+        return known is not replica or replica.record.id in self._replaced_ids
+
     def mark_malformed(self, replica_id):
         """Records that a replica's newest record cannot be decoded.
 
