Streams are taken up only where the store or an older entry shows their version

Cause: the history of versions lives in the process, and those that are asked had none either. To know of no second version was taken for knowing that there was none. Class: absence of evidence in memory that ends with its process.

A version is stored (keyed.versions, conditional appends) before streams begin at it where another one is there to begin at, and dropped by an entry that has observed without a gap for 23 s that no replica has it. No time is stored, so clocks don't matter. A take-up reads the store beside asking other entries, for 0.1 s at most. One version alone is believed only if the store shows all, or an entry that has observed for the whole window says so; else 503 (unproven), not run. A store that came back from an older copy proves nothing until an entry that outlasted it has written its versions again (key 'era').

--- a/gorsefall/metrics.py
+++ b/gorsefall/metrics.py
@@ -131,6 +131,11 @@
                            'Streams of replicas that ended, by what marked the '
                            'end and what it shows.', ('ending', 'verdict'),
                            registry=REGISTRY)
+VERSION_READS = prom.Counter('gorsefall_version_reads_total',
+                             'Reads of the versions that may have begun a '
+                             'stream, as one was taken up, by whether the '
+                             'store shows them all.', ('result',),
+                             registry=REGISTRY)
 STREAMS_TAKEN_UP = prom.Counter('gorsefall_streams_taken_up_total',
                                 'Streams that callers took up, by how it was '
                                 'decided at which software version they may go '
--- a/gorsefall/policy/softwareversions.py
+++ b/gorsefall/policy/softwareversions.py
@@ -16,6 +16,10 @@
 """Time for which a version counts as serving after its last replica was
 dropped, s: longer than a stream lasts and its caller may take it up."""
 
+MAX_GAP_S = 3.0
+"""Longest time without an observation that is no gap, s: replicas that have
+exited are listed for longer."""
+
 
 class Reason(enum.Enum):
     """Why a stream may go on, or may not; the values are logged."""
@@ -31,6 +35,9 @@
     """No replica has served of late."""
     MOVED = 'moved'
     """Its route does not lead to the service where it began any more."""
+    UNPROVEN = 'unproven'
+    """One version is known, but neither an entry nor the store shows that no
+    other one has served while the stream may have begun."""
     OUTDATED = 'outdated'
     """No other entry answers, and the store cannot be read: another version
     may serve that this entry does not know of."""
@@ -53,9 +60,11 @@
     Attributes:
         began: The ``Origin`` of the stream; None if not known.
         served: The origins that have served of late.
+        covers: Whether the entry has observed for all that time which serve.
     """
     began: Origin | None
     served: frozenset[Origin]
+    covers: bool = False
 
 
 class Decision(typing.NamedTuple):
@@ -69,7 +78,7 @@
     reason: Reason
 
 
-def decide(services, own, others, *, view_current):
+def decide(services, own, others, *, view_current, stored=None):
     """Returns the ``Decision`` on a stream that is taken up.
 
     Args:
@@ -77,6 +86,8 @@
         own: The ``Knowledge`` of this entry.
         others: That of the other entries that have answered.
         view_current: Whether this entry reads the store.
+        stored: The origins at which streams may have begun, as the store has
+            them, a frozenset; None if it does not show them.
     """
     everyone = (own, *others)
     began = {k.began for k in everyone if k.began is not None}
@@ -87,16 +98,52 @@
         if origin.service not in services:
             return Decision(None, Reason.MOVED)
         return Decision(origin, Reason.KNOWN)
-    served = frozenset().union(*(k.served for k in everyone))
+    served = frozenset(stored or ()).union(*(k.served for k in everyone))
     if len(served) > 1:
         return Decision(None, Reason.SEVERAL_VERSIONS)
     if not (others or view_current):
         return Decision(None, Reason.OUTDATED)
+    if stored is None and not any(k.covers for k in everyone):
+        return Decision(None, Reason.UNPROVEN)
     if not served:
         return Decision(None, Reason.NO_VERSION)
     return Decision(next(iter(served)), Reason.SOLE_VERSION)
 
 
+class Observation:
+    """For how long this entry has observed without a gap which versions serve.
+
+    A process that is frozen, or whose view is outdated, misses versions that
+    come and go meanwhile.
+    """
+
+    def __init__(self, clock):
+        """Begins to observe.
+
+        Args:
+            clock: Returns the time, s, which goes on while the VM is suspended.
+        """
+        self._clock = clock
+        self._began_at = self._seen_at = clock()
+
+    def record(self, *, view_current):
+        """Records that the process runs, at least every ``MAX_GAP_S``."""
+        now = self._clock()
+        if now - self._seen_at > MAX_GAP_S or not view_current:
+            self._began_at = now
+        self._seen_at = now
+
+    @property
+    def age_s(self):
+        """Time since the last gap, s."""
+        return self._clock() - self._began_at
+
+    def covers(self):
+        """Returns whether it lasts as long as a version counts as serving."""
+        return (self._clock() - self._seen_at <= MAX_GAP_S and
+                self.age_s > SERVED_WINDOW_S + MAX_GAP_S)
+
+
 class VersionHistory:
     """The versions that serve or have served of late, by service."""
 
@@ -137,6 +184,10 @@
             for service in services
             for software in self.served(service, now))
 
+    def all_origins(self, now):
+        """Returns the origins that have served of late, a frozenset."""
+        return self.origins({*self._counts, *self._gone_at}, now)
+
     def served(self, service, now):
         """Returns the versions that have served of late, a frozenset."""
         gone = self._gone_at[service]
--- a/gorsefall/relay/boundversion.py
+++ b/gorsefall/relay/boundversion.py
@@ -113,12 +113,28 @@
     def unfit(self):
         """Returns the ids of replicas of other versions, a set."""
         if self.software is None:
-            return set()
+            return self._unrecorded()
         fleet, service = self._exchange.node.fleet, self._exchange.grant.service
         if self._is_doubtful():
             return {r.record.id for r in fleet.of_service(service)}
         return fleet.with_other_software(service, self.software)
 
+    def _unrecorded(self):
+        """Returns the ids of replicas at which its stream must not begin yet.
+
+        Their version is not stored yet, so that nobody would know of it if all
+        entries were gone.
+        """
+        grant, node = self._exchange.grant, self._exchange.node
+        if not (grant.streams and grant.route.resumable):
+            return set()
+        unrecorded = node.streams.unrecorded(grant.service)
+        return {
+            r.record.id
+            for r in node.fleet.of_service(grant.service)
+            if r.record.software in unrecorded
+        } if unrecorded else set()
+
     def _is_doubtful(self):
         """Whether another version runs under the id of the first replica.
 
--- a/gorsefall/relay/messages.py
+++ b/gorsefall/relay/messages.py
@@ -109,10 +109,12 @@
         query_id: That of the question.
         began: The stream's ``softwareversions.Origin``; None if not known.
         served: The origins that have served of late.
+        covers: See ``softwareversions.Knowledge``.
     """
     query_id: int
     began: softwareversions.Origin | None
     served: tuple[softwareversions.Origin, ...]
+    covers: bool = False
 
 
 Message = (entrystatus.Status | Ask | Told | Hint | Suspects | AskSuspects |
--- a/gorsefall/relay/node.py
+++ b/gorsefall/relay/node.py
@@ -1,7 +1,9 @@
 """A relay entry: connects listeners, followers, replicas and exchanges."""
 
 import os
+import random
 import signal
+import time
 
 from gorsefall import daemon
 from gorsefall import errors
@@ -14,6 +16,7 @@
 from gorsefall.policy import attempt_timeouts
 from gorsefall.policy import budget
 from gorsefall.policy import freshness
+from gorsefall.policy import softwareversions
 from gorsefall.policy import traffic_share
 from gorsefall.relay import announcements
 from gorsefall.relay import crashes
@@ -31,6 +34,7 @@
 from gorsefall.relay import servers
 from gorsefall.relay import settings
 from gorsefall.relay import streamorigins
+from gorsefall.relay import versionstore
 from gorsefall.relay import workload
 
 READY_CONFIRMATION_SHARE = 0.9
@@ -53,6 +57,10 @@
 without a signal."""
 
 
+def _boot_time_s():
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class Node(daemon.Daemon):
     """A relay entry: owns its state and its tasks.
 
@@ -86,8 +94,8 @@
             adapter: Provides ``codec``, ``records`` and
                 ``source(loop, addr, topic)`` of the wire, and the names of
                 the topics: ``configuration_topic``, ``replicas_topic``,
-                ``crashes_topic`` and ``duties_topic``; for the duties
-                ``duty_kinds``, ``name -> kinds.Kind``, and
+                ``crashes_topic``, ``versions_topic`` and ``duties_topic``; for
+                the duties ``duty_kinds``, ``name -> kinds.Kind``, and
                 ``duty_client(loop, addr, holder)``.
         """
         self.cfg = settings.load(path)
@@ -111,9 +119,17 @@
         self.announcements = announcements.AnnouncementTracker(
             self.loop, self.fleet, self.work.peer_view.members)
         self.fleet.brittle = self.announcements.brittle
+        observation = softwareversions.Observation(_boot_time_s)
         self.streams = streamorigins.StreamOrigins(self.loop, self.fleet,
                                                    self.work.peer_view.members,
-                                                   self.cfg.digest_key)
+                                                   self.cfg.digest_key,
+                                                   observation)
+        self.streams.version_store = versionstore.VersionStore(
+            self.loop,
+            adapter.source(self.loop, settingsfile.split_addr(self.cfg.store),
+                           adapter.versions_topic), self.fleet.versions,
+            observation, random)
+        self.streams.version_store.entry_names = self._entry_names
         self._peers = None
         self.replicas_known = False
         self._confirmed = False
@@ -204,6 +220,7 @@
     def on_store_restored(self):
         """Called when the store came back from an older copy."""
         self._crash_store.write_again()
+        self.streams.version_store.on_store_restored()
 
     def record_confirmation(self, sent_at):
         """Records that a read confirmed the configuration.
--- a/gorsefall/relay/streamorigins.py
+++ b/gorsefall/relay/streamorigins.py
@@ -3,7 +3,8 @@
 While a stream may have begun at several software versions or services, the
 entry that begins it tells a few others, chosen by hash, so that it can be taken
 up at any entry when the first one is gone. An entry at which a stream is taken
-up asks those that would have been told.
+up asks those that would have been told, and the store for the versions: all of
+these entries may have just started.
 """
 
 import random
@@ -27,6 +28,9 @@
 """Longest wait for answers, s: a round trip takes up to 20 ms, and the shortest
 objective of a stream is 250 ms."""
 
+OBSERVATION_PERIOD_S = 1.0
+"""Period in which this entry records that it has observed the versions, s."""
+
 MAX_STREAMS_PER_MESSAGE = 100
 """Streams in one message, which is then some 3 KB long."""
 
@@ -38,15 +42,28 @@
         self.services = services
         self.own = own
         self.hosts = hosts
+        self.stored = None
+        self.store_read = False
         self.done = done
         self.answers = {}
         self.timer = None
 
 
 class StreamOrigins:
-    """The streams that began of late, and the questions about them."""
-
-    def __init__(self, loop, fleet, members, digest_key, rng=random):
+    """The streams that began of late, and the questions about them.
+
+    Attributes:
+        version_store: The ``versionstore.VersionStore``; None without one.
+    """
+
+    def __init__(self,
+                 loop,
+                 fleet,
+                 members,
+                 digest_key,
+                 observation,
+                 *,
+                 rng=random):
         """Creates the state of an entry without other entries.
 
         Args:
@@ -54,6 +71,7 @@
             fleet: The ``fleet.Fleet``.
             members: The ``membership.Members``.
             digest_key: Key shared by all entries.
+            observation: The ``softwareversions.Observation`` of the fleet.
             rng: A ``random.Random``.
         """
         self._loop = loop
@@ -64,9 +82,11 @@
         self._peers = None
         self._lookups = {}
         self._rng = rng
-        self._started_at = loop.now
+        self._observation = observation
+        self.version_store = None
         self._log = logs.get('streams')
         fleet.on_version_added = self._on_version_added
+        self._observe()
 
     def start(self, peers):
         """Begins to talk to other entries, if there are ``peers``."""
@@ -94,8 +114,18 @@
 
     @property
     def age_s(self):
-        """Time for which this entry has observed streams and versions, s."""
-        return round(self._loop.now - self._started_at, 1)
+        """Time for which this entry has observed which versions serve, s."""
+        return round(self._observation.age_s, 1)
+
+    def _observe(self):
+        self._observation.record(view_current=not self._fleet.store_lost)
+        self._loop.call_later(OBSERVATION_PERIOD_S, self._observe)
+
+    def unrecorded(self, service):
+        """Returns versions at which no stream should begin yet, a set."""
+        if self.version_store is None:
+            return set()
+        return self.version_store.unrecorded(service)
 
     # -- streams of this entry -------------------------------------------------
 
@@ -119,6 +149,8 @@
 
     def _on_version_added(self, service):
         """Tells others of the running streams when a second version serves."""
+        if self.version_store is not None:
+            self.version_store.on_version_added(service)
         now = self._loop.now
         served = self._fleet.versions.served(service, now)
         if len(served) < 2:
@@ -161,7 +193,7 @@
         own = self._knowledge(digest, services)
         hosts = self._hosts_to_ask(digest, own)
         lookup = _Lookup(services, own, hosts, done)
-        if not hosts:
+        if own.began is not None:
             self._decide(lookup)
             return
         query_id = self._rng.getrandbits(63)
@@ -171,6 +203,26 @@
         for host in hosts:
             self._peers.send(
                 messages.AskStream(query_id, digest or b'', services), host)
+        self._read_versions(query_id, services)
+
+    def _read_versions(self, query_id, services):
+        """Reads the store beside: entries asked may all have just started."""
+
+        def on_read(stored):
+            lookup = self._lookups.get(query_id)
+            if lookup is not None:
+                lookup.stored, lookup.store_read = stored, True
+                self._end_if_complete(query_id)
+
+        if self.version_store is None:
+            on_read(None)
+        else:
+            self.version_store.read(services, on_read)
+
+    def _end_if_complete(self, query_id):
+        lookup = self._lookups[query_id]
+        if lookup.store_read and len(lookup.answers) == len(lookup.hosts):
+            self._end_lookup(query_id)
 
     def _hosts_to_ask(self, digest, own):
         if self._peers is None or own.began is not None:
@@ -182,7 +234,8 @@
         now = self._loop.now
         return softwareversions.Knowledge(
             self._memory.origin(digest, now),
-            self._fleet.versions.origins(services, now))
+            self._fleet.versions.origins(services, now),
+            self._observation.covers() and not self._fleet.store_lost)
 
     def _end_lookup(self, query_id):
         lookup = self._lookups.pop(query_id)
@@ -194,7 +247,8 @@
             lookup.services,
             lookup.own,
             list(lookup.answers.values()),
-            view_current=not self._fleet.store_lost)
+            view_current=not self._fleet.store_lost,
+            stored=lookup.stored)
         metrics.STREAMS_TAKEN_UP.labels(decision.reason.value).inc()
         lookup.done(decision, len(lookup.answers))
 
@@ -212,7 +266,7 @@
         known = self._knowledge(message.digest, message.services)
         self._peers.send(
             messages.StreamKnown(message.query_id, known.began,
-                                 tuple(known.served)), host)
+                                 tuple(known.served), known.covers), host)
 
     def _on_known(self, message, host):
         lookup = self._lookups.get(message.query_id)
@@ -220,7 +274,8 @@
             # Late, repeated, or a response to an earlier process.
             return
         lookup.answers[host] = softwareversions.Knowledge(
-            message.began, frozenset(message.served))
-        if message.began is not None or len(lookup.answers) == len(
-                lookup.hosts):
+            message.began, frozenset(message.served), message.covers)
+        if message.began is not None:
             self._end_lookup(message.query_id)
+        else:
+            self._end_if_complete(message.query_id)
--- /dev/null
+++ b/tests/stream_entries.py
@@ -0,0 +1,212 @@
+"""Entries that remember streams, their messages and store in simulated time."""
+
+import random
+import types
+
+import stores
+
+from gorsefall import errors
+from gorsefall.policy import softwareversions
+from gorsefall.relay import messages
+from gorsefall.relay import positions
+from gorsefall.relay import streamorigins
+from gorsefall.relay import versionstore
+
+SERVICE = 'pool'
+RTT_S = 0.003
+
+OBSERVED_S = 30.0
+"""Time after which entries have seen which versions serve, s."""
+
+
+class Store(stores.Store):
+    """A store that is written under a condition, too, or is away.
+
+    Attributes:
+        away: Whether it says nothing.
+        writes: Number of writes that were asked for.
+    """
+
+    def __init__(self, loop):
+        super().__init__(loop, [])
+        self.away = False
+        self.writes = 0
+        self._sim = loop
+
+    def _respond(self, make, silence_s, done):
+        if self.away:
+            self._sim.call_later(silence_s,
+                                 lambda: done(None, errors.StoreError('away')))
+        else:
+            super()._respond(make, silence_s, done)
+
+    def append_at(self, key, value, end, silence_s, done):
+        """See ``topic.Source``."""
+        self.writes += 1
+
+        def write():
+            if len(self.records) != end:
+                done(None, errors.ConflictError('ends elsewhere'))
+                return
+            self.put(key, value)
+            done(positions.Position(self.era, end), None)
+
+        if self.away:
+            self._sim.call_later(silence_s,
+                                 lambda: done(None, errors.StoreError('away')))
+        else:
+            self._sim.call_later(0.004, write)
+
+
+class Entry:
+    """One entry: its ``StreamOrigins``, what it sees, and its socket."""
+
+    def __init__(self, fleet, host, store=None):
+        self.fleet, self.host = fleet, host
+        self.alive = True
+        self.bytes_out = 0
+        self.handlers = {}
+        self.versions = softwareversions.VersionHistory()
+        self.on_version_added = lambda service: None
+        self.store_lost = False
+        self.loop = self
+        self.observation = softwareversions.Observation(lambda: fleet.now)
+        self.origins = streamorigins.StreamOrigins(self, self, self, 'k',
+                                                   self.observation)
+        self.origins.start(self)
+        if store is not None:
+            self.origins.version_store = versionstore.VersionStore(
+                self, store, self.versions, self.observation, fleet.rng)
+            self.origins.version_store.entry_names = self._names
+
+    @property
+    def now(self):
+        return self.fleet.now
+
+    def call_later(self, delay_s, action):
+        """Calls ``action`` unless the process is gone by then."""
+
+        def act():
+            if self.alive:
+                action()
+
+        return self.fleet.call_later(delay_s, act)
+
+    def _names(self):
+        return [self.host, *self.live_hosts(self.now)]
+
+    def live_hosts(self, now):
+        # Also those that died a moment ago, which nobody knows yet.
+        del now
+        return [h for h in self.fleet.entries if h != self.host]
+
+    def register_handler(self, kind, handler):
+        self.handlers[kind] = handler
+
+    def send(self, message, host):
+        data = messages.encode(message)
+        self.bytes_out += len(data)
+        if self.fleet.rng.random() >= self.fleet.loss:
+            self.fleet.deliver(self, host, messages.decode(data))
+
+    def remove(self, version):
+        self.versions.remove(SERVICE, version, self.now)
+
+    def add(self, version):
+        new = version not in self.versions.served(SERVICE, self.fleet.now)
+        self.versions.add(SERVICE, version)
+        if new:
+            self.on_version_added(SERVICE)
+
+
+class Fleet:
+    """Entries, their messages and timers in simulated time."""
+
+    def __init__(self, count, versions, loss=0.0, seed=1, stored=False):
+        self.now = 100.0
+        self.loss = loss
+        self.rng = random.Random(seed)
+        self.due = []
+        self.store = Store(self) if stored else None
+        self.versions = list(versions)
+        self.entries = {}
+        for i in range(count):
+            self.entries[f'10.0.{i // 250}.{i % 250}'] = None
+        for host in self.entries:
+            self.entries[host] = types.SimpleNamespace(alive=True)
+        for host in list(self.entries):
+            self.entries[host] = Entry(self, host, self.store)
+        for entry in self.entries.values():
+            for version in versions:
+                entry.add(version)
+        self.hosts = list(self.entries)
+        self.run(OBSERVED_S)
+
+    def restart(self, hosts):
+        """Kills the entries at some hosts, and starts them anew at once."""
+        for host in hosts:
+            self.entries[host].alive = False
+            self.entries[host] = Entry(self, host, self.store)
+        for host in hosts:
+            for version in self.versions:
+                self.entries[host].add(version)
+
+    def add(self, version):
+        self.versions.append(version)
+        for entry in self.entries.values():
+            entry.add(version)
+
+    def remove(self, version):
+        self.versions.remove(version)
+        for entry in self.entries.values():
+            entry.remove(version)
+
+    def call_later(self, delay_s, action):
+        timer = types.SimpleNamespace(at=self.now + delay_s,
+                                      action=action,
+                                      cancelled=False)
+        timer.cancel = lambda: setattr(timer, 'cancelled', True)
+        self.due.append(timer)
+        return timer
+
+    def deliver(self, sender, host, message):
+        entry = self.entries[host]
+
+        def receive():
+            if entry.alive:
+                entry.handlers[type(message)](message, sender.host)
+
+        self.call_later(RTT_S / 2, receive)
+
+    def run(self, for_s):
+        end = self.now + for_s
+        while True:
+            left = [t for t in self.due if not t.cancelled and t.at <= end]
+            if not left:
+                break
+            timer = min(left, key=lambda t: t.at)
+            self.due = [
+                t for t in self.due if t is not timer and not t.cancelled
+            ]
+            self.now = timer.at
+            timer.action()
+        self.now = end
+
+    def begin(self, host, rid, version, services=(SERVICE,)):
+        origins = self.entries[host].origins
+        origins.record_begun(origins.digest('a', rid),
+                             softwareversions.Origin(services[0], version),
+                             services)
+
+    def take_up(self, host, rid, account='a', services=(SERVICE,)):
+        """Returns the ``Decision``, and after how long it was made, s."""
+        found = []
+        began = self.now
+        origins = self.entries[host].origins
+        origins.look_up(
+            origins.digest(account, rid), services,
+            lambda decision, answers: found.append(
+                (decision, self.now - began)))
+        self.run(0.2)
+        ((decision, after_s),) = found
+        return decision, after_s
--- a/tests/test_streamorigins.py
+++ b/tests/test_streamorigins.py
@@ -1,18 +1,13 @@
 """Where streams began, among many entries that come, go and lose messages."""
 
-import random
-import types
-
 import pytest
+import stream_entries
 
 from gorsefall.policy import softwareversions
 from gorsefall.policy.softwareversions import Reason
 from gorsefall.relay import messages
 from gorsefall.relay import streamorigins
 
-SERVICE = 'pool'
-RTT_S = 0.003
-
 MAX_CONTROL_BYTES_PER_S = 10_000
 """What one entry may send for control, bytes/s."""
 
@@ -23,122 +18,15 @@
 """Least share of streams that go on, of those that new streams begin."""
 
 
-class Entry:
-    """One entry: its ``StreamOrigins``, what it sees, and its socket."""
-
-    def __init__(self, fleet, host):
-        self.fleet, self.host = fleet, host
-        self.alive = True
-        self.bytes_out = 0
-        self.handlers = {}
-        self.versions = softwareversions.VersionHistory()
-        self.on_version_added = lambda service: None
-        self.store_lost = False
-        self.loop = fleet
-        self.origins = streamorigins.StreamOrigins(fleet, self, self, 'k')
-        self.origins.start(self)
-
-    def live_hosts(self, now):
-        # Also those that died a moment ago, which nobody knows yet.
-        del now
-        return [h for h in self.fleet.entries if h != self.host]
-
-    def register_handler(self, kind, handler):
-        self.handlers[kind] = handler
-
-    def send(self, message, host):
-        data = messages.encode(message)
-        self.bytes_out += len(data)
-        if self.fleet.rng.random() >= self.fleet.loss:
-            self.fleet.deliver(self, host, messages.decode(data))
-
-    def add(self, version):
-        new = version not in self.versions.served(SERVICE, self.fleet.now)
-        self.versions.add(SERVICE, version)
-        if new:
-            self.on_version_added(SERVICE)
-
-
-class Fleet:
-    """Entries, their messages and timers in simulated time."""
-
-    def __init__(self, count, versions, loss=0.0, seed=1):
-        self.now = 100.0
-        self.loss = loss
-        self.rng = random.Random(seed)
-        self.due = []
-        self.entries = {}
-        for i in range(count):
-            self.entries[f'10.0.{i // 250}.{i % 250}'] = None
-        for host in self.entries:
-            self.entries[host] = types.SimpleNamespace(alive=True)
-        for host in list(self.entries):
-            self.entries[host] = Entry(self, host)
-        for entry in self.entries.values():
-            for version in versions:
-                entry.add(version)
-        self.hosts = list(self.entries)
-
-    def call_later(self, delay_s, action):
-        timer = types.SimpleNamespace(at=self.now + delay_s,
-                                      action=action,
-                                      cancelled=False)
-        timer.cancel = lambda: setattr(timer, 'cancelled', True)
-        self.due.append(timer)
-        return timer
-
-    def deliver(self, sender, host, message):
-        entry = self.entries[host]
-
-        def receive():
-            if entry.alive:
-                entry.handlers[type(message)](message, sender.host)
-
-        self.call_later(RTT_S / 2, receive)
-
-    def run(self, for_s):
-        end = self.now + for_s
-        while True:
-            left = [t for t in self.due if not t.cancelled and t.at <= end]
-            if not left:
-                break
-            timer = min(left, key=lambda t: t.at)
-            self.due = [
-                t for t in self.due if t is not timer and not t.cancelled
-            ]
-            self.now = timer.at
-            timer.action()
-        self.now = end
-
-    def begin(self, host, rid, version, services=(SERVICE,)):
-        origins = self.entries[host].origins
-        origins.record_begun(origins.digest('a', rid),
-                             softwareversions.Origin(services[0], version),
-                             services)
-
-    def take_up(self, host, rid, account='a', services=(SERVICE,)):
-        """Returns the ``Decision``, and after how long it was made, s."""
-        found = []
-        began = self.now
-        origins = self.entries[host].origins
-        origins.look_up(
-            origins.digest(account, rid), services,
-            lambda decision, answers: found.append(
-                (decision, self.now - began)))
-        self.run(0.2)
-        ((decision, after_s),) = found
-        return decision, after_s
-
-
 def _at(version):
-    return softwareversions.Origin(SERVICE, version)
+    return softwareversions.Origin(stream_entries.SERVICE, version)
 
 
 @pytest.mark.parametrize('count', [2, 7, 87, 195])
 @pytest.mark.parametrize('loss', [0.0, 0.05])
 def test_a_stream_is_taken_up_anywhere_after_its_entry_is_gone(count, loss):
     """A stream of an entry that was killed goes on at another version."""
-    fleet = Fleet(count, ['v1', 'v2'], loss)
+    fleet = stream_entries.Fleet(count, ['v1', 'v2'], loss)
     decisions = []
     for i in range(40):
         first, other = fleet.rng.sample(fleet.hosts, 2)
@@ -159,7 +47,7 @@
 
 def test_streams_that_run_when_a_second_version_comes_are_known():
     """A stream that began before a release goes on at the new version."""
-    fleet = Fleet(7, ['v1'])
+    fleet = stream_entries.Fleet(7, ['v1'])
     for i, host in enumerate(fleet.hosts):
         fleet.begin(host, f'{i}', 'v1')
     fleet.run(0.1)
@@ -174,14 +62,14 @@
 
 def test_a_stream_goes_on_where_only_one_version_serves():
     """Streams are refused although any replica could go on with them."""
-    fleet = Fleet(7, ['v1'])
+    fleet = stream_entries.Fleet(7, ['v1'])
     decision, _ = fleet.take_up(fleet.hosts[1], 'nobody knows')
     assert decision == (_at('v1'), Reason.SOLE_VERSION)
 
 
 def test_an_entry_with_an_old_view_asks_those_that_know_better():
     """A stream of a new version goes on at the one that an entry knows."""
-    fleet = Fleet(7, ['v1'])
+    fleet = stream_entries.Fleet(7, ['v1'])
     old, *others = fleet.hosts
     for host in others:
         fleet.entries[host].add('v2')
@@ -195,7 +83,7 @@
 def test_an_entry_that_is_cut_off_does_not_guess():
     """An entry without store and peers goes on with a stream of a version that
     it has not heard of."""
-    fleet = Fleet(3, ['v1'])
+    fleet = stream_entries.Fleet(3, ['v1'])
     first, *others = fleet.hosts
     fleet.loss = 1.0
     fleet.entries[first].store_lost = True
@@ -206,7 +94,7 @@
 
 def test_nothing_is_learned_of_streams_of_other_accounts():
     """A caller finds out whether another account's stream exists."""
-    fleet = Fleet(7, ['v1', 'v2'])
+    fleet = stream_entries.Fleet(7, ['v1', 'v2'])
     fleet.begin(fleet.hosts[0], 'x', 'v1')
     fleet.run(0.1)
     for host in fleet.hosts:
@@ -218,7 +106,7 @@
 @pytest.mark.parametrize('count', [7, 87, 195])
 def test_what_telling_costs_does_not_grow_with_the_entries(count):
     """Messages about streams fill the small links of a large deployment."""
-    fleet = Fleet(count, ['v1', 'v2'])
+    fleet = stream_entries.Fleet(count, ['v1', 'v2'])
     for i in range(STREAMS_PER_S):
         fleet.begin(fleet.hosts[0], f'{i}', 'v1')
     fleet.run(0.1)
@@ -232,16 +120,18 @@
 def test_a_stream_of_a_split_route_goes_on_at_its_service():
     """A route leads to two services of one version each, and a stream goes on
     at the other one."""
-    fleet = Fleet(7, ['v1'])
+    fleet = stream_entries.Fleet(7, ['v1'])
     for entry in fleet.entries.values():
         entry.versions.add('other', 'v1')
-    split = ('other', SERVICE)
+    split = ('other', stream_entries.SERVICE)
     fleet.begin(fleet.hosts[0], 'x', 'v1', split)
     fleet.run(0.1)
     fleet.entries[fleet.hosts[0]].alive = False
     decision, _ = fleet.take_up(fleet.hosts[1], 'x', services=split)
     assert decision == (('other', 'v1'), Reason.KNOWN)
-    decision, _ = fleet.take_up(fleet.hosts[1], 'x', services=(SERVICE,))
+    decision, _ = fleet.take_up(fleet.hosts[1],
+                                'x',
+                                services=(stream_entries.SERVICE,))
     assert decision == (None, Reason.MOVED)
     decision, _ = fleet.take_up(fleet.hosts[1], 'unknown', services=split)
     assert decision == (None, Reason.SEVERAL_VERSIONS)
@@ -250,7 +140,7 @@
 def test_a_stream_outlasts_the_replicas_of_its_version():
     """A long stream of a version that is gone goes on at the one that is left,
     as its entry did not tell the others of it."""
-    fleet = Fleet(7, ['v2'])
+    fleet = stream_entries.Fleet(7, ['v2'])
     fleet.begin(fleet.hosts[0], 'x', 'v1')
     fleet.run(0.1)
     fleet.entries[fleet.hosts[0]].alive = False
@@ -261,7 +151,7 @@
 def test_answers_that_nobody_asked_for_decide_nothing():
     """An entry that restarts takes a late answer for one to its own question,
     and a stream goes on where another one began."""
-    fleet = Fleet(7, ['v1', 'v2'])
+    fleet = stream_entries.Fleet(7, ['v1', 'v2'])
     first = fleet.entries[fleet.hosts[0]]
 
     def answer_all():
@@ -272,6 +162,6 @@
         for query_id in list(first.origins._lookups):
             receive(messages.StreamKnown(query_id, _at('v2'), ()), '10.9.9.9')
 
-    fleet.call_later(RTT_S / 4, answer_all)
+    fleet.call_later(stream_entries.RTT_S / 4, answer_all)
     decision, _ = fleet.take_up(fleet.hosts[0], 'x')
     assert decision == (None, Reason.SEVERAL_VERSIONS)
--- /dev/null
+++ b/tests/test_versionstore.py
@@ -0,0 +1,179 @@
+"""Streams that are taken up where no entry remembers how they began."""
+
+import random
+
+import pytest
+import stream_entries
+
+from gorsefall.policy import softwareversions
+from gorsefall.policy.softwareversions import Reason
+
+MAX_WRITES = 20
+"""Most writes for one version, whatever the number of entries: a hundredth of
+what the store takes a second leaves room for all else."""
+
+REPLACED_S = 60.0
+"""Time after which a version that left is forgotten, s."""
+
+
+def _at(version):
+    return softwareversions.Origin(stream_entries.SERVICE, version)
+
+
+def _fleet(count, versions, **kw):
+    fleet = stream_entries.Fleet(count, versions, stored=True, **kw)
+    fleet.run(2.0)
+    return fleet
+
+
+@pytest.mark.parametrize('count', [1, 7, 87])
+def test_streams_do_not_go_on_at_another_version_after_all_were_killed(count):
+    """A version leaves, all entries start anew and know of no second one."""
+    fleet = _fleet(count, ['v1', 'v2'])
+    fleet.begin(fleet.hosts[0], 'x', 'v1')
+    fleet.remove('v1')
+    fleet.restart(fleet.hosts)
+    fleet.run(0.5)
+    for host in fleet.hosts[:7]:
+        decision, after_s = fleet.take_up(host, 'x')
+        assert decision == (None, Reason.SEVERAL_VERSIONS)
+        assert after_s <= 0.1 + 1e-6
+
+
+def test_streams_do_not_go_on_at_another_version_after_restarts_in_turn():
+    """The last entry that has seen a version is restarted."""
+    fleet = _fleet(3, ['v1', 'v2'])
+    fleet.remove('v1')
+    for host in fleet.hosts:
+        fleet.restart([host])
+        fleet.run(3.0)
+    decision, _ = fleet.take_up(fleet.hosts[0], 'x')
+    assert decision == (None, Reason.SEVERAL_VERSIONS)
+
+
+@pytest.mark.parametrize('count', [1, 7, 87])
+def test_streams_go_on_at_the_sole_version_after_all_were_killed(count):
+    """All streams are refused though only one version has ever served."""
+    fleet = _fleet(count, ['v1'])
+    fleet.restart(fleet.hosts)
+    fleet.run(0.5)
+    decision, _ = fleet.take_up(fleet.hosts[-1], 'x')
+    assert decision == (_at('v1'), Reason.SOLE_VERSION)
+
+
+def test_a_store_that_is_away_proves_nothing():
+    """Entries that have just started take what they see for all there was."""
+    fleet = _fleet(3, ['v1', 'v2'])
+    fleet.remove('v1')
+    fleet.restart(fleet.hosts)
+    fleet.store.away = True
+    decision, after_s = fleet.take_up(fleet.hosts[0], 'x')
+    assert decision == (None, Reason.UNPROVEN)
+    assert after_s <= 0.1 + 1e-6
+
+
+def test_an_entry_that_has_seen_the_whole_time_proves_it_without_the_store():
+    """Streams are refused for a store that nobody needs."""
+    fleet = _fleet(3, ['v1'])
+    fleet.run(stream_entries.OBSERVED_S)
+    fleet.store.away = True
+    fleet.restart(fleet.hosts[:2])
+    decision, _ = fleet.take_up(fleet.hosts[0], 'x')
+    assert decision == (_at('v1'), Reason.SOLE_VERSION)
+
+
+def test_an_older_copy_of_the_store_proves_nothing():
+    """The store lost a version, all entries were killed, and it looks whole."""
+    fleet = _fleet(3, ['v2'])
+    before = len(fleet.store.records)
+    fleet.add('v1')
+    fleet.run(2.0)
+    fleet.store.restore(len(fleet.store.records) - before)
+    fleet.remove('v1')
+    fleet.restart(fleet.hosts)
+    fleet.run(0.5)
+    decision, _ = fleet.take_up(fleet.hosts[0], 'x')
+    assert decision == (None, Reason.UNPROVEN)
+    fleet.run(REPLACED_S)
+    fleet.restart(fleet.hosts)
+    fleet.run(0.5)
+    decision, _ = fleet.take_up(fleet.hosts[0], 'x')
+    assert decision == (_at('v2'), Reason.SOLE_VERSION)
+
+
+def test_entries_that_outlast_an_older_copy_write_it_again():
+    """A version that the store has lost is lost with the last entry."""
+    fleet = _fleet(3, ['v2'])
+    fleet.run(stream_entries.OBSERVED_S)
+    before = len(fleet.store.records)
+    fleet.add('v1')
+    fleet.run(2.0)
+    fleet.store.restore(len(fleet.store.records) - before)
+    for entry in fleet.entries.values():
+        entry.origins.version_store.on_store_restored()
+    fleet.run(3.0)
+    fleet.remove('v1')
+    fleet.restart(fleet.hosts)
+    fleet.run(0.5)
+    decision, _ = fleet.take_up(fleet.hosts[0], 'x')
+    assert decision == (None, Reason.SEVERAL_VERSIONS)
+
+
+def test_a_version_that_left_long_ago_is_dropped():
+    """Streams are refused for ever after one release."""
+    fleet = _fleet(3, ['v1'])
+    fleet.add('v2')
+    fleet.run(2.0)
+    fleet.remove('v1')
+    fleet.run(REPLACED_S)
+    fleet.restart(fleet.hosts)
+    fleet.run(0.5)
+    decision, _ = fleet.take_up(fleet.hosts[0], 'x')
+    assert decision == (_at('v2'), Reason.SOLE_VERSION)
+
+
+@pytest.mark.parametrize('count', [7, 87, 195])
+def test_what_storing_a_version_costs_does_not_grow_with_the_entries(count):
+    """Each entry writes the same version, beyond what the store takes."""
+    fleet = _fleet(count, ['v1'])
+    assert fleet.store.writes <= MAX_WRITES
+    fleet.store.writes = 0
+    fleet.add('v2')
+    fleet.run(3.0)
+    assert 1 <= fleet.store.writes <= MAX_WRITES
+    for entry in fleet.entries.values():
+        assert not entry.origins.unrecorded(stream_entries.SERVICE)
+
+
+@pytest.mark.parametrize('seed', range(40))
+def test_no_stream_goes_on_at_a_version_that_it_may_not_have(seed):
+    """Versions come and go while any entries start anew at any time."""
+    rng = random.Random(seed)
+    fleet = _fleet(3, ['v1'], seed=seed)
+    begun = {}
+    for i in range(60):
+        step = rng.choice(['begin', 'begin', 'release', 'kill', 'away', 'take'])
+        host = rng.choice(fleet.hosts)
+        if step == 'begin':
+            free = [
+                v for v in fleet.versions if v not in
+                fleet.entries[host].origins.unrecorded(stream_entries.SERVICE)
+            ]
+            # An entry that does not see the store cannot tell; see the design.
+            if not fleet.store.away and free:
+                begun[f'{i}'] = version = rng.choice(free), fleet.now
+                fleet.begin(host, f'{i}', version[0])
+        elif step == 'release' and not fleet.store.away:
+            fleet.add(f'v{i + 2}')
+            fleet.run(rng.uniform(0.1, 2.5))
+            if rng.random() < 0.8:
+                fleet.remove(fleet.versions[0])
+        elif step == 'kill':
+            fleet.restart(rng.sample(fleet.hosts, rng.choice([1, 2, 3])))
+        elif step == 'away':
+            fleet.store.away = not fleet.store.away
+        for rid, (version, at) in begun.items():
+            if step == 'take' and fleet.now - at < 15:
+                decision, _ = fleet.take_up(host, rid)
+                assert decision.origin in (None, _at(version)), decision
+        fleet.run(rng.uniform(0.05, 4.0))
