An entry vouches for the versions through a short outage of the store

Without this, streams whose entry was gone were refused in each outage, which they were not before the mend: a fault of the mend, found by reading. Once the store is read again the time counts anew, as others may have read it all the while. tests/test_versionstore.py has both sides, and an entry that was frozen.

--- a/gorsefall/policy/softwareversions.py
+++ b/gorsefall/policy/softwareversions.py
@@ -124,14 +124,23 @@
             clock: Returns the time, s, which goes on while the VM is suspended.
         """
         self._clock = clock
-        self._began_at = self._seen_at = clock()
+        self._began_at = self._seen_at = self._current_at = clock()
 
     def record(self, *, view_current):
-        """Records that the process runs, at least every ``MAX_GAP_S``."""
+        """Records that the process runs, at least every ``MAX_GAP_S``.
+
+        Args:
+            view_current: Whether this entry reads the store. While nobody does,
+                no version is added; once it is read again, others may have read
+                it all the time.
+        """
         now = self._clock()
-        if now - self._seen_at > MAX_GAP_S or not view_current:
+        if now - self._seen_at > MAX_GAP_S or (view_current and now -
+                                               self._current_at > MAX_GAP_S):
             self._began_at = now
         self._seen_at = now
+        if view_current:
+            self._current_at = now
 
     @property
     def age_s(self):
@@ -140,7 +149,9 @@
 
     def covers(self):
         """Returns whether it lasts as long as a version counts as serving."""
-        return (self._clock() - self._seen_at <= MAX_GAP_S and
+        now = self._clock()
+        return (now - self._seen_at <= MAX_GAP_S and
+                now - self._current_at <= SERVED_WINDOW_S and
                 self.age_s > SERVED_WINDOW_S + MAX_GAP_S)
 
 
--- a/gorsefall/relay/streamorigins.py
+++ b/gorsefall/relay/streamorigins.py
@@ -235,7 +235,7 @@
         return softwareversions.Knowledge(
             self._memory.origin(digest, now),
             self._fleet.versions.origins(services, now),
-            self._observation.covers() and not self._fleet.store_lost)
+            self._observation.covers())
 
     def _end_lookup(self, query_id):
         lookup = self._lookups.pop(query_id)
--- a/tests/test_versionstore.py
+++ b/tests/test_versionstore.py
@@ -82,6 +82,35 @@
     assert decision == (_at('v1'), Reason.SOLE_VERSION)
 
 
+@pytest.mark.parametrize(('lost_s', 'reason'), [(10.0, Reason.SOLE_VERSION),
+                                                (25.0, Reason.UNPROVEN)])
+def test_entries_go_by_what_they_saw_until_the_store_was_lost(lost_s, reason):
+    """All streams are refused while the store is away for a moment, or go on by
+    what was seen long ago."""
+    fleet = _fleet(3, ['v1'])
+    fleet.run(stream_entries.OBSERVED_S)
+    fleet.store.away = True
+    for entry in fleet.entries.values():
+        entry.store_lost = True
+    fleet.run(lost_s)
+    decision, _ = fleet.take_up(fleet.hosts[0], 'x')
+    assert decision.reason is reason
+
+
+def test_a_frozen_entry_does_not_witness_what_it_missed():
+    """An entry wakes, and vouches for the time in which it was frozen."""
+    now = [0.0]
+    observation = softwareversions.Observation(lambda: now[0])
+    for _ in range(30):
+        now[0] += 1.0
+        observation.record(view_current=True)
+    assert observation.covers()
+    now[0] += 10.0
+    assert not observation.covers()
+    observation.record(view_current=True)
+    assert not observation.covers()
+
+
 def test_an_older_copy_of_the_store_proves_nothing():
     """The store lost a version, all entries were killed, and it looks whole."""
     fleet = _fleet(3, ['v2'])
