--- a/gorsefall/relay/fleet.py
+++ b/gorsefall/relay/fleet.py
@@ -31,8 +31,8 @@
     Attributes:
         replicas: ``id -> replicas.Replica``.
         versions: The ``softwareversions.VersionHistory`` of their software.
-        on_version_added: Called with the name of a service when a version
-            serves that has not served of late.
+        on_version_added: Called with the ``softwareversions.Origin`` of a
+            version that serves and has not served of late.
         paths: The ``paths.Paths`` to them; None to connect from here alone.
         brittle: The ``brittlereplicas.BrittleTracker``; None to use all places.
     """
@@ -48,7 +48,7 @@
         self._loop = loop
         self._on_change = on_change
         self.versions = softwareversions.VersionHistory()
-        self.on_version_added = lambda service: None
+        self.on_version_added = lambda origin: None
         self.paths = None
         self.brittle = None
         self._records = {}
@@ -126,7 +126,8 @@
         before = self.versions.served(record.service, time.monotonic())
         self.versions.add(record.service, record.software)
         if record.software not in before:
-            self.on_version_added(record.service)
+            self.on_version_added(
+                softwareversions.Origin(record.service, record.software))
 
     def _remove_version(self, record):
         self.versions.remove(record.service, record.software, time.monotonic())
--- /dev/null
+++ b/gorsefall/relay/snapshots.py
@@ -0,0 +1,65 @@
+"""Reads the newest record of every key of a topic, for all that ask at once."""
+
+import typing
+
+from gorsefall import ids
+from gorsefall.relay import topic
+
+
+class Snapshot(typing.NamedTuple):
+    """All pages of a topic.
+
+    Attributes:
+        records: ``changes.Record`` objects, a list.
+        end: Offset after the topic's last record.
+        era: The ``ids.Era`` of the store.
+    """
+    records: list
+    end: int
+    era: ids.Era
+
+
+class SnapshotReader:
+    """Reads a topic; whoever asks during a read shares the next one.
+
+    The one under way may have been sent before what they have to see.
+    """
+
+    def __init__(self, source):
+        """Creates a reader.
+
+        Args:
+            source: The ``topic.Source``.
+        """
+        self._source = source
+        self._reading = False
+        self._waiting = []
+
+    def read(self, done):
+        """Calls ``done(snapshot, exc)``; one of them is None."""
+        self._waiting.append(done)
+        if not self._reading:
+            self._begin()
+
+    def _begin(self):
+        self._reading = True
+        asked, self._waiting = self._waiting, []
+        self._read_page('', [], asked)
+
+    def _read_page(self, after, records, asked):
+        self._source.read_snapshot(
+            after, topic.SILENCE_TIMEOUT_S,
+            lambda page, exc: self._on_page(page, exc, records, asked))
+
+    def _on_page(self, page, exc, records, asked):
+        if exc is None:
+            records.extend(page.records)
+            if page.more and page.records:
+                self._read_page(page.records[-1].key, records, asked)
+                return
+        snapshot = None if exc else Snapshot(records, page.end, page.era)
+        self._reading = False
+        for done in asked:
+            done(snapshot, exc)
+        if self._waiting and not self._reading:
+            self._begin()
--- a/gorsefall/relay/streamorigins.py
+++ b/gorsefall/relay/streamorigins.py
@@ -147,11 +147,11 @@
         """Records that the caller has the whole stream."""
         self._memory.forget(digest)
 
-    def _on_version_added(self, service):
+    def _on_version_added(self, origin):
         """Tells others of the running streams when a second version serves."""
         if self.version_store is not None:
-            self.version_store.on_version_added(service)
-        now = self._loop.now
+            self.version_store.on_version_added(origin)
+        now, service = self._loop.now, origin.service
         served = self._fleet.versions.served(service, now)
         if len(served) < 2:
             return
--- a/tests/stream_entries.py
+++ b/tests/stream_entries.py
@@ -67,7 +67,7 @@
         self.bytes_out = 0
         self.handlers = {}
         self.versions = softwareversions.VersionHistory()
-        self.on_version_added = lambda service: None
+        self.on_version_added = lambda origin: None
         self.store_lost = False
         self.loop = self
         self.observation = softwareversions.Observation(lambda: fleet.now)
@@ -116,7 +116,7 @@
         new = version not in self.versions.served(SERVICE, self.fleet.now)
         self.versions.add(SERVICE, version)
         if new:
-            self.on_version_added(SERVICE)
+            self.on_version_added(softwareversions.Origin(SERVICE, version))
 
 
 class Fleet:
