--- a/gorsefall/metrics.py
+++ b/gorsefall/metrics.py
@@ -131,6 +131,13 @@
                            'Streams of replicas that ended, by what marked the '
                            'end and what it shows.', ('ending', 'verdict'),
                            registry=REGISTRY)
+STREAMS_STORED = prom.Counter('gorsefall_streams_stored_total',
+                              'Streams that this entry stored with their '
+                              'version.', registry=REGISTRY)
+STREAMS_SOUGHT = prom.Counter('gorsefall_streams_sought_total',
+                              'Streams that were taken up and sought in the '
+                              'store, as no entry knew them.', ('result',),
+                              registry=REGISTRY)
 VERSION_READS = prom.Counter('gorsefall_version_reads_total',
                              'Reads of the versions that may have begun a '
                              'stream, as one was taken up, by whether the '
--- a/gorsefall/policy/softwareversions.py
+++ b/gorsefall/policy/softwareversions.py
@@ -25,6 +25,8 @@
     """Why a stream may go on, or may not; the values are logged."""
     KNOWN = 'known'
     """An entry knows at which version it began."""
+    STORED = 'stored'
+    """No entry knows it, but it was stored at which version it began."""
     SOLE_VERSION = 'sole_version'
     """No other version has served of late, wherever it began."""
     SEVERAL_VERSIONS = 'several_versions'
@@ -110,6 +112,20 @@
     return Decision(next(iter(served)), Reason.SOLE_VERSION)
 
 
+def decide_stored(origin, services):
+    """Returns the ``Decision`` on a stream that no entry knows.
+
+    Args:
+        origin: The ``Origin`` that is stored for it; None if there is none.
+        services: Names of the services of its route.
+    """
+    if origin is None:
+        return Decision(None, Reason.SEVERAL_VERSIONS)
+    if origin.service not in services:
+        return Decision(None, Reason.MOVED)
+    return Decision(origin, Reason.STORED)
+
+
 class Observation:
     """For how long this entry has observed without a gap which versions serve.
 
--- a/gorsefall/relay/messages.py
+++ b/gorsefall/relay/messages.py
@@ -81,9 +81,11 @@
     Attributes:
         service: Name of their service.
         streams: ``(digest, software version)`` of each.
+        to_store: Whether the receiver stores them.
     """
     service: ids.ServiceName
     streams: tuple[tuple[ids.StreamDigest, ids.SoftwareVersion], ...]
+    to_store: bool = False
 
 
 class AskStream(msgspec.Struct, frozen=True, array_like=True, tag='ask-stream'):
--- a/gorsefall/relay/node.py
+++ b/gorsefall/relay/node.py
@@ -33,6 +33,7 @@
 from gorsefall.relay import prober
 from gorsefall.relay import servers
 from gorsefall.relay import settings
+from gorsefall.relay import streamlog
 from gorsefall.relay import streamorigins
 from gorsefall.relay import versionstore
 from gorsefall.relay import workload
@@ -94,9 +95,9 @@
             adapter: Provides ``codec``, ``records`` and
                 ``source(loop, addr, topic)`` of the wire, and the names of
                 the topics: ``configuration_topic``, ``replicas_topic``,
-                ``crashes_topic``, ``versions_topic`` and ``duties_topic``; for
-                the duties ``duty_kinds``, ``name -> kinds.Kind``, and
-                ``duty_client(loop, addr, holder)``.
+                ``crashes_topic``, ``versions_topic``, ``streams_topic`` and
+                ``duties_topic``; for the duties ``duty_kinds``,
+                ``name -> kinds.Kind``, and ``duty_client(loop, addr, holder)``.
         """
         self.cfg = settings.load(path)
         super().__init__(logs.get('node').bind(entry=self.cfg.name))
@@ -119,17 +120,10 @@
         self.announcements = announcements.AnnouncementTracker(
             self.loop, self.fleet, self.work.peer_view.members)
         self.fleet.brittle = self.announcements.brittle
-        observation = softwareversions.Observation(_boot_time_s)
-        self.streams = streamorigins.StreamOrigins(self.loop, self.fleet,
-                                                   self.work.peer_view.members,
-                                                   self.cfg.digest_key,
-                                                   observation)
-        self.streams.version_store = versionstore.VersionStore(
-            self.loop,
-            adapter.source(self.loop, settingsfile.split_addr(self.cfg.store),
-                           adapter.versions_topic), self.fleet.versions,
-            observation, random)
-        self.streams.version_store.entry_names = self._entry_names
+        self.streams = streamorigins.StreamOrigins(
+            self.loop, self.fleet, self.work.peer_view.members,
+            self.cfg.digest_key, softwareversions.Observation(_boot_time_s))
+        self._add_stream_stores(adapter)
         self._peers = None
         self.replicas_known = False
         self._confirmed = False
@@ -145,6 +139,18 @@
         self._exchanges = set()
         self._settings_version = self._read_settings_version()
 
+    def _add_stream_stores(self, adapter):
+        """Has what is known of streams outlast the entries."""
+        streams, addr = self.streams, settingsfile.split_addr(self.cfg.store)
+        streams.version_store = versionstore.VersionStore(
+            self.loop, adapter.source(self.loop, addr, adapter.versions_topic),
+            self.fleet.versions, streams.observation, random)
+        streams.version_store.entry_names = self._entry_names
+        host, _ = settingsfile.split_addr(self.cfg.peers or self.cfg.callers)
+        streams.stream_log = streamlog.StreamLog(
+            self.loop, adapter.source(self.loop, addr, adapter.streams_topic),
+            self.work.peer_view.members, host)
+
     def start(self):
         """Opens the listeners and starts following the store."""
         self._callers = servers.CallerServer(self)
--- a/gorsefall/relay/streamorigins.py
+++ b/gorsefall/relay/streamorigins.py
@@ -4,9 +4,11 @@
 entry that begins it tells a few others, chosen by hash, so that it can be taken
 up at any entry when the first one is gone. An entry at which a stream is taken
 up asks those that would have been told, and the store for the versions: all of
-these entries may have just started.
+these entries may have just started. What none of them knows is sought in the
+store, too.
 """
 
+import collections
 import random
 
 from gorsefall import digests
@@ -38,7 +40,8 @@
 class _Lookup:
     """A question to other entries whose answers are awaited."""
 
-    def __init__(self, services, own, hosts, done):
+    def __init__(self, digest, services, own, hosts, done):
+        self.digest = digest
         self.services = services
         self.own = own
         self.hosts = hosts
@@ -54,6 +57,8 @@
 
     Attributes:
         version_store: The ``versionstore.VersionStore``; None without one.
+        observation: The ``softwareversions.Observation`` of the versions.
+        stream_log: The ``streamlog.StreamLog``; None without one.
     """
 
     def __init__(self,
@@ -82,8 +87,8 @@
         self._peers = None
         self._lookups = {}
         self._rng = rng
-        self._observation = observation
-        self.version_store = None
+        self.observation = observation
+        self.version_store = self.stream_log = None
         self._log = logs.get('streams')
         fleet.on_version_added = self._on_version_added
         self._observe()
@@ -115,10 +120,10 @@
     @property
     def age_s(self):
         """Time for which this entry has observed which versions serve, s."""
-        return round(self._observation.age_s, 1)
+        return round(self.observation.age_s, 1)
 
     def _observe(self):
-        self._observation.record(view_current=not self._fleet.store_lost)
+        self.observation.record(view_current=not self._fleet.store_lost)
         self._loop.call_later(OBSERVATION_PERIOD_S, self._observe)
 
     def unrecorded(self, service):
@@ -164,19 +169,29 @@
                    service)
 
     def _tell(self, streams, service):
-        if self._peers is None or not streams:
-            return
-        by_host = {}
+        """Tells a few others of streams, and the one that stores each."""
+        told = collections.defaultdict(list)
         hosts = self._members.live_hosts(self._loop.now)
         for stream in streams:
-            for host in rendezvous.top(stream[0], hosts, TOLD_ENTRIES):
-                by_host.setdefault(host, []).append(stream)
-        for host, told in by_host.items():
-            for first in range(0, len(told), MAX_STREAMS_PER_MESSAGE):
-                part = told[first:first + MAX_STREAMS_PER_MESSAGE]
-                metrics.STREAMS_TOLD.inc(len(part))
-                self._peers.send(messages.StreamsBegun(service, tuple(part)),
-                                 host)
+            chosen = set(rendezvous.top(stream[0], hosts, TOLD_ENTRIES))
+            writer = None
+            if self.stream_log is not None:
+                writer = self.stream_log.writer(stream[0])
+                if writer is None:
+                    self.stream_log.add([stream], service)
+                else:
+                    chosen.add(writer)
+            for host in chosen:
+                told[host, host == writer].append(stream)
+        for (host, to_store), part in told.items():
+            self._send_begun(host, service, part, to_store)
+
+    def _send_begun(self, host, service, streams, to_store):
+        for first in range(0, len(streams), MAX_STREAMS_PER_MESSAGE):
+            part = streams[first:first + MAX_STREAMS_PER_MESSAGE]
+            metrics.STREAMS_TOLD.inc(len(part))
+            self._peers.send(
+                messages.StreamsBegun(service, tuple(part), to_store), host)
 
     # -- streams that are taken up ---------------------------------------------
 
@@ -192,7 +207,7 @@
         """
         own = self._knowledge(digest, services)
         hosts = self._hosts_to_ask(digest, own)
-        lookup = _Lookup(services, own, hosts, done)
+        lookup = _Lookup(digest, services, own, hosts, done)
         if own.began is not None:
             self._decide(lookup)
             return
@@ -235,7 +250,7 @@
         return softwareversions.Knowledge(
             self._memory.origin(digest, now),
             self._fleet.versions.origins(services, now),
-            self._observation.covers())
+            self.observation.covers())
 
     def _end_lookup(self, query_id):
         lookup = self._lookups.pop(query_id)
@@ -249,6 +264,20 @@
             list(lookup.answers.values()),
             view_current=not self._fleet.store_lost,
             stored=lookup.stored)
+        if (decision.reason is softwareversions.Reason.SEVERAL_VERSIONS and
+                lookup.digest is not None and self.stream_log is not None):
+            self.stream_log.find(lookup.digest,
+                                 lambda origin: self._on_sought(lookup, origin))
+        else:
+            self._finish(lookup, decision)
+
+    def _on_sought(self, lookup, origin):
+        """Goes by where the store says that a stream began, or refuses it."""
+        self._finish(lookup,
+                     softwareversions.decide_stored(origin, lookup.services))
+
+    @staticmethod
+    def _finish(lookup, decision):
         metrics.STREAMS_TAKEN_UP.labels(decision.reason.value).inc()
         lookup.done(decision, len(lookup.answers))
 
@@ -261,6 +290,8 @@
             origin = softwareversions.Origin(message.service, software)
             self._memory.put(digest,
                              streammemory.BegunStream(origin, now, own=False))
+        if message.to_store and self.stream_log is not None:
+            self.stream_log.add(message.streams, message.service)
 
     def _on_ask(self, message, host):
         known = self._knowledge(message.digest, message.services)
--- a/tests/stores.py
+++ b/tests/stores.py
@@ -18,7 +18,12 @@
 
 
 class Store(topic.Source):
-    """Keeps all records; each response takes the next fault of a list."""
+    """Keeps all records; each response takes the next fault of a list.
+
+    Attributes:
+        page_records: Most records of a page of a snapshot.
+    """
+    page_records = 2
 
     def __init__(self, loop, faults):
         self._loop = loop
@@ -64,9 +69,9 @@
             newest = {r.key: r for r in self.records}
             found = sorted(
                 r for r in newest.values() if r.value and r.key > after)
-            return topic.SnapshotPage(found[:2],
-                                      len(found) > 2, len(self.records),
-                                      self.era)
+            return topic.SnapshotPage(found[:self.page_records],
+                                      len(found) > self.page_records,
+                                      len(self.records), self.era)
 
         self._respond(make, silence_s, done)
 
--- a/tests/stream_entries.py
+++ b/tests/stream_entries.py
@@ -9,6 +9,7 @@
 from gorsefall.policy import softwareversions
 from gorsefall.relay import messages
 from gorsefall.relay import positions
+from gorsefall.relay import streamlog
 from gorsefall.relay import streamorigins
 from gorsefall.relay import versionstore
 
@@ -25,12 +26,14 @@
     Attributes:
         away: Whether it says nothing.
         writes: Number of writes that were asked for.
+        reads: Number of pages that were asked for.
     """
+    page_records = 500
 
     def __init__(self, loop):
         super().__init__(loop, [])
         self.away = False
-        self.writes = 0
+        self.writes = self.reads = 0
         self._sim = loop
 
     def _respond(self, make, silence_s, done):
@@ -40,12 +43,21 @@
         else:
             super()._respond(make, silence_s, done)
 
+    def read_snapshot(self, after, silence_s, done):
+        """See ``topic.Source``."""
+        self.reads += 1
+        super().read_snapshot(after, silence_s, done)
+
+    def append(self, key, value, silence_s, done):
+        """See ``topic.Source``."""
+        self.append_at(key, value, None, silence_s, done)
+
     def append_at(self, key, value, end, silence_s, done):
         """See ``topic.Source``."""
         self.writes += 1
 
         def write():
-            if len(self.records) != end:
+            if end not in (None, len(self.records)):
                 done(None, errors.ConflictError('ends elsewhere'))
                 return
             self.put(key, value)
@@ -75,6 +87,8 @@
                                                    self.observation)
         self.origins.start(self)
         if store is not None:
+            self.origins.stream_log = streamlog.StreamLog(
+                self, fleet.stream_store, self, host)
             self.origins.version_store = versionstore.VersionStore(
                 self, store, self.versions, self.observation, fleet.rng)
             self.origins.version_store.entry_names = self._names
@@ -128,6 +142,7 @@
         self.rng = random.Random(seed)
         self.due = []
         self.store = Store(self) if stored else None
+        self.stream_store = Store(self) if stored else None
         self.versions = list(versions)
         self.entries = {}
         for i in range(count):
