--- a/features/steps/streams_taken_up.py
+++ b/features/steps/streams_taken_up.py
@@ -104,7 +104,7 @@
 def check_one_version(context):
     """Asserts that each stream has events of one version only."""
     mixed = [
-        versions for rids in context.tries
-        if len(versions := versions(context, rids)) != 1
+        found for rids in context.tries
+        if len(found := versions(context, rids)) != 1
     ]
     assert not mixed, f'{len(mixed)} of {len(context.tries)}: {mixed}'
--- a/features/steps/version_steps.py
+++ b/features/steps/version_steps.py
@@ -12,7 +12,6 @@
 import standin
 import wire_callers
 
-
 QUICK_S = 0.8
 """Time within which a caller is told that its stream cannot go on, s."""
 
