--- a/features/platform_versions.feature
+++ b/features/platform_versions.feature
@@ -98,6 +98,35 @@
     And the callers take their streams up at all entries in turn
     Then all ten get the rest of their streams
 
+  # Guards against streams that begin at a version which nobody can store.
+  Scenario: the store shows no versions as a second one comes
+    Given three entries before replicas of the versions "v1 v1"
+    When the versions can be neither read nor written
+    And replicas of the versions "v2 v2 v2" come
+    And ten callers leave their streams after two events
+    And the replicas of the version "v2" are gone
+    And all entries are killed, and the versions can be read again
+    And all entries start again
+    And the callers take their streams up at all entries in turn
+    Then no stream is joined from two versions, and what is refused has not run
+
+  # Guards against a stream that goes on at a service that did not begin it.
+  Scenario: a route is moved, and the entry of its streams is killed
+    Given three entries before replicas of the versions "v1 v1"
+    When ten callers leave their streams after two events
+    And the route is moved to another service with replicas "w1 w1"
+    And the entry that they left is killed
+    And the callers take their streams up at another entry
+    Then no stream is joined from two versions, and what is refused has not run
+
+  # Guards against streams that nobody begins as the store takes no writes.
+  Scenario: the replicas of the only stored version leave
+    Given three entries before replicas of the versions "v1 v1"
+    When the versions cannot be written
+    And replicas of the versions "v2 v2" come
+    And the replicas of the version "v1" are gone
+    Then a new stream is served
+
   Scenario: a chain of takes
     Given more replicas of the versions "v1 v2 v2"
     When ten callers leave their streams after two events
--- a/features/steps/version_kill_steps.py
+++ b/features/steps/version_kill_steps.py
@@ -8,8 +8,15 @@
 from steps import platform_site
 from steps import streams_taken_up
 
+import standin
+
 from gorsefall.standins import waiting
 
+TOPIC = 'keyed.versions'
+
+SYNC_S = 1.5
+"""Time after which each entry has tried to store a new version, s."""
+
 STORE_LOST_S = 1.2
 """Time after which entries have noticed that the store does not respond, s."""
 
@@ -89,6 +96,57 @@
                       'the other entries')
 
 
+@when('the versions can be neither read nor written')
+def step_refuse_versions(context):
+    store = context.platform.store
+    store.unreadable, store.unwritable = {TOPIC}, {TOPIC}
+
+
+@when('the versions cannot be written')
+def step_refuse_writes(context):
+    context.platform.store.unwritable = {TOPIC}
+
+
+@when('replicas of the versions "{versions}" come')
+def step_come(context, versions):
+    streams_taken_up.add_replicas(context, versions)
+    streams_taken_up.wait_until_seen(context)
+    time.sleep(SYNC_S)
+
+
+@when('all entries are killed, and the versions can be read again')
+def step_kill_and_show(context):
+    _kill_all(context)
+    store = context.platform.store
+    store.unreadable, store.unwritable = set(), set()
+
+
+@when('the route is moved to another service with replicas "{versions}"')
+def step_move(context, versions):
+    site = context.platform
+    for version in versions.split():
+        site.add(f'{version}-{len(site.replicas)}', 'other', version=version)
+    cfg = standin.config(2)
+    cfg['services'].append({'name': 'other', 'max-conns': 60})
+    for route in cfg['routes']:
+        if route['path-prefix'] == '/r/':
+            route['service'] = 'other'
+    site.store.put('keyed.op', 'config', cfg)
+    for entry in context.sites:
+        waiting.until(lambda e=entry: [
+            ln for ln in e.log()
+            if ln['event'] == 'configuration' and ln['version'] == 2
+        ],
+                      'the configuration')
+
+
+@then('a new stream is served')
+def step_new_stream(context):
+    streams_taken_up.script(context)
+    reply = platform_site.send_request(context, 'resumable', body=b'body')
+    assert reply.status == 200, reply
+
+
 @when('the callers take their streams up at all entries in turn')
 def step_take_up_in_turn(context):
     context.replies = [
--- a/gorsefall/policy/softwareversions.py
+++ b/gorsefall/policy/softwareversions.py
@@ -84,9 +84,10 @@
     """Returns the ``Decision`` on a stream that is taken up.
 
     Args:
-        services: Names of the services of its route.
+        services: Names of the services of its route now.
         own: The ``Knowledge`` of this entry.
-        others: That of the other entries that have answered.
+        others: That of the other entries that have answered; all of it also
+            of services that the route has led to of late.
         view_current: Whether this entry reads the store.
         stored: The origins at which streams may have begun, as the store has
             them, a frozenset; None if it does not show them.
@@ -100,7 +101,9 @@
         if origin.service not in services:
             return Decision(None, Reason.MOVED)
         return Decision(origin, Reason.KNOWN)
-    served = frozenset(stored or ()).union(*(k.served for k in everyone))
+    served = frozenset().union(*(k.served for k in everyone))
+    possible = {*services, *(o.service for o in served)}
+    served |= {o for o in stored or () if o.service in possible}
     if len(served) > 1:
         return Decision(None, Reason.SEVERAL_VERSIONS)
     if not (others or view_current):
@@ -109,7 +112,10 @@
         return Decision(None, Reason.UNPROVEN)
     if not served:
         return Decision(None, Reason.NO_VERSION)
-    return Decision(next(iter(served)), Reason.SOLE_VERSION)
+    origin, = served
+    if origin.service not in services:
+        return Decision(None, Reason.MOVED)
+    return Decision(origin, Reason.SOLE_VERSION)
 
 
 def decide_stored(origin, services):
@@ -212,3 +218,33 @@
             if now - at > SERVED_WINDOW_S:
                 del gone[software]
         return frozenset(self._counts[service]) | frozenset(gone)
+
+
+class RouteHistory:
+    """The services that routes have led to of late."""
+
+    def __init__(self):
+        self._services = {}
+        self._left_at = collections.defaultdict(dict)
+
+    def adopt(self, services, now):
+        """Records a new configuration.
+
+        Args:
+            services: ``key of a route -> names of its services``, of routes
+                whose streams may be taken up.
+            now: Time, s (monotonic).
+        """
+        for route, names in self._services.items():
+            for name in set(names) - set(services.get(route, ())):
+                self._left_at[route][name] = now
+        self._services = services
+
+    def of_late(self, route, now):
+        """Returns the services that a route leads or has led to, a set."""
+        left_at = self._left_at.get(route, {})
+        return {
+            *self._services.get(route, ()),
+            *(name for name, at in left_at.items()
+              if now - at <= SERVED_WINDOW_S)
+        }
--- a/gorsefall/relay/boundversion.py
+++ b/gorsefall/relay/boundversion.py
@@ -76,9 +76,11 @@
                     f'began ({decision.reason.value}); begin anew',
                     retry_after=retry_delay.short_delay_s()))
 
+        route = exchange.grant.route
         exchange.node.streams.look_up(self._digest,
-                                      exchange.grant.route.service_names,
-                                      on_decided)
+                                      route.service_names,
+                                      on_decided,
+                                      route=route.key)
 
     def _takes_stream_up(self):
         """Whether an earlier response has brought part of the stream."""
--- a/gorsefall/relay/messages.py
+++ b/gorsefall/relay/messages.py
@@ -95,10 +95,12 @@
         query_id: Identifies the question at the sender.
         digest: The stream's digest; empty to ask for the versions only.
         services: Names of the services of its route.
+        route: ``model.Route.key`` of its route.
     """
     query_id: int
     digest: ids.StreamDigest
     services: tuple[ids.ServiceName, ...]
+    route: str = ''
 
 
 class StreamKnown(msgspec.Struct,
--- a/gorsefall/relay/model.py
+++ b/gorsefall/relay/model.py
@@ -66,6 +66,11 @@
         """Names of its services, a tuple."""
         return tuple(name for name, _ in self.services)
 
+    @property
+    def key(self):
+        """Tells it from other routes, also in other configurations; str."""
+        return self.host + self.prefix
+
     @property
     def repeatable(self):
         """Whether a request may be run again from its start."""
--- a/gorsefall/relay/node.py
+++ b/gorsefall/relay/node.py
@@ -1,7 +1,6 @@
 """A relay entry: connects listeners, followers, replicas and exchanges."""
 
 import os
-import random
 import signal
 
 from gorsefall import daemon
@@ -138,8 +137,8 @@
         streams, addr = self.streams, settingsfile.split_addr(self.cfg.store)
         streams.version_store = versionstore.VersionStore(
             self.loop, adapter.source(self.loop, addr, adapter.versions_topic),
-            self.fleet, random)
-        streams.version_store.entry_names = self._entry_names
+            self.fleet, self.cfg.name)
+        streams.version_store.reader_names = self._reader_names
         host, _ = settingsfile.split_addr(self.cfg.peers or self.cfg.callers)
         streams.stream_log = streamlog.StreamLog(
             self.loop, adapter.source(self.loop, addr, adapter.streams_topic),
@@ -210,6 +209,9 @@
             return False
         self.table = table
         self.fleet.set_services(table.services)
+        self.streams.routes.adopt(
+            {r.key: r.service_names for r in table.routes if r.resumable},
+            self.loop.now)
         self.log.info('configuration',
                       version=table.version,
                       before=old,
@@ -336,6 +338,12 @@
         others = self.work.peer_view.members.probable_names(self.loop.now)
         return [self.cfg.name, *others]
 
+    def _reader_names(self):
+        """Returns the names of all live entries that read the store."""
+        own = [] if self.fleet.store_lost else [self.cfg.name]
+        members = self.work.peer_view.members.live_statuses(self.loop.now)
+        return own + [s.name for _, s in members if s.can_read_store]
+
     def _withdraw_blocked(self):
         for active in list(self._exchanges):
             active.withdraw_if_blocked()
--- a/gorsefall/relay/snapshots.py
+++ b/gorsefall/relay/snapshots.py
@@ -5,6 +5,10 @@
 from gorsefall import ids
 from gorsefall.relay import topic
 
+PAUSE_S = 0.02
+"""Shortest time between two reads of one entry, s: many streams may be taken up
+at once."""
+
 
 class Snapshot(typing.NamedTuple):
     """All pages of a topic.
@@ -25,13 +29,16 @@
     The one under way may have been sent before what they have to see.
     """
 
-    def __init__(self, source):
+    def __init__(self, loop, source):
         """Creates a reader.
 
         Args:
+            loop: The ``reactor.Reactor``.
             source: The ``topic.Source``.
         """
+        self._loop = loop
         self._source = source
+        self._began_at = float('-inf')
         self._reading = False
         self._waiting = []
 
@@ -39,10 +46,18 @@
         """Calls ``done(snapshot, exc)``; one of them is None."""
         self._waiting.append(done)
         if not self._reading:
+            self._begin_soon()
+
+    def _begin_soon(self):
+        self._reading = True
+        wait_s = self._began_at + PAUSE_S - self._loop.now
+        if wait_s > 0:
+            self._loop.call_later(wait_s, self._begin)
+        else:
             self._begin()
 
     def _begin(self):
-        self._reading = True
+        self._began_at = self._loop.now
         asked, self._waiting = self._waiting, []
         self._read_page('', [], asked)
 
@@ -62,4 +77,4 @@
         for done in asked:
             done(snapshot, exc)
         if self._waiting and not self._reading:
-            self._begin()
+            self._begin_soon()
--- a/gorsefall/relay/streamlog.py
+++ b/gorsefall/relay/streamlog.py
@@ -101,7 +101,7 @@
         """
         self._loop = loop
         self._source = source
-        self._reader = snapshots.SnapshotReader(source)
+        self._reader = snapshots.SnapshotReader(loop, source)
         self._members = members
         self._own_host = own_host
         self._writers = []
--- a/gorsefall/relay/streamorigins.py
+++ b/gorsefall/relay/streamorigins.py
@@ -53,6 +53,7 @@
     """The streams that began of late, and the questions about them.
 
     Attributes:
+        routes: The ``softwareversions.RouteHistory``.
         version_store: The ``versionstore.VersionStore``; None without one.
         stream_log: The ``streamlog.StreamLog``; None without one.
     """
@@ -75,6 +76,7 @@
         self._peers = None
         self._lookups = {}
         self._rng = rng
+        self.routes = softwareversions.RouteHistory()
         self.version_store = self.stream_log = None
         self._log = logs.get('streams')
         fleet.on_version_added = self._on_version_added
@@ -177,17 +179,18 @@
 
     # -- streams that are taken up ---------------------------------------------
 
-    def look_up(self, digest, services, done):
+    def look_up(self, digest, services, done, *, route=''):
         """Finds out where a stream may go on.
 
         Args:
             digest: Its ``ids.StreamDigest``; None if its caller names none.
             services: Names of the services of its route, a tuple.
+            route: ``model.Route.key`` of its route.
             done: Called with the ``softwareversions.Decision`` and the number
                 of other entries that answered, now or after
                 ``ANSWER_TIMEOUT_S`` at most.
         """
-        own = self._knowledge(digest, services)
+        own = self._knowledge(digest, services, route)
         hosts = self._hosts_to_ask(digest, own)
         lookup = _Lookup(digest, services, own, hosts, done)
         if own.began is not None:
@@ -199,10 +202,11 @@
                                              lambda: self._end_lookup(query_id))
         for host in hosts:
             self._peers.send(
-                messages.AskStream(query_id, digest or b'', services), host)
-        self._read_versions(query_id, services)
+                messages.AskStream(query_id, digest or b'', services, route),
+                host)
+        self._read_versions(query_id)
 
-    def _read_versions(self, query_id, services):
+    def _read_versions(self, query_id):
         """Reads the store beside: entries asked may all have just started."""
 
         def on_read(stored):
@@ -214,7 +218,7 @@
         if self.version_store is None:
             on_read(None)
         else:
-            self.version_store.read(services, on_read)
+            self.version_store.read(on_read)
 
     def _end_if_complete(self, query_id):
         lookup = self._lookups[query_id]
@@ -227,12 +231,13 @@
         hosts = self._members.live_hosts(self._loop.now)
         return rendezvous.top(digest or b'', hosts, ASKED_ENTRIES)
 
-    def _knowledge(self, digest, services):
+    def _knowledge(self, digest, services, route):
         now = self._loop.now
+        services = {*services, *self.routes.of_late(route, now)}
         return softwareversions.Knowledge(
             self._memory.origin(digest, now),
             self._fleet.versions.origins(services, now),
-            self._fleet.observation.covers())
+            self._fleet.observation.covers() and not self._fleet.store_lost)
 
     def _end_lookup(self, query_id):
         lookup = self._lookups.pop(query_id)
@@ -276,7 +281,7 @@
             self.stream_log.add(message.streams, message.service)
 
     def _on_ask(self, message, host):
-        known = self._knowledge(message.digest, message.services)
+        known = self._knowledge(message.digest, message.services, message.route)
         self._peers.send(
             messages.StreamKnown(message.query_id, known.began,
                                  tuple(known.served), known.covers), host)
--- a/gorsefall/relay/versionstore.py
+++ b/gorsefall/relay/versionstore.py
@@ -11,6 +11,7 @@
 """
 
 import hashlib
+import random
 import typing
 
 import msgspec
@@ -123,30 +124,31 @@
     """Writes and reads the versions.
 
     Attributes:
-        entry_names: Returns the names of this entry and of all other live ones,
-            this one first.
+        reader_names: Returns the names of all live entries that read the store.
     """
 
-    def __init__(self, loop, source, fleet, rng):
+    def __init__(self, loop, source, fleet, name, rng=random):
         """Creates a store of which nothing is known.
 
         Args:
             loop: The ``reactor.Reactor``.
             source: The ``topic.Source``.
             fleet: The ``fleet.Fleet``.
+            name: Name of this entry.
             rng: A ``random.Random``.
         """
         self._loop = loop
         self._source = source
-        self._reader = snapshots.SnapshotReader(source)
+        self._reader = snapshots.SnapshotReader(loop, source)
         self._fleet = fleet
+        self._name = name
         self._rng = rng
         self._pending = set()
         self._has_read = False
         self._syncing = False
-        self._began = False
+        self._began_era = None
         self._log = logs.get('versions')
-        self.entry_names = lambda: ['']
+        self.reader_names = lambda: [name]
         loop.call_later(STARTING_S, self._upkeep)
 
     # -- what is stored --------------------------------------------------------
@@ -158,11 +160,10 @@
         """
         return {v.software for v in self._pending if v.service == service}
 
-    def read(self, services, done):
-        """Reads which versions of services may have begun streams.
+    def read(self, done):
+        """Reads which versions may have begun streams.
 
         Args:
-            services: Names of the services.
             done: Called with a frozenset of ``softwareversions.Origin``
                 objects, or None if the store does not show it in time.
         """
@@ -176,12 +177,7 @@
                 waiting.pop()(found)
 
         def on_read(stored, exc):
-            if exc is not None or not stored.proven:
-                finish(None)
-            else:
-                finish(
-                    frozenset(
-                        o for o in stored.origins if o.service in services))
+            finish(stored.origins if exc is None and stored.proven else None)
 
         timer = self._loop.call_later(READ_TIMEOUT_S, lambda: finish(None))
         self._read(on_read)
@@ -226,8 +222,8 @@
             self._sync_in(0.0)
 
     def _is_keeper(self):
-        names = self.entry_names()
-        return rendezvous.top(b'versions', names, 1) == names[:1]
+        return rendezvous.top(b'versions', self.reader_names(),
+                              1) == [self._name]
 
     def _sync_in(self, delay_s):
         if not self._syncing:
@@ -240,7 +236,8 @@
             self._log.warning('not_read', error=str(exc))
             self._read_again(RETRY_RANGE_S)
             return
-        self._began = self._began or not stored.end
+        if not stored.end:
+            self._began_era = stored.era
         self._pending &= self._fleet.versions.all_origins(self._loop.now)
         writes = waited or self._is_keeper()
         record = self._next_record(stored)
@@ -265,11 +262,12 @@
             stored: The ``StoredVersions``.
         """
         origins = self._fleet.versions.all_origins(self._loop.now)
-        covers = self._fleet.observation.covers()
+        covers = (self._fleet.observation.covers() and
+                  not self._fleet.store_lost)
         missing, old = origins - stored.origins, stored.origins - origins
         if missing:
             return encode(min(missing))
-        if not stored.proven and (covers or self._began):
+        if not stored.proven and (covers or self._began_era == stored.era):
             return _ERA_KEY, _encode_era(stored.era)
         if covers and old:
             return encode(min(old))[0], b''
