A connection paused by the last piece of a response goes back to its pool reading

What callers saw: nothing of an answer that its replica had sent in full, until the entry took the request elsewhere or its time was over, because the caller before it on the same connection had been slow. At an entry that forwards for another one it was the same. No piece was lost or sent twice by it.

Cause: a caller that does not keep up has its exchange pause the connection while a piece is handled. If the end of the response was in the same piece, the connection was given back to the pool before anybody resumed it, and the next call waited for bytes that nothing read. An idle connection in this state did not notice that its peer closed it either, and took a place in the pool until its idle timeout.

Evidence: two tests of the pool and one of the forwarder, with real sockets, timed out on the code before.

Change: a connection resumes reading as it is given back.

Why it holds: nothing reads a connection's pause state between the end of a call and the next one, and a call that has ended neither pauses nor resumes its connection: an exchange lets go of its attempt within `on_end`, a forwarder of its run. Connections that are not reusable are closed as before.

--- a/gorsefall/net/outbound.py
+++ b/gorsefall/net/outbound.py
@@ -325,6 +325,8 @@
                     self._h11.our_state is h11.DONE)
         call, self._call = self._call, None
         if reusable:
+            # The last piece of the response may have paused the connection.
+            self._transport.resume()
             self._on_release(self, self._idle_timeout_s)
         else:
             self._close()
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -10,6 +10,7 @@
 from gorsefall.net import outbound
 from gorsefall.relay import forwarder
 from gorsefall.relay import forwarding
+from gorsefall.relay import inbound
 from gorsefall.relay import prober
 from gorsefall.standins import acceptor
 
@@ -246,6 +247,21 @@
             loop.step(0.05)
 
 
+def test_a_replica_held_back_by_its_last_piece_serves_the_next_call(
+        loop, monkeypatch):
+    """A stream is silent, as the one before had ended for a slow reader."""
+    monkeypatch.setattr(inbound, 'MAX_PENDING_BYTES', 0)
+    peer = peers.ScriptedPeer([[RESPONSE], [RESPONSE]])
+    with forwarding_site.site(loop, peer.addr) as site:
+        for _ in range(2):
+            call = forwarding_site.Call()
+            site.send(call)
+            peers.run(loop, lambda c=call: c.done, 2.0)
+            assert call.ended
+        assert site.replica.pool.opened_count == 1
+    peer.close()
+
+
 def test_what_a_response_announces_binds_the_forwarder_too(loop):
     """A replica asks for rest, and the entry that forwards sends on."""
     call = forwarding_site.Call()
--- a/tests/test_outbound.py
+++ b/tests/test_outbound.py
@@ -186,6 +186,46 @@
     peer.close()
 
 
+class _PausingCall(RecordingCall):
+    """A call whose caller reads nothing more once it has got a piece."""
+
+    conn = None
+
+    def on_data(self, data):
+        super().on_data(data)
+        self.conn.pause()
+
+
+def test_a_connection_paused_by_the_last_piece_serves_the_next_call():
+    """A caller gets nothing of its response, as the caller before was slow."""
+    peer = peers.ScriptedPeer(
+        [[complete_response('a', 'Keep-Alive: timeout=9')],
+         [complete_response('b')]])
+    first, second = _PausingCall('a'), RecordingCall('b')
+    with peers.loop() as loop:
+        pool = outbound.Pool(loop, peer.addr, max_size=1, connect_timeout_s=1.0)
+        first.conn = pool.send(first)
+        peers.run(loop, lambda: first.ended)
+        pool.send(second)
+        peers.run(loop, lambda: second.ended, 2.0)
+        assert pool.opened_count == 1
+        pool.close()
+    peer.close()
+
+
+def test_an_idle_connection_paused_by_the_last_piece_notices_its_end():
+    """A pool is full of connections that their peer has closed."""
+    peer = peers.ScriptedPeer(
+        [[complete_response('a', 'Keep-Alive: timeout=9'), None]])
+    call = _PausingCall('a')
+    with peers.loop() as loop:
+        pool = outbound.Pool(loop, peer.addr, max_size=1, connect_timeout_s=1.0)
+        call.conn = pool.send(call)
+        peers.run(loop, lambda: call.ended)
+        peers.run(loop, lambda: not pool.size, 2.0)
+    peer.close()
+
+
 class _CancellingCall(RecordingCall):
     """A call that is cancelled as its response begins."""
 
