A forwarded call that has ended leaves its channel to the next one

What callers saw: at an entry that sends through another one, a stream without an event until its time was over, or until the entry took it to another replica; and memory that fills with a stream whose caller reads nothing.

Cause: a channel to another entry is given back as the response on it ends. If only the end of the replica's connection marked that, the exchange keeps its attempt for the time in which it is found out whether the replica has exited. A caller that left in between, or had caught up, had the exchange cancel or resume the attempt, which closed or resumed the channel that was the next call's by then. The next call was not told: closing a channel drops its user.

Evidence: three tests with real sockets failed on the code before: a later cancel and a later pause each silenced the next call for good, a later resume ended its pause. That an exchange cancels in this state was seen in simulated time (caller gone 0.1 s after the response had ended).

Change: a call cancels, pauses and resumes its channel only while it is the channel's user.

Why it holds: a channel has one user at a time, which is reset as it is given back or closed, so that a call that has ended can't be its user again. A direct connection can't show this: one that its end closes is never given back, and after any other end the exchange lets go of its attempt within `on_end`.

--- a/gorsefall/relay/forwarding.py
+++ b/gorsefall/relay/forwarding.py
@@ -110,10 +110,16 @@
         self._channel.user = self
         self._channel.send(messages.Open(target_of(replica)))
 
+    @property
+    def _holds_channel(self):
+        """Whether the channel is open and still serves this call."""
+        return self._channel.user is self
+
     def cancel(self):
         """See ``outbound.Connection``."""
         self._timer.cancel()
-        self._channel.close()
+        if self._holds_channel:
+            self._channel.close()
         return self._requested
 
     @property
@@ -123,11 +129,13 @@
 
     def pause(self):
         """See ``outbound.Connection``."""
-        self._channel.pause()
+        if self._holds_channel:
+            self._channel.pause()
 
     def resume(self):
         """See ``outbound.Connection``."""
-        self._channel.resume()
+        if self._holds_channel:
+            self._channel.resume()
 
     @functools.singledispatchmethod
     def on_message(self, message):
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -262,6 +262,48 @@
     peer.close()
 
 
+UNFRAMED = b'HTTP/1.1 200 OK\r\nRid: r\r\n\r\nbody'
+"""A response that only the end of its connection ends. An exchange keeps its
+attempt until it is found out whether that is the end of the response."""
+
+
+@contextlib.contextmanager
+def _call_after_an_unframed_response(loop):
+    """Yields an ended call's connection, the next call and its connection."""
+    peer = peers.ScriptedPeer([[UNFRAMED, None], [RESPONSE]])
+    first, second = forwarding_site.Call(), forwarding_site.Call()
+    with forwarding_site.site(loop, peer.addr) as site:
+        ended = site.send(first)
+        peers.run(loop, lambda: first.done)
+        assert first.ending is outbound.Ending.CLOSED
+        conn = site.send(second)
+        peers.run(loop, lambda: conn.sent)
+        yield ended, second, conn
+        assert len(site.forwarder._peers) == 1
+        assert second.received == b'body'
+    peer.close()
+
+
+@pytest.mark.parametrize('action', ['cancel', 'pause'])
+def test_a_call_that_has_ended_does_not_silence_the_next_one(loop, action):
+    """A stream is silent, as the caller of an unframed response left late."""
+    with _call_after_an_unframed_response(loop) as (ended, call, _):
+        getattr(ended, action)()
+        peers.run(loop, lambda: call.done, 2.0)
+
+
+def test_a_call_that_has_ended_does_not_resume_the_next_one(loop):
+    """Memory fills with a stream that its caller does not read."""
+    with _call_after_an_unframed_response(loop) as (ended, call, conn):
+        conn.pause()
+        ended.resume()
+        for _ in range(20):
+            loop.step(0.01)
+        assert not call.received
+        conn.resume()
+        peers.run(loop, lambda: call.done, 2.0)
+
+
 def test_what_a_response_announces_binds_the_forwarder_too(loop):
     """A replica asks for rest, and the entry that forwards sends on."""
     call = forwarding_site.Call()
