A connection for which no descriptor is free fails like any other

What callers saw: a kept connection that is closed without an answer, or no answer at all, at an entry that has no descriptor to spare; and a replica that this entry takes for busier than it is from then on.

Cause: opening the socket raised OSError out of the call that sends a request. The exchange had its attempt by then, but no connection.

Change: `tcp.Connection.connect` reports it by its callback, as it does for a connect that fails at once. A call then fails as one that was not sent.

Why it holds: `connect` promises that a callback reports the outcome, and all who connect (pools, channels to other entries, probes) already handle it. A connection without a socket counts as open until then, so that it takes writes, pauses, limits and a close; a close withdraws the report.

What it leaves: the replica counts as not reached by this attempt.

--- a/gorsefall/net/tcp.py
+++ b/gorsefall/net/tcp.py
@@ -94,20 +94,28 @@
             window_bytes: Size of the receive buffer, which limits the bytes
                 the peer may have in flight; None for the kernel's default.
         """
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        _set_options(sock)
-        if window_bytes is not None:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, window_bytes)
-        self._sock = sock
         self.is_open = True
         self._connecting = True
-        code = sock.connect_ex(addr)
+        code = self._start_connecting(addr, window_bytes)
         if code not in (0, errno.EINPROGRESS):
             # Deferred, so that no callback runs before this method returns.
             self._loop.call_later(0, lambda: self._fail_connecting(code))
             return
         self._update_watch()
 
+    def _start_connecting(self, addr, window_bytes):
+        """Opens the socket; returns an ``errno`` code, 0 for success."""
+        try:
+            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        except OSError as exc:
+            # No descriptor is free. The connection is closed without a socket.
+            return exc.errno
+        self._sock = sock
+        _set_options(sock)
+        if window_bytes is not None:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, window_bytes)
+        return sock.connect_ex(addr)
+
     def write(self, data):
         """Sends ``data`` now or when the kernel accepts it."""
         if not self.is_open:
@@ -127,7 +135,8 @@
         """
         # Whole seconds, so that the next request often needs no other value.
         timeout_ms = max(USER_TIMEOUT_MS, math.ceil(limit_s) * 1000)
-        if self.is_open and timeout_ms != self._user_timeout_ms:
+        if (self.is_open and self._sock is not None and
+                timeout_ms != self._user_timeout_ms):
             self._user_timeout_ms = timeout_ms
             self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT,
                                   timeout_ms)
@@ -155,8 +164,9 @@
         if not self.is_open:
             return
         self.is_open = False
-        self._loop.unwatch(self._sock)
-        self._sock.close()
+        if self._sock is not None:
+            self._loop.unwatch(self._sock)
+            self._sock.close()
 
     def abort(self):
         """Closes with a reset, which the peer cannot mistake for an EOF."""
@@ -239,7 +249,7 @@
     def _set_reading(self, reading):
         if self._reading != reading:
             self._reading = reading
-            if self.is_open:
+            if self.is_open and self._sock is not None:
                 self._update_watch()
 
     def _update_watch(self):
--- a/tests/test_outbound.py
+++ b/tests/test_outbound.py
@@ -1,5 +1,8 @@
 """Persistent connections to peers that send late, repeated or bad data."""
 
+import contextlib
+import os
+import resource
 import socket
 import time
 
@@ -132,6 +135,65 @@
         other.close()
 
 
+@contextlib.contextmanager
+def _no_free_descriptor():
+    """Has the process open no further file or socket."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    lowest_free = os.dup(0)
+    os.close(lowest_free)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (lowest_free, hard))
+    try:
+        yield
+    finally:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+
+
+def test_a_call_without_a_free_descriptor_fails_as_not_sent():
+    """A caller's connection is closed without an answer, and its exchange left
+    behind, at an entry that has no descriptor to spare."""
+    peer = peers.ScriptedPeer([[complete_response('b')]])
+    connected = []
+    with peers.loop() as loop:
+        pool = outbound.Pool(loop,
+                             peer.addr,
+                             max_size=1,
+                             connect_timeout_s=5.0,
+                             on_connect=connected.append)
+        call = RecordingCall('a')
+        call.time_limit_s = 30.0
+        call.body = b'x' * (outbound.LARGE_BODY_BYTES + 1)
+        call.fields.append((b'Content-Length', b'%d' % len(call.body)))
+        with _no_free_descriptor():
+            conn = pool.send(call)
+        conn.pause()
+        assert call.failure is None
+        peers.run(loop, lambda: call.failure)
+        assert call.failure.fault is outbound.Fault.UNREACHED
+        assert not call.failure.sent
+        assert (pool.size, connected) == (0, [False])
+        second = RecordingCall('b')
+        pool.send(second)
+        peers.run(loop, lambda: second.ended)
+        pool.close()
+    peer.close()
+
+
+def test_nothing_is_called_after_a_call_without_a_descriptor_was_cancelled():
+    """A request that was cancelled fails all the same."""
+    with peers.loop() as loop:
+        pool = outbound.Pool(loop, ('127.0.0.1', 1),
+                             max_size=1,
+                             connect_timeout_s=0.05)
+        call = RecordingCall('a')
+        with _no_free_descriptor():
+            conn = pool.send(call)
+        assert not conn.cancel()
+        for _ in range(10):
+            loop.step(0.01)
+        assert call.failure is None
+        assert pool.size == 0
+
+
 UNREAD_S = 5.0
 """Time for which a peer that is alive reads nothing, s."""
 
