Events that a run repeats as it goes on with a stream are left out

What callers saw: an event twice in one answer. A run breaks off or says nothing, another replica goes on with it, or restores it from its KV backup, and begins with events that the caller has.

Cause: where a run goes on was left to its replica. The entry names the last event that it has forwarded, and forwarded whatever came then.

The platform's pages say that a replica goes on at the named event, so that this takes a replica that errs.

Change: the splitter of a stream that goes on leaves out events up to the id of the last one that was forwarded, at its beginning.

Why it holds: ids of events increase, so that an event with an id up to the last one was forwarded or comes before it. Only numbers are compared, and only until the first event that is later: ids that are no numbers, and a run that has gone on, leave out nothing. What was forwarded last is the same when the request is sent to the next replica and when that one's answer begins: an earlier attempt that says more in between goes on instead.

What it leaves: a response to a caller that takes its stream up itself is not touched, as it has to be the replica's body. An event that a run skips as it goes on can't be told, as ids may have gaps.

--- a/gorsefall/relay/delivery.py
+++ b/gorsefall/relay/delivery.py
@@ -71,7 +71,7 @@
         if streams and response.usable:
             # Once a stream was started, only more of its events can follow.
             self.resuming = True
-            self._part.splitter = events.Splitter()
+            self._part.splitter = events.Splitter(after=self.last_event_id)
 
     @property
     def event_count(self):
--- a/tests/exchange_site.py
+++ b/tests/exchange_site.py
@@ -112,6 +112,9 @@
             self.ended_at = self._site.loop.now
             self._call.on_end()
 
+    def _back(self):
+        self._next = max(1, self._next - 1)
+
     def _refuse(self):
         self.refused = True
         self._call.matches_response(503, headers.from_items([]))
@@ -360,9 +363,10 @@
 
     Args:
         scripts: For each replica, ``(pause in s, step)`` pairs; a step is
-            ``head``, ``event``, ``refuse``, ``stray`` (a 404 that does not
-            bear a replica's mark), ``reset``, ``close`` (the connection ends,
-            which is no error), ``part`` (of an event) or ``cut`` (both).
+            ``head``, ``event``, ``back`` (what follows begins with the event
+            before), ``refuse``, ``stray`` (a 404 that does not bear a replica's
+            mark), ``reset``, ``close`` (the connection ends, which is no
+            error), ``part`` (of an event) or ``cut`` (both).
     """
     loop = Loop()
     with unittest.mock.patch('time.monotonic', lambda: loop.now):
--- a/tests/test_exchange_orders.py
+++ b/tests/test_exchange_orders.py
@@ -24,7 +24,7 @@
 
 _PAUSES = st.sampled_from([0.01, 0.05, 0.2, 0.6, 0.99, 1.1, 1.29, 1.35, 2.4])
 _STREAM = st.tuples(
-    st.just([(0.05, 'head')]),
+    st.just([(0.05, 'head')]), st.sampled_from([[], [], [(0.0, 'back')]]),
     st.lists(st.tuples(_PAUSES, st.just('event')), min_size=1, max_size=4),
     st.sampled_from([[], [], [(0.3, 'reset')], [(0.3, 'cut')],
                      [(1.2, 'cut')]])).map(lambda p: sum(p, []))
@@ -185,6 +185,19 @@
 _WHOLE = [(0.1, 'head')] + 4 * [(0.1, 'event')]
 
 
+@pytest.mark.parametrize('steps_back', [1, 2, 3])
+def test_a_run_that_repeats_events_goes_on_after_the_last_one(steps_back):
+    """A caller gets an event twice, as a run that goes on repeats it."""
+    broken = [(0.1, 'head'), (0.1, 'event'), (0.1, 'event'), (0.1, 'cut')]
+    repeats = ([(0.1, 'head')] + steps_back * [(0.0, 'back')] +
+               5 * [(0.1, 'event')])
+    with exchange_site.site([broken, repeats]) as site:
+        site.exchange.start()
+        site.loop.run(site.loop.now + 3.0)
+    assert _is_prefix(site.writer.body) == (True, True)
+    assert site.writer.ended
+
+
 def test_a_stream_goes_on_past_replicas_of_other_versions():
     """A stream holds events of two software versions."""
     with exchange_site.site([_BROKEN, _WHOLE, _WHOLE]) as site:
