A call fails at once if its connection ends with a response to another request

What callers saw: nothing until the entry took the request elsewhere or its time was over, though its replica had closed the connection.

Cause: a response that belongs to another request is skipped, and what follows is read as the response that is waited for. If the end of the connection ended the skipped response, this end was forgotten with the state of its parser, and nothing else was to come.

Evidence: the test, with a real socket, timed out on the code before.

Change: the end of the connection is handed on to the next parser, as the bytes after a skipped response are.

Why it holds: bytes and end are all that a parser leaves unread.

--- a/gorsefall/net/outbound.py
+++ b/gorsefall/net/outbound.py
@@ -310,10 +310,12 @@
 
     def _on_message_end(self, ending):
         if self._skipping_response:
-            rest, _ = self._h11.trailing_data
+            rest, closed = self._h11.trailing_data
             self._start_exchange(self._call)
             if rest:
                 self._h11.receive_data(rest)
+            if closed:
+                self._h11.receive_data(b'')
             return
         # Bytes after the response belong to no request. A peer that responds
         # before it has read the whole request would read the next request as
--- a/tests/test_outbound.py
+++ b/tests/test_outbound.py
@@ -101,6 +101,21 @@
     peer.close()
 
 
+def test_a_call_fails_whose_connection_ends_with_another_response():
+    """A caller waits in vain for its response, as a late response to another
+    request, which only the end of the connection ends, came instead."""
+    peer = peers.ScriptedPeer([[head('old') + b'answer old', None]])
+    with peers.loop() as loop:
+        pool = outbound.Pool(loop, peer.addr, max_size=1, connect_timeout_s=5.0)
+        call = RecordingCall('r')
+        pool.send(call)
+        peers.run(loop, lambda: call.failure, 2.0)
+        assert call.failure.sent
+        assert call.failure.fault is outbound.Fault.LOST
+        assert (call.received, pool.size) == (b'', 0)
+    peer.close()
+
+
 def test_refused_connection_counts_as_not_sent():
     """Only a request that was never sent may be reported as not run."""
     peer = peers.ScriptedPeer([])
