A run that goes on after all is read again if its caller has caught up

What callers would see: a stream that stops until its time is over, though its replica has sent on. Found by reading; not seen on real processes.

Cause: a caller that does not keep up has its attempt paused; when it has caught up, the current attempt is resumed. An attempt that was set aside is not the current one. If its caller caught up in that time, and the next replica then refused the request, the attempt went on, paused, and nothing resumed it: a paused attempt is not taken for silent either. An attempt is set aside while paused where a stream with a KV backup is silent, its replica is probed, more of it arrives meanwhile, and the probe finds the replica gone.

Evidence: the test, in simulated time, failed on the code before.

Change: an attempt that goes on is resumed.

Why it holds: if the caller has not caught up, the next piece pauses the attempt again, so that one more piece is held at most.

--- a/gorsefall/relay/exchange.py
+++ b/gorsefall/relay/exchange.py
@@ -272,6 +272,9 @@
         self.grant.terms = kept.terms
         self._delivery.reattach(kept.part)
         self._backup.holder = kept.backup_holder
+        if self.attempt.paused:
+            # The caller may have caught up while the attempt was set aside.
+            self.attempt.resume()
         self.silence.await_response()
 
     def fail(self, exc):
--- a/tests/exchange_site.py
+++ b/tests/exchange_site.py
@@ -71,6 +71,7 @@
         refused: Whether the replica refused the request.
         ended_at: When the replica ended it, s; None before.
         cancelled_at: When the exchange cancelled it, s; None before.
+        paused: Whether the exchange reads nothing from it.
     """
     via = None
     sent = True
@@ -81,7 +82,7 @@
         self._next = first_event
         self.sent_at = site.loop.now
         self.responded_at = float('inf')
-        self.refused = False
+        self.refused = self.paused = False
         self.ended_at = self.cancelled_at = None
         delay_s = 0.0
         for pause_s, step in script:
@@ -153,9 +154,11 @@
 
     def pause(self):
         """See ``outbound.Connection``."""
+        self.paused = True
 
     def resume(self):
         """See ``outbound.Connection``."""
+        self.paused = False
 
 
 class Writer:
--- a/tests/test_exchange_orders.py
+++ b/tests/test_exchange_orders.py
@@ -156,6 +156,22 @@
         assert len(site.conns) == 2
 
 
+def test_a_run_that_goes_on_after_all_is_read_again():
+    """A stream stops, as its caller caught up while a replica was asked."""
+    scripts = [[(0.1, 'head'), (0.1, 'event')], [(0.1, 'refuse')]]
+    with exchange_site.site(scripts) as site:
+        site.writer.keeps_up = False
+        site.exchange.start()
+        site.loop.run(site.loop.now + 0.3)
+        assert site.conns[0].paused
+        site.exchange.begin_takeover()
+        site.exchange.retry_or_fail_unknown('its replica seems to be gone')
+        site.exchange.on_caller_drained()
+        site.loop.run(site.loop.now + 0.2)
+        assert site.conns[1].refused and site.conns[0].is_open
+        assert not site.conns[0].paused
+
+
 def test_a_stream_that_is_closed_inside_an_event_counts_as_a_broken_run():
     """A request that crashes replicas is cleared by the run that it broke."""
     cut = [(0.1, 'head'), (0.1, 'event'), (0.1, 'cut')]
