Scenarios: streams that are taken up while they run, at several entries at once

Three of the ways in which a piece might be missing or come twice, on real processes: a caller takes its stream up while its first answer still runs, at the same entry or another one; the same stream is taken up twice at one entry, at two or at all three at once; the entry sends all of them through other entries. In some, four runs break inside an event. Each answer has to have its pieces once, in order, and to end as whole.

Why: an answer belongs to one exchange with a splitter and a last event of its own, a take-up has an id of its own, and what entries share about a stream is its version.

The check on a large stream now asks for each event in order and for their exact size; it counted them before.

--- a/features/platform_stream_pieces.feature
+++ b/features/platform_stream_pieces.feature
@@ -24,3 +24,44 @@
     When the replica of a long response "crashes after two events", and the one that restores it "repeats two events"
     Then the caller gets status 200 and "events"
     And it ran once and was resumed 1 times
+
+  # Guards against an answer that gets or loses pieces by another one of the same
+  # stream.
+  Scenario Outline: callers take their streams up at <where>, <faults>
+    Given three entries on the platform, the first with paths of its own
+    When callers take their streams up at <where> while the first answers run<faults>
+    Then each answer has all its pieces once, and ends as whole
+
+    Examples:
+      | where                | faults                |
+      | the same entry       |                       |
+      | another entry        |                       |
+      | the same entry twice |                       |
+      | two entries at once  |                       |
+      | all entries at once  |                       |
+      | the same entry       | , and 4 runs break    |
+      | two entries at once  | , and 4 runs break    |
+
+  # Guards against an answer that gets or loses pieces of another one on the same
+  # channel between two entries.
+  Scenario Outline: the first entry sends through others, and callers take streams up at <where>
+    Given three entries on the platform, the first with paths of its own
+    When connections of the first entry to all replicas are reset
+    And its requests go through other entries
+    And callers take their streams up at <where> while the first answers run<faults>
+    Then each answer has all its pieces once, and ends as whole
+
+    Examples:
+      | where                | faults                |
+      | the same entry       |                       |
+      | the same entry twice |                       |
+      | all entries at once  |                       |
+      | the same entry       | , and 4 runs break    |
+
+  # Guards against pieces that are lost as a caller holds back two entries.
+  Scenario: a caller of a stream through another entry that reads nothing for a while
+    Given three entries on the platform, the first with paths of its own
+    When connections of the first entry to all replicas are reset
+    And its requests go through other entries
+    And a caller of a large "resumable" stream reads nothing for 2 s, then all of it
+    Then it gets the whole stream
--- a/features/steps/silent_steps.py
+++ b/features/steps/silent_steps.py
@@ -1,6 +1,7 @@
 """Steps of the feature about replicas that say nothing for a while."""
 
 import concurrent.futures
+import re
 import time
 
 from behave import then
@@ -109,7 +110,10 @@
 def step_whole_stream(context):
     reply = context.reply
     assert reply.complete, (reply.status, len(reply.body))
-    assert reply.body.count(b'id: ') == wire_faults.LARGE_EVENT_COUNT
+    numbers = [int(n) for n in re.findall(rb'^id: (\d+)$', reply.body, re.M)]
+    assert numbers == list(range(wire_faults.LARGE_EVENT_COUNT)), numbers
+    assert len(reply.body) == sum(
+        len(wire_faults.large_event(n)) for n in numbers)
 
 
 @when('the replica of a long response "{fault}", and the replica of its KV '
