Events of a socket that was closed don't reach the one that took its descriptor

What callers would see: a request waits for a replica that can't be connected to until it counts as silent, instead of going to another one after the connect timeout; and the paths to that replica count as sound.

Cause: the reactor asks the kernel for events and then calls their handlers one by one, by descriptor. If one of these handlers closed a socket whose event was still to come, and opened another one, the kernel gave that one the same descriptor, and the old event went to the new handler. A connection that was still being made took it for the sign that it was, and dropped its timeout.

Evidence: the test, with real sockets, failed on the code before: a connection of this kind reported itself as connected in the same pass.

Change: an event is dropped if its descriptor was added after the kernel was asked.

Why it holds: such an event can't be that of the new socket. Sockets are watched by level, so that what is ready then is reported in the next pass.

--- a/gorsefall/net/reactor.py
+++ b/gorsefall/net/reactor.py
@@ -70,6 +70,7 @@
         super().__init__()
         self._epoll = select.epoll()
         self._socket_handlers = {}
+        self._added_fds = set()
         self._timers = []
         self._sequence = itertools.count()
         self._log = logs.get('reactor')
@@ -91,6 +92,7 @@
             self._epoll.modify(fd, mask)
         else:
             self._epoll.register(fd, mask)
+            self._added_fds.add(fd)
         self._socket_handlers[fd] = handler
 
     def unwatch(self, sock):
@@ -136,12 +138,16 @@
         self._drop_cancelled()
         if self._timers:
             wait = min(wait, max(0.0, self._timers[0][0] - time.monotonic()))
+        self._added_fds.clear()
         ready = self._epoll.poll(wait)
         self.now = time.monotonic()
         for fd, mask in ready:
             if fd == self._wake_recv:
                 os.read(fd, 512)
                 continue
+            if fd in self._added_fds:
+                # The event is that of a socket which was closed since.
+                continue
             handler = self._socket_handlers.get(fd)
             if handler is not None:
                 self._dispatch(fd, handler, mask)
--- a/tests/test_tcp.py
+++ b/tests/test_tcp.py
@@ -141,3 +141,59 @@
         conn.close()
         loop.step(0.05)
         assert not owner.reasons
+
+
+class _ClosingOwner(_RecordingOwner):
+    """An owner that closes another connection, and opens one, as it reads.
+
+    Attributes:
+        rival: The connection that it closes.
+        opened: The new one; None before it has read.
+    """
+
+    def __init__(self, open_conn):
+        super().__init__()
+        self._open_conn = open_conn
+        self.rival = self.opened = None
+
+    def on_bytes(self, data):
+        self.rival.close()
+        self.opened = self._open_conn()
+
+
+class _Silent(acceptor.Acceptor):
+    """Accepts connections and says nothing."""
+
+    def serve_connection(self, sock):
+        sock.recv(1)
+
+
+def test_an_event_of_a_closed_socket_does_not_reach_the_next_one():
+    """A connection that hangs counts as made, as its descriptor was that of one
+    that was closed while an event for it was waiting."""
+    silent = _Silent()
+    silent.stall()
+    hanging = _RecordingOwner()
+    with (peers.loop() as loop, socket.create_server(('127.0.0.1', 0)) as
+          server):
+
+        def open_hanging():
+            conn = tcp.Connection(loop, hanging)
+            conn.connect(silent.address)
+            return conn
+
+        owners = [_ClosingOwner(open_hanging) for _ in range(2)]
+        conns = [tcp.Connection(loop, owner) for owner in owners]
+        for owner, conn, rival in zip(owners, conns, conns[::-1], strict=True):
+            owner.rival = rival
+            conn.connect(server.getsockname())
+        peers.run(loop, lambda: all(o.connected for o in owners))
+        descriptors = {c._sock.fileno() for c in conns}
+        for _ in conns:
+            server.accept()[0].send(b'x')
+        peers.run(loop, lambda: any(o.opened for o in owners))
+        (opened,) = [o.opened for o in owners if o.opened]
+        assert opened._sock.fileno() in descriptors
+        assert not hanging.connected
+        opened.close()
+    silent.close()
