A write of what crashes replicas that failed is soon repeated

After a failed write of what crashes replicas, the next came 2 s later, so that what was blamed meanwhile waited behind it and was lost as all entries were killed.

As for reads, the pause now begins at 0.3 s and grows with the failures up to 2 s. A store that refuses gets at most four writes more in the first 3 s from an entry that has something to write. Test: a write that is lost is made up for within 2 s (it fails without the change).

--- a/gorsefall/relay/crashstore.py
+++ b/gorsefall/relay/crashstore.py
@@ -23,12 +23,12 @@
 READER_CHECK_PERIOD_S = 1.0
 """Period of the checks whether this entry has become one that reads, s."""
 
-READ_RETRY_PAUSE_S = 0.3
-"""Pause after a failed read, s, times the number of failures: requests that
-crash replicas run until then."""
+RETRY_PAUSE_S = 0.3
+"""Pause after a failed call, s, times the number of failures: requests that
+crash replicas run until a read, and a restart loses what was not written."""
 
-RETRY_PAUSE_S = 2.0
-"""Pause after a failed write, and longest one after a failed read, s."""
+MAX_RETRY_PAUSE_S = 2.0
+"""Longest such pause, s."""
 
 MAX_DROPPED = 64
 """Most digests that were cleared and are remembered, should the store come back
@@ -81,6 +81,10 @@
     return time.time_ns() // 1_000_000
 
 
+def _retry_pause_s(failures):
+    return min(MAX_RETRY_PAUSE_S, RETRY_PAUSE_S * failures)
+
+
 class CrashStore:
     """Writes what crashes replicas to a topic and reads it after a start.
 
@@ -103,7 +107,7 @@
         self._pending = {}
         self._dropped = collections.deque(maxlen=MAX_DROPPED)
         self._writing = False
-        self._failed_reads = 0
+        self._failed_reads = self._failed_writes = 0
         self._log = logs.get('remembered')
         crashes.on_blamed = crashes.on_grave = self._write_own
         crashes.on_cleared = self._drop
@@ -146,9 +150,8 @@
         if exc is not None:
             self._log.warning('not_read', error=str(exc))
             self._failed_reads += 1
-            pause_s = min(RETRY_PAUSE_S,
-                          READ_RETRY_PAUSE_S * self._failed_reads)
-            self._loop.call_later(pause_s, lambda: self._read(after))
+            self._loop.call_later(_retry_pause_s(self._failed_reads),
+                                  lambda: self._read(after))
             return
         self._failed_reads = 0
         for record in page.records:
@@ -221,8 +224,11 @@
             self._log.warning('not_written',
                               digest=digests.abbreviate(digest),
                               error=str(exc))
-            self._loop.call_later(RETRY_PAUSE_S, self._flush_next)
+            self._failed_writes += 1
+            self._loop.call_later(_retry_pause_s(self._failed_writes),
+                                  self._flush_next)
             return
+        self._failed_writes = 0
         if self._pending.get(digest) == value:
             del self._pending[digest]
         self._flush_next()
--- a/tests/test_crash_store.py
+++ b/tests/test_crash_store.py
@@ -221,6 +221,22 @@
         self._loop.call_later(0.004, lambda: self.killed or done())
 
 
+def test_a_lost_write_is_soon_made_up_for():
+    """All entries are killed two seconds after the store was silent for one,
+    and what it has not stored crashes three more replicas."""
+    loop, source, found = _stores(DIGESTS[:1])
+    append = source.append
+
+    def lose_it(key, value, silence_s, done):
+        source.append = append
+        loop.call_later(silence_s, lambda: done(None, errors.StoreError('')))
+
+    source.append = lose_it
+    found[0]._write(DIGESTS[0])
+    loop.run(2.0)
+    assert source.values
+
+
 class _Restarts:
     """A site whose entries share a store, and are all killed at times."""
 
