--- a/tests/exchange_site.py
+++ b/tests/exchange_site.py
@@ -304,6 +304,7 @@
         node.fleet.with_other_software = self._with_other_software
         node.fleet.of_service = lambda service: self.replicas.values()
         node.fleet.accepts_in_s.return_value = 0.1
+        node.streams.unrecorded.return_value = set()
         node.work.candidate_views = self._candidates
         node.retry_budget.return_value.available.return_value = 5
         node.start_latency.return_value = attempt_timeouts.StartLatency()
@@ -326,8 +327,8 @@
     def let_stream_go_on(self, software):
         """Has the request take a stream up that began at a version."""
         self.exchange.req.began_as = 'first'
-        self.node.streams.look_up = (
-            lambda digest, services, done: done(found_at(software), 1))
+        self.node.streams.look_up = (lambda digest, services, done, *, route:
+                                     done(found_at(software), 1))
 
     def _with_other_software(self, service, software):
         assert service == SERVICE
