--- a/tests/test_exchange_orders.py
+++ b/tests/test_exchange_orders.py
@@ -252,8 +252,12 @@
     with exchange_site.site([[(0.1, 'head')]]) as site:
         site.let_stream_go_on('v1')
         found = []
-        site.node.streams.look_up = lambda digest, services, done, *, route: found.append(
-            done)
+
+        def look_up(digest, services, done, *, route):
+            del digest, services, route
+            found.append(done)
+
+        site.node.streams.look_up = look_up
         site.exchange.start()
         site.exchange.on_caller_disconnected('closed')
         found[0](exchange_site.found_at('v1'), 1)
