--- a/gorsefall/explain.py
+++ b/gorsefall/explain.py
@@ -162,7 +162,14 @@
              if event.software is None else f'at software {event.software}')
     return (f'takes up the stream of {event.began_as or "an unnamed request"}, '
             f'which may go on {where} ({event.reason}); {event.answers} other '
-            'entries answered')
+            f'entries answered{_observed(event)}')
+
+
+def _observed(event):
+    if event.entry_age_s is None:
+        return ''
+    return (f', and this one has seen for {event.entry_age_s:g} s which '
+            'versions serve')
 
 
 @describe.register
