--- a/gorsefall/policy/membership.py
+++ b/gorsefall/policy/membership.py
@@ -167,6 +167,14 @@
             (host, self._members[host].status) for host in self.live_hosts(now)
         ]
 
+    def oldest_host(self, now):
+        """Returns the host of the live entry that has run longest, or None."""
+        statuses = self.live_statuses(now)
+        if not statuses:
+            return None
+        host, _ = min(statuses, key=lambda pair: pair[1].started_at_ms)
+        return host
+
     def probable_names(self, now):
         """Returns the names of the other entries that probably run, a list.
 
--- a/gorsefall/relay/streamorigins.py
+++ b/gorsefall/relay/streamorigins.py
@@ -228,8 +228,12 @@
     def _hosts_to_ask(self, digest, own):
         if self._peers is None or own.began is not None:
             return []
-        hosts = self._members.live_hosts(self._loop.now)
-        return rendezvous.top(digest or b'', hosts, ASKED_ENTRIES)
+        now = self._loop.now
+        hosts = rendezvous.top(digest or b'', self._members.live_hosts(now),
+                               ASKED_ENTRIES)
+        # All of these may have just started.
+        oldest = self._members.oldest_host(now)
+        return hosts if oldest in hosts or oldest is None else [*hosts, oldest]
 
     def _knowledge(self, digest, services, route):
         now = self._loop.now
--- a/tests/stream_entries.py
+++ b/tests/stream_entries.py
@@ -79,6 +79,7 @@
     def __init__(self, fleet, host, store=None):
         self.fleet, self.host = fleet, host
         self.alive = True
+        self.started_at = fleet.now
         self.bytes_out = 0
         self.handlers = {}
         self.versions = softwareversions.VersionHistory()
@@ -122,6 +123,14 @@
             if e.alive and not e.store_lost
         ]
 
+    def oldest_host(self, now):
+        others = [
+            e for h, e in self.fleet.entries.items()
+            if e.alive and e is not self
+        ]
+        oldest = min(others, key=lambda e: e.started_at, default=None)
+        return None if oldest is None else oldest.host
+
     def live_hosts(self, now):
         # Also those that died a moment ago, which nobody knows yet.
         del now
