--- a/gorsefall/metrics.py
+++ b/gorsefall/metrics.py
@@ -133,7 +133,8 @@
                            registry=REGISTRY)
 STREAMS_STORED = prom.Counter('gorsefall_streams_stored_total',
                               'Streams that this entry stored with their '
-                              'version.', registry=REGISTRY)
+                              'version.',
+                              registry=REGISTRY)
 STREAMS_SOUGHT = prom.Counter('gorsefall_streams_sought_total',
                               'Streams that were taken up and sought in the '
                               'store, as no entry knew them.', ('result',),
