A replica that accepts once more as it exits has exited

Callers got a stream without framing as complete that its replica cut as it exited: the end is trusted if the replica is seen to run, and a process that exits may accept one connection after it has closed those of its streams. The check is made a second time, 0.05 s after the first.

Ways: look again after 1 s, as for crashes, delays each whole response by as much; 0.05 s is over what a process needs for closing its sockets.

--- a/gorsefall/relay/crashes.py
+++ b/gorsefall/relay/crashes.py
@@ -27,6 +27,9 @@
 """Time for which suspects are collected before they are sent to all, s: the
 runs at replicas that exit together break one after the other."""
 
+EXIT_DURATION_S = 0.05
+"""Time in which a process that exits closes all its sockets, s."""
+
 
 class BrokenRun(typing.NamedTuple):
     """A run whose connection broke.
@@ -296,7 +299,22 @@
             done(True)
             return
         self._prober.probe_anew(
-            replica, lambda verdict: done(verdict is not prober.Verdict.ALIVE))
+            replica,
+            lambda verdict: self._check_exit_again(replica, done, verdict))
+
+    def _check_exit_again(self, replica, done, verdict):
+        """Looks a second time at a replica that runs.
+
+        A process that exits may accept a connection after it has closed those
+        of its streams.
+        """
+        if verdict is not prober.Verdict.ALIVE:
+            done(True)
+            return
+        self._loop.call_later(
+            EXIT_DURATION_S, lambda: self._prober.probe_anew(
+                replica, lambda verdict: done(verdict is not prober.Verdict.
+                                              ALIVE)))
 
     def _expected_up(self, replica):
         """Returns whether the replica should run: its exit is then a crash."""
--- a/tests/test_leaving_replicas.py
+++ b/tests/test_leaving_replicas.py
@@ -3,6 +3,7 @@
 import types
 
 import pytest
+import stores
 
 from gorsefall.relay import crashes
 from gorsefall.relay import prober
@@ -20,11 +21,13 @@
         done(self.verdict)
 
 
-class _Loop:
-    now = 0.0
-
-    def call_later(self, delay_s, action):
-        del delay_s, action
+def _check(fleet, verdict, replica):
+    loop = stores.Loop()
+    tracker = crashes.CrashTracker(loop, _Prober(verdict), fleet)
+    found = []
+    tracker.check_exit(replica, found.append)
+    loop.run(1.0)
+    return found
 
 
 def _replica(**fields):
@@ -54,16 +57,10 @@
     replica = _replica(**why)
     fleet = types.SimpleNamespace(is_replaced=lambda r: False,
                                   replicas={} if dropped else {'e1': replica})
-    tracker = crashes.CrashTracker(_Loop(), _Prober(verdict), fleet)
-    found = []
-    tracker.check_exit(replica, found.append)
-    assert found == [expected]
+    assert _check(fleet, verdict, replica) == [expected]
 
 
 def test_a_response_of_a_replica_whose_address_has_another_one_is_cut():
     """The process that answers at the address did not send the response."""
     fleet = types.SimpleNamespace(is_replaced=lambda r: True, replicas={})
-    tracker = crashes.CrashTracker(_Loop(), _Prober(Verdict.ALIVE), fleet)
-    found = []
-    tracker.check_exit(_replica(), found.append)
-    assert found == [True]
+    assert _check(fleet, Verdict.ALIVE, _replica()) == [True]
