Retries of a new process accrue with its time

After all entries were killed services got more retries than allowed (84 in a window, 74 allowed): each new process took its full share of the fixed number, though its predecessor had used it up. A process now has of its share what accrues over the window from its start, so that any number of restarts uses the fixed number once.

Ways: half of the share in the first window bounds two restarts, not three; a share that accrues bounds any number.

--- a/gorsefall/policy/budget.py
+++ b/gorsefall/policy/budget.py
@@ -47,7 +47,7 @@
         allowance: The ``Allowance`` of all entries.
     """
 
-    def __init__(self, allowance, share, others=lambda: None):
+    def __init__(self, allowance, share, others=lambda: None, began_at=None):
         """Creates an unused budget.
 
         Args:
@@ -56,8 +56,11 @@
                 by itself.
             others: Returns the number of first attempts of the other entries
                 in the window; None while no other entry is live.
+            began_at: When the process of this entry began, s (monotonic); None
+                for the first use.
         """
         self._others = others
+        self._began_at = began_at
         self.allowance = allowance
         self._share = share
         self._first_attempts = collections.deque()
@@ -77,11 +80,21 @@
         """Returns the number of retries that may be sent now."""
         self._expire(now)
         a = self.allowance
-        allowed = self._fixed_share() + USED_RATIO_SHARE * a.ratio * len(
+        allowed = self._fixed_share(now) + USED_RATIO_SHARE * a.ratio * len(
             self._first_attempts)
         return int(allowed - len(self._retries))
 
-    def _fixed_share(self):
+    def _fixed_share(self, now):
+        """Returns this entry's part of the fixed number.
+
+        What an earlier process of this entry has used is not known. So a new
+        one takes of its share what accrues in its time.
+        """
+        age_s = now - self._began_at
+        return self._share_of_fixed() * min(1.0,
+                                            age_s / self.allowance.window_s)
+
+    def _share_of_fixed(self):
         """Returns this entry's share of the fixed number.
 
         When an engine crashes, each of its streams that resumes elsewhere is a
@@ -105,6 +118,8 @@
         return True
 
     def _expire(self, now):
+        if self._began_at is None:
+            self._began_at = now
         since = now - self.allowance.window_s
         for times in (self._first_attempts, self._retries):
             while times and times[0] <= since:
--- a/gorsefall/relay/node.py
+++ b/gorsefall/relay/node.py
@@ -122,6 +122,7 @@
         self._confirmed = False
         self.share = traffic_share.TrafficShare()
         self._budgets = {}
+        self._began_at = self.loop.now
         self._start_latencies = {}
         self._followers = followers.Followers(self, adapter)
         self._crash_store = crashstore.CrashStore(
@@ -256,7 +257,8 @@
         if found is None:
             found = self._budgets[service] = budget.Budget(
                 self.cfg.retries, self.share,
-                lambda: self.work.others_first_attempts(service))
+                lambda: self.work.others_first_attempts(service),
+                began_at=self._began_at)
         return found
 
     def on_paths_changed(self):
