A version is kept while streams of it run whose replicas have no record

Callers could get a stream joined from two versions after all entries were killed: a replica may serve streams on after its record was dropped (its host lost the store, or it leaves slowly), and 20 s later its version was dropped from the store. Every entry that brings events of such a stream, or is told of one, now counts its version as serving, and the entry that stores versions is told of it, too; it alone drops them.

Ways: seeking each stream in the store before a sole version is believed costs a second read (4 ms) at every take-up that nobody knows; telling the keeper costs one message in 10 s for each stream without a record, and nothing else.

--- a/gorsefall/policy/membership.py
+++ b/gorsefall/policy/membership.py
@@ -167,6 +167,11 @@
             (host, self._members[host].status) for host in self.live_hosts(now)
         ]
 
+    def host_of(self, name, now):
+        """Returns the host of a live entry by its name, or None."""
+        hosts = (h for h, s in self.live_statuses(now) if s.name == name)
+        return next(hosts, None)
+
     def oldest_host(self, now):
         """Returns the host of the live entry that has run longest, or None."""
         statuses = self.live_statuses(now)
--- a/gorsefall/policy/softwareversions.py
+++ b/gorsefall/policy/softwareversions.py
@@ -192,6 +192,20 @@
             del counts[software]
             self._gone_at[service][software] = now
 
+    def has_replicas(self, origin):
+        """Returns whether a replica of an ``Origin`` is known now."""
+        return bool(self._counts[origin.service][origin.software])
+
+    def record_running(self, origin, now):
+        """Records that a stream of an origin runs, though its replicas left.
+
+        Args:
+            origin: The ``Origin``.
+            now: Time, s (monotonic).
+        """
+        if not self.has_replicas(origin):
+            self._gone_at[origin.service][origin.software] = now
+
     def origins(self, services, now):
         """Returns the origins at services that have served of late.
 
--- a/gorsefall/relay/streamorigins.py
+++ b/gorsefall/relay/streamorigins.py
@@ -129,6 +129,7 @@
         now = self._loop.now
         self._memory.put(digest, streammemory.BegunStream(origin, now,
                                                           own=True))
+        self._fleet.versions.record_running(origin, now)
         if self._fleet.versions.origins(services, now) != {origin}:
             self._tell([(digest, origin.software)], origin.service)
 
@@ -158,6 +159,8 @@
         hosts = self._members.live_hosts(self._loop.now)
         for stream in streams:
             chosen = set(rendezvous.top(stream[0], hosts, TOLD_ENTRIES))
+            chosen |= self._keeper_hosts(
+                softwareversions.Origin(service, stream[1]))
             writer = None
             if self.stream_log is not None:
                 writer = self.stream_log.writer(stream[0])
@@ -170,6 +173,15 @@
         for (host, to_store), part in told.items():
             self._send_begun(host, service, part, to_store)
 
+    def _keeper_hosts(self, origin):
+        """Returns whom to tell so that a version is not dropped, a set."""
+        versions = self._fleet.versions
+        if self.version_store is None or versions.has_replicas(origin):
+            return set()
+        host = self._members.host_of(self.version_store.keeper(),
+                                     self._loop.now)
+        return set() if host is None else {host}
+
     def _send_begun(self, host, service, streams, to_store):
         for first in range(0, len(streams), MAX_STREAMS_PER_MESSAGE):
             part = streams[first:first + MAX_STREAMS_PER_MESSAGE]
@@ -281,6 +293,7 @@
             origin = softwareversions.Origin(message.service, software)
             self._memory.put(digest,
                              streammemory.BegunStream(origin, now, own=False))
+            self._fleet.versions.record_running(origin, now)
         if message.to_store and self.stream_log is not None:
             self.stream_log.add(message.streams, message.service)
 
--- a/gorsefall/relay/versionstore.py
+++ b/gorsefall/relay/versionstore.py
@@ -221,9 +221,13 @@
         if self._is_keeper():
             self._sync_in(0.0)
 
+    def keeper(self):
+        """Returns the name of the entry that stores versions; None if none."""
+        return next(iter(rendezvous.top(b'versions', self.reader_names(), 1)),
+                    None)
+
     def _is_keeper(self):
-        return rendezvous.top(b'versions', self.reader_names(),
-                              1) == [self._name]
+        return self.keeper() == self._name
 
     def _sync_in(self, delay_s):
         if not self._syncing:
@@ -269,7 +273,8 @@
             return encode(min(missing))
         if not stored.proven and (covers or self._began_era == stored.era):
             return _ERA_KEY, _encode_era(stored.era)
-        if covers and old:
+        # The keeper alone is told of streams whose version has no replicas.
+        if covers and old and self._is_keeper():
             return encode(min(old))[0], b''
         return None
 
--- a/tests/stream_entries.py
+++ b/tests/stream_entries.py
@@ -123,6 +123,9 @@
             if e.alive and not e.store_lost
         ]
 
+    def host_of(self, name, now):
+        return name if name in self.live_hosts(now) else None
+
     def oldest_host(self, now):
         others = [
             e for h, e in self.fleet.entries.items()
