The services that routes have led to outlast the entries

Callers got streams joined from two services: a stream begins, its route is moved to another service, all entries are killed, and the stream goes on at the new service, since only the entries remembered where the route had led. The keeper of the versions now stores the services of resumable routes of late, and a take-up that nobody knows counts those of its route as possible.

Changes are collected for 0.5 s, and one entry writes them.

--- a/gorsefall/policy/softwareversions.py
+++ b/gorsefall/policy/softwareversions.py
@@ -80,7 +80,13 @@
     reason: Reason
 
 
-def decide(services, own, others, *, view_current, stored):
+def decide(services,
+           own,
+           others,
+           *,
+           view_current,
+           stored,
+           stored_services=frozenset()):
     """Returns the ``Decision`` on a stream that is taken up.
 
     Args:
@@ -91,6 +97,8 @@
         view_current: Whether this entry reads the store.
         stored: The origins at which streams may have begun, as the store has
             them, a frozenset; None if it does not show them.
+        stored_services: Names of the services that its route has led to of
+            late, as the store has them.
     """
     everyone = (own, *others)
     began = {k.began for k in everyone if k.began is not None}
@@ -102,7 +110,7 @@
             return Decision(None, Reason.MOVED)
         return Decision(origin, Reason.KNOWN)
     served = frozenset().union(*(k.served for k in everyone))
-    possible = {*services, *(o.service for o in served)}
+    possible = {*services, *stored_services, *(o.service for o in served)}
     served |= {o for o in stored or () if o.service in possible}
     if len(served) > 1:
         return Decision(None, Reason.SEVERAL_VERSIONS)
@@ -235,11 +243,16 @@
 
 
 class RouteHistory:
-    """The services that routes have led to of late."""
+    """The services that routes have led to of late.
+
+    Attributes:
+        on_changed: Called when a route leads to other services.
+    """
 
     def __init__(self):
         self._services = {}
         self._left_at = collections.defaultdict(dict)
+        self.on_changed = lambda: None
 
     def adopt(self, services, now):
         """Records a new configuration.
@@ -252,7 +265,15 @@
         for route, names in self._services.items():
             for name in set(names) - set(services.get(route, ())):
                 self._left_at[route][name] = now
-        self._services = services
+        changed, self._services = self._services != services, services
+        if changed:
+            self.on_changed()
+
+    def all_of_late(self, now):
+        """Returns ``key of a route -> names of its services of late``."""
+        routes = {*self._services, *self._left_at}
+        found = {route: frozenset(self.of_late(route, now)) for route in routes}
+        return {route: names for route, names in found.items() if names}
 
     def of_late(self, route, now):
         """Returns the services that a route leads or has led to, a set."""
--- a/gorsefall/relay/fleet.py
+++ b/gorsefall/relay/fleet.py
@@ -32,6 +32,7 @@
     Attributes:
         replicas: ``id -> replicas.Replica``.
         versions: The ``softwareversions.VersionHistory`` of their software.
+        routes: The ``softwareversions.RouteHistory`` of the services.
         observation: The ``softwareversions.Observation`` of these versions.
         on_version_added: Called with the ``softwareversions.Origin`` of a
             version that serves and has not served of late.
@@ -50,6 +51,7 @@
         self._loop = loop
         self._on_change = on_change
         self.versions = softwareversions.VersionHistory()
+        self.routes = softwareversions.RouteHistory()
         self.observation = softwareversions.Observation(freshness.clock)
         self.on_version_added = lambda origin: None
         self.paths = None
--- a/gorsefall/relay/streamorigins.py
+++ b/gorsefall/relay/streamorigins.py
@@ -9,15 +9,20 @@
 """
 
 import collections
+import dataclasses
 import random
+import typing
 
 from gorsefall import digests
+from gorsefall import ids
 from gorsefall import logs
 from gorsefall import metrics
 from gorsefall.policy import rendezvous
 from gorsefall.policy import softwareversions
 from gorsefall.policy import streammemory
 from gorsefall.relay import messages
+from gorsefall.relay import routerecord
+from gorsefall.relay import versionstore
 
 TOLD_ENTRIES = 3
 """Entries that are told of a stream: it is known after two were lost."""
@@ -34,26 +39,27 @@
 """Streams in one message, which is then some 3 KB long."""
 
 
+@dataclasses.dataclass(eq=False)
 class _Lookup:
     """A question to other entries whose answers are awaited."""
 
-    def __init__(self, digest, services, own, hosts, done):
-        self.digest = digest
-        self.services = services
-        self.own = own
-        self.hosts = hosts
-        self.stored = None
-        self.store_read = False
-        self.done = done
-        self.answers = {}
-        self.timer = None
+    digest: ids.StreamDigest | None
+    services: tuple[ids.ServiceName, ...]
+    route: str
+    own: softwareversions.Knowledge
+    hosts: list[str]
+    done: typing.Callable
+    stored: versionstore.StoredVersions | None = None
+    store_read: bool = False
+    answers: dict = dataclasses.field(default_factory=dict)
+    timer: typing.Any = None
 
 
 class StreamOrigins:
     """The streams that began of late, and the questions about them.
 
     Attributes:
-        routes: The ``softwareversions.RouteHistory``.
+        routes: The ``softwareversions.RouteHistory`` of ``fleet``.
         version_store: The ``versionstore.VersionStore``; None without one.
         stream_log: The ``streamlog.StreamLog``; None without one.
     """
@@ -76,7 +82,7 @@
         self._peers = None
         self._lookups = {}
         self._rng = rng
-        self.routes = softwareversions.RouteHistory()
+        self.routes = fleet.routes
         self.version_store = self.stream_log = None
         self._log = logs.get('streams')
         fleet.on_version_added = self._on_version_added
@@ -204,7 +210,7 @@
         """
         own = self._knowledge(digest, services, route)
         hosts = self._hosts_to_ask(digest, own)
-        lookup = _Lookup(digest, services, own, hosts, done)
+        lookup = _Lookup(digest, services, route, own, hosts, done)
         if own.began is not None:
             self._decide(lookup)
             return
@@ -261,12 +267,18 @@
         self._decide(lookup)
 
     def _decide(self, lookup):
+        origins, services = None, frozenset()
+        if lookup.stored is not None:
+            origins = lookup.stored.origins
+            services = routerecord.services_of(lookup.route,
+                                               lookup.stored.routes)
         decision = softwareversions.decide(
             lookup.services,
             lookup.own,
             list(lookup.answers.values()),
             view_current=not self._fleet.store_lost,
-            stored=lookup.stored)
+            stored=origins,
+            stored_services=services)
         if (decision.reason is softwareversions.Reason.SEVERAL_VERSIONS and
                 lookup.digest is not None and self.stream_log is not None):
             self.stream_log.find(lookup.digest,
--- a/gorsefall/relay/versionstore.py
+++ b/gorsefall/relay/versionstore.py
@@ -1,9 +1,10 @@
-"""Stores which software versions may have begun streams.
+"""Stores which software versions and services may have begun streams.
 
 Entries tell each other which versions serve, and forget it with their process.
 A version is stored before streams begin at it, and dropped by an entry that has
 seen for long enough that no replica has it. So an entry that has just started
 learns from the store which versions the streams have that it is to go on with.
+The services that each route has led to of late are stored likewise.
 No time is stored: clocks differ, and each entry measures the time by its own.
 
 One entry by hash, the keeper, stores what all see. The others only make sure of
@@ -22,6 +23,7 @@
 from gorsefall import metrics
 from gorsefall.policy import rendezvous
 from gorsefall.policy import softwareversions
+from gorsefall.relay import routerecord
 from gorsefall.relay import snapshots
 from gorsefall.relay import topic
 
@@ -43,6 +45,10 @@
 """Period in which the keeper reads what is stored, s: a late or repeated call
 may have changed it."""
 
+ROUTES_DELAY_S = 0.5
+"""Time for which changes of routes are collected, s: configurations may come in
+quick succession."""
+
 READ_TIMEOUT_S = 0.1
 """Longest wait of a stream that is taken up for the store, s: the same as for
 other entries."""
@@ -53,6 +59,9 @@
 _ERA_KEY = 'era'
 """Key of the era in which all versions are known to be stored."""
 
+_ROUTES_KEY = 'routes'
+"""Key of the services that each route has led to of late."""
+
 
 class _StoredOrigin(msgspec.Struct, frozen=True, array_like=True):
     """The value of a version's record, JSON.
@@ -73,6 +82,7 @@
 
     Attributes:
         origins: The ``softwareversions.Origin`` objects, a frozenset.
+        routes: The services of routes of late, see ``routerecord``.
         end: Offset after the last record.
         era: The ``ids.Era`` of the store.
         proven: Whether all versions that may have begun streams are among
@@ -80,6 +90,7 @@
             an entry that outlasted it has written them again.
     """
     origins: frozenset
+    routes: dict
     end: int
     era: ids.Era
     proven: bool
@@ -99,21 +110,22 @@
     proven. A topic that has never been written belongs to a system that has
     just started for the first time.
     """
-    origins, proven_era, readable = set(), None, True
+    origins, routes, proven_era, readable = set(), {}, None, True
     for record in snapshot.records:
-        if record.key == _ERA_KEY:
-            proven_era = record.value
-            continue
         try:
-            stored = _DECODER.decode(record.value)
+            if record.key == _ERA_KEY:
+                proven_era = record.value
+            elif record.key == _ROUTES_KEY:
+                routes = routerecord.decode(record.value)
+            else:
+                stored = _DECODER.decode(record.value)
+                origins.add(
+                    softwareversions.Origin(stored.service, stored.software))
         except msgspec.DecodeError:
             readable = False
-        else:
-            origins.add(softwareversions.Origin(stored.service,
-                                                stored.software))
     in_era = proven_era == _encode_era(snapshot.era) or not snapshot.end
-    return StoredVersions(frozenset(origins), snapshot.end, snapshot.era,
-                          readable and in_era)
+    return StoredVersions(frozenset(origins), routes, snapshot.end,
+                          snapshot.era, readable and in_era)
 
 
 def _encode_era(era):
@@ -145,10 +157,11 @@
         self._rng = rng
         self._pending = set()
         self._has_read = False
-        self._syncing = False
+        self._syncing = self._routes_changed = False
         self._began_era = None
         self._log = logs.get('versions')
         self.reader_names = lambda: [name]
+        fleet.routes.on_changed = self._on_routes_changed
         loop.call_later(STARTING_S, self._upkeep)
 
     # -- what is stored --------------------------------------------------------
@@ -164,8 +177,8 @@
         """Reads which versions may have begun streams.
 
         Args:
-            done: Called with a frozenset of ``softwareversions.Origin``
-                objects, or None if the store does not show it in time.
+            done: Called with the ``StoredVersions``, or None if the store does
+                not show them in time.
         """
         waiting = [done]
 
@@ -177,7 +190,7 @@
                 waiting.pop()(found)
 
         def on_read(stored, exc):
-            finish(stored.origins if exc is None and stored.proven else None)
+            finish(stored if exc is None and stored.proven else None)
 
         timer = self._loop.call_later(READ_TIMEOUT_S, lambda: finish(None))
         self._read(on_read)
@@ -210,6 +223,16 @@
         elif self._has_read and self._is_keeper():
             self._sync_in(0.0)
 
+    def _on_routes_changed(self):
+        if self._has_read and not self._routes_changed:
+            self._routes_changed = True
+            self._loop.call_later(ROUTES_DELAY_S, self._store_routes)
+
+    def _store_routes(self):
+        self._routes_changed = False
+        if self._is_keeper():
+            self._sync_in(0.0)
+
     def on_store_restored(self):
         """Called when the store came back from an older copy."""
         self._pending |= self._fleet.versions.all_origins(self._loop.now)
@@ -273,9 +296,17 @@
             return encode(min(missing))
         if not stored.proven and (covers or self._began_era == stored.era):
             return _ERA_KEY, _encode_era(stored.era)
+        if not self._is_keeper():
+            return None
         # The keeper alone is told of streams whose version has no replicas.
-        if covers and old and self._is_keeper():
+        if covers and old:
             return encode(min(old))[0], b''
+        routes = routerecord.from_history(
+            self._fleet.routes.all_of_late(self._loop.now))
+        if not covers:
+            routes = routerecord.join(routes, stored.routes)
+        if routes != stored.routes:
+            return _ROUTES_KEY, routerecord.encode(routes)
         return None
 
     def _write(self, key, value, end):
@@ -285,7 +316,7 @@
             del position
             if exc is None:
                 self._log.info('version_stored',
-                               version=value.decode(),
+                               version=value.decode(errors='replace'),
                                key=key)
             failed = exc and not isinstance(exc, errors.ConflictError)
             self._read_again(RETRY_RANGE_S if failed else (0.0, 0.0))
--- a/tests/stream_entries.py
+++ b/tests/stream_entries.py
@@ -83,6 +83,7 @@
         self.bytes_out = 0
         self.handlers = {}
         self.versions = softwareversions.VersionHistory()
+        self.routes = softwareversions.RouteHistory()
         self.on_version_added = lambda origin: None
         self.store_lost = False
         self.loop = self
--- a/tests/test_versionstore.py
+++ b/tests/test_versionstore.py
@@ -204,3 +204,62 @@
                 decision, _ = fleet.take_up(host, rid)
                 assert decision.origin in (None, _at(version)), decision
         fleet.run(rng.uniform(0.05, 4.0))
+
+
+def _adopt(fleet, service):
+    """Has all entries know a route to a service."""
+    for entry in fleet.entries.values():
+        entry.routes.adopt({'r': (service,)}, fleet.now)
+
+
+def _moved_fleet(count):
+    """Returns a fleet one of whose routes has just moved to ``other``."""
+    fleet = _fleet(count, ['v1'])
+    for entry in fleet.entries.values():
+        entry.versions.add('other', 'v1')
+        entry.on_version_added(softwareversions.Origin('other', 'v1'))
+    _adopt(fleet, stream_entries.SERVICE)
+    fleet.run(2.0)
+    _adopt(fleet, 'other')
+    return fleet
+
+
+@pytest.mark.parametrize('restarts', [1, 2, 3])
+def test_a_route_that_moved_is_known_after_any_number_of_restarts(restarts):
+    """All entries are killed again before any has observed for long, and the
+    first new one drops what it has not seen."""
+    fleet = _moved_fleet(3)
+    for _ in range(restarts):
+        fleet.restart(fleet.hosts)
+        _adopt(fleet, 'other')
+        fleet.run(5.0)
+    decision, _ = fleet.take_up(fleet.hosts[0],
+                                'x',
+                                services=('other',),
+                                route='r')
+    assert decision == (None, Reason.SEVERAL_VERSIONS)
+
+
+def test_streams_go_on_long_after_their_route_moved():
+    """A route that has moved once has its streams refused for good."""
+    fleet = _moved_fleet(3)
+    fleet.run(REPLACED_S)
+    for entry in fleet.entries.values():
+        entry.alive = False
+    fleet.restart(fleet.hosts)
+    fleet.run(0.5)
+    decision, _ = fleet.take_up(fleet.hosts[0],
+                                'x',
+                                services=('other',),
+                                route='r')
+    assert decision.reason is Reason.SOLE_VERSION
+
+
+@pytest.mark.parametrize('count', [7, 87])
+def test_what_storing_a_route_costs_does_not_grow_with_the_entries(count):
+    """All entries write what one would have to."""
+    fleet = _moved_fleet(count)
+    fleet.store.writes = 0
+    _adopt(fleet, stream_entries.SERVICE)
+    fleet.run(REPLACED_S)
+    assert fleet.store.writes <= MAX_WRITES
