--- a/gorsefall/relay/node.py
+++ b/gorsefall/relay/node.py
@@ -256,7 +256,8 @@
         found = self._budgets.get(service)
         if found is None:
             found = self._budgets[service] = budget.Budget(
-                self.cfg.retries, self.share,
+                self.cfg.retries,
+                self.share,
                 lambda: self.work.others_first_attempts(service),
                 began_at=self._began_at)
         return found
