All entries together prove the versions after an older copy

Callers whose streams nobody knew were refused for 23 s after the store had come back from an older copy, also if all entries had outlasted it: an outage of over 3 s is a gap in what an entry observed, and only an entry without one proved that nothing is missing. The keeper now asks every entry that was heard of in the last 23 s: if each answers and has run for as long, no process that could have begun a stream has ended, and what they know together is stored and proven. If one is gone or new, it is as before.

Ways: an entry proves across a gap if the store was away for all: nothing shows that it was (test_an_entry_that_was_cut_off_does_not_prove_an_older_copy). Asking all costs a message and an answer of some 100 bytes an entry and return of the store, 20 KB at 195 entries.

--- a/gorsefall/policy/membership.py
+++ b/gorsefall/policy/membership.py
@@ -88,6 +88,7 @@
             lambda: entrystatus.NO_REQUESTS)
         self._first_attempts = collections.Counter()
         self._counted = 0
+        self._heard_at = {}
 
     # -- addresses -------------------------------------------------------------
 
@@ -128,6 +129,7 @@
         if member.status is not None:
             self._first_attempts.subtract(member.status.first_attempts)
         member.status, member.received_at = status, now
+        self._heard_at[host] = now
         self._first_attempts.update(status.first_attempts)
         self._add_counts(member)
         return True
@@ -149,6 +151,14 @@
             self._first_attempts.subtract(member.status.first_attempts)
             self._first_attempts += collections.Counter()
 
+    def heard_since(self, at):
+        """Returns the hosts of all entries heard since a time, s.
+
+        Those that were last heard before it are forgotten.
+        """
+        self._heard_at = {h: t for h, t in self._heard_at.items() if t >= at}
+        return list(self._heard_at)
+
     def live_hosts(self, now):
         """Returns the hosts of entries with a recent status."""
         self.expire(now)
--- a/gorsefall/relay/messages.py
+++ b/gorsefall/relay/messages.py
@@ -121,8 +121,37 @@
     covers: bool = False
 
 
+class AskVersions(msgspec.Struct,
+                  frozen=True,
+                  array_like=True,
+                  tag='ask-versions'):
+    """Asks which versions have served of late.
+
+    Attributes:
+        query_id: Identifies the question at the sender.
+    """
+    query_id: int
+
+
+class VersionsKnown(msgspec.Struct,
+                    frozen=True,
+                    array_like=True,
+                    tag='versions-known'):
+    """The response to an ``AskVersions``.
+
+    Attributes:
+        query_id: That of the question.
+        age_s: Time for which the process has run, s.
+        origins: The ``softwareversions.Origin`` objects that it knows.
+    """
+    query_id: int
+    age_s: float
+    origins: tuple[softwareversions.Origin, ...]
+
+
 Message = (entrystatus.Status | Ask | Told | Hint | Suspects | AskSuspects |
-           reports.EntryReport | StreamsBegun | AskStream | StreamKnown)
+           reports.EntryReport | StreamsBegun | AskStream | StreamKnown |
+           AskVersions | VersionsKnown)
 
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER = msgspec.msgpack.Decoder(Message)
--- a/gorsefall/relay/node.py
+++ b/gorsefall/relay/node.py
@@ -33,6 +33,7 @@
 from gorsefall.relay import streamlog
 from gorsefall.relay import streamorigins
 from gorsefall.relay import versionstore
+from gorsefall.relay import versionwitnesses
 from gorsefall.relay import workload
 
 READY_CONFIRMATION_SHARE = 0.9
@@ -140,6 +141,8 @@
             self.loop, adapter.source(self.loop, addr, adapter.versions_topic),
             self.fleet, self.cfg.name)
         streams.version_store.reader_names = self._reader_names
+        streams.version_store.witnesses = versionwitnesses.VersionWitnesses(
+            self.loop, self.fleet, self.work.peer_view.members)
         host, _ = settingsfile.split_addr(self.cfg.peers or self.cfg.callers)
         streams.stream_log = streamlog.StreamLog(
             self.loop, adapter.source(self.loop, addr, adapter.streams_topic),
@@ -170,6 +173,7 @@
         self.crashes.start(self._peers)
         self.announcements.start()
         self.streams.start(self._peers)
+        self.streams.version_store.witnesses.start(self._peers)
         self.duties.start(self._peers)
         self._crash_store.start(
             lambda: self._followers.is_reader,
--- a/gorsefall/relay/versionstore.py
+++ b/gorsefall/relay/versionstore.py
@@ -49,6 +49,9 @@
 """Time for which changes of routes are collected, s: configurations may come in
 quick succession."""
 
+MAX_ASKS = 3
+"""How often all entries are asked after an older copy; messages may be lost."""
+
 READ_TIMEOUT_S = 0.1
 """Longest wait of a stream that is taken up for the store, s: the same as for
 other entries."""
@@ -137,6 +140,7 @@
 
     Attributes:
         reader_names: Returns the names of all live entries that read the store.
+        witnesses: The ``versionwitnesses.VersionWitnesses``; None without any.
     """
 
     def __init__(self, loop, source, fleet, name, rng=random):
@@ -158,9 +162,13 @@
         self._pending = set()
         self._has_read = False
         self._syncing = self._routes_changed = False
+        self._was_written = False
         self._began_era = None
+        self._asks_left = 0
+        self._witnessed = frozenset()
         self._log = logs.get('versions')
         self.reader_names = lambda: [name]
+        self.witnesses = None
         fleet.routes.on_changed = self._on_routes_changed
         loop.call_later(STARTING_S, self._upkeep)
 
@@ -200,13 +208,23 @@
         def on_snapshot(snapshot, exc):
             stored = None
             if exc is None:
-                stored = decode(snapshot)
+                stored = self._check_first(decode(snapshot))
                 self._has_read = True
                 self._pending -= stored.origins
             done(stored, exc)
 
         self._reader.read(on_snapshot)
 
+    def _check_first(self, stored):
+        """Returns what was read; an empty topic proves nothing once it was not.
+
+        The store may have come back from a copy older than the first record.
+        """
+        self._was_written |= stored.end > 0
+        if stored.end or not self._was_written:
+            return stored
+        return stored._replace(proven=False)
+
     # -- writing ---------------------------------------------------------------
 
     def on_version_added(self, origin):
@@ -235,6 +253,8 @@
 
     def on_store_restored(self):
         """Called when the store came back from an older copy."""
+        self._was_written = True
+        self._asks_left = MAX_ASKS
         self._pending |= self._fleet.versions.all_origins(self._loop.now)
         self._sync_in(0.0)
 
@@ -263,8 +283,11 @@
             self._log.warning('not_read', error=str(exc))
             self._read_again(RETRY_RANGE_S)
             return
-        if not stored.end:
+        if not self._was_written:
             self._began_era = stored.era
+        if self._needs_witnesses(stored):
+            self.witnesses.ask(lambda found: self._on_witnessed(stored, found))
+            return
         self._pending &= self._fleet.versions.all_origins(self._loop.now)
         writes = waited or self._is_keeper()
         record = self._next_record(stored)
@@ -277,6 +300,27 @@
         else:
             self._syncing = False
 
+    def _needs_witnesses(self, stored):
+        """Whether others have to say what an older copy may have lost."""
+        return (self.witnesses is not None and self._is_keeper() and
+                self._asks_left > 0 and not stored.proven and
+                not self._observes())
+
+    def _on_witnessed(self, stored, origins):
+        if origins is None:
+            self._asks_left -= 1
+            self._log.info('versions_unwitnessed', era=stored.era)
+            self._read_again(RETRY_RANGE_S)
+            return
+        self._witnessed = frozenset(origins)
+        self._began_era = stored.era
+        self._asks_left = 0
+        self._read(self._sync)
+
+    def _observes(self):
+        """Whether this entry has seen all versions of the whole time."""
+        return (self._fleet.observation.covers() and not self._fleet.store_lost)
+
     def _read_again(self, range_s, *, waited=False):
         self._loop.call_later(
             self._rng.uniform(*range_s), lambda: self._read(
@@ -289,8 +333,9 @@
             stored: The ``StoredVersions``.
         """
         origins = self._fleet.versions.all_origins(self._loop.now)
-        covers = (self._fleet.observation.covers() and
-                  not self._fleet.store_lost)
+        if not stored.proven:
+            origins |= self._witnessed
+        covers = self._observes()
         missing, old = origins - stored.origins, stored.origins - origins
         if missing:
             return encode(min(missing))
--- a/tests/stream_entries.py
+++ b/tests/stream_entries.py
@@ -12,6 +12,7 @@
 from gorsefall.relay import streamlog
 from gorsefall.relay import streamorigins
 from gorsefall.relay import versionstore
+from gorsefall.relay import versionwitnesses
 
 SERVICE = 'pool'
 RTT_S = 0.003
@@ -78,7 +79,7 @@
 
     def __init__(self, fleet, host, store=None):
         self.fleet, self.host = fleet, host
-        self.alive = True
+        self.alive, self.heard_at = True, fleet.now
         self.started_at = fleet.now
         self.bytes_out = 0
         self.handlers = {}
@@ -96,7 +97,19 @@
                 self, fleet.stream_store, self, host)
             self.origins.version_store = versionstore.VersionStore(
                 self, store, self, host, fleet.rng)
-            self.origins.version_store.reader_names = self._readers
+            store = self.origins.version_store
+            store.reader_names = self._readers
+            store.witnesses = versionwitnesses.VersionWitnesses(
+                self, self, self)
+            store.witnesses.start(self)
+
+    @property
+    def alive(self):
+        return self._alive
+
+    @alive.setter
+    def alive(self, alive):
+        self._alive, self.heard_at = alive, self.fleet.now
 
     @property
     def now(self):
@@ -135,6 +148,13 @@
         oldest = min(others, key=lambda e: e.started_at, default=None)
         return None if oldest is None else oldest.host
 
+    def heard_since(self, at):
+        # Those at the same host are told apart by their age.
+        return [
+            h for h, e in self.fleet.entries.items()
+            if h != self.host and (e.alive or e.heard_at >= at)
+        ]
+
     def live_hosts(self, now):
         # Also those that died a moment ago, which nobody knows yet.
         del now
