--- a/gorsefall/relay/versionstore.py
+++ b/gorsefall/relay/versionstore.py
@@ -360,11 +360,15 @@
         def on_written(position, exc):
             del position
             if exc is None:
-                self._log.info('version_stored',
-                               version=value.decode(errors='replace'),
-                               key=key)
+                self._log_stored(key, value)
             failed = exc and not isinstance(exc, errors.ConflictError)
             self._read_again(RETRY_RANGE_S if failed else (0.0, 0.0))
 
         self._source.append_at(key, value, end, topic.SILENCE_TIMEOUT_S,
                                on_written)
+
+    def _log_stored(self, key, value):
+        if key == _ROUTES_KEY:
+            self._log.info('routes_stored', size=len(value))
+        else:
+            self._log.info('version_stored', version=value.decode(), key=key)
