--- a/features/platform_versions.feature
+++ b/features/platform_versions.feature
@@ -119,6 +119,16 @@
     And the callers take their streams up at another entry
     Then no stream is joined from two versions, and what is refused has not run
 
+  # Guards against a move of a route that only entries remember.
+  Scenario: a route is moved, and all entries are killed
+    Given three entries before replicas of the versions "v1 v1"
+    When ten callers leave their streams after two events
+    And the services of the routes are stored
+    And the route is moved to another service with replicas "w1 w1"
+    And all entries are killed and start again
+    And the callers take their streams up at all entries in turn
+    Then no stream is joined from two versions, and what is refused has not run
+
   # Guards against streams that nobody begins as the store takes no writes.
   Scenario: the replicas of the only stored version leave
     Given three entries before replicas of the versions "v1 v1"
--- a/features/steps/version_kill_steps.py
+++ b/features/steps/version_kill_steps.py
@@ -121,6 +121,16 @@
     store.unreadable, store.unwritable = set(), set()
 
 
+@when('the services of the routes are stored')
+def step_routes_stored(context):
+    waiting.until(lambda: [
+        ln for site in context.sites for ln in site.log()
+        if ln['event'] == 'routes_stored'
+    ],
+                  'the services of the routes',
+                  timeout_s=15.0)
+
+
 @when('the route is moved to another service with replicas "{versions}"')
 def step_move(context, versions):
     site = context.platform
