A pause of the entry counts as one loss of each link

Streams were kept away from sound replicas after an entry had been paused for a quarter of a second: each of its streams counted the pause as a lost packet (probability of a stall 0.82 by twenty streams, 0.58 by one). Stalls of one link that end within 0.02 s count once now.

test_a_pause_of_the_entry_counts_as_one_loss failed in every run and passes.

Ways: 0.05 s would merge half of the independent losses of a link that loses two packets in a hundred under twenty streams (13 a second), 0.02 s a fifth (by arithmetic).

--- a/gorsefall/policy/stalls.py
+++ b/gorsefall/policy/stalls.py
@@ -17,6 +17,10 @@
 """Maximum time between events that were stalled together, s: no replica takes
 less than 0.018 s for an event."""
 
+COMMON_CAUSE_S = 0.02
+"""Time within which several streams of a link stall for one cause, s: a pause
+of this process ends for all of them in one pass of its loop."""
+
 DECAY_S = 4.0
 """Time constant of the decay of samples, s. A replica that is avoided because
 of its link yields no new samples, so it has to be tried again."""
@@ -33,6 +37,7 @@
         self._events = 0.0
         self._stalled = 0.0
         self._at = 0.0
+        self._stalled_at = float('-inf')
 
     def _decay(self, now):
         return math.exp((self._at - now) / DECAY_S)
@@ -45,6 +50,10 @@
             now: Time, s (monotonic).
             stalled: Whether a packet loss stalled them.
         """
+        if stalled:
+            stalled = now - self._stalled_at > COMMON_CAUSE_S
+        if stalled:
+            self._stalled_at = now
         decay = self._decay(now)
         self._events = self._events * decay + events
         self._stalled = self._stalled * decay + stalled
