A replica that was started again does not show lost paths

An entry sent requests through others although its own paths worked: two replicas had exited at one moment, and one was back when another entry connected to it, over a second after this entry's failure. That the other reaches it counts only within 0.5 s of the failure now; later this entry tries anew.

--- a/gorsefall/policy/reachability.py
+++ b/gorsefall/policy/reachability.py
@@ -15,6 +15,11 @@
 EVIDENCE_S = 5.0
 """Time for which a failure to connect counts, s."""
 
+SAME_TIME_S = 0.5
+"""Longest time from a failure to connect to the moment at which another entry
+reached the replica, s. A replica that had exited may have been started again
+after a longer one; this entry tries it anew."""
+
 REFUTED_S = 1.0
 """Time for which a replica that other entries did not reach either is taken to
 have failed, s. Those entries may have lost their paths as well without knowing
@@ -93,6 +98,8 @@
             return False
         if self.lost_since is not None or replica not in self.suspects(now):
             return False
+        if now - self._failed_at[replica] > SAME_TIME_S:
+            return False
         self.lost_since = now
         self._regained.clear()
         return True
