Replicas that failed at one moment are all sent to if all are ejected

All requests went to one replica for half a second after all had failed at one moment, as the entry had been paused or its paths were lost: of all that were ejected the one was chosen whose ejection ended first. Those whose ejections end within 0.1 s of it are chosen from now.

--- a/gorsefall/policy/health.py
+++ b/gorsefall/policy/health.py
@@ -7,12 +7,17 @@
 EJECT_MAX_S = 10.0
 """Maximum ejection time, s: a recovered replica is used again within it."""
 
+COMMON_CAUSE_S = 0.1
+"""Time within which failures of several replicas have one cause, s: a pause of
+this process, or of its paths."""
+
 
 def select_healthy(replicas, now):
     """Returns those of ``replicas`` that get requests.
 
-    If all are ejected, the result is the one whose ejection ends first: it may
-    work, which is better than refusing all requests.
+    If all are ejected, the result is the one whose ejection ends first, with
+    those that failed at the same moment: they may work, which is better than
+    refusing all requests, and one alone would get them all.
 
     Args:
         replicas: List of ``Health`` objects.
@@ -21,7 +26,8 @@
     healthy = [r for r in replicas if r.eject_until <= now]
     if healthy or not replicas:
         return healthy
-    return [min(replicas, key=lambda r: r.eject_until)]
+    first = min(r.eject_until for r in replicas)
+    return [r for r in replicas if r.eject_until <= first + COMMON_CAUSE_S]
 
 
 class Health:
