Calls sent before a failure do not prolong the ejection

A replica that had been paused once was avoided for eight seconds: calls that were under way then were given up one after the other, after the ejection had ended, and each doubled it. A failure says when its call was sent, and one that was sent before the last counted failure counts no more.

test_calls_sent_before_a_failure_do_not_prolong_the_ejection failed in every run and passes. Bound and times are as before. The product's own wire gives no time, and is as before.

--- a/gorsefall/policy/health.py
+++ b/gorsefall/policy/health.py
@@ -42,8 +42,9 @@
     failures = 0
     eject_until = 0.0
     missed_report_only = False
+    _failed_at = float('-inf')
 
-    def record_failure(self, now):
+    def record_failure(self, now, sent_at=float('inf')):
         """Records a failed call and ejects the replica for a while.
 
         Without ejection a crashing replica looks idle and attracts every next
@@ -52,11 +53,17 @@
         the replica. Calls that were under way when it began count once: they
         have one cause, and eight of them would eject the replica for the
         longest time.
+
+        Args:
+            now: Time, s (monotonic).
+            sent_at: When the call was sent, s.
         """
-        counted = now < self.eject_until and not self.missed_report_only
+        counted = ((now < self.eject_until and not self.missed_report_only) or
+                   sent_at <= self._failed_at)
         self.missed_report_only = False
         if counted:
             return
+        self._failed_at = now
         self.failures += 1
         eject_s = min(EJECT_MAX_S, EJECT_BASE_S * 2**(self.failures - 1))
         self.eject_until = now + eject_s
--- a/gorsefall/relay/exchange.py
+++ b/gorsefall/relay/exchange.py
@@ -369,7 +369,7 @@
             response.status == TIMEOUT_STATUS)
         if not response.genuine and response.status < INTERNAL_ERROR_STATUS:
             # Also a denial: the caller would not retry after it.
-            view.record_failure(time.monotonic())
+            view.record_failure(time.monotonic(), attempt.sent_at)
             self.retry_or_fail_unknown('its answer is not its own')
         elif self._delivery.streaming:
             self._delivery.end()
@@ -410,7 +410,7 @@
         detour = self._detours.plan(attempt, failure)
         if not detour and not (failure.sent and
                                failure.fault is outbound.Fault.FORWARDER):
-            attempt.replica.view.record_failure(now)
+            attempt.replica.view.record_failure(now, attempt.sent_at)
         attempt.log_failed(failure.reason, sent=failure.sent)
         lost = failure.fault is outbound.Fault.LOST
         if lost and self.start_latency().covers(now - attempt.sent_at):
--- a/gorsefall/relay/takeover.py
+++ b/gorsefall/relay/takeover.py
@@ -110,7 +110,7 @@
     def _let_go(self, attempt):
         """Cancels the attempt, as another one goes on."""
         attempt.conn.cancel()
-        attempt.replica.view.record_failure(time.monotonic())
+        attempt.replica.view.record_failure(time.monotonic(), attempt.sent_at)
         if not attempt.response_started:
             self._exchange.record_wait(attempt)
         attempt.log_failed('silent')
@@ -144,7 +144,7 @@
         attempt = self._drop(policy.Event.OLD_FAILED)
         if not failure.sent:
             self._exchange.attempts.record_unreached(attempt.name)
-        attempt.replica.view.record_failure(time.monotonic())
+        attempt.replica.view.record_failure(time.monotonic(), attempt.sent_at)
         attempt.log_failed(failure.reason, sent=failure.sent)
         if failure.fault is outbound.Fault.LOST:
             self._exchange.node.crashes.handle_broken_run(
