Requests that waited at one paused replica count once for the attempt timeout

A second silence was noticed late, as all requests that had waited at the first silent replica made the estimate longer (2.96 s by eight of them, 1.34 s by one). An abandoned attempt counts unless another one at the same replica was abandoned after it had been sent.

--- a/gorsefall/policy/attempt_timeouts.py
+++ b/gorsefall/policy/attempt_timeouts.py
@@ -4,6 +4,8 @@
 in a queue for the end of another queue, and loses the work done so far.
 """
 
+import collections
+
 SMOOTHING = 0.125
 DEVIATION_SMOOTHING = 0.25
 DEVIATIONS = 4
@@ -37,6 +39,9 @@
 s: twice the longest gap that counts as on time, a quarter of the gap that
 callers tolerate."""
 
+MAX_REPLICAS = 256
+"""Most replicas whose last abandoned attempt is remembered."""
+
 
 class StartLatency:
     """Smoothed time until the start of a response, of one service and kind."""
@@ -44,14 +49,30 @@
     def __init__(self):
         self._mean_s = None
         self._deviation_s = 0.0
+        self._abandoned_at = collections.OrderedDict()
 
-    def record(self, after_s):
-        """Records a response that started after ``after_s``.
+    def record_abandoned(self, replica, sent_at, now):
+        """Records an attempt that was abandoned before its response started.
+
+        Otherwise only fast responses would count, and the estimate would become
+        shorter the more attempts are abandoned. Those that waited at a replica
+        at the same time waited for one cause, and count once.
 
-        Abandoned attempts count as well, with the time that they waited:
-        otherwise only fast responses would count, and the estimate would become
-        shorter the more attempts are abandoned.
+        Args:
+            replica: The replica's id.
+            sent_at: When it was sent, s (monotonic).
+            now: Time, s (monotonic).
         """
+        if sent_at < self._abandoned_at.get(replica, float('-inf')):
+            return
+        self._abandoned_at[replica] = now
+        self._abandoned_at.move_to_end(replica)
+        if len(self._abandoned_at) > MAX_REPLICAS:
+            self._abandoned_at.popitem(last=False)
+        self.record(now - sent_at)
+
+    def record(self, after_s):
+        """Records a response that started after ``after_s``."""
         if self._mean_s is None:
             self._mean_s = after_s
             self._deviation_s = after_s / 2
--- a/gorsefall/relay/exchange.py
+++ b/gorsefall/relay/exchange.py
@@ -244,9 +244,10 @@
             self._counted = True
             self.node.duties.record_run(account.name)
 
-    def record_wait(self, attempt):
-        """Records how long an attempt has waited for its response."""
-        self.start_latency().record(time.monotonic() - attempt.sent_at)
+    def record_abandoned(self, attempt):
+        """Records how long an attempt has waited for a response in vain."""
+        self.start_latency().record_abandoned(attempt.replica.record.id,
+                                              attempt.sent_at, time.monotonic())
 
     # -- silent attempts -------------------------------------------------------
 
@@ -303,7 +304,7 @@
             self.first_byte_at = time.monotonic()
         if not attempt.response_started:
             attempt.first_byte_at = time.monotonic()
-            self.record_wait(attempt)
+            self.start_latency().record(attempt.first_byte_at - attempt.sent_at)
             attempt.record_response_start(self._speed())
             if attempt.usable:
                 self.node.crashes.record_begun_run(attempt, self.causes, self)
--- a/gorsefall/relay/takeover.py
+++ b/gorsefall/relay/takeover.py
@@ -112,7 +112,7 @@
         attempt.conn.cancel()
         attempt.replica.view.record_failure(time.monotonic(), attempt.sent_at)
         if not attempt.response_started:
-            self._exchange.record_wait(attempt)
+            self._exchange.record_abandoned(attempt)
         attempt.log_failed('silent')
 
     def resume(self, exc):
--- a/tests/test_common_causes_review.py
+++ b/tests/test_common_causes_review.py
@@ -360,7 +360,7 @@
         for _ in range(100):
             latency.record(0.1)
         for _ in range(waiting):
-            latency.record(1.2)
+            latency.record_abandoned('r', 100.0, 101.2)
         timeouts.append(latency.timeout_s(0.15))
     assert timeouts[1] <= timeouts[0], timeouts
 
