The time limit of a head does not cut off a body

A caller with a long body on a slow link lost its connection without an answer: the limit for the head ran on until the end of the body. Each piece of a body starts the idle limit anew now.

test_a_body_may_take_longer_than_a_head fails on the code before; a request that stops within its head or its body is closed as before.

Ways: a limit on the whole body needs a rate that callers have to reach, which the limits of the configuration do not name; the idle limit is there.

--- a/gorsefall/relay/inbound.py
+++ b/gorsefall/relay/inbound.py
@@ -188,6 +188,7 @@
     def _on_head(self, event):
         self._limits = self._server.limits
         self._head = event
+        self._start_timer(self._limits.idle_timeout_s)
         # h11 only limits the size of a head that is still incomplete.
         size = len(event.target) + sum(
             len(n) + len(v) + HEADER_EXTRA_BYTES for n, v in event.headers)
@@ -203,6 +204,8 @@
                     f'body over {self._limits.body_bytes} bytes'))
 
     def _on_data(self, data):
+        # A long body may take longer than a head on a slow link.
+        self._start_timer(self._limits.idle_timeout_s)
         self._body.add(data)
         if len(self._body.data) > self._limits.body_bytes:
             self._refuse(
--- a/tests/test_inbound.py
+++ b/tests/test_inbound.py
@@ -249,3 +249,41 @@
     exchange = _end_connection(
         lambda conn, client: conn._conn.on_handler_error())
     assert (exchange.left, exchange.lost) == ([], ['fault in the handler'])
+
+
+class _Impatient(Server):
+    limits = model.CallerLimits(header_bytes=2000,
+                                body_bytes=500,
+                                header_timeout_s=0.2,
+                                idle_timeout_s=0.8)
+
+
+def _send_slowly(pieces, pause_s):
+    """Sends pieces after a pause each; returns the server."""
+    server = _Impatient()
+    client, accepted = _connected()
+    with peers.loop() as loop:
+        inbound.CallerConnection(loop, server, accepted)
+        for i, piece in enumerate(pieces):
+            loop.call_later(i * pause_s, lambda p=piece: client.sendall(p))
+        peers.run(loop, lambda: server.requests or server.closed)
+    client.close()
+    return server
+
+
+def test_a_body_may_take_longer_than_a_head():
+    """A long body on a slow link is cut off, as if it were a head."""
+    body = bytes(80)
+    whole = encode(b'/a', body, False)
+    cut = len(whole) - len(body)
+    pieces = [whole[:cut], *(bytes(10) for _ in range(8))]
+    server = _send_slowly(pieces, 0.05)
+    assert server.requests == [(b'POST', b'/a', body)]
+
+
+@pytest.mark.parametrize('sent', [20, -10])
+def test_a_request_that_stops_arriving_is_closed(sent):
+    """A caller that stops within a head or a body keeps a connection open."""
+    server = _send_slowly([encode(b'/a', bytes(80), False)[:sent]], 0.0)
+    assert server.closed
+    assert not server.requests
