--- a/gorsefall/relay/delivery.py
+++ b/gorsefall/relay/delivery.py
@@ -78,6 +78,11 @@
         """Number of events completed by the last piece of the stream."""
         return self._part.splitter.completed
 
+    @property
+    def overflows(self):
+        """Whether the stream has an event that is too long to be one."""
+        return self._part.splitter.overflows
+
     def buffer(self, data):
         """Buffers a piece of the body; returns False if it gets too large."""
         self._part.chunks.append(data)
--- a/gorsefall/relay/exchange.py
+++ b/gorsefall/relay/exchange.py
@@ -20,6 +20,7 @@
 from gorsefall.relay import crashes
 from gorsefall.relay import delivery
 from gorsefall.relay import detours
+from gorsefall.relay import events
 from gorsefall.relay import grant
 from gorsefall.relay import outcomes
 from gorsefall.relay import responseend
@@ -314,15 +315,20 @@
         attempt.last_data_at = time.monotonic()
         if self._delivery.streaming:
             self._forward(attempt, self._delivery.split_events(data))
+            if self._delivery.overflows:
+                self._give_up(attempt, f'event over {events.MAX_EVENT_BYTES}')
         elif self._delivery.buffer(data):
             # Each piece restarts the timer: a limit on the whole response
             # would abort a long one and run the request again.
             self.silence.await_response()
         else:
-            attempt.conn.cancel()
-            failure = outbound.Failure(
-                True, f'answer over {delivery.MAX_BUFFERED_BYTES} bytes')
-            self.on_attempt_failed(attempt, failure)
+            self._give_up(attempt, f'answer over {delivery.MAX_BUFFERED_BYTES}')
+
+    def _give_up(self, attempt, reason):
+        """Ends an attempt whose response has too many bytes."""
+        attempt.conn.cancel()
+        self.on_attempt_failed(attempt,
+                               outbound.Failure(True, f'{reason} bytes'))
 
     def _forward(self, attempt, data):
         if not data:
--- a/tests/exchange_site.py
+++ b/tests/exchange_site.py
@@ -138,6 +138,10 @@
     def _part(self):
         self._call.on_data(b'id: %d\nda' % self._next)
 
+    def _flood(self):
+        while self.is_open:
+            self._call.on_data(b'x' * 65536)
+
     def _cut(self):
         self._part()
         if self.is_open:
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -50,3 +50,44 @@
     splitter = events.Splitter(after=b'2')
     assert splitter.feed(b': ping\n\n') == b': ping\n\n'
     assert splitter.feed(_event(2) + _event(3)) == _event(3)
+
+
+_PIECES = st.lists(st.sampled_from(
+    [b'\n', b'\r', b'\r\n', b'a', b'id: 1', b'\n\n', b'\r\n\r\n', b'\r\r']),
+                   max_size=40)
+
+
+@given(_PIECES, st.integers(1, 5), st.sampled_from([None, b'0']))
+def test_events_do_not_depend_on_how_their_bytes_arrive(pieces, size, after):
+    """An event is cut or joined with the next one where a piece ends in it."""
+    stream = b''.join(pieces)
+    ends = [m.end() for m in events._EVENT_END.finditer(stream)]
+    # A CR may be the first half of a CRLF that is still to come.
+    splitter = events.Splitter(after=after)
+    out, count = b'', 0
+    for i in range(0, len(stream), size):
+        out += splitter.feed(stream[i:i + size])
+        count += splitter.completed
+    assert out + splitter.partial == stream
+    whole = events.Splitter(after=after)
+    assert whole.feed(stream) == stream[:ends[-1] if ends else 0]
+    assert whole.completed == len(ends)
+    assert splitter.count == count
+
+
+def test_bytes_without_end_are_no_event():
+    """A replica in trouble sends bytes that are no events, without end; all of
+    them are kept, and searched anew with each piece."""
+    splitter = events.Splitter()
+    piece = b'x' * 65536
+    for i in range(1, 40):
+        assert not splitter.feed(piece)
+        assert splitter.overflows == (i * len(piece) > events.MAX_EVENT_BYTES)
+
+
+def test_a_long_event_is_an_event():
+    """A sound event is refused, as it is longer than usual."""
+    splitter = events.Splitter()
+    event = b'data: ' + b'x' * (events.MAX_EVENT_BYTES // 2) + b'\n\n'
+    assert _feed_all(splitter, event, 65536) == event
+    assert not splitter.overflows
--- a/tests/test_exchange_orders.py
+++ b/tests/test_exchange_orders.py
@@ -318,3 +318,16 @@
         site.loop.run(site.loop.now + 3.0)
     assert site.writer.ended == (status is None)
     assert site.writer.status == status
+
+
+_EVENTS = [(0.05, 'event')] * exchange_site.EVENT_COUNT
+
+
+@pytest.mark.parametrize('begun', [0, 2])
+def test_a_stream_goes_on_elsewhere_if_its_replica_sends_bytes_without_end(
+        begun):
+    """The bytes of one replica are kept without bound, until the time is up."""
+    flooding = [(0.05, 'head'), *_EVENTS[:begun], (0.05, 'flood')]
+    site = _play([flooding, [(0.05, 'head'), *_EVENTS]], None, 0.0)
+    assert site.writer.ended
+    assert _is_prefix(site.writer.body) == (True, True)
