Entries do not all read the versions at the moment of a return of the store

Found by measuring: 195 entries sent 198 reads within the moment in which the store had come back from an older copy, beside 240 to 420 calls a second of others, of 2,000.

--- a/tests/test_versionwitnesses.py
+++ b/tests/test_versionwitnesses.py
@@ -8,6 +8,9 @@
 from gorsefall.policy import softwareversions
 from gorsefall.policy.softwareversions import Reason
 
+MAX_READS_AT_ONCE = 10
+"""Most reads of the versions in the first tenth of a second of a return."""
+
 OUTAGE_S = 5.0
 """Length of an outage, s: too long for an entry to observe versions in it."""
 
@@ -178,3 +181,15 @@
         step(f'{i}')
         day.fleet.run(day.rng.uniform(0.05, 4.0))
         day.check()
+
+
+@pytest.mark.parametrize('count', [7, 87, 195])
+def test_entries_do_not_all_read_at_the_moment_of_a_return(count):
+    """Hundreds of reads meet a store that has just come back."""
+    fleet = _fleet(count, ['v2'])
+    _set_away(fleet, True)
+    fleet.run(OUTAGE_S)
+    _restore(fleet, 0)
+    before = fleet.store.reads
+    fleet.run(0.1)
+    assert fleet.store.reads - before <= MAX_READS_AT_ONCE
