--- a/gorsefall/relay/streamorigins.py
+++ b/gorsefall/relay/streamorigins.py
@@ -22,7 +22,7 @@
 from gorsefall.policy import streammemory
 from gorsefall.relay import messages
 from gorsefall.relay import routerecord
-from gorsefall.relay import versionstore
+from gorsefall.relay import versionrecords
 
 TOLD_ENTRIES = 3
 """Entries that are told of a stream: it is known after two were lost."""
@@ -49,7 +49,7 @@
     own: softwareversions.Knowledge
     hosts: list[str]
     done: typing.Callable
-    stored: versionstore.StoredVersions | None = None
+    stored: versionrecords.StoredVersions | None = None
     store_read: bool = False
     answers: dict = dataclasses.field(default_factory=dict)
     timer: typing.Any = None
--- a/gorsefall/relay/versionstore.py
+++ b/gorsefall/relay/versionstore.py
@@ -11,21 +11,16 @@
 versions that come beside another one, at which streams can begin meanwhile.
 """
 
-import hashlib
 import random
-import typing
-
-import msgspec
 
 from gorsefall import errors
-from gorsefall import ids
 from gorsefall import logs
 from gorsefall import metrics
 from gorsefall.policy import rendezvous
-from gorsefall.policy import softwareversions
 from gorsefall.relay import routerecord
 from gorsefall.relay import snapshots
 from gorsefall.relay import topic
+from gorsefall.relay import versionrecords
 
 START_SPREAD_S = 0.3
 """Range of the delay of the first read, s: many entries may start at once."""
@@ -56,84 +51,6 @@
 """Longest wait of a stream that is taken up for the store, s: the same as for
 other entries."""
 
-KEY_BYTES = 16
-"""Bytes of the hash that is the key of a version."""
-
-_ERA_KEY = 'era'
-"""Key of the era in which all versions are known to be stored."""
-
-_ROUTES_KEY = 'routes'
-"""Key of the services that each route has led to of late."""
-
-
-class _StoredOrigin(msgspec.Struct, frozen=True, array_like=True):
-    """The value of a version's record, JSON.
-
-    Attributes:
-        service: Name of the service.
-        software: The version.
-    """
-    service: str
-    software: str
-
-
-_DECODER = msgspec.json.Decoder(_StoredOrigin)
-
-
-class StoredVersions(typing.NamedTuple):
-    """What a read of the topic shows.
-
-    Attributes:
-        origins: The ``softwareversions.Origin`` objects, a frozenset.
-        routes: The services of routes of late, see ``routerecord``.
-        end: Offset after the last record.
-        era: The ``ids.Era`` of the store.
-        proven: Whether all versions that may have begun streams are among
-            them. A store that came back from an older copy may lack some until
-            an entry that outlasted it has written them again.
-    """
-    origins: frozenset
-    routes: dict
-    end: int
-    era: ids.Era
-    proven: bool
-
-
-def encode(origin):
-    """Returns key and value of the record of a ``softwareversions.Origin``."""
-    value = msgspec.json.encode(_StoredOrigin(*origin))
-    # Names may be longer than a key.
-    return hashlib.blake2b(value, digest_size=KEY_BYTES).hexdigest(), value
-
-
-def decode(snapshot):
-    """Returns the ``StoredVersions`` of a ``snapshots.Snapshot``.
-
-    A record that cannot be decoded names some other version, so that nothing is
-    proven. A topic that has never been written belongs to a system that has
-    just started for the first time.
-    """
-    origins, routes, proven_era, readable = set(), {}, None, True
-    for record in snapshot.records:
-        try:
-            if record.key == _ERA_KEY:
-                proven_era = record.value
-            elif record.key == _ROUTES_KEY:
-                routes = routerecord.decode(record.value)
-            else:
-                stored = _DECODER.decode(record.value)
-                origins.add(
-                    softwareversions.Origin(stored.service, stored.software))
-        except msgspec.DecodeError:
-            readable = False
-    in_era = proven_era == _encode_era(snapshot.era) or not snapshot.end
-    return StoredVersions(frozenset(origins), routes, snapshot.end,
-                          snapshot.era, readable and in_era)
-
-
-def _encode_era(era):
-    return b'%d' % era
-
 
 class VersionStore:
     """Writes and reads the versions.
@@ -185,8 +102,8 @@
         """Reads which versions may have begun streams.
 
         Args:
-            done: Called with the ``StoredVersions``, or None if the store does
-                not show them in time.
+            done: Called with the ``versionrecords.StoredVersions``, or None if
+                the store does not show them in time.
         """
         waiting = [done]
 
@@ -208,7 +125,7 @@
         def on_snapshot(snapshot, exc):
             stored = None
             if exc is None:
-                stored = self._check_first(decode(snapshot))
+                stored = self._check_first(versionrecords.decode(snapshot))
                 self._has_read = True
                 self._pending -= stored.origins
             done(stored, exc)
@@ -332,7 +249,7 @@
         """Returns the next key and value to be written; None if there is none.
 
         Args:
-            stored: The ``StoredVersions``.
+            stored: The ``versionrecords.StoredVersions``.
         """
         origins = self._fleet.versions.all_origins(self._loop.now)
         if not stored.proven:
@@ -340,20 +257,20 @@
         covers = self._observes()
         missing, old = origins - stored.origins, stored.origins - origins
         if missing:
-            return encode(min(missing))
+            return versionrecords.encode(min(missing))
         if not stored.proven and (covers or self._began_era == stored.era):
-            return _ERA_KEY, _encode_era(stored.era)
+            return versionrecords.ERA_KEY, versionrecords.encode_era(stored.era)
         if not self._is_keeper():
             return None
         # The keeper alone is told of streams whose version has no replicas.
         if covers and old:
-            return encode(min(old))[0], b''
+            return versionrecords.encode(min(old))[0], b''
         routes = routerecord.from_history(
             self._fleet.routes.all_of_late(self._loop.now))
         if not covers:
             routes = routerecord.join(routes, stored.routes)
         if routes != stored.routes:
-            return _ROUTES_KEY, routerecord.encode(routes)
+            return versionrecords.ROUTES_KEY, routerecord.encode(routes)
         return None
 
     def _write(self, key, value, end):
@@ -370,7 +287,7 @@
                                on_written)
 
     def _log_stored(self, key, value):
-        if key == _ROUTES_KEY:
+        if key == versionrecords.ROUTES_KEY:
             self._log.info('routes_stored', size=len(value))
         else:
             self._log.info('version_stored', version=value.decode(), key=key)
--- a/tests/test_versions_review.py
+++ b/tests/test_versions_review.py
@@ -19,6 +19,7 @@
 from gorsefall.relay import model
 from gorsefall.relay import prober
 from gorsefall.relay import snapshots
+from gorsefall.relay import versionrecords
 from gorsefall.relay import versionstore
 
 SERVICE = stream_entries.SERVICE
@@ -69,7 +70,7 @@
         fleet.entries[host].store_lost = True
     fleet.entries[c].add('v1')
     fleet.run(1.0)
-    assert versionstore.encode(_at('v1'))[0] in _stored(fleet)
+    assert versionrecords.encode(_at('v1'))[0] in _stored(fleet)
     fleet.begin(c, 'x', 'v1')
     fleet.run(1.0)
     fleet.entries[c].alive = False
@@ -111,7 +112,7 @@
         fleet.run(0.5)
         fleet.add('v1')
         fleet.run(60.0)
-    assert versionstore.encode(_at('v1'))[0] in _stored(fleet)
+    assert versionrecords.encode(_at('v1'))[0] in _stored(fleet)
 
 
 def test_a_version_dropped_by_an_entry_that_dies_is_stored_again():
@@ -126,7 +127,7 @@
     for host in fleet.hosts:
         if host != keeper:
             fleet.entries[host].add('v1')
-    key = versionstore.encode(_at('v1'))[0]
+    key = versionrecords.encode(_at('v1'))[0]
     while key in _stored(fleet):
         fleet.run(0.01)
         assert fleet.now < 300
@@ -143,7 +144,7 @@
     fleet.entries[keeper].remove('v1')
     fleet.entries[keeper].store_lost = True
     fleet.run(60.0)
-    assert versionstore.encode(_at('v1'))[0] in _stored(fleet)
+    assert versionrecords.encode(_at('v1'))[0] in _stored(fleet)
 
 
 def test_no_stream_begins_at_a_version_before_it_is_stored():
@@ -183,7 +184,7 @@
     fleet.entries[leader] = stream_entries.Entry(fleet, leader, fleet.store)
     fleet.run(60.0)
     assert _stored(fleet) == {
-        versionstore.encode(_at(v))[0] for v in ['v1', 'v2']
+        versionrecords.encode(_at(v))[0] for v in ['v1', 'v2']
     }
 
 
@@ -222,7 +223,7 @@
             if new:
                 entry.on_version_added(_at('v1', service))
     fleet.run(3.0)
-    found = versionstore.decode(
+    found = versionrecords.decode(
         snapshots.Snapshot(fleet.store.records, len(fleet.store.records),
                            fleet.store.era))
     assert not found.proven or len(_stored(fleet)) == len(services), len(
@@ -448,7 +449,7 @@
             pass
         fleet.add('v3')
         fleet.run(5.0)
-    assert versionstore.encode(_at('v3'))[0] in _stored(fleet)
+    assert versionrecords.encode(_at('v3'))[0] in _stored(fleet)
 
 
 # -- elsewhere -----------------------------------------------------------------
@@ -560,7 +561,7 @@
     fleet.run(5.0)
     fleet.remove('v1')
     fleet.run(300.0)
-    assert versionstore.encode(_at('v1'))[0] not in _stored(fleet)
+    assert versionrecords.encode(_at('v1'))[0] not in _stored(fleet)
 
 
 @pytest.mark.parametrize('seen_before_s', [0.0, 1.1])
