A sole version that runs without records is told to others

Its entry was killed, the keeper had dropped it after 20 s, and with the next version the stream went on at that one (test_the_keeper_knows_of_a_sole_version_without_records).

--- a/gorsefall/relay/streamorigins.py
+++ b/gorsefall/relay/streamorigins.py
@@ -135,8 +135,11 @@
         now = self._loop.now
         self._memory.put(digest, streammemory.BegunStream(origin, now,
                                                           own=True))
-        self._fleet.versions.record_running(origin, now)
-        if self._fleet.versions.origins(services, now) != {origin}:
+        versions = self._fleet.versions
+        versions.record_running(origin, now)
+        # Another version may come after the keeper has dropped this one.
+        if (versions.origins(services, now) != {origin} or
+                not versions.has_replicas(origin)):
             self._tell([(digest, origin.software)], origin.service)
 
     def record_served(self, digest):
