A successor's record at the second look shows that a replica has exited

A record that came between the two probes was not looked at, so that a stream that its replica's exit had cut could be taken for whole (test_a_successor_at_the_address_does_not_vouch_at_the_second_look).

--- a/gorsefall/relay/crashes.py
+++ b/gorsefall/relay/crashes.py
@@ -311,10 +311,15 @@
         if verdict is not prober.Verdict.ALIVE:
             done(True)
             return
+
+        def on_probed(verdict):
+            # A successor may have accepted the probe.
+            done(verdict is not prober.Verdict.ALIVE or
+                 self._fleet.is_replaced(replica))
+
         self._loop.call_later(
-            EXIT_DURATION_S, lambda: self._prober.probe_anew(
-                replica, lambda verdict: done(verdict is not prober.Verdict.
-                                              ALIVE)))
+            EXIT_DURATION_S,
+            lambda: self._prober.probe_anew(replica, on_probed))
 
     def _expected_up(self, replica):
         """Returns whether the replica should run: its exit is then a crash."""
