Routes that are long gone are forgotten

Each entry kept all routes there had ever been, and the keeper went through all of them at each read (test_routes_that_are_gone_are_forgotten).

--- a/gorsefall/policy/softwareversions.py
+++ b/gorsefall/policy/softwareversions.py
@@ -251,7 +251,7 @@
 
     def __init__(self):
         self._services = {}
-        self._left_at = collections.defaultdict(dict)
+        self._left_at = {}
         self.on_changed = lambda: None
 
     def adopt(self, services, now):
@@ -264,7 +264,12 @@
         """
         for route, names in self._services.items():
             for name in set(names) - set(services.get(route, ())):
-                self._left_at[route][name] = now
+                self._left_at.setdefault(route, {})[name] = now
+        self._left_at = {
+            route: left_at
+            for route, left_at in self._left_at.items()
+            if now - max(left_at.values()) <= SERVED_WINDOW_S
+        }
         changed, self._services = self._services != services, services
         if changed:
             self.on_changed()
