Witnesses that have not answered are asked again within the time limit

At 87 and 195 entries and one message of fifty lost, all streams that nobody knew were refused for 24 s after an older copy, as no attempt heard everybody (test_few_lost_messages_do_not_refuse_streams_for_long).

--- a/gorsefall/relay/versionwitnesses.py
+++ b/gorsefall/relay/versionwitnesses.py
@@ -17,6 +17,10 @@
 ANSWER_TIMEOUT_S = 0.3
 """Longest wait for answers, s: hundreds arrive at one link."""
 
+REPEAT_PERIOD_S = 0.1
+"""Time after which those that have not answered are asked again, s: of
+hundreds of messages some are lost."""
+
 
 class _Inquiry:
     """Answers that are awaited."""
@@ -71,8 +75,13 @@
             self._finish(set())
             return
         self._loop.call_later(ANSWER_TIMEOUT_S, lambda: self._give_up(inquiry))
-        for host in hosts:
-            self._peers.send(messages.AskVersions(inquiry.id), host)
+        self._send(inquiry)
+
+    def _send(self, inquiry):
+        if self._inquiry is inquiry:
+            for host in inquiry.missing:
+                self._peers.send(messages.AskVersions(inquiry.id), host)
+            self._loop.call_later(REPEAT_PERIOD_S, lambda: self._send(inquiry))
 
     def _age_s(self):
         return self._loop.now - self._began_at
