A record that cannot be decoded does not have the era written without end

The keeper wrote the era that was there already, read that nothing was proven, and wrote it again, 50 times a second (test_a_record_that_cannot_be_decoded_is_not_written_about_again).

--- a/gorsefall/relay/versionrecords.py
+++ b/gorsefall/relay/versionrecords.py
@@ -49,12 +49,14 @@
         proven: Whether all versions that may have begun streams are among
             them. A store that came back from an older copy may lack some until
             an entry that outlasted it has written them again.
+        in_era: Whether the record of the era says so.
     """
     origins: frozenset
     routes: dict
     end: int
     era: ids.Era
     proven: bool
+    in_era: bool
 
 
 def encode(origin):
@@ -86,7 +88,7 @@
             readable = False
     in_era = proven_era == encode_era(snapshot.era) or not snapshot.end
     return StoredVersions(frozenset(origins), routes, snapshot.end,
-                          snapshot.era, readable and in_era)
+                          snapshot.era, readable and in_era, in_era)
 
 
 def encode_era(era):
--- a/gorsefall/relay/versionstore.py
+++ b/gorsefall/relay/versionstore.py
@@ -140,7 +140,7 @@
         self._was_written |= stored.end > 0
         if stored.end or not self._was_written:
             return stored
-        return stored._replace(proven=False)
+        return stored._replace(proven=False, in_era=False)
 
     # -- writing ---------------------------------------------------------------
 
@@ -222,7 +222,7 @@
     def _needs_witnesses(self, stored):
         """Whether others have to say what an older copy may have lost."""
         return (self.witnesses is not None and self._is_keeper() and
-                self._asks_left > 0 and not stored.proven and
+                self._asks_left > 0 and not stored.in_era and
                 not self._observes())
 
     def _on_witnessed(self, stored, origins):
@@ -258,7 +258,7 @@
         missing, old = origins - stored.origins, stored.origins - origins
         if missing:
             return versionrecords.encode(min(missing))
-        if not stored.proven and (covers or self._began_era == stored.era):
+        if not stored.in_era and (covers or self._began_era == stored.era):
             return versionrecords.ERA_KEY, versionrecords.encode_era(stored.era)
         if not self._is_keeper():
             return None
--- a/tests/test_versions_review2.py
+++ b/tests/test_versions_review2.py
@@ -524,6 +524,22 @@
                                                len(fleet.store.called_at))
 
 
+@pytest.mark.parametrize('age', ['old', 'new'])
+def test_a_record_that_cannot_be_decoded_is_not_written_about_again(age):
+    """A record of another software version is in the topic: nothing counts as
+    proven, and the keeper writes the era again and again without a pause."""
+    fleet = _fleet(3, ['v1'])
+    if age == 'old':
+        fleet.store.put('newer', b'\xff')
+        fleet.run(versionstore.UPKEEP_PERIOD_S)
+    else:
+        fleet.store.put('newer', b'\xff')
+        fleet.add('v2')
+    writes = fleet.store.writes
+    fleet.run(versionstore.UPKEEP_PERIOD_S)
+    assert fleet.store.writes - writes <= 10, fleet.store.writes - writes
+
+
 def test_routes_that_are_gone_are_forgotten():
     """Each configuration brings another route, and all are kept for ever."""
     routes = softwareversions.RouteHistory()
