Witnesses are asked again with each upkeep while nothing is proven

One entry that was frozen for 7 s as an older copy came back had all streams that nobody knew refused for 24 s (test_a_witness_that_is_frozen_for_some_seconds_is_asked_again).

--- a/gorsefall/relay/versionstore.py
+++ b/gorsefall/relay/versionstore.py
@@ -180,6 +180,8 @@
     def _upkeep(self):
         """Has the keeper make up for what was lost, dropped or has gone."""
         self._loop.call_later(UPKEEP_PERIOD_S, self._upkeep)
+        # One that was frozen before may answer now.
+        self._asks_left = max(1, self._asks_left)
         if self._is_keeper():
             self._sync_in(0.0)
 
