--- a/tests/test_versions_review2.py
+++ b/tests/test_versions_review2.py
@@ -10,6 +10,7 @@
 from gorsefall.relay import crashes
 from gorsefall.relay import prober
 from gorsefall.relay import streamorigins
+from gorsefall.relay import versionrecords
 from gorsefall.relay import versionstore
 
 SERVICE = stream_entries.SERVICE
@@ -162,7 +163,7 @@
     fleet.begin(host, rid, 'v1')
     fleet.remove('v1')
     _run_without_records(fleet, host, rid, 40.0)
-    key = versionstore.encode(_at('v1'))[0]
+    key = versionrecords.encode(_at('v1'))[0]
     assert key in _stored(fleet)
     fleet.entries[first].alive = False
     for _ in range(99):
@@ -189,7 +190,7 @@
         fleet.entries[other].store_lost = True
     _put(fleet, host, 'v1', SERVICE)
     fleet.run(1.2)
-    assert versionstore.encode(_at('v1'))[0] in _stored(fleet)
+    assert versionrecords.encode(_at('v1'))[0] in _stored(fleet)
     # Whom it tells does not hear it.
     fleet.loss = 1.0
     fleet.begin(host, 'x', 'v1')
