Entries that read the same copy do not confirm each other

Cause: an entry that starts asks the hosts of its seeds. These had started too; each answer that knew nothing, or had been read in the same copy, counted, so the inquiry was over after 1 ms. Statuses that named the newer version led to a query 0.3 to 0.6 s later and held nothing back until then.

Change: an answer says whether it is independent: its sender had an independent answer itself, or has run for 6 s since it took the store's word, and knows of no newer version. A version newer than what was read is independent as well. Without an independent answer an entry waits for 1 s, two statuses of each other one, and then takes the store's word, so nothing waits for good. Entries that send a status meanwhile are asked too (12 at most). A version named by a status holds confirmations at once, for 1.2 s at most and once for each version, as statuses do not name their store.

The new tests and those near pass.

Why it holds: entries that start vouch for nobody until one that has run longer vouched for them, or they have heard all others for 6 s.

--- a/gorsefall/relay/configurationlistener.py
+++ b/gorsefall/relay/configurationlistener.py
@@ -38,6 +38,7 @@
         self._undecodable = False
         self._stored_version = 0
         self._told_version = 0
+        self._named_version = 0
         self._held = False
         self._withheld_at = None
         self._pending = None
@@ -105,7 +106,8 @@
 
     def _is_behind(self, version):
         """Returns whether another entry has a newer one that can be decoded."""
-        return version < self._told_version and not self._undecodable
+        return (version < max(self._told_version, self._named_version) and
+                not self._undecodable)
 
     # -- what other entries know -----------------------------------------------
 
@@ -128,6 +130,13 @@
             self._adopt(_Candidate(table, record))
             self._confirm_withheld()
 
+    def on_version_stated(self, version):
+        """See ``topic.Listener``."""
+        self._named_version = version
+        if not version and not self._held:
+            self._adopt_pending()
+            self._confirm_withheld()
+
     def hold_confirmations(self):
         """See ``topic.Listener``."""
         self._held = True
@@ -146,7 +155,8 @@
             if self._withheld_at is None:
                 self._log.warning('confirmation_withheld',
                                   version=self.version,
-                                  told=self._told_version)
+                                  told=max(self._told_version,
+                                           self._named_version))
             self._withheld_at = sent_at
             return
         self._withheld_at = None
--- a/gorsefall/relay/messages.py
+++ b/gorsefall/relay/messages.py
@@ -40,9 +40,12 @@
         query_id: That of the query.
         topic_changes: ``topic -> changes.ChangeSet``; topics that the sender
             has not read are left out.
+        independent: Whether the sender knows more than what it has read in the
+            store since it started, see ``lostversions``.
     """
     query_id: int
     topic_changes: dict[str, changes.ChangeSet]
+    independent: bool = False
 
 
 class Hint(msgspec.Struct, frozen=True, array_like=True, tag='hint'):
--- a/gorsefall/relay/sharing.py
+++ b/gorsefall/relay/sharing.py
@@ -164,6 +164,8 @@
             store: ``host:port`` of the store.
             query_pause_s: Pause between queries, s.
         """
+        if store != self._store:
+            self._lost.forget_proof()
         self._topics, self._store, self._query_pause_s = (topics, store,
                                                           query_pause_s)
         self._open_query = None
@@ -347,12 +349,16 @@
             for name, followed in self._topics.items()
             if followed.follower.has_snapshot
         }
-        self._send(messages.Told(message.query_id, found), host)
+        self._send(
+            messages.Told(message.query_id, found,
+                          bool(found) and self._lost.is_independent), host)
 
     @handle_message.register
     def _(self, message: messages.Told, host):
         if self._lost.is_answer(message, host):
-            self._lost.handle_answer(message, host)
+            self._lost.handle_answer(message,
+                                     host,
+                                     independent=message.independent)
             return
         query = self._open_query
         if (query is None or message.query_id != query.query_id or
--- a/gorsefall/relay/topic.py
+++ b/gorsefall/relay/topic.py
@@ -120,6 +120,12 @@
             record: Its ``newest_record`` if the store has lost it, else None.
         """
 
+    def on_version_stated(self, version):
+        """Called with a version that another entry claims to know; 0: no more.
+
+        It may be one of another store, and is not believed for long.
+        """
+
     def hold_confirmations(self):
         """Called before other entries are asked what the store has lost."""
 
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -1,5 +1,6 @@
 """Versions of a configuration in a store that comes back from older copies."""
 
+import collections
 import types
 from unittest import mock
 
@@ -14,6 +15,8 @@
 from gorsefall.policy import freshness
 from gorsefall.policy import readers
 from gorsefall.relay import configurationlistener
+from gorsefall.relay import lostversions
+from gorsefall.relay import peers
 from gorsefall.relay import topiclisteners
 
 APPLY_S = 2.0
@@ -24,6 +27,9 @@
 
 AWAY_S = 1.0
 
+READ_WAIT_S = 1.3
+"""Time after which a read that waits at the store has ended, s."""
+
 CONFIG = 'config'
 
 
@@ -128,6 +134,100 @@
         ]
 
 
+class _SeededSite(_Site):
+    """Entries that start know their seeds only, and others by statuses.
+
+    Attributes:
+        starters: Entries that ``restart`` has started anew.
+    """
+    seed_count = 3
+
+    def __init__(self, *args, **options):
+        self._heard = collections.defaultdict(set)
+        self.starters = []
+        super().__init__(*args, **options)
+        for entry in self.entries:
+            self._send_statuses(entry, entry.loop)
+
+    def others_of(self, entry):
+        """See ``entries.Site``."""
+        hosts = dict.fromkeys(list(self.network.entries)[:self.seed_count])
+        hosts.update(dict.fromkeys(sorted(self._heard[entry.loop])))
+        hosts.pop(entry.own.host, None)
+        return [self.network.entries[h] for h in hosts]
+
+    def others(self, entry):
+        """See ``entries.Site``."""
+        heard = self._heard[entry.loop]
+        return [c for c in super().others(entry) if c.host in heard]
+
+    def restart(self, entry):
+        entry.loop.dead = True
+        entry.start()
+        self.starters.append(entry)
+        self._send_statuses(entry, entry.loop)
+
+    def _send_statuses(self, entry, process):
+        if entry.loop is not process:
+            return
+        count = len(self.entries)
+        pause_s = max(peers.MAX_PAUSE_S, count / peers.MAX_MESSAGES_PER_S)
+        process.call_later(pause_s * self.rng.uniform(0.9, 1.1),
+                           lambda: self._send_statuses(entry, process))
+        heard = sorted(self._heard[process])
+        listed = self.rng.sample(
+            heard,
+            min(
+                len(heard), peers.MAX_HOSTS_PER_MESSAGE
+                if count <= peers.SMALL_DEPLOYMENT_ENTRIES else 1))
+        version = entry.node.table.version if entry.node.table else 0
+        self.loop.call_later(
+            0.002, lambda: [
+                self._receive(other, entry.own.host, version, listed)
+                for other in self.others_of(entry)
+            ])
+
+    def _receive(self, entry, host, version, listed):
+        if {entry.own.host, host} & self.network.cut or entry.loop.dead:
+            return
+        if entry.loop.now >= entry.loop.frozen_until:
+            self._heard[entry.loop].update({host, *listed} - {entry.own.host})
+            entry.sharing.handle_versions({'t': version}, host)
+
+    def write_to_one(self, version):
+        """One entry, which is no seed and runs on, learns of it before."""
+        alone = self.entries[-1]
+        hosts = {e.own.host for e in self.entries}
+        for entry in self.entries:
+            entry.client.unreachable = entry is not alone
+        self.network.cut |= hosts
+        # Reads that wait at the store end without it.
+        self.run(READ_WAIT_S)
+        self.write(version)
+        alone.follower.read_once()
+        self.run(0.3)
+        assert self.active_versions().count(version) == 1
+        self.network.cut.clear()
+
+    def lose_versions(self, lost):
+        """The store loses them while over half of the entries restart."""
+        self.away(lost)
+        self.run(0.2)
+        for entry in self.entries[:len(self.entries) * 11 // 20]:
+            self.restart(entry)
+
+    def ready_after_s(self, share=1.0, within_s=3.0):
+        """Returns how long it takes until those started serve, s."""
+        began_at = self.loop.now
+        while self.loop.now < began_at + within_s:
+            ready = sum(
+                e.node.confirmed_at > began_at - 1.0 for e in self.starters)
+            if ready >= share * len(self.starters):
+                break
+            self.run(0.01)
+        return self.loop.now - began_at
+
+
 @pytest.fixture(name='site_of')
 def _site_of():
     """Creates sites whose clock is that of the simulation."""
@@ -136,9 +236,8 @@
     def now():
         return loops[-1].now
 
-    def create(*args, **options):
-        site = _Site(*args, **options)
-        return site
+    def create(*args, kind=_Site, **options):
+        return kind(*args, **options)
 
     original = stores.Loop
 
@@ -292,6 +391,65 @@
     assert site.violations == []
 
 
+@pytest.mark.parametrize('size', SIZES, ids=lambda s: str(len(s[0]) * s[1]))
+@pytest.mark.parametrize('seed', [1, 2, 3])
+def test_entries_that_start_together_do_not_confirm_the_copy(
+        site_of, size, seed):
+    """Their seeds have just started as well and know no more than the copy:
+    requests with a key that was revoked run there."""
+    zones, per_zone = size
+    site = site_of(per_zone, zones, kind=_SeededSite, seed=seed)
+    site.reach_version_6(pause_s=0.5)
+    site.lose_versions(1)
+    assert site.ready_after_s() < APPLY_S
+    site.run(APPLY_S)
+    assert set(site.active_versions()) == {6}
+    assert site.violations == []
+
+
+@pytest.mark.parametrize('seed', [1, 2, 3])
+def test_a_version_that_one_entry_alone_knows_is_not_lost(site_of, seed):
+    """Entries that start ask others that know no more than they do; the status
+    of the one that does comes later."""
+    site = site_of(7, 'a', kind=_SeededSite, seed=seed)
+    site.reach_version_6(pause_s=0.5)
+    site.write_to_one(7)
+    site.lose_versions(1)
+    site.run(2 * APPLY_S)
+    assert set(site.active_versions()) == {7}
+    assert site.violations == []
+
+
+@pytest.mark.parametrize('size', SIZES, ids=lambda s: str(len(s[0]) * s[1]))
+@pytest.mark.parametrize('share', [0.2, 1.0])
+def test_entries_that_start_without_trouble_are_ready_soon(
+        site_of, size, share):
+    """They wait for evidence that nobody has, or that others have at hand."""
+    zones, per_zone = size
+    site = site_of(per_zone, zones, kind=_SeededSite)
+    site.run(8.0)
+    for entry in site.entries[::round(1 / share)]:
+        site.restart(entry)
+    bound_s = (lostversions.INQUIRY_TIMEOUT_S
+               if share < 1.0 else lostversions.UNPROVEN_WAIT_S)
+    assert site.ready_after_s() <= bound_s + 0.1
+    assert set(site.active_versions()) == {1}
+    assert site.violations == []
+
+
+def test_a_version_of_another_store_holds_nothing_up_for_long(site_of):
+    """Entries whose settings name another store state versions of that store,
+    which nobody here can learn: requests are refused for good."""
+    site = site_of(7, 'a')
+    site.run(8.0)
+    entry = site.entries[0]
+    for _ in range(60):
+        entry.sharing.handle_versions({'t': 99}, 'elsewhere')
+        site.run(0.1)
+        assert (site.loop.now - entry.node.confirmed_at
+                < entries.MAX_CONFIRMATION_AGE_S)
+
+
 _STEPS = st.lists(st.tuples(
     st.sampled_from(
         ['write', 'write', 'away', 'away', 'freeze', 'restart', 'wait']),
