What replicas crash without as often is not refused for good

Callers of sound requests got 400 where replicas crashed every 1.5 s whatever ran: work that takes long to its first event is sent again after each crash, is there at the next, and was blamed at its third one.

Cause: only what was there was counted, never the crashes at which it was not.

Change: a cause is in doubt if in the 20 s before its last crash replicas crashed at least as often without it, by bursts, and no other cause explains those. It is blocked as before, at its third crash, but gets 503 with Retry-After (has not run), and one entry tries it after 3, 12, 48 s, as with popular parts: a run that goes on clears it, a crash counts. Doubt ends when the other crashes end.

--- a/gorsefall/errors.py
+++ b/gorsefall/errors.py
@@ -120,7 +120,10 @@
 
 
 class SuspectedPartError(NotRunError):
-    """Replicas crash as they run a part that many requests share; not sent."""
+    """Replicas crash as they run it or a part of it, perhaps of another cause.
+
+    Not sent.
+    """
     code = 'part_suspected'
 
 
--- a/gorsefall/policy/replicaexits.py
+++ b/gorsefall/policy/replicaexits.py
@@ -25,6 +25,10 @@
     crash: crashrecords.Crash
 
 
+def _seen_at(replica_exit):
+    return replica_exit.at
+
+
 class ReplicaExits:
     """When replicas were first seen to exit, and which exits form one burst.
 
@@ -75,6 +79,12 @@
             grouped[bursts.get(crash, frozenset((crash,)))].append(crash)
         return list(grouped.items())
 
+    def seen_between(self, begin, end):
+        """Returns the crashes seen from ``begin`` to ``end``, s, a list."""
+        first = bisect.bisect_left(self._in_order, begin, key=_seen_at)
+        last = bisect.bisect_right(self._in_order, end, key=_seen_at)
+        return [e.crash for e in self._in_order[first:last]]
+
     def burst_size(self, crash):
         """Returns how many replicas exited in the burst of a crash."""
         return len(self._find_bursts().get(crash, (crash,)))
--- a/gorsefall/policy/suspects.py
+++ b/gorsefall/policy/suspects.py
@@ -41,8 +41,13 @@
 may be blamed wrongly, and then all that share it wait."""
 
 POPULAR_BLOCK_S = 3.0
-"""The same for a part that many requests share, s: after an outage of most
-replicas, nothing but its own runs can clear it."""
+"""The same for a part that many requests share, and for what is in doubt, s:
+after an outage of most replicas, nothing but its own runs can clear it."""
+
+DOUBT_WINDOW_S = 20.0
+"""Time before the last crash under a cause in which crashes without it are
+counted, s: if replicas crash more seldom, hardly anything is there three times
+by chance."""
 
 POPULAR_BLOCK_FACTOR = 4
 """Factor by which that time grows with each further crash, so that a part that
@@ -78,10 +83,13 @@
         causes: The ``blame.Cause`` objects found, a list.
         to_serialize: Those for which requests run alone, a list.
         summary: See ``Suspects.summary``.
+        doubtful: Digests of the causes that are in doubt, a frozenset; see
+            ``Suspects.is_doubtful``.
     """
     causes: list = []
     to_serialize: list = []
     summary: int = 0
+    doubtful: frozenset = frozenset()
 
 
 class Suspects:
@@ -269,9 +277,39 @@
             causes = blame.find_causes(self, self._reportable,
                                        BLAME_WEIGHT) if grave else []
             self._conclusions = _Conclusions(causes, grave,
-                                             self._compute_summary())
+                                             self._compute_summary(),
+                                             self._find_doubtful(causes))
         return self._conclusions
 
+    def _find_doubtful(self, causes):
+        """Returns the digests of the causes that are in doubt, a frozenset."""
+        return frozenset(
+            cause.digest for cause in causes if self._crashes_anyway(
+                cause.digest, {
+                    crash for other in causes if other is not cause
+                    for crash in self._suspects[other.digest].crashes
+                }))
+
+    def _crashes_anyway(self, digest, explained):
+        """Returns whether replicas crash as often without a suspect.
+
+        Args:
+            digest: The digest of a request or part.
+            explained: ``crashrecords.Crash`` objects that something else
+                accounts for.
+        """
+        suspect = self._suspects[digest]
+        if len(suspect.crashes) >= MAX_CRASHES_PER_SUSPECT:
+            # Others under it may no longer be known as such.
+            return False
+        since = suspect.last_seen_at - DOUBT_WINDOW_S
+        bursts = self._exits.group(
+            self._exits.seen_between(since, suspect.last_seen_at))
+        without = sum(suspect.crashes.keys().isdisjoint(burst) and
+                      not explained.issuperset(crashes)
+                      for burst, crashes in bursts)
+        return without >= self._exits.count_bursts(suspect.crashes)
+
     @property
     def causes(self):
         """The ``blame.Cause`` objects found, a list."""
@@ -341,6 +379,14 @@
         return suspect is not None and any(
             r.survived_before for r in suspect.crashes.values())
 
+    def is_doubtful(self, digest):
+        """Returns whether a cause may only have been there as replicas crashed.
+
+        Replicas have crashed about as often without it, and nothing explains
+        why: one more run of it says more than its crashes.
+        """
+        return digest in self._conclude().doubtful
+
     def companions(self, digest):
         """Returns what was always there with a suspect, and its own digest."""
         suspect = self._suspects.get(digest)
@@ -351,7 +397,7 @@
 
     def _block_s(self, digest):
         """Returns after how long one run of a cause is tried, s."""
-        if not self._is_popular(digest):
+        if not self._is_popular(digest) and not self.is_doubtful(digest):
             return self._full_block_s(digest)
         return min(
             self._full_block_s(digest),
--- a/gorsefall/relay/crashes.py
+++ b/gorsefall/relay/crashes.py
@@ -154,7 +154,8 @@
         Raises:
             errors.PoisonRequestError: Replicas crash as they run it.
             errors.SuspectedPartError: The same, but it shares the part with
-                many requests, so that the cause may be another one.
+                many requests, or replicas crash as often without it, so that
+                the cause may be another one.
         """
         cause = next((cause for cause in self._blocking_causes(causes)
                       if cause.digest not in self._unconfirmed), None)
@@ -167,7 +168,8 @@
         reason = (f'{len(crashes)} replicas ended as they ran {what} '
                   f'({digests.abbreviate(cause.digest)}): '
                   f'{", ".join(c.replica for c in crashes)}')
-        if self._recent.is_popular(cause.digest):
+        if (self._recent.is_popular(cause.digest) or
+                self.suspects.is_doubtful(cause.digest)):
             raise errors.SuspectedPartError(
                 reason,
                 retry_after=self.suspects.blocked_for_s(cause.digest,
