A body that waits for a replica is held once, not four times

Callers saw: entries whose memory is several times that of the bodies under way; beside long bodies they exceed their limit and end, and with them requests to other services.

Cause: node.start_exchange copied the body that inbound had read; outbound joined it with its head, which copied it again, and the send buffer of tcp.Connection held what the kernel had not taken yet once more.

Change: the body is handed on as it was read. Pieces of 64 KB and more are queued as they are and sent from where they lie; smaller ones are joined as before, so that a small request is one call to the kernel.

--- a/gorsefall/net/outbound.py
+++ b/gorsefall/net/outbound.py
@@ -190,7 +190,7 @@
         self._call = call
         self._transport.has_written = False
         self._set_time_limit(call)
-        self._transport.write(self._start_exchange(call))
+        self._transport.write(*self._start_exchange(call))
         if self._transport.has_written:
             call.on_sent()
 
@@ -200,16 +200,20 @@
         self._transport.set_time_limit(call.time_limit_s if large else 0.0)
 
     def _start_exchange(self, call):
-        """Resets the HTTP state; returns the bytes of the call's request."""
+        """Resets the HTTP state; returns the pieces of the call's request."""
         self._h11 = h11.Connection(h11.CLIENT)
         self._skipping_response = False
-        out = self._h11.send(
-            h11.Request(method=call.method,
-                        target=call.target,
-                        headers=call.fields))
+        out = [
+            self._h11.send(
+                h11.Request(method=call.method,
+                            target=call.target,
+                            headers=call.fields))
+        ]
         if call.body:
-            out += self._h11.send(h11.Data(data=call.body))
-        return out + self._h11.send(h11.EndOfMessage())
+            out += self._h11.send_with_data_passthrough(
+                h11.Data(data=call.body))
+        out.append(self._h11.send(h11.EndOfMessage()))
+        return out
 
     def cancel(self):
         """Cancels the call by closing the connection; no callback follows.
--- a/gorsefall/net/tcp.py
+++ b/gorsefall/net/tcp.py
@@ -1,5 +1,6 @@
 """Non-blocking TCP connections with buffered writes and bounded reads."""
 
+import collections
 import contextlib
 import errno
 import math
@@ -10,6 +11,10 @@
 from gorsefall.net import reactor
 
 MAX_RECV_BYTES = 65536
+LARGE_WRITE_BYTES = 65536
+"""Size from which written bytes are not copied but kept as they are until they
+are sent. Smaller ones are joined, as each call to the kernel costs more."""
+
 LISTEN_BACKLOG = 512
 """Connections that the kernel queues until they are accepted. If the queue is
 full, the kernel drops a caller's SYN, and its retransmission takes seconds."""
@@ -69,7 +74,8 @@
         self._loop = loop
         self._owner = owner
         self._sock = sock
-        self._send_buffer = bytearray()
+        self._send_queue = collections.deque()
+        self._unsent_bytes = 0
         self._reading = True
         self._connecting = False
         self.has_written = self.was_refused = False
@@ -84,7 +90,7 @@
     @property
     def unsent_bytes(self):
         """See the class."""
-        return len(self._send_buffer)
+        return self._unsent_bytes
 
     def connect(self, addr, window_bytes=None):
         """Starts connecting to ``addr``; a callback reports the outcome.
@@ -116,14 +122,29 @@
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, window_bytes)
         return sock.connect_ex(addr)
 
-    def write(self, data):
-        """Sends ``data`` now or when the kernel accepts it."""
+    def write(self, *pieces):
+        """Sends ``pieces`` now or when the kernel accepts them.
+
+        Args:
+            *pieces: Bytes or bytearrays; a large one must not change any more.
+        """
         if not self.is_open:
             return
-        self._send_buffer += data
+        for piece in pieces:
+            self._queue(piece)
         if not self._connecting:
             self._flush(self._fail_later)
 
+    def _queue(self, piece):
+        queue = self._send_queue
+        self._unsent_bytes += len(piece)
+        if len(piece) >= LARGE_WRITE_BYTES:
+            queue.append(memoryview(piece))
+        elif queue and isinstance(queue[-1], bytearray):
+            queue[-1].extend(piece)
+        elif piece:
+            queue.append(bytearray(piece))
+
     def set_time_limit(self, limit_s):
         """Sets how long the peer may leave bytes unread, s.
 
@@ -230,22 +251,35 @@
         self._fail(os.strerror(code), code)
 
     def _flush(self, on_error=None):
-        if self._send_buffer:
+        while self._send_queue:
+            piece = self._send_queue[0]
             try:
-                n = self._sock.send(self._send_buffer)
+                n = self._sock.send(piece)
             except BlockingIOError:
-                n = 0
+                break
             except OSError as exc:
                 (on_error or self._fail)(exc.strerror, exc.errno)
                 return
-            if n:
-                self.has_written = True
-                self.bytes_out += n
-                del self._send_buffer[:n]
+            partial = n < len(piece)
+            self._record_sent(piece, n)
+            if partial:
+                break
         self._update_watch()
-        if not self._send_buffer:
+        if not self._unsent_bytes:
             self._owner.on_drained()
 
+    def _record_sent(self, piece, n):
+        """Drops the first ``n`` bytes of the queue, which begins with piece."""
+        self.has_written = True
+        self.bytes_out += n
+        self._unsent_bytes -= n
+        if n == len(piece):
+            self._send_queue.popleft()
+        elif isinstance(piece, bytearray):
+            del piece[:n]
+        else:
+            self._send_queue[0] = piece[n:]
+
     def _set_reading(self, reading):
         if self._reading != reading:
             self._reading = reading
@@ -256,7 +290,7 @@
         self._loop.watch(self._sock,
                          self,
                          read=self._reading,
-                         write=self._connecting or bool(self._send_buffer))
+                         write=self._connecting or bool(self._unsent_bytes))
 
     def _fail_later(self, reason, code):
         # A request whose connection the peer has reset would fail before the
--- a/gorsefall/relay/model.py
+++ b/gorsefall/relay/model.py
@@ -216,7 +216,7 @@
         target: Path and query as sent, bytes.
         host: Host, lowercase, without port.
         headers: All header fields as received.
-        body: The whole body.
+        body: The whole body, bytes or a bytearray that nobody changes.
         body_digest: Its ``digests.Body.digest``.
         time_left_s: How long the caller will wait, s; None if not specified.
         key: API key; None if the request has none.
@@ -231,7 +231,7 @@
     target: bytes
     host: str
     headers: headers.Headers
-    body: bytes = b''
+    body: bytes | bytearray = b''
     body_digest: bytes = b''
     time_left_s: float | None = None
     key: str | None = None
--- a/gorsefall/relay/node.py
+++ b/gorsefall/relay/node.py
@@ -335,7 +335,7 @@
             self.log.info('bad_request', error=str(exc))
             writer.send(*outcomes.error_response(exc))
             return None
-        req.body, req.body_digest = bytes(body.data), body.digest
+        req.body, req.body_digest = body.data, body.digest
         new = exchange.Exchange(self, req, writer)
         self._exchanges.add(new)
         new.start()
--- a/tests/test_outbound.py
+++ b/tests/test_outbound.py
@@ -5,6 +5,7 @@
 import resource
 import socket
 import time
+import tracemalloc
 
 from hypothesis import given
 from hypothesis import settings
@@ -324,3 +325,31 @@
             loop.step(0.01)
     peer.close()
     assert (call.ended, call.failure, call.received) == (False, None, b'')
+
+
+class _Unread(acceptor.Acceptor):
+    """A peer that reads nothing."""
+
+    def serve_connection(self, sock):
+        time.sleep(UNREAD_S)
+
+
+def test_a_large_body_that_waits_is_held_once():
+    """Bodies that wait for a replica take several times their size."""
+    call = RecordingCall('r')
+    call.body = bytearray(LARGE_BYTES)
+    call.fields = [(b'Host', b'x'), (b'Content-Length', b'%d' % LARGE_BYTES)]
+    peer = _Unread()
+    with peers.loop() as loop:
+        pool = outbound.Pool(loop,
+                             peer.address,
+                             max_size=1,
+                             connect_timeout_s=1.0)
+        tracemalloc.start()
+        conn = pool.send(call)
+        peers.run(loop, lambda: conn.sent)
+        _, peak = tracemalloc.get_traced_memory()
+        tracemalloc.stop()
+        pool.close()
+    peer.close()
+    assert peak < LARGE_BYTES / 4
--- a/tests/test_tcp.py
+++ b/tests/test_tcp.py
@@ -7,6 +7,10 @@
 import termios
 import time
 
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+
 import peers
 from gorsefall.net import tcp
 from gorsefall.standins import acceptor
@@ -197,3 +201,46 @@
         assert not hanging.connected
         opened.close()
     silent.close()
+
+
+class _Collecting(acceptor.Acceptor):
+    """A peer that reads slowly and keeps what it reads.
+
+    Attributes:
+        received: The bytes.
+    """
+
+    def __init__(self):
+        self.received = bytearray()
+        super().__init__()
+
+    def serve_connection(self, sock):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, WINDOW_BYTES)
+        while data := sock.recv(50_000):
+            self.received += data
+
+
+@settings(max_examples=30, deadline=None)
+@given(
+    st.lists(st.lists(st.sampled_from(
+        [0, 1, 700, tcp.LARGE_WRITE_BYTES - 1, tcp.LARGE_WRITE_BYTES, 300_000]),
+                      max_size=3),
+             max_size=6))
+def test_pieces_arrive_in_the_order_in_which_they_were_written(writes):
+    """Small and large pieces change places, or a part of one is lost."""
+    peer = _Collecting()
+    sent = bytearray()
+    with peers.loop() as loop:
+        conn = tcp.Connection(loop, _IgnoringOwner())
+        conn.connect(peer.address)
+        for number, sizes in enumerate(writes):
+            pieces = [bytes([65 + number]) * size for size in sizes]
+            sent += b''.join(pieces)
+            conn.write(*pieces)
+            loop.step(0.0)
+        peers.run(loop, lambda: not conn.unsent_bytes)
+        peers.run(loop, lambda: len(peer.received) >= len(sent))
+        conn.close()
+    peer.stop_listening()
+    assert peer.received == sent
+    assert conn.bytes_out == len(sent)
