What an entry holds for requests is bounded, and shared by service

Cause: nothing bounds the bodies of requests under way.

Change: an account of the bytes that an entry holds (relay/memory.py), shared by policy/memoryshares.py: a service holds at most as much as stays free, a client account at most as much as its service may still take. The service is drawn from the head of a request. A body of 64 KB or more is left unread in its socket until there is room, for 0.5 s at most (callers give up a request that is not read within one second), then refused: 503, Retry-After, and what comes of it is read and dropped, so that the response is not lost to a reset. Short bodies are counted as well, with twice the share. The room is two thirds of what the process itself leaves of its limit, the setting memory_mb (128 if nobody states one; the template fills in the platform's). Resident memory of 85 in 100 of the limit refuses all long bodies.

Why it holds: the shares against an oracle that knows every piece (tests/test_memory_shares.py); sockets in tests/test_memory.py. Not counted yet: answers, what a caller leaves unread of them, bodies of requests that are forwarded for other entries.

tests/test_unknown_configuration.py: its stand-in for a node has one more method, which a body of 64 KB asks for; its checks are unchanged.

--- a/gorsefall/digests.py
+++ b/gorsefall/digests.py
@@ -25,16 +25,32 @@
     """A request body, hashed as its parts arrive.
 
     Attributes:
-        data: The body received so far, a bytearray.
+        data: The body, a bytearray; once reserved, what is to come is zeros.
+        size: Number of bytes received so far.
+        hold: The ``memory.Hold`` of the memory it takes; None if it has none.
     """
 
     def __init__(self):
         self._hash = hashlib.blake2b(digest_size=DIGEST_BYTES)
         self.data = bytearray()
+        self.size = 0
+        self.hold = None
+
+    def reserve(self, length):
+        """Takes the memory for a body that has not begun to arrive.
+
+        A large buffer that grows leaves holes of each size that it had.
+
+        Args:
+            length: The length of the body, bytes.
+        """
+        self.data = bytearray(length)
 
     def add(self, data):
         """Appends the next part of the body."""
-        self.data += data
+        end = self.size + len(data)
+        self.data[self.size:end] = data
+        self.size = end
         self._hash.update(data)
 
     @property
--- a/gorsefall/errors.py
+++ b/gorsefall/errors.py
@@ -157,6 +157,11 @@
     code = 'replica_refused'
 
 
+class MemoryShortError(NotRunError):
+    """This entry has no room for the request beside what it holds."""
+    code = 'memory_short'
+
+
 class DrainingError(NotRunError):
     """This entry is shutting down and accepts no new requests."""
     code = 'draining'
--- a/gorsefall/metrics.py
+++ b/gorsefall/metrics.py
@@ -227,6 +227,19 @@
                             'Replicas that serve.',
                             _POOL_LABELS,
                             registry=REGISTRY)
+RESIDENT_MEMORY = prom.Gauge('gorsefall_resident_bytes',
+                             'Resident memory of this process.',
+                             registry=REGISTRY)
+MEMORY_HELD = prom.Gauge('gorsefall_memory_held_bytes',
+                         'Memory that is held for requests under way.',
+                         registry=REGISTRY)
+MEMORY_ROOM = prom.Gauge('gorsefall_memory_room_bytes',
+                         'Memory that may be held for requests under way.',
+                         registry=REGISTRY)
+MEMORY_REFUSALS = prom.Counter('gorsefall_memory_refusals_total',
+                               'Requests refused as there was no room for '
+                               'them, by service.', ('service',),
+                               registry=REGISTRY)
 LOG_LINES_DROPPED = prom.Counter('gorsefall_log_lines_left_out_total',
                                  'Log lines left out as their reader was slow.',
                                  registry=REGISTRY)
--- a/gorsefall/relay/exchange.py
+++ b/gorsefall/relay/exchange.py
@@ -12,6 +12,7 @@
 from gorsefall.net import outbound
 from gorsefall.policy import attempts
 from gorsefall.policy import crashrecords
+from gorsefall.policy import memoryshares
 from gorsefall.policy import placement
 from gorsefall.policy import retry_delay
 from gorsefall.relay import accesslog
@@ -51,7 +52,16 @@
         causes: The ``crashrecords.PossibleCauses`` of a crash under it.
     """
 
-    def __init__(self, node, req, writer):
+    def __init__(self, node, req, writer, hold=None):
+        """Creates an exchange that is not started.
+
+        Args:
+            node: See the class.
+            req: See the class.
+            writer: The ``inbound.ResponseWriter`` of the caller.
+            hold: The ``memory.Hold`` of the request's body; None if it is
+                small and its memory not counted yet.
+        """
         super().__init__(logs.get('exchange').bind(rid=req.id))
         self.node = node
         self.req = req
@@ -59,6 +69,10 @@
         self.attempt = None
         self.causes = crashrecords.PossibleCauses(None)
         self.grant = grant.Grant(node, req)
+        self._hold = hold
+        if hold is not None and hold.terms is not None:
+            # The service whose room it took.
+            self.grant.terms = hold.terms
         self._deadline = None
         self._deadline_timer = None
         self.longest_pause_s = 0.0
@@ -78,6 +92,7 @@
         """Checks the request and sends it, or responds with an error."""
         try:
             self.grant.renew()
+            self._count_memory()
         except errors.GorsefallError as exc:
             self.fail(exc)
             return
@@ -93,6 +108,21 @@
         self.grant.record_arrival()
         self._version.find(self.dispatch)
 
+    def _count_memory(self):
+        """Counts the memory of a request whose body was read without asking.
+
+        Raises:
+            errors.MemoryShortError: There is no room for it.
+        """
+        if self._hold is not None or not self.req.body:
+            return
+        account = self.grant.account
+        owner = memoryshares.Owner(self.grant.service,
+                                   account.name if account else None)
+        self._hold = self.node.memory.hold(owner, request_id=self.req.id)
+        if not self._hold.grow(len(self.req.body), small=True):
+            raise self._hold.refuse()
+
     def _possible_causes(self):
         """Returns its ``crashrecords.PossibleCauses`` at its service."""
         key = self.node.cfg.digest_key.encode()
@@ -559,6 +589,8 @@
         if self._deadline_timer is not None:
             self._deadline_timer.cancel()
         self._backup.cancel_probe()
+        if self._hold is not None:
+            self._hold.release()
         self.node.crashes.end_run(self)
         accesslog.record(self, outcome, exc)
         self.node.remove_exchange(self)
--- a/gorsefall/relay/grant.py
+++ b/gorsefall/relay/grant.py
@@ -96,6 +96,16 @@
                            admission_rank=table.admission_rank(account, route),
                            replica_rank=table.replica_rank(account, route))
 
+    def draw_service(self):
+        """Draws the service of a request that is not checked yet.
+
+        Raises:
+            errors.NoCatalogueError: No configuration was read yet.
+            errors.BadRequestError: No route matches, or the key is invalid.
+        """
+        _, route, account = self._look_up(False)
+        self.terms = Terms(route, account, routes.pick_service(route))
+
     def bind_service(self, service):
         """Has the request go to a service of its route, not one drawn."""
         self.terms = dataclasses.replace(self.terms, service=service)
--- a/gorsefall/relay/inbound.py
+++ b/gorsefall/relay/inbound.py
@@ -11,11 +11,17 @@
 from gorsefall import errors
 from gorsefall.net import headers
 from gorsefall.net import tcp
+from gorsefall.relay import memory
 
 MAX_PENDING_BYTES = 65536
 """Limit of the unsent response bytes, above which reading from the replica is
 paused, and of the bytes of later requests that are read ahead."""
 
+DISCARD_S = 1.0
+"""Longest time for which the rest of a body that was refused is read and
+dropped, s: callers read a response once they have sent their request, and a
+close with unread bytes resets the connection."""
+
 HEADER_EXTRA_BYTES = 4
 """Bytes of a header line besides its name and value: colon, space, CRLF."""
 
@@ -88,8 +94,10 @@
     """One connection of a caller.
 
     The server object it belongs to provides ``limits``, ``draining``,
-    ``on_conn_closed(conn)``, ``error_response(exc)`` and
-    ``handle_request(method, target, fields, body, writer)``. The last one gets
+    ``on_conn_closed(conn)``, ``error_response(exc)``,
+    ``hold_memory(method, target, fields)``, which returns a ``memory.Hold`` or
+    None, and ``handle_request(method, target, fields, body, writer)``, which
+    calls the release of the body's hold in the end. The last one gets
     a ``digests.Body`` and returns an exchange with
     ``on_caller_disconnected(reason)``, ``on_caller_lost(reason)`` and
     ``on_caller_drained()``, or None when it has already responded.
@@ -103,6 +111,8 @@
         self._exchange = None
         self._responding = False
         self._closing = False
+        self._waiting = False
+        self._unread_bytes = 0
         self._timer = None
         self._limits = server.limits
         # The limit may rise while the connection is open: see `_advance`.
@@ -131,6 +141,7 @@
             self._on_disconnected('closed by the caller')
             return
         if self._closing:
+            self._discard(len(data))
             return
         if self.idle and not self._responding:
             self._start_timer(self._limits.header_timeout_s)
@@ -147,7 +158,7 @@
     def on_drained(self):
         """See ``tcp.Connection``."""
         if self._closing and not self._responding:
-            self.close()
+            self._close_if_read()
         elif self._exchange is not None:
             self._exchange.on_caller_drained()
 
@@ -155,7 +166,7 @@
 
     def _advance(self):
         while (not self._responding and not self._closing and
-               self._conn.is_open):
+               not self._waiting and self._conn.is_open):
             event = self._h11.next_event()
             if event is h11.NEED_DATA:
                 self._check_incomplete()
@@ -202,15 +213,56 @@
             self._refuse(
                 errors.BodyTooLargeError(
                     f'body over {self._limits.body_bytes} bytes'))
+            return
+        self._unread_bytes = int(length or 0)
+        if self._unread_bytes >= memory.LARGE_BODY_BYTES:
+            self._await_room(self._unread_bytes)
 
     def _on_data(self, data):
         # A long body may take longer than a head on a slow link.
         self._start_timer(self._limits.idle_timeout_s)
         self._body.add(data)
-        if len(self._body.data) > self._limits.body_bytes:
+        size = self._body.size
+        self._unread_bytes = max(0, self._unread_bytes - len(data))
+        if size > self._limits.body_bytes:
             self._refuse(
                 errors.BodyTooLargeError(
                     f'body over {self._limits.body_bytes} bytes'))
+            return
+        held = self._body.hold.size if self._body.hold else 0
+        if size >= memory.LARGE_BODY_BYTES and size > held:
+            self._await_room(size - held + memory.GROWTH_BYTES)
+
+    def _await_room(self, size):
+        """Reads nothing more of a body until there is room for it."""
+        if self._body.hold is None:
+            head = self._head
+            self._body.hold = self._server.hold_memory(
+                head.method, head.target,
+                headers.from_items(head.headers.raw_items()))
+            if self._body.hold is None:
+                return
+        self._waiting = True
+        self._body.hold.grow_later(size, self._on_room)
+        if self._waiting:
+            self._cancel_timer()
+            self._conn.pause()
+
+    def _on_room(self, granted):
+        """Goes on with a body for which there is room, or refuses it."""
+        self._waiting = False
+        if not granted:
+            self._conn.resume()
+            # At most, if its length is not known.
+            self._unread_bytes = self._unread_bytes or self._limits.body_bytes
+            self._refuse(self._body.hold.refuse())
+            return
+        if not self._body.size:
+            self._body.reserve(self._unread_bytes)
+        if self._timer is None:
+            self._start_timer(self._limits.idle_timeout_s)
+            self._conn.resume()
+            self._loop.call_later(0, self._resume)
 
     def _on_request_end(self):
         head, body = self._head, self._body
@@ -238,6 +290,9 @@
         """Responds to a request that wasn't read completely, and closes."""
         self._responding = self._closing = True
         self._head = None
+        self._release_body()
+        self._unread_bytes = max(
+            0, self._unread_bytes - len(self._h11.trailing_data[0]))
         ResponseWriter(self).send(*self._server.error_response(exc))
 
     # -- writing ---------------------------------------------------------------
@@ -281,8 +336,7 @@
         if (last or self._closing or self._h11.our_state is not h11.DONE or
                 self._h11.their_state is not h11.DONE):
             self._closing = True
-            if not self._conn.unsent_bytes:
-                self.close()
+            self._close_if_read()
             return
         self._h11.start_next_cycle()
         self._start_timer(self._limits.idle_timeout_s)
@@ -311,6 +365,28 @@
 
     # -- closing ---------------------------------------------------------------
 
+    def _release_body(self):
+        hold = self._body.hold
+        self._body = digests.Body()
+        if hold is not None:
+            hold.release()
+
+    def _discard(self, size):
+        """Drops bytes of a body that was refused."""
+        self._unread_bytes = max(0, self._unread_bytes - size)
+        if not self._responding:
+            self._close_if_read()
+
+    def _close_if_read(self):
+        """Closes once the response is sent and the refused body was read."""
+        if self._conn.unsent_bytes:
+            return
+        if self._unread_bytes:
+            if self._timer is None:
+                self._start_timer(DISCARD_S)
+            return
+        self.close()
+
     def _on_disconnected(self, reason, *, by_caller=True):
         exchange, self._exchange = self._exchange, None
         self._responding = False
@@ -323,6 +399,8 @@
 
     def _on_closed(self):
         self._cancel_timer()
+        self._waiting = False
+        self._release_body()
         self._server.on_conn_closed(self)
 
     def _start_timer(self, timeout_s):
--- a/gorsefall/relay/node.py
+++ b/gorsefall/relay/node.py
@@ -14,6 +14,7 @@
 from gorsefall.policy import attempt_timeouts
 from gorsefall.policy import budget
 from gorsefall.policy import freshness
+from gorsefall.policy import memoryshares
 from gorsefall.policy import traffic_share
 from gorsefall.relay import announcements
 from gorsefall.relay import crashes
@@ -22,6 +23,8 @@
 from gorsefall.relay import fleet
 from gorsefall.relay import followers
 from gorsefall.relay import forwarder
+from gorsefall.relay import grant
+from gorsefall.relay import memory
 from gorsefall.relay import messages
 from gorsefall.relay import outcomes
 from gorsefall.relay import pacing
@@ -76,6 +79,7 @@
             replicas.
         streams: The ``streamorigins.StreamOrigins``.
         duties: This entry's part in the duties, a ``coordinator.NoDuties``.
+        memory: The ``memory.Memory``.
         share: The ``traffic_share.TrafficShare`` of this entry.
         replicas_known: Whether a snapshot of the replicas was read.
     """
@@ -98,6 +102,7 @@
         self._path = path
         self.codec = adapter.codec
         self.loop = reactor.Reactor().register(self)
+        self.memory = memory.Memory(self.loop, lambda: self.cfg.memory_mb)
         self.table = None
         self.confirmation = freshness.Confirmation(self.cfg.revoke_s -
                                                    pacing.CONFIRMATION_MARGIN_S)
@@ -333,14 +338,30 @@
             req = self.codec.decode_request(method, target, fields)
         except errors.BadRequestError as exc:
             self.log.info('bad_request', error=str(exc))
+            if body.hold is not None:
+                body.hold.release()
             writer.send(*outcomes.error_response(exc))
             return None
         req.body, req.body_digest = body.data, body.digest
-        new = exchange.Exchange(self, req, writer)
+        new = exchange.Exchange(self, req, writer, body.hold)
         self._exchanges.add(new)
         new.start()
         return new
 
+    def hold_memory(self, method, target, fields):
+        """Returns a ``memory.Hold`` for the body of a caller's request."""
+        try:
+            req = self.codec.decode_request(method, target, fields)
+            drawn = grant.Grant(self, req)
+            drawn.draw_service()
+        except errors.GorsefallError:
+            # It is refused once it is read, and is nobody's until then.
+            return self.memory.hold(memoryshares.Owner())
+        account = drawn.account.name if drawn.account else None
+        return self.memory.hold(memoryshares.Owner(drawn.service, account),
+                                request_id=req.id,
+                                terms=drawn.terms)
+
     def _entry_names(self):
         others = self.work.peer_view.members.probable_names(self.loop.now)
         return [self.cfg.name, *others]
@@ -362,6 +383,7 @@
     def update_gauges(self):
         """Sets the gauges to the current state."""
         metrics.RELAY_IN_FLIGHT.set(self.in_flight)
+        self.memory.update_gauges()
         metrics.CONFIGURATION_AGE.set(self.confirmation.age_s())
         if self.table is not None:
             metrics.CATALOGUE_VERSION.set(self.table.version)
--- a/gorsefall/relay/servers.py
+++ b/gorsefall/relay/servers.py
@@ -34,6 +34,10 @@
         """Called by a connection when it was closed."""
         self.conns.discard(conn)
 
+    def hold_memory(self, method, target, fields):
+        """Returns a ``memory.Hold`` for a request's body, or None for none."""
+        del method, target, fields
+
     def error_response(self, exc):
         """Returns the ``(status, fields, body)`` for ``exc``."""
         return outcomes.error_response(exc)
@@ -60,6 +64,10 @@
                 return super().error_response(unknown)
         return super().error_response(exc)
 
+    def hold_memory(self, method, target, fields):
+        """See ``_Server``."""
+        return self.node.hold_memory(method, target, fields)
+
     def has_unsent(self):
         """Returns whether response bytes are still to be sent to a caller."""
         return any(conn.has_unsent for conn in self.conns)
--- a/tests/test_unknown_configuration.py
+++ b/tests/test_unknown_configuration.py
@@ -93,6 +93,7 @@
     """Yields a function that sends bytes and returns the whole response."""
     with peers.loop() as loop:
         node.loop = loop
+        node.hold_memory = lambda method, target, fields: None
         node.start_exchange = (lambda method, target, fields, body, writer:
                                writer.send(200, [], b'%d' % len(body.data)))
         client, accepted = test_inbound._connected()
