Resident memory, what is held, and the loop's wait are on the metrics page

Operators saw: an entry that is short of memory or of processor time looks like a sound one until it is killed, or callers leave.

--- a/gorsefall/metrics.py
+++ b/gorsefall/metrics.py
@@ -230,6 +230,10 @@
 RESIDENT_MEMORY = prom.Gauge('gorsefall_resident_bytes',
                              'Resident memory of this process.',
                              registry=REGISTRY)
+LOOP_WAIT = prom.Gauge('gorsefall_loop_wait_seconds',
+                       'Longest time by which something that was due ran late '
+                       'since the last scrape, s.',
+                       registry=REGISTRY)
 MEMORY_HELD = prom.Gauge('gorsefall_memory_held_bytes',
                          'Memory that is held for requests under way.',
                          registry=REGISTRY)
--- a/gorsefall/net/reactor.py
+++ b/gorsefall/net/reactor.py
@@ -63,6 +63,8 @@
 
     Attributes:
         now: Monotonic time of the current pass, s, taken after its wait.
+        longest_wait_s: How late a timer has run at most, s, as something else
+            ran; whoever reads it may set it back.
     """
     channel = 'reactor'
 
@@ -75,6 +77,7 @@
         self._sequence = itertools.count()
         self._log = logs.get('reactor')
         self.now = time.monotonic()
+        self.longest_wait_s = 0.0
         # A signal handler only queues an event. Without the wake-up pipe the
         # loop would continue to wait, and a shutdown would begin up to
         # MAX_WAIT_S late.
@@ -178,6 +181,7 @@
             callback, timer.callback = timer.callback, None
             if callback is None:
                 continue
+            self.longest_wait_s = max(self.longest_wait_s, now - timer.due_at)
             try:
                 callback()
             except Exception:
--- a/gorsefall/relay/node.py
+++ b/gorsefall/relay/node.py
@@ -384,6 +384,8 @@
         """Sets the gauges to the current state."""
         metrics.RELAY_IN_FLIGHT.set(self.in_flight)
         self.memory.update_gauges()
+        metrics.LOOP_WAIT.set(self.loop.longest_wait_s)
+        self.loop.longest_wait_s = 0.0
         metrics.CONFIGURATION_AGE.set(self.confirmation.age_s())
         if self.table is not None:
             metrics.CATALOGUE_VERSION.set(self.table.version)
