Entries together keep to what a replica bears while it warms up

Cause: the time for which a replica stays slow was read from its record and used nowhere, the requests a second that it bears were not read from the configuration; it got what its places allow from each entry.

Change: a warm-up is part of what an incarnation announces (policy/warmups.py, acceptance.Refusal.WARMING). Half as many entries as the replica bears requests a second send to it, by rendezvous among all that were heard of in the last minute, each an equal part of 0.8 of the bound and one request saved at most. An entry that has just started sends it nothing until it knows the others. The time left counts from when the entry saw the record, by its own clock; records with higher numbers replace it, others only lengthen it.

Why it holds: in any second k senders send k + 0.8 times the bound at most, with k half of it: 13 where 20 are allowed. Silent entries keep their part for a minute, so lost messages change no part.

--- a/gorsefall/metrics.py
+++ b/gorsefall/metrics.py
@@ -196,8 +196,8 @@
     registry=REGISTRY)
 ANNOUNCEMENTS = prom.Counter(
     'gorsefall_replica_announcements_total',
-    'Changes that replicas announced in their responses: limit, leaving, '
-    'pause.', ('what',),
+    'Changes that replicas announced: limit, leaving, pause, brittle, '
+    'warm_up.', ('what',),
     registry=REGISTRY)
 DUTIES_HELD = prom.Gauge('gorsefall_duties_held',
                          'Whether this entry holds the duties.',
--- a/gorsefall/policy/acceptance.py
+++ b/gorsefall/policy/acceptance.py
@@ -3,13 +3,15 @@
 A replica announces in its responses that it is leaving, that it wants no
 request from an entry for a while, or how many requests per second it accepts
 from all entries. Each holds for every later request to that incarnation,
-whatever its record in the store or other entries say.
+whatever its record in the store or other entries say. That it warms up is
+announced in its record.
 """
 
 import dataclasses
 import enum
 
 from gorsefall.policy import announced_limits
+from gorsefall.policy import warmups
 
 MAX_PAUSE_S = 3600.0
 """Longest pause that is granted, s. A replica that asks for more by mistake is
@@ -28,6 +30,7 @@
     PAUSED = 'paused'
     LIMITED = 'limited'
     BRITTLE = 'brittle'
+    WARMING = 'warming'
 
 
 @dataclasses.dataclass
@@ -36,6 +39,7 @@
 
     Attributes:
         limit: Its ``announced_limits.AnnouncedLimit``.
+        warm_up: Its ``warmups.WarmUp``.
         leaving: Whether a response announced that it is leaving. This is never
             withdrawn: the next incarnation has its own announcements.
         paused_until: No requests before this time, s (monotonic).
@@ -45,6 +49,7 @@
     """
     limit: announced_limits.AnnouncedLimit = dataclasses.field(
         default_factory=announced_limits.AnnouncedLimit)
+    warm_up: warmups.WarmUp = dataclasses.field(default_factory=warmups.WarmUp)
     leaving: bool = False
     paused_until: float = float('-inf')
     on_trial: bool = False
@@ -79,6 +84,8 @@
             return Refusal.PAUSED
         if not self.limit.allows(now, urgent=urgent):
             return Refusal.LIMITED
+        if not self.warm_up.allows(now):
+            return Refusal.WARMING
         return None
 
     def _allows_trial(self, now, urgent):
@@ -95,10 +102,13 @@
             return None
         pause_s = max(0.0, self.paused_until - now) if self.on_trial else 0.0
         limit_s = self.limit.allows_in_s(now)
-        return None if limit_s is None else max(pause_s, limit_s)
+        if limit_s is None:
+            return None
+        return max(pause_s, limit_s, self.warm_up.allows_in_s(now))
 
     def record_sent(self, now):
         """Records a request that is sent now."""
         if self.on_trial:
             self._trial_sent_at = now
         self.limit.record_sent(now)
+        self.warm_up.record_sent(now)
--- a/gorsefall/relay/announcements.py
+++ b/gorsefall/relay/announcements.py
@@ -1,4 +1,4 @@
-"""Records what replicas announce in their responses about new requests."""
+"""Records what replicas announce about new requests."""
 
 from gorsefall import logs
 from gorsefall import metrics
@@ -7,6 +7,7 @@
 from gorsefall.relay import brittlereplicas
 from gorsefall.relay import demands
 from gorsefall.relay import replicalimits
+from gorsefall.relay import warmingreplicas
 
 REPORT_TRUST_S = 30.0
 """Time after another entry's last report of an exit for which it is believed,
@@ -27,6 +28,7 @@
         demand: The ``demands.DemandTracker`` by which limits are divided.
         limits: The ``replicalimits.LimitTracker``.
         brittle: The ``brittlereplicas.BrittleTracker``.
+        warm_ups: The ``warmingreplicas.WarmUpTracker``.
     """
 
     def __init__(self, loop, fleet, members):
@@ -45,11 +47,13 @@
         self.limits = replicalimits.LimitTracker(loop, fleet, members,
                                                  self.demand)
         self.brittle = brittlereplicas.BrittleTracker(loop, fleet, members)
+        self.warm_ups = warmingreplicas.WarmUpTracker(loop, fleet, members)
 
     def start(self):
         """Begins to update this entry's shares of limits."""
         self.limits.start()
         self.brittle.start()
+        self.warm_ups.start()
 
     def record_response(self, replica, response, sent_at):
         """Records the announcements in the head of a response.
--- a/gorsefall/relay/fleet.py
+++ b/gorsefall/relay/fleet.py
@@ -36,6 +36,8 @@
         observation: The ``softwareversions.Observation`` of these versions.
         on_version_added: Called with the ``softwareversions.Origin`` of a
             version that serves and has not served of late.
+        on_warm_up: Called with a ``replicas.Replica`` and the time, s
+            (monotonic), when it was found to warm up.
         paths: The ``paths.Paths`` to them; None to connect from here alone.
         brittle: The ``brittlereplicas.BrittleTracker``; None to use all places.
     """
@@ -54,6 +56,7 @@
         self.routes = softwareversions.RouteHistory()
         self.observation = softwareversions.Observation(freshness.clock)
         self.on_version_added = lambda origin: None
+        self.on_warm_up = lambda replica, now: None
         self.paths = None
         self.brittle = None
         self._records = {}
@@ -126,6 +129,16 @@
                 self._on_change, self._acceptance_of(record))
             self.replicas[record.id].on_connect = self._record_connect
             self._add_version(record)
+        if record.id in self.replicas:
+            self._record_warm_up(self.replicas[record.id])
+
+    def _record_warm_up(self, replica):
+        record, warm_up = replica.record, replica.acceptance.warm_up
+        if record.service in self._services:
+            warm_up.per_s = self._services[record.service].warm_up_per_s
+        now = time.monotonic()
+        if warm_up.record(record.warm_up_s, record.number, now):
+            self.on_warm_up(replica, now)
 
     def _add_version(self, record):
         before = self.versions.served(record.service, time.monotonic())
--- a/gorsefall/relay/model.py
+++ b/gorsefall/relay/model.py
@@ -111,6 +111,8 @@
             another engine, ms; 0 if it can't.
         event_tokens: Tokens per event of a stream.
         scaling: The ``Scaling`` of its replicas; None if none can be ordered.
+        warm_up_per_s: Requests a second that a replica bears from all entries
+            together while it warms up; None if no bound is stated.
     """
     name: ids.ServiceName
     max_connections: int
@@ -120,6 +122,7 @@
     fetch_ms: float = 0.0
     event_tokens: int = 1
     scaling: Scaling | None = None
+    warm_up_per_s: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -168,6 +171,8 @@
         software: Version of its software. Versions have no order.
         number: Number of the record; the incarnation's next one has a higher
             number. Records that differ in nothing else are equal.
+        warm_up_s: How long it goes on warming up, s, as of the record; 0 if it
+            is warm. A replica may have to warm up again at any time.
     """
     id: ids.ReplicaName
     service: ids.ServiceName
@@ -179,6 +184,7 @@
     spot: bool = False
     software: ids.SoftwareVersion = ids.SoftwareVersion('')
     number: int = dataclasses.field(default=0, compare=False)
+    warm_up_s: float = 0.0
 
     def same_incarnation(self, other):
         """Whether ``other`` describes the same incarnation of the replica."""
