Entries that are cut off for minutes keep to their part at warming replicas

After a minute without others an entry would have forgotten them, and each of those cut off would send a warming replica all that it bears. Entries that are not heard keep their part for five minutes. Names do not change as an entry restarts, so only what has gone for good leaves its part unused.

--- a/gorsefall/relay/warmingreplicas.py
+++ b/gorsefall/relay/warmingreplicas.py
@@ -7,7 +7,7 @@
 SHARE_UPDATE_PERIOD_S = 0.5
 """Pause between updates of the entries that share a bound, s."""
 
-MEMORY_S = 60.0
+MEMORY_S = 300.0
 """Time for which an entry that is not heard any more still has its share, s.
 It may be cut off from the others alone and go on sending. If it has exited, its
 share of the few seconds of a warm-up is unused."""
