An entry that has become the keeper stores first versions and routes at once

It waited for its next upkeep, up to 10 s, unless it had read the store before; after a kill of all the stream was joined (test_a_first_version_is_stored_though_the_keeper_died, test_a_new_route_is_stored_though_the_keeper_died).

--- a/gorsefall/relay/versionstore.py
+++ b/gorsefall/relay/versionstore.py
@@ -81,7 +81,7 @@
         self._name = name
         self._rng = rng
         self._pending = set()
-        self._has_read = False
+        self._has_read = self._has_started = False
         self._syncing = self._routes_changed = False
         self._was_written = False
         self._began_era = None
@@ -159,11 +159,11 @@
             self._pending.add(origin)
             starts = not self._has_read
             self._sync_in(self._rng.uniform(0, START_SPREAD_S * starts))
-        elif self._has_read and self._is_keeper():
+        elif self._has_started and self._is_keeper():
             self._sync_in(0.0)
 
     def _on_routes_changed(self):
-        if self._has_read and not self._routes_changed:
+        if self._has_started and not self._routes_changed:
             self._routes_changed = True
             self._loop.call_later(ROUTES_DELAY_S, self._store_routes)
 
@@ -184,6 +184,7 @@
     def _upkeep(self):
         """Has the keeper make up for what was lost, dropped or has gone."""
         self._loop.call_later(UPKEEP_PERIOD_S, self._upkeep)
+        self._has_started = True
         # One that was frozen before may answer now.
         self._asks_left = max(1, self._asks_left)
         self._upkeeps = self._upkeeps + 1 if self._is_keeper() else 0
