Routes are stored before an older copy counts as proven

The era was written first, so that a kill of all entries within the next milliseconds left a lost move of a route unknown (test_a_moved_route_that_an_older_copy_lost_is_not_forgotten).

--- a/gorsefall/relay/versionstore.py
+++ b/gorsefall/relay/versionstore.py
@@ -266,19 +266,20 @@
         missing, old = origins - stored.origins, stored.origins - origins
         if missing:
             return versionrecords.encode(min(missing))
-        if not stored.in_era and (covers or self._began_era == stored.era):
-            return versionrecords.ERA_KEY, versionrecords.encode_era(stored.era)
-        if not self._is_keeper():
-            return None
-        # The keeper alone is told of streams whose version has no replicas.
-        if covers and old and self._upkeeps >= DROP_UPKEEPS:
-            return versionrecords.encode(min(old))[0], b''
         routes = routerecord.from_history(
             self._fleet.routes.all_of_late(self._loop.now))
-        if not covers:
+        if not (covers and stored.in_era):
             routes = routerecord.join(routes, stored.routes)
-        if routes != stored.routes:
+        proves = covers or self._began_era == stored.era
+        if routes != stored.routes and (self._is_keeper() or
+                                        (proves and not stored.in_era)):
             return versionrecords.ROUTES_KEY, routerecord.encode(routes)
+        if not stored.in_era and proves:
+            return versionrecords.ERA_KEY, versionrecords.encode_era(stored.era)
+        # The keeper alone is told of streams whose version has no replicas.
+        if (covers and old and self._is_keeper() and
+                self._upkeeps >= DROP_UPKEEPS):
+            return versionrecords.encode(min(old))[0], b''
         return None
 
     def _write(self, key, value, end):
