--- a/gorsefall/relay/versionstore.py
+++ b/gorsefall/relay/versionstore.py
@@ -169,6 +169,9 @@
 
     def _store_routes(self):
         self._routes_changed = False
+        self._sync_if_keeper()
+
+    def _sync_if_keeper(self):
         if self._is_keeper():
             self._sync_in(0.0)
 
@@ -177,9 +180,9 @@
         self._was_written = True
         self._asks_left = MAX_ASKS
         self._pending |= self._fleet.versions.all_origins(self._loop.now)
-        # All entries learn of it at the same moment.
-        first = self._is_keeper()
-        self._sync_in(0.0 if first else self._rng.uniform(*WRITE_DELAY_RANGE_S))
+        self._sync_in(0.0)
+        # The topic of the replicas may be regained later.
+        self._loop.call_later(STARTING_S, self._sync_if_keeper)
 
     def _upkeep(self):
         """Has the keeper make up for what was lost, dropped or has gone."""
@@ -188,8 +191,7 @@
         # One that was frozen before may answer now.
         self._asks_left = max(1, self._asks_left)
         self._upkeeps = self._upkeeps + 1 if self._is_keeper() else 0
-        if self._is_keeper():
-            self._sync_in(0.0)
+        self._sync_if_keeper()
 
     def keeper(self):
         """Returns the name of the entry that stores versions; None if none."""
