Streams are not joined where another prefix leads

A route with a longer prefix was added or removed, its entry was killed, and the stream was taken up on another route than it began on, whose history named one service only (test_a_stream_does_not_go_on_where_another_prefix_leads).

--- a/gorsefall/policy/softwareversions.py
+++ b/gorsefall/policy/softwareversions.py
@@ -242,6 +242,19 @@
         return frozenset(self._counts[service]) | frozenset(gone)
 
 
+def _less_specific(route, services):
+    """Returns the route that gets a route's requests without it, or None.
+
+    Args:
+        route: Key of the route: its host and the prefix of its paths.
+        services: Has the keys of the routes there are.
+    """
+    end = route.rfind('/', 0, -1)
+    while end >= 0 and route[:end + 1] not in services:
+        end = route.rfind('/', 0, end)
+    return route[:end + 1] or None
+
+
 class RouteHistory:
     """The services that routes have led to of late.
 
@@ -265,6 +278,8 @@
         for route, names in self._services.items():
             for name in set(names) - set(services.get(route, ())):
                 self._left_at.setdefault(route, {})[name] = now
+        for route in services.keys() ^ self._services.keys():
+            self._record_other_prefix(route, services, now)
         self._left_at = {
             route: left_at
             for route, left_at in self._left_at.items()
@@ -274,6 +289,16 @@
         if changed:
             self.on_changed()
 
+    def _record_other_prefix(self, route, services, now):
+        """Records where requests were led that another route gets now."""
+        shorter = _less_specific(
+            route, self._services if route in services else services)
+        if shorter is not None:
+            new, old = ((route, shorter) if route in services else
+                        (shorter, route))
+            for name in self.of_late(old, now):
+                self._left_at.setdefault(new, {})[name] = now
+
     def all_of_late(self, now):
         """Returns ``key of a route -> names of its services of late``."""
         routes = {*self._services, *self._left_at}
