--- a/gorsefall/relay/versionstore.py
+++ b/gorsefall/relay/versionstore.py
@@ -180,7 +180,9 @@
         self._was_written = True
         self._asks_left = MAX_ASKS
         self._pending |= self._fleet.versions.all_origins(self._loop.now)
-        self._sync_in(0.0)
+        # All entries learn of it at the same moment.
+        first = self._is_keeper()
+        self._sync_in(0.0 if first else self._rng.uniform(*WRITE_DELAY_RANGE_S))
         # The topic of the replicas may be regained later.
         self._loop.call_later(STARTING_S, self._sync_if_keeper)
 
