--- a/gorsefall/explain.py
+++ b/gorsefall/explain.py
@@ -23,9 +23,9 @@
         'path and body), or requests with the same part of their prompts, so '
         'it was not sent',
     'part_suspected':
-        'replicas crashed while running requests with a part of its prompt '
-        'that many requests share; one of them shows soon whether they may be '
-        'sent again',
+        'replicas crashed while running it or requests with a part of its '
+        'prompt, but many requests share that part, or replicas crash as often '
+        'without it; one run shows soon whether it may be sent again',
     'no_replica':
         'no replica of the service was available for it',
     'replica_refused':
