Entries take the word of a store that names no era at once

A store that names no era has one history and can have lost nothing, so that its word counts once those asked have answered, as before.

--- a/gorsefall/relay/lostversions.py
+++ b/gorsefall/relay/lostversions.py
@@ -44,6 +44,9 @@
 pause before the query for it and two timeouts. An entry of another store, or
 one that is gone, may name it for good."""
 
+CHECK_PERIOD_S = 0.02
+"""Pause between looks at whether an inquiry may end, s."""
+
 REPEAT_AFTER_S = 0.12
 """Time after which those that have not answered are asked once more, s: a
 datagram may have been lost."""
@@ -86,6 +89,8 @@
 
     Attributes:
         followers: ``name of a topic -> topicfollower.Follower``.
+        names_era: Returns whether the store may have come back from an older
+            copy: it names an era, or was not read yet.
     """
 
     def __init__(self, loop, rng, known_hosts, send_ask, query):
@@ -112,6 +117,7 @@
         self._stated = {}
         self._disbelieved = None
         self.followers = {}
+        self.names_era = lambda: True
 
     @property
     def is_independent(self):
@@ -140,6 +146,21 @@
         self._loop.call_later(INQUIRY_TIMEOUT_S,
                               lambda: self._on_timeout(query_id))
         self._loop.call_later(UNPROVEN_WAIT_S, lambda: self._end(query_id))
+        self._check(query_id)
+
+    def _check(self, query_id):
+        """Ends an inquiry without evidence if the store can have lost nothing.
+
+        Otherwise entries that were all killed would serve nothing for longer.
+        """
+        inquiry = self._inquiry
+        if inquiry is None or inquiry.query_id != query_id:
+            return
+        heard = inquiry.timed_out or not inquiry.unanswered
+        if heard and not self.names_era():
+            self._end(query_id)
+            return
+        self._loop.call_later(CHECK_PERIOD_S, lambda: self._check(query_id))
 
     def _settle_from(self, at):
         self._proven_from = min(self._proven_from, at)
--- a/gorsefall/relay/sharing.py
+++ b/gorsefall/relay/sharing.py
@@ -13,6 +13,7 @@
 import typing
 
 from gorsefall import errors
+from gorsefall import ids
 from gorsefall import logs
 from gorsefall import metrics
 from gorsefall.policy import freshness
@@ -132,6 +133,7 @@
         self._rng = rng
         self._lost = lostversions.LostVersions(loop, rng, known_hosts,
                                                self._send_ask, self._query_host)
+        self._lost.names_era = self._names_era
         self._selector = readers.ReaderSelector(own, rng)
         self._topics = {}
         self._store = ''
@@ -181,6 +183,11 @@
         return all(t.follower.failed_reads < MAX_FAILED_READS
                    for t in self._topics.values())
 
+    def _names_era(self):
+        followers = [t.follower for t in self._topics.values()]
+        return not all(
+            f.has_snapshot and f.position.era == ids.NO_ERA for f in followers)
+
     def handle_versions(self, versions, host):
         """See ``lostversions.LostVersions``."""
         self._lost.handle_versions(versions, host)
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -437,6 +437,18 @@
     assert site.violations == []
 
 
+@pytest.mark.parametrize('era, bound_s', [(0, 0.1), (1, 1.1)])
+def test_entries_that_were_all_killed_are_ready_soon(site_of, era, bound_s):
+    """They wait for evidence that nobody has, though a store that names no era
+    can have lost nothing."""
+    site = site_of(7, 'a', kind=_SeededSite)
+    site.store.era = era
+    site.run(8.0)
+    for entry in site.entries:
+        site.restart(entry)
+    assert site.ready_after_s() <= bound_s
+
+
 def test_a_version_of_another_store_holds_nothing_up_for_long(site_of):
     """Entries whose settings name another store state versions of that store,
     which nobody here can learn: requests are refused for good."""
