--- a/tests/stream_entries.py
+++ b/tests/stream_entries.py
@@ -212,6 +212,12 @@
             for version in self.versions:
                 self.entries[host].add(version)
 
+    def set_away(self, away):
+        """Has the store away for all entries, which know it, or back."""
+        self.store.away = away
+        for entry in self.entries.values():
+            entry.store_lost = away
+
     def add(self, version):
         self.versions.append(version)
         for entry in self.entries.values():
--- a/tests/test_versions_review2.py
+++ b/tests/test_versions_review2.py
@@ -71,12 +71,6 @@
         _route(fleet, fleet.hosts, services)
 
 
-def _set_away(fleet, away):
-    fleet.store.away = away
-    for entry in fleet.entries.values():
-        entry.store_lost = away
-
-
 def _run_past_upkeep(fleet):
     """Runs until all entries have just had an upkeep."""
     since_s = fleet.now - 100.0 - versionstore.STARTING_S
@@ -371,10 +365,10 @@
     moved = {**new, 'h/new/': ('third',)}
     _route(fleet, fleet.hosts, moved)
     fleet.run(2.0)
-    _set_away(fleet, True)
+    fleet.set_away(True)
     fleet.run(OUTAGE_S)
     fleet.store.restore(len(fleet.store.records) - before)
-    _set_away(fleet, False)
+    fleet.set_away(False)
     for entry in fleet.entries.values():
         entry.origins.version_store.on_store_restored()
     newest = {}
@@ -422,10 +416,10 @@
 
 
 def _outlast_older_copy(fleet):
-    _set_away(fleet, True)
+    fleet.set_away(True)
     fleet.run(OUTAGE_S)
     fleet.store.restore(0)
-    _set_away(fleet, False)
+    fleet.set_away(False)
     for entry in fleet.entries.values():
         entry.origins.version_store.on_store_restored()
 
@@ -457,14 +451,14 @@
     """The topic of the configuration tells of the older copy half a second
     before that of the replicas shows that the store is back."""
     fleet = _fleet(7, ['v2'])
-    _set_away(fleet, True)
+    fleet.set_away(True)
     fleet.run(OUTAGE_S)
     fleet.store.restore(0)
     fleet.store.away = False
     for entry in fleet.entries.values():
         entry.origins.version_store.on_store_restored()
     fleet.run(0.5)
-    _set_away(fleet, False)
+    fleet.set_away(False)
     assert _refused_s(fleet, fleet.hosts[0], 30.0) <= 3.0
 
 
--- a/tests/test_versionwitnesses.py
+++ b/tests/test_versionwitnesses.py
@@ -25,16 +25,10 @@
     return fleet
 
 
-def _set_away(fleet, away):
-    fleet.store.away = away
-    for entry in fleet.entries.values():
-        entry.store_lost = away
-
-
 def _restore(fleet, lost):
     """Has the store back after an outage, without the last ``lost`` records."""
     fleet.store.restore(lost)
-    _set_away(fleet, False)
+    fleet.set_away(False)
     for entry in fleet.entries.values():
         entry.origins.version_store.on_store_restored()
 
@@ -46,7 +40,7 @@
     fleet.run(2.0)
     fleet.begin(fleet.hosts[0], 'x', 'v1')
     fleet.remove('v1')
-    _set_away(fleet, True)
+    fleet.set_away(True)
     fleet.run(OUTAGE_S)
     return len(fleet.store.records) - before
 
@@ -55,7 +49,7 @@
 def test_entries_that_all_outlast_an_older_copy_prove_the_versions(count):
     """Streams are refused for 23 s though nobody can have missed a version."""
     fleet = _fleet(count, ['v2'])
-    _set_away(fleet, True)
+    fleet.set_away(True)
     fleet.run(OUTAGE_S)
     _restore(fleet, 0)
     fleet.run(1.0)
@@ -102,7 +96,7 @@
 def test_lost_messages_are_made_up_for():
     """One lost datagram has all unknown streams refused for 23 s."""
     fleet = _fleet(7, ['v2'])
-    _set_away(fleet, True)
+    fleet.set_away(True)
     fleet.run(OUTAGE_S)
     fleet.loss = 1.0
     _restore(fleet, 0)
@@ -153,7 +147,7 @@
     def restore(self, name):
         """Has the store away, and back as it was a few records ago."""
         fleet, rng = self.fleet, self.rng
-        _set_away(fleet, True)
+        fleet.set_away(True)
         fleet.run(rng.uniform(0.5, 6.0))
         if rng.random() < 0.4:
             self.kill(name)
@@ -187,7 +181,7 @@
 def test_entries_do_not_all_read_at_the_moment_of_a_return(count):
     """Hundreds of reads meet a store that has just come back."""
     fleet = _fleet(count, ['v2'])
-    _set_away(fleet, True)
+    fleet.set_away(True)
     fleet.run(OUTAGE_S)
     _restore(fleet, 0)
     before = fleet.store.reads
