The sent line tells how old the replicas' records are, and who told them

On call nothing could tell apart why a request reached a replica that had left: an old list told by another entry, an entry that was held up, or a replica without a record as last resort. replicas_age_s, told_by and lapsed do, and so does the gauge gorsefall_replicas_age_seconds. No decision changes.

--- a/gorsefall/explain.py
+++ b/gorsefall/explain.py
@@ -129,6 +129,17 @@
             f'{event.proof_age_s:.2f} s earlier')
 
 
+def _replicas_known(event):
+    if event.replicas_age_s is None:
+        return ''
+    text = f"; replicas' records confirmed {event.replicas_age_s:.2f} s earlier"
+    if event.told_by:
+        text += f', told by {event.told_by}'
+    if event.lapsed:
+        text += '; this replica has no record any more'
+    return text
+
+
 def _via(event):
     return f'; through the entry at {event.via}' if event.via else ''
 
@@ -153,7 +164,7 @@
             f'priority {event.priority}; '
             f'{event.outstanding} requests of this entry and about '
             f'{event.others:.0f} of other entries were in flight there; '
-            f'{_confirmed(event)}{_via(event)}')
+            f'{_confirmed(event)}{_replicas_known(event)}{_via(event)}')
 
 
 @describe.register
--- a/gorsefall/loglines.py
+++ b/gorsefall/loglines.py
@@ -49,6 +49,9 @@
     version: int | None = None
     via: str | None = None
     proof_age_s: float | None = None
+    replicas_age_s: float | None = None
+    told_by: str | None = None
+    lapsed: bool = False
 
 
 class AttemptFailed(RequestEvent, tag='attempt_failed'):
--- a/gorsefall/metrics.py
+++ b/gorsefall/metrics.py
@@ -173,6 +173,10 @@
     'gorsefall_relay_configuration_age_seconds',
     'Time since the configuration was last confirmed, s.',
     registry=REGISTRY)
+REPLICAS_AGE = prom.Gauge('gorsefall_replicas_age_seconds',
+                          "Time since the replicas' records were last "
+                          'confirmed, s.',
+                          registry=REGISTRY)
 UNCONFIRMED_REQUESTS = prom.Counter(
     'gorsefall_relay_unproven_total',
     'Requests let in with a key that was not confirmed '
--- a/gorsefall/relay/node.py
+++ b/gorsefall/relay/node.py
@@ -68,6 +68,7 @@
         loop: The ``reactor.Reactor``.
         table: The active ``routes.Table``; None before the first.
         confirmation: The ``freshness.Confirmation`` of the table.
+        replicas_confirmation: That of the replicas' records.
         fleet: The ``fleet.Fleet``.
         prober: The ``prober.ReplicaProber`` of its replicas.
         crashes: The ``crashes.CrashTracker`` of its replicas.
@@ -106,6 +107,8 @@
         self.table = None
         self.confirmation = freshness.Confirmation(self.cfg.revoke_s -
                                                    pacing.CONFIRMATION_MARGIN_S)
+        self.replicas_confirmation = freshness.Confirmation(
+            pacing.max_replicas_age_s(self.cfg))
         self.fleet = fleet.Fleet(self.loop, self._on_load_changed)
         self.prober = prober.ReplicaProber(self.loop)
         self.crashes = crashes.CrashTracker(self.loop, self.prober, self.fleet)
@@ -256,7 +259,7 @@
             self._confirmed = False
             self.log.warning('proof_lost',
                              age_s=self.confirmation.logged_age_s(),
-                             told_by=self._followers.source_host)
+                             told_by=self.told_by)
         return (fresh or not self.table.requires_key or
                 not self.cfg.strict_revocation)
 
@@ -348,6 +351,11 @@
         new.start()
         return new
 
+    @property
+    def told_by(self):
+        """Host that last sent changes of the store; None after own reads."""
+        return self._followers.source_host
+
     def hold_memory(self, method, target, fields):
         """Returns a ``memory.Hold`` for the body of a caller's request."""
         try:
@@ -387,6 +395,7 @@
         metrics.LOOP_WAIT.set(self.loop.longest_wait_s)
         self.loop.longest_wait_s = 0.0
         metrics.CONFIGURATION_AGE.set(self.confirmation.age_s())
+        metrics.REPLICAS_AGE.set(self.replicas_confirmation.age_s())
         if self.table is not None:
             metrics.CATALOGUE_VERSION.set(self.table.version)
             for service in self.table.services:
@@ -425,6 +434,7 @@
             return
         self.confirmation.bound_s = (self.cfg.revoke_s -
                                      pacing.CONFIRMATION_MARGIN_S)
+        self.replicas_confirmation.bound_s = pacing.max_replicas_age_s(self.cfg)
         for service_budget in self._budgets.values():
             # The counts are kept: otherwise every change of the settings
             # would allow the retries of the window once more.
--- a/gorsefall/relay/pacing.py
+++ b/gorsefall/relay/pacing.py
@@ -31,6 +31,10 @@
 the store, as they would return at each heartbeat of a replica, several a
 second, and the store charges by the call."""
 
+SEND_MARGIN_S = 0.3
+"""Part of the same bound left for the way of a request to its replica, s: a new
+connection (0.25 s at most), directly or through another entry."""
+
 MIN_REPLICAS_PAUSE_S = 0.2
 """Shortest pause between reads of the replicas' records, s."""
 
@@ -69,6 +73,15 @@
     return max(MIN_REPLICAS_PAUSE_S, cfg.leave_s - LEAVE_MARGIN_S)
 
 
+def max_replicas_age_s(cfg):
+    """Returns the age of the replicas' records up to which they are current, s.
+
+    A request that is sent by them reaches no replica that has left for longer
+    than the settings allow.
+    """
+    return max(2 * MIN_REPLICAS_PAUSE_S, cfg.leave_s - SEND_MARGIN_S)
+
+
 def query_pause_s(cfg):
     """Returns the pause between queries to another entry, s."""
     bounds = [cfg.apply_s, cfg.leave_s]
--- a/gorsefall/relay/sending.py
+++ b/gorsefall/relay/sending.py
@@ -101,7 +101,10 @@
             limit_per_s=self.replica.limit.per_s,
             via=self.conn.via,
             version=node.table.version,
-            proof_age_s=node.confirmation.logged_age_s())
+            proof_age_s=node.confirmation.logged_age_s(),
+            replicas_age_s=node.replicas_confirmation.logged_age_s(),
+            told_by=node.told_by,
+            lapsed=self.replica.record_lapsed)
 
     def record_response_start(self, speed):
         """Updates a ``pace.ServiceSpeed`` with the time until the response."""
--- a/gorsefall/relay/topiclisteners.py
+++ b/gorsefall/relay/topiclisteners.py
@@ -53,6 +53,7 @@
 
     def on_confirmed(self, sent_at):
         """See ``topic.Listener``."""
+        self._node.replicas_confirmation.record_read(sent_at)
         self._node.fleet.on_confirmed(sent_at)
 
     def on_store_restored(self, entry):
--- a/tests/exchange_site.py
+++ b/tests/exchange_site.py
@@ -227,6 +227,7 @@
         self.view.name = name
         self.acceptance = unittest.mock.MagicMock()
         self.limit = types.SimpleNamespace(per_s=None)
+        self.record_lapsed = False
         self.in_flight_count = 0
 
     @contextlib.contextmanager
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -228,3 +228,15 @@
     assert 'came back from an older copy for keyed.op (era 2)' in text
     assert 'the store held version 4 only, 6 stayed active' in text
     assert 'another entry sent version 6' in text
+
+
+def test_a_send_tells_how_old_the_list_of_replicas_was():
+    """Nothing told whether a late send went by what another entry had told."""
+    text = explain.describe(
+        loglines.Sent(rid='r',
+                      replica='i-1',
+                      replicas_age_s=2.31,
+                      told_by='10.1.0.4',
+                      lapsed=True))
+    assert "records confirmed 2.31 s earlier, told by 10.1.0.4" in text
+    assert 'this replica has no record any more' in text
