--- a/tests/entries.py
+++ b/tests/entries.py
@@ -188,7 +188,12 @@
 
 
 class Site:
-    """Entries of some zones with one store."""
+    """Entries of some zones with one store.
+
+    Attributes:
+        entry_type: Class of its entries.
+    """
+    entry_type = Entry
 
     def __init__(self,
                  per_zone,
@@ -210,7 +215,7 @@
         self.store.put(*first)
         for zone, number in itertools.product(zones, range(per_zone)):
             host = f'{zone}{number}'
-            self.network.entries[host] = Entry(self, host, zone)
+            self.network.entries[host] = self.entry_type(self, host, zone)
 
     @property
     def entries(self):
--- /dev/null
+++ b/tests/leaving_entries.py
@@ -0,0 +1,133 @@
+"""Entries at the pace of the settings, and how old their lists become."""
+
+import types
+
+import entries
+import stores
+
+from gorsefall.relay import pacing
+from gorsefall.relay import settings
+from gorsefall.relay import sharing
+from gorsefall.relay import topic
+from gorsefall.relay import topicfollower
+
+ZONES = 'abcdefg'
+SILENCE_S = topic.SILENCE_TIMEOUT_S
+
+
+def config(leave_s=2.0):
+    """Returns settings of an entry."""
+    return settings.Relay(name='n',
+                          zone='z',
+                          callers='h:1',
+                          readiness='h:2',
+                          store='h:3',
+                          leave_s=leave_s,
+                          apply_s=leave_s)
+
+
+class SilentClient(entries.StoreClient):
+    """The store over a path that can be lost without any sign."""
+
+    def _call(self, call, done, *args, on_large=None):
+        if not self.unreachable:
+            super()._call(call, done, *args, on_large=on_large)
+            return
+        self.calls += 1
+        error = entries.errors.StoreError('silent')
+        self._loop.call_later(SILENCE_S, lambda: done(None, error))
+
+
+class AgeingList(stores.ObservedState):
+    """A listener's state, and how old it has become.
+
+    Attributes:
+        oldest_s: Greatest age of a confirmation since ``restart``, s.
+    """
+
+    def __init__(self, site):
+        super().__init__(site.store)
+        self._loop = site.loop
+        self._confirmed_at = site.loop.now
+        self.oldest_s = 0.0
+
+    def restart(self):
+        """Forgets how old the list was before."""
+        self.oldest_s = 0.0
+
+    def age(self):
+        """Records the age as it is now."""
+        self.oldest_s = max(self.oldest_s, self._loop.now - self._confirmed_at)
+
+    def on_confirmed(self, sent_at):
+        """See ``topic.Listener``."""
+        self.age()
+        self._confirmed_at = max(self._confirmed_at, sent_at)
+        super().on_confirmed(sent_at)
+
+
+class Entry(entries.Entry):
+    """An entry that follows the replicas at the pace of its settings."""
+
+    def follow(self):
+        """See ``entries.Entry``."""
+        cfg = self.site.cfg
+        self.client = SilentClient(self.loop, self.site.store)
+        self.observed = self.site.new_listener(self)
+        alone = topic.ReadPace(pause_s=pacing.replicas_pause_s(cfg))
+        shared = topic.ReadPace(pause_s=pacing.shared_pause_s(cfg))
+        self.follower = topicfollower.Follower(
+            self.loop,
+            self.client,
+            self.observed,
+            name='t',
+            pace=alone,
+            on_change=self.sharing.send_hints,
+            rng=self.site.rng)
+        self.sharing.set_followers(
+            {'t': self.site.followed(self.follower, alone, shared)}, 'store',
+            pacing.query_pause_s(cfg))
+        self.follower.start()
+
+
+class Site(entries.Site):
+    """Entries in simulated time."""
+
+    entry_type = Entry
+
+    def __init__(self,
+                 per_zone,
+                 zones=ZONES,
+                 *,
+                 seed=1,
+                 leave_s=2.0,
+                 **options):
+        self.cfg = config(leave_s)
+        self.statuses_at = {}
+        super().__init__(per_zone,
+                         zones,
+                         seed=seed,
+                         new_listener=lambda entry: AgeingList(self),
+                         **options)
+
+    def followed(self, follower, alone, shared):
+        """Returns the ``sharing.FollowedTopic`` of an entry."""
+        return sharing.FollowedTopic(follower, alone, shared)
+
+    def others(self, entry):
+        """See ``entries.Site``; a status arrives after a second at most."""
+        found = self.statuses_at.get(entry.own.host)
+        if found is None or self.loop.now - found.at > 1.0:
+            found = types.SimpleNamespace(at=self.loop.now,
+                                          others=super().others(entry))
+            self.statuses_at[entry.own.host] = found
+        return found.others
+
+    def oldest_s(self, watched, for_s):
+        """Returns the greatest age of the lists of entries meanwhile, s."""
+        for entry in watched:
+            entry.observed.restart()
+        self.run(for_s)
+        for entry in watched:
+            entry.observed.age()
+        return max(e.observed.oldest_s for e in watched)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,11 +1,13 @@
 """The replica directory, compared to a simple model of the records."""
 
 import time
+from unittest import mock
 
 from hypothesis import given
 from hypothesis import strategies as st
 
 from gorsefall.policy import entrystatus
+from gorsefall.policy import freshness
 from gorsefall.policy import prompts
 from gorsefall.policy import softwareversions
 from gorsefall.relay import backups
@@ -49,6 +51,20 @@
     return {r.record.id for r in directory.candidates(service, ())}
 
 
+def test_a_replica_that_left_after_one_failed_read_gets_nothing():
+    """A failed read made all that left soon after it a last resort."""
+    with mock.patch.object(freshness, 'clock', time.monotonic):
+        directory = fleet.Fleet(Loop())
+        directory.set_services(SERVICES)
+        directory.put(record('a'))
+        directory.on_confirmed(time.monotonic())
+        directory.on_store_lost()
+        directory.on_store_regained(time.monotonic())
+        directory.on_confirmed(time.monotonic())
+        directory.remove('a', time.monotonic())
+    assert names(directory) == set()
+
+
 _STEPS = st.lists(st.tuples(st.sampled_from(['put', 'drain', 'remove']),
                             st.sampled_from('abcd')),
                   max_size=40)
