Entries read the store before what others told is too old to use

Callers saw their requests at replicas that had left for longer than promised (DRAIN): up to 2.55 s after the store's acknowledgement on real sockets, 2.0 allowed, from entries that reach the store.

Cause: what readers tell was taken for current by how a reader is paced (1.3 s), the next query came 0.6 s later, and after three stale responses an own read up to 2.0 s later, as the store was taken for the cause. Nothing bounded the sum by the promise. Beside it, each round of queries forgot the one before, so that three silent readers never led to an own read at all: entries of other settings kept a list for seconds.

Now each topic has the age up to which it is used, and an entry that does not read continuously queries once more before that age and then reads by itself, whatever the queries have come to. A round does not begin while one is under way.

It holds as only the own clock and the own read decide: 150 random orders of readers that are killed, frozen, cut off or changed, with lost, late and doubled messages, leave every entry that reaches the store below the bound.

--- a/gorsefall/relay/followers.py
+++ b/gorsefall/relay/followers.py
@@ -12,7 +12,8 @@
 from gorsefall.relay import topiclisteners
 
 CONFIGURATION = 'configuration'
-"""Name of the topic of the configuration in messages between entries."""
+REPLICAS = 'replicas'
+"""Names of the topics in messages between entries."""
 
 MAX_CONFIG_READ_KB = 64
 """Most data of one read of the configuration, KB: several small ones, but no
@@ -105,13 +106,15 @@
                         self._node, records),
                     alone=topic.ReadPace(wait_s=pacing.config_wait_s(cfg)),
                     shared=topic.ReadPace(wait_s=pacing.shared_wait_s(cfg)),
+                    bound_s=pacing.max_config_age_s(cfg),
                     max_kb=MAX_CONFIG_READ_KB),
-            'replicas':
+            REPLICAS:
                 self._create_topic(
                     self._adapter.replicas_topic,
                     topiclisteners.ReplicasListener(self._node, records),
                     alone=topic.ReadPace(pause_s=pacing.replicas_pause_s(cfg)),
                     shared=topic.ReadPace(pause_s=pacing.shared_pause_s(cfg)),
+                    bound_s=pacing.max_replicas_age_s(cfg),
                     max_kb=topic.MAX_READ_KB)
         }
         if self._sharing is not None:
@@ -120,7 +123,7 @@
         for followed in self._topics.values():
             followed.follower.start()
 
-    def _create_topic(self, name, listener, *, alone, shared, max_kb):
+    def _create_topic(self, name, listener, *, alone, shared, bound_s, max_kb):
         source = self._adapter.source(
             self._node.loop, settingsfile.split_addr(self._node.cfg.store),
             name)
@@ -131,7 +134,7 @@
                                           pace=alone,
                                           max_kb=max_kb,
                                           on_change=self._on_change)
-        return sharing.FollowedTopic(follower, alone, shared)
+        return sharing.FollowedTopic(follower, alone, shared, bound_s)
 
     def _on_change(self):
         if self._sharing is not None:
--- a/gorsefall/relay/pacing.py
+++ b/gorsefall/relay/pacing.py
@@ -82,6 +82,15 @@
     return max(2 * MIN_REPLICAS_PAUSE_S, cfg.leave_s - SEND_MARGIN_S)
 
 
+def max_config_age_s(cfg):
+    """Returns the age of what another entry told of the configuration, s.
+
+    At that age this entry has read it itself; while it reads continuously, a
+    read waits at the store instead, and returns with each change.
+    """
+    return max(2 * MIN_CONFIG_WAIT_S, cfg.apply_s - SEND_MARGIN_S)
+
+
 def query_pause_s(cfg):
     """Returns the pause between queries to another entry, s."""
     bounds = [cfg.apply_s, cfg.leave_s]
--- a/gorsefall/relay/sharing.py
+++ b/gorsefall/relay/sharing.py
@@ -22,6 +22,7 @@
 from gorsefall.relay import changes
 from gorsefall.relay import lostversions
 from gorsefall.relay import messages
+from gorsefall.relay import ownreads
 from gorsefall.relay import topic
 from gorsefall.relay import topicfollower
 
@@ -36,14 +37,6 @@
 PAUSE_JITTER = (0.8, 1.2)
 """Range of the factor of the pause between queries."""
 
-FALLBACK_SPREAD_S = 0.3
-"""Time over which entries spread their own reads when a query received no
-response, s."""
-
-OUTAGE_SPREAD_S = 2.0
-"""The same when all queried entries responded with stale data, s: then the
-store is the cause."""
-
 OUTAGE_READ_PAUSE_S = 4.0
 """Pause between own reads while the store does not respond, s. Readers keep
 trying, and the entries that query them learn of the store's return within a
@@ -75,10 +68,12 @@
         follower: Its ``topicfollower.Follower``.
         alone: The ``topic.ReadPace`` while no other entry depends on this one.
         shared: The same while other entries do.
+        bound_s: Age up to which its state may be used, s.
     """
     follower: topicfollower.Follower
     alone: topic.ReadPace
     shared: topic.ReadPace
+    bound_s: float
 
     @property
     def max_age_s(self):
@@ -143,7 +138,12 @@
         self._no_current_response = False
         self._hint_pending = False
         self._response_missing = False
-        self._own_read_due = False
+        self._own_reads = ownreads.OwnReads(
+            loop,
+            rng,
+            query=self._query_readers,
+            retry_pause_s=self._own_read_pause_s,
+            on_read=self._on_own_read)
         self._probed_at = float('-inf')
         self._log = logs.get('sharing')
         self.is_reader = False
@@ -176,6 +176,7 @@
             followed.follower.pace = followed.alone
             followed.follower.on_own_era_change = self._lost.inquire
             followed.follower.set_continuous(self.is_reader)
+        self._own_reads.watch(topics.values())
         self._lost.inquire()
 
     def reaches_store(self):
@@ -208,8 +209,7 @@
             self._lost.query_ahead()
         else:
             self._probe_store()
-            self._response_missing = False
-            self._query(self._selector.query_order(others, self._loop.now))
+            self._query_readers()
 
     def _should_read(self, others):
         # Entries whose sets of known entries differ choose different readers.
@@ -252,6 +252,17 @@
 
     # -- queries ---------------------------------------------------------------
 
+    def _query_readers(self):
+        """Queries the readers, unless some are being queried."""
+        if self.is_reader or self._open_query is not None:
+            # Begun anew before all of them had time to respond, the queries
+            # would never come to an end.
+            return
+        self._response_missing = False
+        self._query(
+            self._selector.query_order(
+                readers.with_store_access(self._others()), self._loop.now))
+
     def _query(self, hosts):
         if not any(t.follower.has_snapshot for t in self._topics.values()):
             return
@@ -301,33 +312,13 @@
             self._no_current_response = True
             self._log.warning('asked_in_vain',
                               answered=not self._response_missing)
-        if self._own_read_due:
-            return
-        # Many entries fall back at once, so their reads are spread. If all
-        # queried entries responded, the store is unreachable for them too,
-        # and reading soon would not help.
-        self._own_read_due = True
-        within_s = (FALLBACK_SPREAD_S
-                    if self._response_missing else OUTAGE_SPREAD_S)
-        self._loop.call_later(self._rng.uniform(0.0, within_s),
-                              self._read_stale_topics)
-
-    def _read_stale_topics(self):
-        if self.is_reader or not self._no_current_response:
-            self._own_read_due = False
-            return
-        metrics.PEER_READS.labels('read').inc()
+
+    def _on_own_read(self):
         self.source_host = None
-        for followed in self._topics.values():
-            if followed.follower.age_s() > self._query_pause_s:
-                followed.follower.read_once()
-        pause_s = (self._query_pause_s
-                   if self.reaches_store() else OUTAGE_READ_PAUSE_S)
-        self._loop.call_later(pause_s * self._rng.uniform(*PAUSE_JITTER),
-                              self._allow_own_read)
-
-    def _allow_own_read(self):
-        self._own_read_due = False
+
+    def _own_read_pause_s(self):
+        return (self._query_pause_s
+                if self.reaches_store() else OUTAGE_READ_PAUSE_S)
 
     # -- messages --------------------------------------------------------------
 
--- a/gorsefall/relay/topicfollower.py
+++ b/gorsefall/relay/topicfollower.py
@@ -111,6 +111,11 @@
         """Stops for good; responses still on their way are ignored."""
         self._stopped = True
 
+    @property
+    def continuous(self):
+        """Whether it keeps reading the store."""
+        return self._continuous
+
     def age_s(self):
         """Returns the age of the newest confirmation, s."""
         return freshness.clock() - self.confirmed_at
--- a/tests/entries.py
+++ b/tests/entries.py
@@ -24,6 +24,9 @@
 SNAPSHOT_FACTOR = 4 / 3
 """Size of a snapshot in relation to its records, as it is encoded."""
 
+BOUND_S = 3.0
+"""Age up to which the topic is used, s."""
+
 ALONE = topic.ReadPace(wait_s=1.15)
 SHARED = topic.ReadPace(wait_s=0.7)
 
@@ -175,8 +178,8 @@
                                           on_change=self.sharing.send_hints,
                                           rng=self.site.rng)
         self.sharing.set_followers(
-            {'t': sharing.FollowedTopic(follower, ALONE, SHARED)}, 'store',
-            QUERY_PAUSE_S)
+            {'t': sharing.FollowedTopic(follower, ALONE, SHARED, BOUND_S)},
+            'store', QUERY_PAUSE_S)
         self.follower = follower
         follower.start()
 
--- a/tests/leaving_entries.py
+++ b/tests/leaving_entries.py
@@ -112,7 +112,8 @@
 
     def followed(self, follower, alone, shared):
         """Returns the ``sharing.FollowedTopic`` of an entry."""
-        return sharing.FollowedTopic(follower, alone, shared)
+        return sharing.FollowedTopic(follower, alone, shared,
+                                     pacing.max_replicas_age_s(self.cfg))
 
     def others(self, entry):
         """See ``entries.Site``; a status arrives after a second at most."""
--- a/tests/test_leaving_in_time.py
+++ b/tests/test_leaving_in_time.py
@@ -5,6 +5,9 @@
 import leaving_entries
 import pytest
 import stores
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
 
 from gorsefall.policy import freshness
 from gorsefall.relay import pacing
@@ -53,3 +56,54 @@
         fail(entry)
     calm = [e for e in site.entries if e not in failing]
     assert site.oldest_s(calm, TROUBLE_S) <= pacing.max_replicas_age_s(site.cfg)
+
+
+_STEPS = st.lists(st.tuples(
+    st.sampled_from(
+        ['lose_store', 'kill', 'change_store', 'cut', 'freeze', 'wait']),
+    st.integers(0, 6), st.floats(0.0, 1.5)),
+                  max_size=8)
+_OUTCOMES = st.lists(st.sampled_from(
+    ['ok', 'ok', 'late', 'lost', 'twice', 'slow']),
+                     max_size=80)
+
+
+def _apply_step(site, what, entry):
+    if what == 'cut':
+        site.network.cut.add(entry.own.host)
+    elif what == 'freeze':
+        entry.loop.frozen_until = site.loop.now + 3.0
+    elif what != 'wait':
+        {
+            'lose_store': _lose_store,
+            'kill': _kill,
+            'change_store': _change_store
+        }[what](entry)
+
+
+@settings(max_examples=150, deadline=None)
+@given(_STEPS, _OUTCOMES)
+def test_an_entry_that_reaches_the_store_has_a_current_list(steps, outcomes):
+    """Its list was as old as others, and lost messages, made it."""
+    loop = stores.Loop()
+    with (mock.patch.object(stores, 'Loop', lambda: loop),
+          mock.patch.object(freshness, 'clock', lambda: loop.now)):
+        site = leaving_entries.Site(1)
+        site.run(SETTLED_S)
+        site.network.outcomes = iter(outcomes)
+        troubled = {
+            site.entries[n]
+            for what, n, _ in steps
+            if what not in ('wait', 'cut', 'change_store')
+        }
+        calm = [e for e in site.entries if e not in troubled]
+        for entry in calm:
+            entry.observed.restart()
+        for what, number, wait_s in steps:
+            _apply_step(site, what, site.entries[number])
+            site.run(wait_s)
+        site.run(TROUBLE_S)
+        for entry in calm:
+            entry.observed.age()
+            assert entry.observed.oldest_s <= pacing.max_replicas_age_s(
+                site.cfg)
