A replica whose record is dropped soon after a failed read has left

Callers' requests reached replicas without a record, as a last resort, for up to 2.2 s after one read had failed at one entry: a reset, a refusal beyond the store's rate, or a read that a busy core let time out was taken for an outage in which records lapse. On machines under load, where the other replicas of a small service refuse or were tried, the last resort is used.

A record lapses after three heartbeats without a write. Only what is gone 2.0 s or more after the last confirmation before the trouble may have lapsed; what is dropped sooner has left, and is dropped at once. Other ways: 3.0 s would drop replicas that wrote just before an outage, as their records lapse 2.4 s after it begins; no last resort at all leaves callers without replicas after each outage (tests/test_fleet.py).

--- a/gorsefall/relay/fleet.py
+++ b/gorsefall/relay/fleet.py
@@ -15,6 +15,10 @@
 """Time after the store's return until replicas whose records lapsed have
 written them again, s; the store's operators state 2 s."""
 
+LAPSE_S = 2.0
+"""Shortest time after which a record lapses when the store is lost, s: three
+heartbeats of more than a second, the first of them just before."""
+
 MAX_EXIT_REPORTS = 32
 """Most exits in a status message."""
 
@@ -66,6 +70,8 @@
         self._services = {}
         self._store_lost = False
         self._grace_until = float('-inf')
+        self._confirmed_at = self._trouble_since = float('-inf')
+        self._in_trouble = False
         self._log = logs.get('fleet')
 
     def set_services(self, services):
@@ -187,19 +193,26 @@
         live replicas lapse. Dropping these replicas at once would leave none
         to send to, and requests would be refused just after an outage. The
         replicas remain candidates of last resort until they have had time to
-        write again.
+        write again. One whose record was dropped sooner than records lapse has
+        left.
         """
         rep = self.replicas.get(replica_id)
         self._records.pop(replica_id, None)
         self._replaced_ids.discard(replica_id)
         if rep is None:
             return
-        if self._store_lost or now < self._grace_until:
+        if self._may_have_lapsed(now):
             rep.record_lapsed = True
             self._log.info('replica_doubtful', replica=replica_id)
             return
         self._drop(replica_id, 'record dropped')
 
+    def _may_have_lapsed(self, now):
+        """Returns whether a record that is gone may have lapsed."""
+        if not (self._store_lost or now < self._grace_until):
+            return False
+        return freshness.clock() - self._trouble_since >= LAPSE_S
+
     def record_exit(self, replica, at, *, reported=False):
         """Records that a ``replicas.Replica`` was found to have crashed.
 
@@ -297,6 +310,7 @@
         Args:
             sent_at: Time, s (``freshness.clock``).
         """
+        self._confirmed_at = max(self._confirmed_at, sent_at)
         # Without services no replica is kept.
         if self._services:
             self.observation.record(sent_at)
@@ -314,6 +328,9 @@
     def on_store_lost(self):
         """Called when the store does not respond."""
         self._store_lost = True
+        if not self._in_trouble:
+            self._in_trouble = True
+            self._trouble_since = self._confirmed_at
 
     def on_store_regained(self, now):
         """Called when the store responds again."""
@@ -326,6 +343,8 @@
 
         The copy lacks replicas that have started since and live.
         """
+        self._in_trouble = True
+        self._trouble_since = float('-inf')
         self._begin_grace(now)
 
     def _begin_grace(self, now):
@@ -337,6 +356,7 @@
     def _drop_lapsed(self, grace_until):
         if self._store_lost or grace_until != self._grace_until:
             return
+        self._in_trouble = False
         for replica_id, rep in list(self.replicas.items()):
             if rep.record_lapsed:
                 self._drop(replica_id,
