Requests wait for a current list of replicas, 0.3 s at most

An entry that was held up (a suspended VM, a long turn of its loop) sent at once by the list of before, and so does one whose own reads are late. The age of the list is looked at when a request is sent, as it is for the configuration: above leave_s less 0.3 s the records are read at once, and requests wait for that read. When it brings nothing in 0.3 s, the store does not respond, and requests go by the old list until it does: callers have to be served while it is away.

--- a/gorsefall/metrics.py
+++ b/gorsefall/metrics.py
@@ -177,6 +177,10 @@
                           "Time since the replicas' records were last "
                           'confirmed, s.',
                           registry=REGISTRY)
+LIST_WAITS = prom.Counter('gorsefall_replicas_waits_total',
+                          'Sends that waited for the records of the replicas '
+                          'to be read.',
+                          registry=REGISTRY)
 UNCONFIRMED_REQUESTS = prom.Counter(
     'gorsefall_relay_unproven_total',
     'Requests let in with a key that was not confirmed '
--- a/gorsefall/relay/exchange.py
+++ b/gorsefall/relay/exchange.py
@@ -197,6 +197,9 @@
             if self.attempts.forbids_rerun(self.terms):
                 raise self.attempts.outcome_unknown_error(
                     'its route does not allow another run any more')
+        if not self.node.current_list.admit(self):
+            self.log.info('awaits_replicas')
+            return
         self.causes = self._possible_causes()
         if not self.node.crashes.try_begin_run(self.causes, self):
             self.log.info('parked',
--- a/gorsefall/relay/followers.py
+++ b/gorsefall/relay/followers.py
@@ -73,6 +73,12 @@
         """Whether this entry reads the store itself."""
         return self._sharing is None or self._sharing.is_reader
 
+    def read_replicas(self):
+        """Reads the records of the replicas now."""
+        followed = self._topics.get(REPLICAS)
+        if followed is not None:
+            followed.follower.read_early()
+
     def apply_settings(self, before):
         """Restarts the followers if new settings require it."""
         cfg = self._node.cfg
--- a/gorsefall/relay/node.py
+++ b/gorsefall/relay/node.py
@@ -19,6 +19,7 @@
 from gorsefall.relay import announcements
 from gorsefall.relay import crashes
 from gorsefall.relay import crashstore
+from gorsefall.relay import currentlist
 from gorsefall.relay import exchange
 from gorsefall.relay import fleet
 from gorsefall.relay import followers
@@ -69,6 +70,7 @@
         table: The active ``routes.Table``; None before the first.
         confirmation: The ``freshness.Confirmation`` of the table.
         replicas_confirmation: That of the replicas' records.
+        current_list: The ``currentlist.CurrentList`` of the replicas.
         fleet: The ``fleet.Fleet``.
         prober: The ``prober.ReplicaProber`` of its replicas.
         crashes: The ``crashes.CrashTracker`` of its replicas.
@@ -109,6 +111,8 @@
                                                    pacing.CONFIRMATION_MARGIN_S)
         self.replicas_confirmation = freshness.Confirmation(
             pacing.max_replicas_age_s(self.cfg))
+        self.current_list = currentlist.CurrentList(self.loop,
+                                                    self.replicas_confirmation)
         self.fleet = fleet.Fleet(self.loop, self._on_load_changed)
         self.prober = prober.ReplicaProber(self.loop)
         self.crashes = crashes.CrashTracker(self.loop, self.prober, self.fleet)
@@ -134,6 +138,7 @@
         self._began_at = self.loop.now
         self._start_latencies = {}
         self._followers = followers.Followers(self, adapter)
+        self.current_list.read_now = self._followers.read_replicas
         self._crash_store = crashstore.CrashStore(
             self.loop,
             adapter.source(self.loop, settingsfile.split_addr(self.cfg.store),
--- a/gorsefall/relay/topicfollower.py
+++ b/gorsefall/relay/topicfollower.py
@@ -86,6 +86,7 @@
         self._may_wait = False
         self._read_number = 0
         self._idle = False
+        self._pausing = False
         self._snapshot = {}
         self._snapshot_after = ''
         self._snapshot_end = None
@@ -196,6 +197,11 @@
         else:
             self._read()
 
+    def read_early(self):
+        """Reads now, also if it pauses between reads; see ``read_once``."""
+        self._idle |= self._pausing
+        self.read_once()
+
     def apply_changes(self, sent_at, change_set):
         """Applies changes that another entry has read.
 
@@ -235,6 +241,7 @@
 
     def _new_callback(self, handler):
         """Returns the callback of a new read; earlier reads are ignored."""
+        self._pausing = False
         self._read_number += 1
         return functools.partial(self._on_result, self._read_number, handler)
 
@@ -380,6 +387,7 @@
         if not self._continuous:
             self._idle = True
         elif self.pace.pause_s:
+            self._pausing = True
             self._loop.call_later(
                 self.pace.pause_s,
                 functools.partial(self._resume, self._read_number))
@@ -389,6 +397,7 @@
     def _resume(self, number):
         if number != self._read_number:
             return
+        self._pausing = False
         if self._continuous:
             self._read()
         else:
--- a/gorsefall/relay/topiclisteners.py
+++ b/gorsefall/relay/topiclisteners.py
@@ -55,6 +55,7 @@
         """See ``topic.Listener``."""
         self._node.replicas_confirmation.record_read(sent_at)
         self._node.fleet.on_confirmed(sent_at)
+        self._node.current_list.on_confirmed()
 
     def on_store_restored(self, entry):
         """See ``topic.Listener``."""
