Tests: a new configuration while all readers lose the store

The same cause: what is told of the configuration was accepted up to 1.4 s old, asked for again 0.6 s later and read up to 2 s after that, of the 2.0 s in which a version has to be in force.

--- a/tests/leaving_entries.py
+++ b/tests/leaving_entries.py
@@ -1,6 +1,7 @@
 """Entries at the pace of the settings, and how old their lists become."""
 
 import types
+import typing
 
 import entries
 import stores
@@ -26,6 +27,13 @@
                           apply_s=leave_s)
 
 
+class Paces(typing.NamedTuple):
+    """How often a topic is read; see ``sharing.FollowedTopic``."""
+    alone: topic.ReadPace
+    shared: topic.ReadPace
+    bound_s: float
+
+
 class SilentClient(entries.StoreClient):
     """The store over a path that can be lost without any sign."""
 
@@ -74,18 +82,17 @@
         cfg = self.site.cfg
         self.client = SilentClient(self.loop, self.site.store)
         self.observed = self.site.new_listener(self)
-        alone = topic.ReadPace(pause_s=pacing.replicas_pause_s(cfg))
-        shared = topic.ReadPace(pause_s=pacing.shared_pause_s(cfg))
+        paces = self.site.paces()
         self.follower = topicfollower.Follower(
             self.loop,
             self.client,
             self.observed,
             name='t',
-            pace=alone,
+            pace=paces.alone,
             on_change=self.sharing.send_hints,
             rng=self.site.rng)
         self.sharing.set_followers(
-            {'t': self.site.followed(self.follower, alone, shared)}, 'store',
+            {'t': sharing.FollowedTopic(self.follower, *paces)}, 'store',
             pacing.query_pause_s(cfg))
         self.follower.start()
 
@@ -110,10 +117,11 @@
                          new_listener=lambda entry: AgeingList(self),
                          **options)
 
-    def followed(self, follower, alone, shared):
-        """Returns the ``sharing.FollowedTopic`` of an entry."""
-        return sharing.FollowedTopic(follower, alone, shared,
-                                     pacing.max_replicas_age_s(self.cfg))
+    def paces(self):
+        """Returns the ``Paces`` of the topic."""
+        return Paces(topic.ReadPace(pause_s=pacing.replicas_pause_s(self.cfg)),
+                     topic.ReadPace(pause_s=pacing.shared_pause_s(self.cfg)),
+                     pacing.max_replicas_age_s(self.cfg))
 
     def others(self, entry):
         """See ``entries.Site``; a status arrives after a second at most."""
@@ -132,3 +140,13 @@
         for entry in watched:
             entry.observed.age()
         return max(e.observed.oldest_s for e in watched)
+
+
+class ConfigurationSite(Site):
+    """Entries that follow the configuration."""
+
+    def paces(self):
+        """See ``Site``."""
+        return Paces(topic.ReadPace(wait_s=pacing.config_wait_s(self.cfg)),
+                     topic.ReadPace(wait_s=pacing.shared_wait_s(self.cfg)),
+                     pacing.max_config_age_s(self.cfg))
--- a/tests/test_leaving_in_time.py
+++ b/tests/test_leaving_in_time.py
@@ -1,5 +1,6 @@
 """How old the lists of replicas become while others lose the store."""
 
+import contextlib
 from unittest import mock
 
 import leaving_entries
@@ -22,16 +23,23 @@
         yield
 
 
-@pytest.fixture(name='site', params=[1, 13, 28])
-def _site(request):
+@contextlib.contextmanager
+def _settled(site_type, per_zone):
+    """Yields a site whose entries know each other, in simulated time."""
     loop = stores.Loop()
     with (mock.patch.object(stores, 'Loop', lambda: loop),
           mock.patch.object(freshness, 'clock', lambda: loop.now)):
-        site = leaving_entries.Site(request.param)
+        site = site_type(per_zone)
         site.run(SETTLED_S)
         yield site
 
 
+@pytest.fixture(name='site', params=[1, 13, 28])
+def _site(request):
+    with _settled(leaving_entries.Site, request.param) as site:
+        yield site
+
+
 def _lose_store(entry):
     entry.client.unreachable = True
 
@@ -58,6 +66,20 @@
     assert site.oldest_s(calm, TROUBLE_S) <= pacing.max_replicas_age_s(site.cfg)
 
 
+@pytest.mark.parametrize('fail', [_lose_store, _kill, _change_store])
+@pytest.mark.parametrize('per_zone', [1, 13])
+def test_calm_entries_have_a_current_configuration_while_readers_fail(
+        per_zone, fail):
+    """A new configuration was as late as the lists of replicas were."""
+    with _settled(leaving_entries.ConfigurationSite, per_zone) as site:
+        failing = site.readers()
+        for entry in failing:
+            fail(entry)
+        calm = [e for e in site.entries if e not in failing]
+        assert site.oldest_s(calm,
+                             TROUBLE_S) <= pacing.max_config_age_s(site.cfg)
+
+
 _STEPS = st.lists(st.tuples(
     st.sampled_from(
         ['lose_store', 'kill', 'change_store', 'cut', 'freeze', 'wait']),
@@ -85,11 +107,7 @@
 @given(_STEPS, _OUTCOMES)
 def test_an_entry_that_reaches_the_store_has_a_current_list(steps, outcomes):
     """Its list was as old as others, and lost messages, made it."""
-    loop = stores.Loop()
-    with (mock.patch.object(stores, 'Loop', lambda: loop),
-          mock.patch.object(freshness, 'clock', lambda: loop.now)):
-        site = leaving_entries.Site(1)
-        site.run(SETTLED_S)
+    with _settled(leaving_entries.Site, 1) as site:
         site.network.outcomes = iter(outcomes)
         troubled = {
             site.entries[n]
