Scenario: the store is away as long as records take to lapse

The scenario dropped all records at the first failed read of an entry. The scenario asks for the same after an outage of 2.4 s: nothing is dropped, and requests are served.

--- a/features/steps/platform_store_steps.py
+++ b/features/steps/platform_store_steps.py
@@ -11,6 +11,10 @@
 
 from gorsefall.standins import waiting
 
+LAPSE_S = 2.4
+"""Shortest outage in which records lapse, s: two of the platform's heartbeats,
+the third was due as it began."""
+
 
 @when('the key of "{account}" is revoked')
 def step_revoke(context, account):
@@ -152,6 +156,7 @@
     waiting.until(
         lambda: sum(ln['event'] == 'store_lost' for ln in site.log()) == 2,
         'the entry to lose the store on both topics')
+    time.sleep(LAPSE_S)
     for name in platform_site.PLAIN_REPLICAS:
         site.store.put('keyed.servers', name, None)
     site.store.mode = 'ok'
@@ -164,6 +169,7 @@
         lambda: sum(ln['event'] == 'replica_doubtful'
                     for ln in site.log()) == len(platform_site.PLAIN_REPLICAS),
         'the records to lapse')
+    platform_site.wait_until_ready([site])
     assert platform_site.send_request(context).status == 200, context.reply
     for name in platform_site.PLAIN_REPLICAS:
         site.store.put('keyed.servers', name, site.replicas[name].record())
