--- a/gorsefall/relay/ownreads.py
+++ b/gorsefall/relay/ownreads.py
@@ -13,9 +13,10 @@
 """Time left for an own read before its topic is too old, s: the store responds
 in 4 ms."""
 
-SPREAD_S = 0.2
-"""Time over which entries spread these reads, s: all of them notice at once
-that readers fail."""
+SPREAD_SHARE = 0.5
+"""Part of the time from a sound reader's greatest age to the last moment over
+which entries spread these reads: all of them notice at once that readers
+fail."""
 
 RESPONSE_S = 0.1
 """Time left for another entry's response before these reads, s."""
@@ -63,10 +64,21 @@
                             self._query_once)
 
     @staticmethod
-    def _query_age_s(followed):
+    def _sound_age_s(followed):
+        """Returns the age up to which sound readers tell a topic, s."""
+        return followed.shared.max_confirmation_age_s + READER_MARGIN_S
+
+    def _spread_s(self, followed):
+        """Returns the time over which entries spread their own reads, s."""
+        left_s = (followed.bound_s - READ_S - RESPONSE_S -
+                  self._sound_age_s(followed))
+        return max(0.0, left_s * SPREAD_SHARE)
+
+    def _query_age_s(self, followed):
         """Returns the age at which other entries are queried again, s."""
-        return max(followed.bound_s - READ_S - SPREAD_S - RESPONSE_S,
-                   followed.shared.max_confirmation_age_s + READER_MARGIN_S)
+        return max(
+            followed.bound_s - READ_S - RESPONSE_S - self._spread_s(followed),
+            self._sound_age_s(followed))
 
     def _await_age(self, followed, age_s, then):
         wait_s = max(MIN_WAIT_S, age_s - followed.follower.age_s())
@@ -92,7 +104,7 @@
         self._await_age(
             followed,
             self._query_age_s(followed) + RESPONSE_S +
-            self._rng.uniform(0.0, SPREAD_S), self._read)
+            self._rng.uniform(0.0, self._spread_s(followed)), self._read)
 
     def _read(self, followed):
         metrics.PEER_READS.labels('read').inc()
