Requests that wait do not wait for a lost response of the store

A read whose response is lost shows only after 0.9 s; an entry that reads by itself has a list up to 2.0 s old then, and its requests waited for 0.3 s in vain. A read that is more than 0.3 s old is given up for a new one, which dates from when it is sent.

--- a/gorsefall/relay/topicfollower.py
+++ b/gorsefall/relay/topicfollower.py
@@ -28,6 +28,10 @@
 MAX_PASSIVE_READ_ATTEMPTS = 2
 """Attempts of a read by a follower that does not read continuously."""
 
+PROMPT_READ_S = 0.3
+"""Time after which a read may be given up for another one, s: a slow store
+takes 0.25 s."""
+
 RECORD_LAPSE_S = 3.0
 """Time between two confirmations after which records may have lapsed, s: three
 heartbeats of a replica, each longer than a second."""
@@ -86,7 +90,7 @@
         self._may_wait = False
         self._read_number = 0
         self._idle = False
-        self._pausing = False
+        self._pausing = self._awaits_batch = False
         self._snapshot = {}
         self._snapshot_after = ''
         self._snapshot_end = None
@@ -198,10 +202,18 @@
             self._read()
 
     def read_early(self):
-        """Reads now, also if it pauses between reads; see ``read_once``."""
-        self._idle |= self._pausing
+        """Reads now, unless a read was begun just now.
+
+        A read that has been under way for longer may have lost its response,
+        which only shows after ``topic.SILENCE_TIMEOUT_S``.
+        """
+        self._idle |= self._pausing or self._is_overdue()
         self.read_once()
 
+    def _is_overdue(self):
+        return (self._awaits_batch and
+                freshness.clock() - self._sent_at > PROMPT_READ_S)
+
     def apply_changes(self, sent_at, change_set):
         """Applies changes that another entry has read.
 
@@ -223,6 +235,7 @@
             # the read continues: it may be of a record that the other entry
             # does not know yet.
             self._read_number += 1
+            self._awaits_batch = False
             self._idle = True
         if sent_at - self.confirmed_at > RECORD_LAPSE_S:
             # The entry that reads could not reach the store in that time.
@@ -241,12 +254,13 @@
 
     def _new_callback(self, handler):
         """Returns the callback of a new read; earlier reads are ignored."""
-        self._pausing = False
+        self._pausing = self._awaits_batch = False
         self._read_number += 1
         return functools.partial(self._on_result, self._read_number, handler)
 
     def _on_result(self, number, handler, result, exc):
         if not self._stopped and number == self._read_number:
+            self._awaits_batch = False
             handler(result, exc)
 
     def _read_snapshot(self, after):
@@ -339,6 +353,7 @@
             return
         self._sent_at = freshness.clock()
         callback = self._new_callback(self._on_batch)
+        self._awaits_batch = True
         self._source.read(self.position.offset,
                           self.pace.wait_s if self._may_wait else 0.0,
                           self._max_kb,
--- a/tests/test_topic.py
+++ b/tests/test_topic.py
@@ -18,7 +18,7 @@
 
 _FAULTS = st.lists(st.sampled_from(['ok', 'late', 'lost', 'busy']), max_size=30)
 _STEPS = st.lists(st.tuples(
-    st.sampled_from(['put', 'series', 'drop', 'forget', 'wait']),
+    st.sampled_from(['put', 'series', 'drop', 'forget', 'wait', 'early']),
     st.sampled_from('abcde'), st.floats(0.0, 1.5)),
                   max_size=40)
 
@@ -31,8 +31,12 @@
     observed = stores.ObservedState(store)
     expected = {}
     with mock.patch.object(freshness, 'clock', lambda: loop.now):
-        topicfollower.Follower(loop, store, observed, name='t',
-                               pace=PACE).start()
+        follower = topicfollower.Follower(loop,
+                                          store,
+                                          observed,
+                                          name='t',
+                                          pace=PACE)
+        follower.start()
         for i, (what, key, wait_s) in enumerate(steps):
             if what == 'put':
                 expected[key] = b'%d' % i
@@ -46,12 +50,38 @@
                 store.put(key, b'')
             elif what == 'forget':
                 store.first = len(store.records)
+            elif what == 'early':
+                follower.read_early()
             loop.run(loop.now + wait_s)
         loop.run(loop.now + 60.0)
     assert observed.newest == expected
     assert observed.confirmed == sorted(observed.confirmed)
 
 
+def test_an_early_read_does_not_wait_for_a_lost_response():
+    """Requests went by an old list until a lost response was given up."""
+    loop = stores.Loop()
+    store = stores.Store(loop, ['ok', 'ok', 'lost'])
+    store.put('a', b'1')
+    observed = stores.ObservedState(store)
+    with mock.patch.object(freshness, 'clock', lambda: loop.now):
+        follower = topicfollower.Follower(loop,
+                                          store,
+                                          observed,
+                                          name='t',
+                                          pace=PACE)
+        follower.start()
+        loop.run(0.2)
+        lost_at = loop.now
+        loop.run(lost_at + topicfollower.PROMPT_READ_S)
+        assert follower.confirmed_at < lost_at
+        follower.read_early()
+        loop.run(loop.now + 0.01)
+        assert follower.confirmed_at > lost_at
+        loop.run(loop.now + 3.0)
+    assert observed.confirmed == sorted(observed.confirmed)
+
+
 def test_a_snapshot_continues_at_the_page_that_failed():
     """Guards against entries that never become ready.
 
