--- a/features/platform_versions.feature
+++ b/features/platform_versions.feature
@@ -98,6 +98,17 @@
     And the callers take their streams up at all entries in turn
     Then all ten get the rest of their streams
 
+  # Guards against entries that store the only version some time after streams
+  # have begun at it.
+  Scenario: another version replaces the only one while all entries are gone
+    Given three entries before replicas of the versions "v1 v1"
+    When ten callers leave their streams after two events
+    And all entries are killed, and "v1" leaves
+    And all entries start again
+    And replicas of the versions "v2 v2" come
+    And the callers take their streams up at all entries in turn
+    Then no stream is joined from two versions, and what is refused has not run
+
   # Guards against streams that begin at a version which nobody can store.
   Scenario: the store shows no versions as a second one comes
     Given three entries before replicas of the versions "v1 v1"
--- a/tests/stream_entries.py
+++ b/tests/stream_entries.py
@@ -212,6 +212,14 @@
             for version in self.versions:
                 self.entries[host].add(version)
 
+    def replace(self, old, new):
+        """Kills all entries, and starts them as other replicas serve."""
+        for entry in self.entries.values():
+            entry.alive = False
+        self.remove(old)
+        self.add(new)
+        self.restart(self.hosts)
+
     def set_away(self, away):
         """Has the store away for all entries, which know it, or back."""
         self.store.away = away
--- a/tests/test_versionstore.py
+++ b/tests/test_versionstore.py
@@ -263,3 +263,25 @@
     _adopt(fleet, stream_entries.SERVICE)
     fleet.run(REPLACED_S)
     assert fleet.store.writes <= MAX_WRITES
+
+
+@pytest.mark.parametrize('count', [1, 3, 7])
+@pytest.mark.parametrize('began_s', [0.2, 0.6, 1.4])
+@pytest.mark.parametrize('is_empty', [False, True])
+def test_streams_of_entries_that_have_just_started_are_not_joined(
+        count, began_s, is_empty):
+    """The first version was stored two seconds after the start; all entries
+    were killed before, and another version came meanwhile."""
+    fleet = stream_entries.Fleet(count, [], stored=True)
+    if is_empty:
+        fleet.store.records.clear()
+        fleet.store.written_at.clear()
+    fleet.versions.append('v1')
+    fleet.restart(fleet.hosts)
+    fleet.run(began_s)
+    fleet.begin(fleet.hosts[0], 'x', 'v1')
+    fleet.run(0.4)
+    fleet.replace('v1', 'v2')
+    fleet.run(1.0)
+    decision, _ = fleet.take_up(fleet.hosts[0], 'x')
+    assert decision.origin is None, decision
