Revert: the only version is stored as streams begin at it

The version was stored some milliseconds after the first event, the record that nothing else is missing in its era some calls later, and a kill of all came between; entries that start believe an empty topic, but not one without that record.

--- a/gorsefall/relay/streamorigins.py
+++ b/gorsefall/relay/streamorigins.py
@@ -137,8 +137,6 @@
                                                           own=True))
         versions = self._fleet.versions
         versions.record_running(origin, now)
-        if self.version_store is not None:
-            self.version_store.on_stream_begun(origin)
         # Another version may come after the keeper has dropped this one.
         if (versions.origins(services, now) != {origin} or
                 not versions.has_replicas(origin)):
--- a/gorsefall/relay/versionstore.py
+++ b/gorsefall/relay/versionstore.py
@@ -8,8 +8,7 @@
 No time is stored: clocks differ, and each entry measures the time by its own.
 
 One entry by hash, the keeper, stores what all see. The others only make sure of
-versions that come beside another one, at which streams can begin meanwhile, and
-of those at which their own streams have begun.
+versions that come beside another one, at which streams can begin meanwhile.
 """
 
 import random
@@ -34,9 +33,6 @@
 """Range of the time after which entries write that are not the keeper, s,
 should it be gone."""
 
-BEGUN_DELAY_RANGE_S = (0.05, 0.3)
-"""The same at entries where streams have begun at a missing version, s."""
-
 RETRY_RANGE_S = (0.5, 1.5)
 """Range of the pause after a failed call, s."""
 
@@ -48,10 +44,6 @@
 """Upkeeps after which a keeper drops versions: others tell it every 10 s of
 those that run without records."""
 
-DROP_AGE_S = DROP_UPKEEPS * UPKEEP_PERIOD_S
-"""Time for which it must have seen a version stored, s: the view of the entry
-that stored it may be ahead."""
-
 ROUTES_DELAY_S = 0.5
 """Time for which changes of routes are collected, s: configurations may come in
 quick succession."""
@@ -89,8 +81,6 @@
         self._name = name
         self._rng = rng
         self._pending = set()
-        self._begun = set()
-        self._stored_since = {}
         self._has_read = self._has_started = False
         self._syncing = self._routes_changed = False
         self._was_written = False
@@ -142,11 +132,6 @@
                 stored = self._check_first(versionrecords.decode(snapshot))
                 self._has_read = True
                 self._pending -= stored.origins
-                self._begun -= stored.origins
-                self._stored_since = {
-                    origin: self._stored_since.get(origin, self._loop.now)
-                    for origin in stored.origins
-                }
             done(stored, exc)
 
         self._reader.read(on_snapshot)
@@ -177,19 +162,6 @@
         elif self._has_started and self._is_keeper():
             self._sync_in(0.0)
 
-    def on_stream_begun(self, origin):
-        """Makes sure that a version is stored at which a stream has begun.
-
-        The keeper may not have seen it yet, and an entry that has just started
-        does not know the keeper.
-
-        Args:
-            origin: Its ``softwareversions.Origin``.
-        """
-        if origin not in self._stored_since:
-            self._begun.add(origin)
-            self._sync_in(0.0)
-
     def _on_routes_changed(self):
         if self._has_started and not self._routes_changed:
             self._routes_changed = True
@@ -206,7 +178,6 @@
     def on_store_restored(self):
         """Called when the store came back from an older copy."""
         self._was_written = True
-        self._stored_since = {}
         self._asks_left = MAX_ASKS
         self._pending |= self._fleet.versions.all_origins(self._loop.now)
         # All entries learn of it at the same moment.
@@ -249,19 +220,14 @@
             self.witnesses.ask(lambda found: self._on_witnessed(stored, found))
             return
         self._pending &= self._fleet.versions.all_origins(self._loop.now)
-        # An empty topic has no keeper's record either: nobody stores yet.
-        writes = (waited or self._is_keeper() or
-                  (self._begun and not stored.end))
+        writes = waited or self._is_keeper()
         record = self._next_record(stored)
         if record is None:
-            self._begun.clear()
             self._syncing = False
         elif writes:
             self._write(*record, stored.end)
-        elif self._pending or self._begun:
-            self._read_again(
-                BEGUN_DELAY_RANGE_S if self._begun else WRITE_DELAY_RANGE_S,
-                waited=True)
+        elif self._pending:
+            self._read_again(WRITE_DELAY_RANGE_S, waited=True)
         else:
             self._syncing = False
 
@@ -315,17 +281,11 @@
         if not stored.in_era and proves:
             return versionrecords.ERA_KEY, versionrecords.encode_era(stored.era)
         # The keeper alone is told of streams whose version has no replicas.
-        old = {o for o in old if self._is_old(o)}
         if (covers and old and self._is_keeper() and
                 self._upkeeps >= DROP_UPKEEPS):
             return versionrecords.encode(min(old))[0], b''
         return None
 
-    def _is_old(self, origin):
-        """Whether a version was seen stored for long enough to be dropped."""
-        since = self._stored_since.get(origin, self._loop.now)
-        return self._loop.now - since >= DROP_AGE_S
-
     def _write(self, key, value, end):
         """Writes a record if nothing was written meanwhile, and reads again."""
 
--- a/tests/test_versionstore.py
+++ b/tests/test_versionstore.py
@@ -285,3 +285,23 @@
     fleet.run(1.0)
     decision, _ = fleet.take_up(fleet.hosts[0], 'x')
     assert decision.origin is None, decision
+
+
+@pytest.mark.parametrize('count', [1, 3, 7])
+@pytest.mark.parametrize('began_s', [0.4, 1.0, 1.4])
+def test_streams_of_entries_that_have_just_started_go_on_at_their_version(
+        count, began_s):
+    """The only version was stored, but not that no other one was lost; all
+    entries were killed, and every stream was refused."""
+    fleet = stream_entries.Fleet(count, [], stored=True)
+    fleet.store.records.clear()
+    fleet.store.written_at.clear()
+    fleet.versions.append('v1')
+    fleet.restart(fleet.hosts)
+    fleet.run(began_s)
+    fleet.begin(fleet.hosts[0], 'x', 'v1')
+    fleet.run(0.2)
+    fleet.restart(fleet.hosts)
+    fleet.run(0.2)
+    decision, _ = fleet.take_up(fleet.hosts[0], 'x')
+    assert decision.origin == _at('v1'), decision
