--- a/features/steps/sharing_steps.py
+++ b/features/steps/sharing_steps.py
@@ -17,6 +17,10 @@
 REVOKE_S = 4.0
 """Bound on the use of a revoked key at these entries, s."""
 
+MEET_S = 2.0
+"""Time until entries that have started know each other, s: each of them reads
+until then, so that three readers may be seen in passing."""
+
 LOAD_S = 6.0
 """Time for which requests are sent, s: longer than a confirmation is valid."""
 
@@ -33,9 +37,10 @@
     first.store.put('keyed.op', 'config', standin.config(1))
     for site in context.sites:
         site.start()
+    platform_site.wait_until_ready(context.sites)
+    time.sleep(MEET_S)
     waiting.until(lambda: len(_reader_sites(context)) == readers.MIN_READERS,
                   'three readers')
-    platform_site.wait_until_ready(context.sites)
 
 
 def _is_reader(site):
