One confirmation of the replicas' records, one state of a follower

Read as a newcomer: when the records were confirmed stood in three places (the follower, the node, the fleet), and is the fleet's freshness.Confirmation now. A follower's three flags are one enum. Two lapse times derive from one heartbeat. The jitter of own reads is that of the queries.

--- a/features/steps/sharing_steps.py
+++ b/features/steps/sharing_steps.py
@@ -17,10 +17,6 @@
 REVOKE_S = 4.0
 """Bound on the use of a revoked key at these entries, s."""
 
-MEET_S = 2.0
-"""Time until entries that have started know each other, s: each of them reads
-until then, so that three readers may be seen in passing."""
-
 LOAD_S = 6.0
 """Time for which requests are sent, s: longer than a confirmation is valid."""
 
@@ -37,20 +33,11 @@
     first.store.put('keyed.op', 'config', standin.config(1))
     for site in context.sites:
         site.start()
-    platform_site.wait_until_ready(context.sites)
-    time.sleep(MEET_S)
-    waiting.until(lambda: len(_reader_sites(context)) == readers.MIN_READERS,
-                  'three readers')
-
-
-def _is_reader(site):
-    """Returns True if the site's entry logged that it is a reader."""
-    records = [ln for ln in site.log() if ln['event'] == 'reads_store']
-    return bool(records) and records[-1]['leads']
+    standin.wait_until_shared(context.sites)
 
 
 def _reader_sites(context):
-    return [site for site in context.sites if _is_reader(site)]
+    return [site for site in context.sites if site.reads_store()]
 
 
 def _send_request(context, site, **kw):
@@ -104,7 +91,7 @@
 
 @when('an entry is paused, a key is revoked, and the entry resumes')
 def step_pause_entry(context):
-    context.paused_site = next(s for s in context.sites if not _is_reader(s))
+    context.paused_site = next(s for s in context.sites if not s.reads_store())
     assert _send_request(context, context.paused_site).status == 200
     context.paused_site.proc.send_signal(signal.SIGSTOP)
     _revoke_key(context)
--- a/gorsefall/relay/fleet.py
+++ b/gorsefall/relay/fleet.py
@@ -10,14 +10,15 @@
 from gorsefall.policy import freshness
 from gorsefall.policy import softwareversions
 from gorsefall.relay import replicas
+from gorsefall.relay import topic
 
 REWRITE_GRACE_S = 2.2
 """Time after the store's return until replicas whose records lapsed have
 written them again, s; the store's operators state 2 s."""
 
-LAPSE_S = 2.0
-"""Shortest time after which a record lapses when the store is lost, s: three
-heartbeats of more than a second, the first of them just before."""
+LAPSE_S = 2 * topic.HEARTBEAT_S
+"""Shortest time after which a record lapses when the store is lost, s: the
+first of the three heartbeats was due just before."""
 
 MAX_EXIT_REPORTS = 32
 """Most exits in a status message."""
@@ -44,6 +45,7 @@
             (monotonic), when it was found to warm up.
         paths: The ``paths.Paths`` to them; None to connect from here alone.
         brittle: The ``brittlereplicas.BrittleTracker``; None to use all places.
+        confirmation: The ``freshness.Confirmation`` of the records.
     """
 
     def __init__(self, loop, on_change=lambda: None):
@@ -70,8 +72,8 @@
         self._services = {}
         self._store_lost = False
         self._grace_until = float('-inf')
-        self._confirmed_at = self._trouble_since = float('-inf')
-        self._in_trouble = False
+        self.confirmation = freshness.Confirmation(float('inf'))
+        self._trouble_since = None
         self._log = logs.get('fleet')
 
     def set_services(self, services):
@@ -209,9 +211,8 @@
 
     def _may_have_lapsed(self, now):
         """Returns whether a record that is gone may have lapsed."""
-        if not (self._store_lost or now < self._grace_until):
-            return False
-        return freshness.clock() - self._trouble_since >= LAPSE_S
+        return ((self._store_lost or now < self._grace_until) and
+                freshness.clock() - self._trouble_since >= LAPSE_S)
 
     def record_exit(self, replica, at, *, reported=False):
         """Records that a ``replicas.Replica`` was found to have crashed.
@@ -310,7 +311,7 @@
         Args:
             sent_at: Time, s (``freshness.clock``).
         """
-        self._confirmed_at = max(self._confirmed_at, sent_at)
+        self.confirmation.record_read(sent_at)
         # Without services no replica is kept.
         if self._services:
             self.observation.record(sent_at)
@@ -328,9 +329,8 @@
     def on_store_lost(self):
         """Called when the store does not respond."""
         self._store_lost = True
-        if not self._in_trouble:
-            self._in_trouble = True
-            self._trouble_since = self._confirmed_at
+        if self._trouble_since is None:
+            self._trouble_since = self.confirmation.sent_at
 
     def on_store_regained(self, now):
         """Called when the store responds again."""
@@ -343,7 +343,6 @@
 
         The copy lacks replicas that have started since and live.
         """
-        self._in_trouble = True
         self._trouble_since = float('-inf')
         self._begin_grace(now)
 
@@ -356,7 +355,7 @@
     def _drop_lapsed(self, grace_until):
         if self._store_lost or grace_until != self._grace_until:
             return
-        self._in_trouble = False
+        self._trouble_since = None
         for replica_id, rep in list(self.replicas.items()):
             if rep.record_lapsed:
                 self._drop(replica_id,
--- a/gorsefall/relay/node.py
+++ b/gorsefall/relay/node.py
@@ -69,7 +69,6 @@
         loop: The ``reactor.Reactor``.
         table: The active ``routes.Table``; None before the first.
         confirmation: The ``freshness.Confirmation`` of the table.
-        replicas_confirmation: That of the replicas' records.
         current_list: The ``currentlist.CurrentList`` of the replicas.
         fleet: The ``fleet.Fleet``.
         prober: The ``prober.ReplicaProber`` of its replicas.
@@ -109,11 +108,10 @@
         self.table = None
         self.confirmation = freshness.Confirmation(self.cfg.revoke_s -
                                                    pacing.CONFIRMATION_MARGIN_S)
-        self.replicas_confirmation = freshness.Confirmation(
-            pacing.max_replicas_age_s(self.cfg))
-        self.current_list = currentlist.CurrentList(self.loop,
-                                                    self.replicas_confirmation)
         self.fleet = fleet.Fleet(self.loop, self._on_load_changed)
+        self.fleet.confirmation.bound_s = pacing.max_replicas_age_s(self.cfg)
+        self.current_list = currentlist.CurrentList(self.loop,
+                                                    self.fleet.confirmation)
         self.prober = prober.ReplicaProber(self.loop)
         self.crashes = crashes.CrashTracker(self.loop, self.prober, self.fleet)
         self.crashes.on_blocked = self._withdraw_blocked
@@ -400,7 +398,7 @@
         metrics.LOOP_WAIT.set(self.loop.longest_wait_s)
         self.loop.longest_wait_s = 0.0
         metrics.CONFIGURATION_AGE.set(self.confirmation.age_s())
-        metrics.REPLICAS_AGE.set(self.replicas_confirmation.age_s())
+        metrics.REPLICAS_AGE.set(self.fleet.confirmation.age_s())
         if self.table is not None:
             metrics.CATALOGUE_VERSION.set(self.table.version)
             for service in self.table.services:
@@ -439,7 +437,7 @@
             return
         self.confirmation.bound_s = (self.cfg.revoke_s -
                                      pacing.CONFIRMATION_MARGIN_S)
-        self.replicas_confirmation.bound_s = pacing.max_replicas_age_s(self.cfg)
+        self.fleet.confirmation.bound_s = pacing.max_replicas_age_s(self.cfg)
         for service_budget in self._budgets.values():
             # The counts are kept: otherwise every change of the settings
             # would allow the retries of the window once more.
--- a/gorsefall/relay/ownreads.py
+++ b/gorsefall/relay/ownreads.py
@@ -27,9 +27,6 @@
 MIN_WAIT_S = 0.01
 """Shortest time between two looks at an age, s."""
 
-RETRY_JITTER = (0.8, 1.2)
-"""Range of the factor of the pause after an own read."""
-
 
 class OwnReads:
     """Watches the age of the topics that other entries tell.
@@ -110,8 +107,7 @@
         metrics.PEER_READS.labels('read').inc()
         self._on_read()
         followed.follower.read_once()
-        pause_s = self._retry_pause_s() * self._rng.uniform(*RETRY_JITTER)
         self._loop.call_later(
-            pause_s,
+            self._retry_pause_s(),
             functools.partial(self._check, followed,
                               self._query_age_s(followed), self._read))
--- a/gorsefall/relay/sending.py
+++ b/gorsefall/relay/sending.py
@@ -102,7 +102,7 @@
             via=self.conn.via,
             version=node.table.version,
             proof_age_s=node.confirmation.logged_age_s(),
-            replicas_age_s=node.replicas_confirmation.logged_age_s(),
+            replicas_age_s=node.fleet.confirmation.logged_age_s(),
             told_by=node.told_by,
             lapsed=self.replica.record_lapsed)
 
--- a/gorsefall/relay/sharing.py
+++ b/gorsefall/relay/sharing.py
@@ -317,8 +317,9 @@
         self.source_host = None
 
     def _own_read_pause_s(self):
-        return (self._query_pause_s
-                if self.reaches_store() else OUTAGE_READ_PAUSE_S)
+        pause_s = (self._query_pause_s
+                   if self.reaches_store() else OUTAGE_READ_PAUSE_S)
+        return pause_s * self._rng.uniform(*PAUSE_JITTER)
 
     # -- messages --------------------------------------------------------------
 
--- a/gorsefall/relay/topic.py
+++ b/gorsefall/relay/topic.py
@@ -13,6 +13,10 @@
 only by this timeout, and two of them stay well below the bound on the age of a
 confirmation."""
 
+HEARTBEAT_S = 1.0
+"""Shortest time between two writes of a replica's record, s; it lapses after
+three without one."""
+
 MAX_READ_KB = 1024
 """Most data of one read, KB: the heartbeats of thousands of replicas between
 two reads."""
--- a/gorsefall/relay/topicfollower.py
+++ b/gorsefall/relay/topicfollower.py
@@ -5,6 +5,7 @@
 when ``read_once`` is called.
 """
 
+import enum
 import functools
 import random
 
@@ -32,9 +33,23 @@
 """Time after which a read may be given up for another one, s: a slow store
 takes 0.25 s."""
 
-RECORD_LAPSE_S = 3.0
-"""Time between two confirmations after which records may have lapsed, s: three
-heartbeats of a replica, each longer than a second."""
+RECORD_LAPSE_S = 3 * topic.HEARTBEAT_S
+"""Time between two confirmations after which records may have lapsed, s."""
+
+
+class _State(enum.Enum):
+    """What a follower does at the moment.
+
+    Attributes:
+        IDLE: Nothing; a read may be called for.
+        PAUSING: It pauses between two continuous reads.
+        READING: It waits for the response to a read.
+        BUSY: It reads a snapshot, handles a response or is about to retry.
+    """
+    IDLE = 'idle'
+    PAUSING = 'pausing'
+    READING = 'reading'
+    BUSY = 'busy'
 
 
 class Follower:
@@ -89,8 +104,7 @@
         self._continuous = True
         self._may_wait = False
         self._read_number = 0
-        self._idle = False
-        self._pausing = self._awaits_batch = False
+        self._state = _State.BUSY
         self._snapshot = {}
         self._snapshot_after = ''
         self._snapshot_end = None
@@ -189,9 +203,9 @@
         Args:
             end: Position after the last record, if another entry reported it.
         """
-        if not self._idle:
+        if self._state is not _State.IDLE:
             return
-        self._idle = False
+        self._state = _State.BUSY
         if (end.era == self.position.era and
                 end.offset - self.position.offset > 1 and
                 self._last_record_kb > self._max_kb):
@@ -207,11 +221,12 @@
         A read that has been under way for longer may have lost its response,
         which only shows after ``topic.SILENCE_TIMEOUT_S``.
         """
-        self._idle |= self._pausing or self._is_overdue()
+        if self._state is _State.PAUSING or self._is_overdue():
+            self._state = _State.IDLE
         self.read_once()
 
     def _is_overdue(self):
-        return (self._awaits_batch and
+        return (self._state is _State.READING and
                 freshness.clock() - self._sent_at > PROMPT_READ_S)
 
     def apply_changes(self, sent_at, change_set):
@@ -235,8 +250,7 @@
             # the read continues: it may be of a record that the other entry
             # does not know yet.
             self._read_number += 1
-            self._awaits_batch = False
-            self._idle = True
+            self._state = _State.IDLE
         if sent_at - self.confirmed_at > RECORD_LAPSE_S:
             # The entry that reads could not reach the store in that time.
             # Nor could the replicas, so records of live replicas may have
@@ -254,13 +268,13 @@
 
     def _new_callback(self, handler):
         """Returns the callback of a new read; earlier reads are ignored."""
-        self._pausing = self._awaits_batch = False
+        self._state = _State.BUSY
         self._read_number += 1
         return functools.partial(self._on_result, self._read_number, handler)
 
     def _on_result(self, number, handler, result, exc):
         if not self._stopped and number == self._read_number:
-            self._awaits_batch = False
+            self._state = _State.BUSY
             handler(result, exc)
 
     def _read_snapshot(self, after):
@@ -306,7 +320,7 @@
         if self._continuous:
             self._read()
         else:
-            self._idle = True
+            self._state = _State.IDLE
 
     def _apply_snapshot(self, end):
         restored = self.has_snapshot and end.era > self.position.era
@@ -353,7 +367,7 @@
             return
         self._sent_at = freshness.clock()
         callback = self._new_callback(self._on_batch)
-        self._awaits_batch = True
+        self._state = _State.READING
         self._source.read(self.position.offset,
                           self.pace.wait_s if self._may_wait else 0.0,
                           self._max_kb,
@@ -400,9 +414,9 @@
 
     def _schedule_read(self):
         if not self._continuous:
-            self._idle = True
+            self._state = _State.IDLE
         elif self.pace.pause_s:
-            self._pausing = True
+            self._state = _State.PAUSING
             self._loop.call_later(
                 self.pace.pause_s,
                 functools.partial(self._resume, self._read_number))
@@ -412,11 +426,10 @@
     def _resume(self, number):
         if number != self._read_number:
             return
-        self._pausing = False
         if self._continuous:
             self._read()
         else:
-            self._idle = True
+            self._state = _State.IDLE
 
     def _apply(self, record):
         """Applies a record; returns whether it changed the observed state."""
@@ -468,7 +481,7 @@
                 self.failed_reads >= MAX_PASSIVE_READ_ATTEMPTS):
             # The entries that read continuously keep trying, and send what
             # they read.
-            self._idle = True
+            self._state = _State.IDLE
             return
         pause = min(MAX_RETRY_PAUSE_S,
                     self._rng.uniform(*RETRY_PAUSE_RANGE_S) * self._failures)
--- a/gorsefall/relay/topiclisteners.py
+++ b/gorsefall/relay/topiclisteners.py
@@ -53,7 +53,6 @@
 
     def on_confirmed(self, sent_at):
         """See ``topic.Listener``."""
-        self._node.replicas_confirmation.record_read(sent_at)
         self._node.fleet.on_confirmed(sent_at)
         self._node.current_list.on_confirmed()
 
