--- a/gorsefall/explain.py
+++ b/gorsefall/explain.py
@@ -67,6 +67,8 @@
         'no other replica takes it over: {0.error}',
     loglines.Kept:
         'the attempt at {0.replica}, which was silent, goes on ({0.by})',
+    loglines.AwaitsReplicas:
+        "waits for a read of the replicas' records, which were too old",
     loglines.Parked:
         'waiting for another run of the same request, which shows whether the '
         'request crashes replicas',
--- a/gorsefall/loglines.py
+++ b/gorsefall/loglines.py
@@ -87,6 +87,10 @@
     digest: str = ''
 
 
+class AwaitsReplicas(RequestEvent, tag='awaits_replicas'):
+    """The request waits until the records of the replicas were read."""
+
+
 class Restored(RequestEvent, tag='restored'):
     """A stream continues at another replica, from a KV backup."""
     gone: str
@@ -328,15 +332,15 @@
 
 
 _EventType = (Sent | AttemptFailed | Forwarded | PathsLost | PathsRegained |
-              NotRun | Retry | Parked | Restored | StreamTakenUp |
-              NotTakenOver | Kept | Answered | Configuration | ProofLost |
-              ProofRegained | StoreLost | StoreRegained | StoreRestored |
-              StoreIsBehind | ConfirmationWithheld | LostVersionTold |
-              ReplicaSeen | ReplicaDoubtful | ReplicaGone | ReplicaLeaving |
-              ReplicaPaused | LimitAnnounced | LimitPartChanged |
-              PlacesBorrowed | Started | Stopping | Stopped | UsageCounted |
-              UsageReported | UsageMissed | Claimed | DutiesLost | ClaimFailed |
-              ClaimNotRead | PlatformCallFailed)
+              NotRun | Retry | Parked | AwaitsReplicas | Restored |
+              StreamTakenUp | NotTakenOver | Kept | Answered | Configuration |
+              ProofLost | ProofRegained | StoreLost | StoreRegained |
+              StoreRestored | StoreIsBehind | ConfirmationWithheld |
+              LostVersionTold | ReplicaSeen | ReplicaDoubtful | ReplicaGone |
+              ReplicaLeaving | ReplicaPaused | LimitAnnounced |
+              LimitPartChanged | PlacesBorrowed | Started | Stopping | Stopped |
+              UsageCounted | UsageReported | UsageMissed | Claimed |
+              DutiesLost | ClaimFailed | ClaimNotRead | PlatformCallFailed)
 _decoder = msgspec.json.Decoder(_EventType)
 
 
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -240,3 +240,9 @@
                       lapsed=True))
     assert "records confirmed 2.31 s earlier, told by 10.1.0.4" in text
     assert 'this replica has no record any more' in text
+
+
+def test_a_wait_for_the_records_of_the_replicas_is_explained():
+    """A request that waited looked as if nothing had happened to it."""
+    line = loglines.AwaitsReplicas(rid='r')
+    assert "waits for a read of the replicas' records" in explain.describe(line)
