--- a/tests/leaving_entries.py
+++ b/tests/leaving_entries.py
@@ -35,9 +35,20 @@
 
 
 class SilentClient(entries.StoreClient):
-    """The store over a path that can be lost without any sign."""
+    """The store over a path that can be lost without any sign.
+
+    Attributes:
+        refusing: Whether calls fail at once.
+    """
+
+    refusing = False
 
     def _call(self, call, done, *args, on_large=None):
+        if self.refusing:
+            self.calls += 1
+            error = entries.errors.StoreError('refused')
+            self._loop.call_later(0.004, lambda: done(None, error))
+            return
         if not self.unreachable:
             super()._call(call, done, *args, on_large=on_large)
             return
--- a/tests/test_leaving_in_time.py
+++ b/tests/test_leaving_in_time.py
@@ -48,12 +48,22 @@
     entry.loop.dead = True
 
 
+def _refuse(entry):
+    # Its calls fail at once, as with a reset.
+    entry.client.refusing = True
+
+
+def _freeze(entry):
+    entry.loop.frozen_until = entry.loop.now + 5.0
+
+
 def _change_store(entry):
     # It names the store in another way now, and ignores the others' queries.
     entry.sharing._store = 'another'
 
 
-@pytest.mark.parametrize('fail', [_lose_store, _kill, _change_store])
+@pytest.mark.parametrize('fail',
+                         [_lose_store, _refuse, _kill, _freeze, _change_store])
 @pytest.mark.parametrize('wait_s', [0.0, 0.3, 0.6])
 def test_calm_entries_have_a_current_list_while_readers_fail(
         site, fail, wait_s):
--- a/tests/test_topic.py
+++ b/tests/test_topic.py
@@ -16,6 +16,18 @@
 
 PACE = topic.ReadPace(pause_s=0.1)
 
+
+def _start(loop, store, observed):
+    """Returns a follower that has begun to read."""
+    follower = topicfollower.Follower(loop,
+                                      store,
+                                      observed,
+                                      name='t',
+                                      pace=PACE)
+    follower.start()
+    return follower
+
+
 _FAULTS = st.lists(st.sampled_from(['ok', 'late', 'lost', 'busy']), max_size=30)
 _STEPS = st.lists(st.tuples(
     st.sampled_from(['put', 'series', 'drop', 'forget', 'wait', 'early']),
@@ -31,12 +43,7 @@
     observed = stores.ObservedState(store)
     expected = {}
     with mock.patch.object(freshness, 'clock', lambda: loop.now):
-        follower = topicfollower.Follower(loop,
-                                          store,
-                                          observed,
-                                          name='t',
-                                          pace=PACE)
-        follower.start()
+        follower = _start(loop, store, observed)
         for i, (what, key, wait_s) in enumerate(steps):
             if what == 'put':
                 expected[key] = b'%d' % i
@@ -65,12 +72,7 @@
     store.put('a', b'1')
     observed = stores.ObservedState(store)
     with mock.patch.object(freshness, 'clock', lambda: loop.now):
-        follower = topicfollower.Follower(loop,
-                                          store,
-                                          observed,
-                                          name='t',
-                                          pace=PACE)
-        follower.start()
+        follower = _start(loop, store, observed)
         loop.run(0.2)
         lost_at = loop.now
         loop.run(lost_at + topicfollower.PROMPT_READ_S)
@@ -93,7 +95,7 @@
     for key in 'abcdefgh':
         store.put(key, key.encode())
     observed = stores.ObservedState(store)
-    topicfollower.Follower(loop, store, observed, name='t', pace=PACE).start()
+    _start(loop, store, observed)
     loop.run(10.0)
     assert sorted(observed.newest) == list('abcdefgh')
 
--- a/tests/test_versionstore.py
+++ b/tests/test_versionstore.py
@@ -265,6 +265,22 @@
     assert fleet.store.writes <= MAX_WRITES
 
 
+def _just_started(count, *, is_empty):
+    """Returns entries that have just started before replicas of v1.
+
+    Args:
+        count: Number of entries.
+        is_empty: Whether nothing was ever stored.
+    """
+    fleet = stream_entries.Fleet(count, [], stored=True)
+    if is_empty:
+        fleet.store.records.clear()
+        fleet.store.written_at.clear()
+    fleet.versions.append('v1')
+    fleet.restart(fleet.hosts)
+    return fleet
+
+
 @pytest.mark.parametrize('count', [1, 3, 7])
 @pytest.mark.parametrize('began_s', [0.2, 0.6, 1.4])
 @pytest.mark.parametrize('is_empty', [False, True])
@@ -272,12 +288,7 @@
         count, began_s, is_empty):
     """The first version was stored two seconds after the start; all entries
     were killed before, and another version came meanwhile."""
-    fleet = stream_entries.Fleet(count, [], stored=True)
-    if is_empty:
-        fleet.store.records.clear()
-        fleet.store.written_at.clear()
-    fleet.versions.append('v1')
-    fleet.restart(fleet.hosts)
+    fleet = _just_started(count, is_empty=is_empty)
     fleet.run(began_s)
     fleet.begin(fleet.hosts[0], 'x', 'v1')
     fleet.run(0.4)
@@ -293,11 +304,7 @@
         count, began_s):
     """The only version was stored, but not that no other one was lost; all
     entries were killed, and every stream was refused."""
-    fleet = stream_entries.Fleet(count, [], stored=True)
-    fleet.store.records.clear()
-    fleet.store.written_at.clear()
-    fleet.versions.append('v1')
-    fleet.restart(fleet.hosts)
+    fleet = _just_started(count, is_empty=True)
     fleet.run(began_s)
     fleet.begin(fleet.hosts[0], 'x', 'v1')
     fleet.run(0.2)
