A shorter time to apply holds as soon as it is set

What operators would see: after apply_s is made shorter, an entry that only other entries tell of the configuration keeps the age of before until it starts anew. Cause: the age up to which a topic is used came with the own reads, and followers begin anew only for a shorter revoke_s or leave_s or another store.

--- a/gorsefall/relay/followers.py
+++ b/gorsefall/relay/followers.py
@@ -84,7 +84,8 @@
         cfg = self._node.cfg
         if (cfg.store != before.store or
                 pacing.config_wait_s(cfg) < pacing.config_wait_s(before) or
-                cfg.leave_s < before.leave_s):
+                pacing.max_config_age_s(cfg) < pacing.max_config_age_s(before)
+                or cfg.leave_s < before.leave_s):
             # Shorter bounds require shorter waits at the store.
             self._start_followers()
 
