Runs go on from a backup by a current list of the replicas

In the same place, by reading: a verdict on an earlier attempt, whose probe was cancelled, was taken for that of the next.

CurrentList.admit takes what is to be called instead of an exchange; the four tests of before pass what they passed.

--- a/gorsefall/relay/backups.py
+++ b/gorsefall/relay/backups.py
@@ -1,5 +1,6 @@
 """KV backups: copies of a run's KV cache at another replica."""
 
+import functools
 import time
 
 from gorsefall.policy import placement
@@ -13,15 +14,17 @@
             none, or it was claimed.
     """
 
-    def __init__(self, replica_prober, replicas):
+    def __init__(self, replica_prober, replicas, current_list):
         """Creates the state of a run without a backup.
 
         Args:
             replica_prober: The ``prober.ReplicaProber``.
             replicas: The ``fleet.Fleet``.
+            current_list: The ``currentlist.CurrentList`` of these replicas.
         """
         self._prober = replica_prober
         self._fleet = replicas
+        self._current_list = current_list
         self.holder = None
         self._on_probed = None
 
@@ -52,16 +55,22 @@
     def probe(self, replica, done):
         """Calls ``done(verdict)`` with the ``prober.Verdict`` on ``replica``.
 
-        Does nothing while an earlier probe is in progress.
+        By then the list of replicas is recent enough to send by. Does nothing
+        while an earlier probe is in progress.
         """
         if self._on_probed is not None:
             return
         self._on_probed = done
-        self._prober.probe(replica, self._handle_verdict)
+        self._prober.probe(replica, functools.partial(self._handle_verdict,
+                                                      done))
 
-    def _handle_verdict(self, verdict):
-        done, self._on_probed = self._on_probed, None
-        if done is not None:
+    def _handle_verdict(self, done, verdict):
+        if self._on_probed is not done:
+            # It was cancelled.
+            return
+        if self._current_list.admit(
+                functools.partial(self._handle_verdict, done, verdict)):
+            self._on_probed = None
             done(verdict)
 
     def claim(self):
--- a/gorsefall/relay/currentlist.py
+++ b/gorsefall/relay/currentlist.py
@@ -35,16 +35,16 @@
         self._log = logs.get('currentlist')
         self.read_now = lambda: None
 
-    def admit(self, exchange):
+    def admit(self, retry):
         """Returns whether a request may be sent now.
 
-        If not, ``exchange.dispatch`` is called later.
+        If not, ``retry()`` is called later.
         """
         if self._is_usable():
             return True
         if not self._waiting:
             self._begin_wait()
-        self._waiting.append(exchange)
+        self._waiting.append(retry)
         metrics.LIST_WAITS.inc()
         return False
 
@@ -79,5 +79,5 @@
 
     def _release(self):
         waiting, self._waiting = self._waiting, []
-        for exchange in waiting:
-            self._loop.call_later(0, exchange.dispatch)
+        for retry in waiting:
+            self._loop.call_later(0, retry)
--- a/gorsefall/relay/exchange.py
+++ b/gorsefall/relay/exchange.py
@@ -80,7 +80,8 @@
         self._counted = False
         self.disconnect_reason = None
         self.response_end = responseend.ResponseEnd(self)
-        self._backup = backups.KvBackup(node.prober, node.fleet)
+        self._backup = backups.KvBackup(node.prober, node.fleet,
+                                        node.current_list)
         self._restorer = restoring.Restorer(self, self._backup)
         self.silence = silence.SilenceWatch(self, self._restorer)
         self._takeover = takeover.Takeover(self)
@@ -197,7 +198,7 @@
             if self.attempts.forbids_rerun(self.terms):
                 raise self.attempts.outcome_unknown_error(
                     'its route does not allow another run any more')
-        if not self.node.current_list.admit(self):
+        if not self.node.current_list.admit(self.dispatch):
             self.log.info('awaits_replicas')
             return
         self.causes = self._possible_causes()
--- a/tests/test_currentlist.py
+++ b/tests/test_currentlist.py
@@ -7,6 +7,7 @@
 import stores
 
 from gorsefall.policy import freshness
+from gorsefall.relay import backups
 from gorsefall.relay import currentlist
 
 BOUND_S = 1.7
@@ -38,7 +39,7 @@
         request.dispatch()
 
     def _dispatch(self, request):
-        if self.list.admit(request):
+        if self.list.admit(request.dispatch):
             self.sent_at.append(self.loop.now)
 
 
@@ -101,3 +102,62 @@
     site.loop.run(BOUND_S)
     site.send()
     assert site.sent_at == [BOUND_S]
+
+
+class _Backup:
+    """A run's backup at a replica, and what it was claimed to be."""
+
+    def __init__(self, site):
+        self._probes = []
+        self.replicas = {'r': mock.MagicMock()}
+        self.replicas['r'].record.id = 'r'
+        self.replicas['r'].refusal.return_value = None
+        self.verdicts = []
+        self.claimed = []
+        prober = types.SimpleNamespace(
+            probe=lambda replica, done: self._probes.append(done))
+        self.copy = backups.KvBackup(prober, self, site.list)
+        self.copy.holder = self.replicas['r']
+
+    def probe(self):
+        self.copy.probe(None, self._on_probed)
+
+    def finish_probe(self, verdict):
+        self._probes.pop(0)(verdict)
+
+    def _on_probed(self, verdict):
+        self.verdicts.append(verdict)
+        self.claimed.append(self.copy.claim())
+
+
+def test_a_run_goes_on_from_a_backup_by_a_list_that_was_read_since(site):
+    """An entry that was held up went on at a replica that had left."""
+    backup = _Backup(site)
+    site.list.read_now = lambda: (backup.replicas.clear(), site._read())
+    site.loop.run(5.0)
+    backup.probe()
+    backup.finish_probe('exited')
+    site.loop.run(5.1)
+    assert (backup.verdicts, backup.claimed) == (['exited'], [None])
+
+
+def test_a_run_whose_caller_leaves_meanwhile_does_not_go_on(site):
+    """Guards against runs from backups for callers that are gone."""
+    backup = _Backup(site)
+    site.loop.run(5.0)
+    backup.probe()
+    backup.finish_probe('exited')
+    backup.copy.cancel_probe()
+    site.loop.run(5.1)
+    assert backup.claimed == []
+
+
+def test_the_verdict_on_an_earlier_attempt_is_not_taken_for_the_next(site):
+    """Guards against a sound replica that is left for its backup."""
+    backup = _Backup(site)
+    backup.probe()
+    backup.copy.cancel_probe()
+    backup.probe()
+    backup.finish_probe('exited')
+    backup.finish_probe('alive')
+    assert backup.verdicts == ['alive']
