A read of the replicas does not wait for the pause after a failed one

What callers could see: requests that wait for a current list, 0.3 s at most, go by the old one, since a read of the store had failed just before and its retry comes 0.05 to 0.5 s later. Such an early read was ignored then, as it was for any read in progress.

A pause before a retry is now the same state as one between two reads, and an early read ends either. One call more for each wait at a store that fails at once; after 0.3 s requests go by the old list and no more reads are asked for, as before. tests/test_topic.py fails before.

--- a/gorsefall/relay/topicfollower.py
+++ b/gorsefall/relay/topicfollower.py
@@ -42,9 +42,9 @@
 
     Attributes:
         IDLE: Nothing; a read may be called for.
-        PAUSING: It pauses between two continuous reads.
+        PAUSING: It pauses before the next read.
         READING: It waits for the response to a read.
-        BUSY: It reads a snapshot, handles a response or is about to retry.
+        BUSY: It reads a snapshot or handles a response.
     """
     IDLE = 'idle'
     PAUSING = 'pausing'
@@ -105,6 +105,7 @@
         self._may_wait = False
         self._read_number = 0
         self._state = _State.BUSY
+        self._after_pause = None
         self._snapshot = {}
         self._snapshot_after = ''
         self._snapshot_end = None
@@ -221,7 +222,9 @@
         A read that has been under way for longer may have lost its response,
         which only shows after ``topic.SILENCE_TIMEOUT_S``.
         """
-        if self._state is _State.PAUSING or self._is_overdue():
+        if self._state is _State.PAUSING:
+            self._after_pause()
+        elif self._is_overdue():
             self._state = _State.IDLE
         self.read_once()
 
@@ -317,10 +320,7 @@
         self._apply_snapshot(self._snapshot_end)
         self._confirm(self._sent_at)
         self._on_change()
-        if self._continuous:
-            self._read()
-        else:
-            self._state = _State.IDLE
+        self._read_on()
 
     def _apply_snapshot(self, end):
         restored = self.has_snapshot and end.era > self.position.era
@@ -413,24 +413,25 @@
         self._schedule_read()
 
     def _schedule_read(self):
-        if not self._continuous:
-            self._state = _State.IDLE
-        elif self.pace.pause_s:
-            self._state = _State.PAUSING
-            self._loop.call_later(
-                self.pace.pause_s,
-                functools.partial(self._resume, self._read_number))
+        if self._continuous and self.pace.pause_s:
+            self._pause(self.pace.pause_s, self._read_on)
         else:
-            self._read()
+            self._read_on()
 
-    def _resume(self, number):
-        if number != self._read_number:
-            return
+    def _read_on(self):
         if self._continuous:
             self._read()
         else:
             self._state = _State.IDLE
 
+    def _pause(self, pause_s, then):
+        """Calls ``then`` after a pause, unless a read has begun since."""
+        self._state = _State.PAUSING
+        self._after_pause = then
+        number = self._read_number
+        self._loop.call_later(
+            pause_s, lambda: then() if number == self._read_number else None)
+
     def _apply(self, record):
         """Applies a record; returns whether it changed the observed state."""
         if not self._is_new(record):
@@ -485,6 +486,4 @@
             return
         pause = min(MAX_RETRY_PAUSE_S,
                     self._rng.uniform(*RETRY_PAUSE_RANGE_S) * self._failures)
-        number = self._read_number
-        self._loop.call_later(
-            pause, lambda: retry() if number == self._read_number else None)
+        self._pause(pause, retry)
--- a/tests/test_topic.py
+++ b/tests/test_topic.py
@@ -65,6 +65,21 @@
     assert observed.confirmed == sorted(observed.confirmed)
 
 
+def test_an_early_read_does_not_wait_for_a_retry():
+    """Requests went by an old list for the pause after a failed read."""
+    loop = stores.Loop()
+    store = stores.Store(loop, ['ok', 'ok', 'busy'])
+    store.put('a', b'1')
+    with mock.patch.object(freshness, 'clock', lambda: loop.now):
+        follower = _start(loop, store, stores.ObservedState(store))
+        while not follower.failed_reads:
+            loop.run(loop.now + 0.01)
+        failed_at = loop.now
+        follower.read_early()
+        loop.run(loop.now + 0.01)
+        assert follower.confirmed_at == failed_at
+
+
 def test_an_early_read_does_not_wait_for_a_lost_response():
     """Requests went by an old list until a lost response was given up."""
     loop = stores.Loop()
