The age of the list is checked again as a request's bytes leave

The process stopped between the choice and the write: while a connection is made, or in the code in between.

An outbound.Call is now asked as its first bytes leave, on a connection that is kept as well as on a new one. An attempt that is withheld has reached nobody: its replica counts as untried, and the request waits for a current list like others. The same at an entry that forwards (the sender asks another one then) and at one whose request another entry has agreed to forward. What is left is the time from that check to the call of the kernel.

Tests that fail before: tests/test_outbound.py, test_forwarding.py and test_exchange_orders.py.

--- a/gorsefall/net/outbound.py
+++ b/gorsefall/net/outbound.py
@@ -45,6 +45,8 @@
     FORWARDER = 'forwarder'
     """Another entry that should forward the call failed or refused. It shows
     nothing about the peer."""
+    WITHHELD = 'withheld'
+    """The call may not be sent any more. It shows nothing about the peer."""
 
 
 class Ending(enum.Enum):
@@ -69,6 +71,10 @@
     fault: Fault = Fault.INVALID
 
 
+WITHHELD = Failure(False, 'not sent any more', Fault.WITHHELD)
+"""That of a call which ``Call.may_be_sent`` holds back."""
+
+
 class Call:
     """A request and the callbacks for its response; subclasses override.
 
@@ -90,6 +96,13 @@
         self.time_limit_s = time_limit_s
         self.ending = Ending.FRAMED
 
+    def may_be_sent(self):
+        """Returns whether to send it still, asked as its first bytes leave.
+
+        The process may have been suspended since its peer was chosen.
+        """
+        return True
+
     def on_sent(self):
         """Called once when the request was handed to the kernel."""
 
@@ -190,10 +203,18 @@
         self._call = call
         self._transport.has_written = False
         self._set_time_limit(call)
-        self._transport.write(*self._start_exchange(call))
+        pieces = self._start_exchange(call)
+        if self._connected and not call.may_be_sent():
+            # Deferred, so that no callback runs before this method returns.
+            self._loop.call_later(0, self._withhold)
+            return
+        self._transport.write(*pieces)
         if self._transport.has_written:
             call.on_sent()
 
+    def _withhold(self):
+        self._fail(WITHHELD.reason, WITHHELD.fault)
+
     def _set_time_limit(self, call):
         """Lets a peer that is alive read a large body as slowly as it may."""
         large = len(call.body) > LARGE_BODY_BYTES
@@ -243,8 +264,12 @@
         self._timer.cancel()
         self._connected = True
         self._report_connect(True)
-        if self._call is not None:
+        if self._call is None:
+            return
+        if self._call.may_be_sent():
             self._call.on_sent()
+        else:
+            self._withhold()
 
     def _report_connect(self, established):
         if self._on_connect is not None:
--- a/gorsefall/relay/currentlist.py
+++ b/gorsefall/relay/currentlist.py
@@ -15,7 +15,8 @@
     """The list of replicas, whose age is checked at each send.
 
     An entry that was held up (its VM was suspended, its loop busy) resumes with
-    a list of before. Replicas that have left since would get its requests.
+    a list of before. Replicas that have left since would get its requests. The
+    age is checked when a replica is chosen, and again as the bytes leave.
 
     Attributes:
         read_now: Called to have the list read.
@@ -40,7 +41,7 @@
 
         If not, ``retry()`` is called later.
         """
-        if self._is_usable():
+        if self.is_usable():
             return True
         if not self._waiting:
             self._begin_wait()
@@ -48,7 +49,8 @@
         metrics.LIST_WAITS.inc()
         return False
 
-    def _is_usable(self):
+    def is_usable(self):
+        """Returns whether to send by the list as it is."""
         # Without a list there is no replica to send to.
         return (self._unresponsive or self._confirmation.is_current() or
                 math.isinf(self._confirmation.age_s()))
--- a/gorsefall/relay/exchange.py
+++ b/gorsefall/relay/exchange.py
@@ -448,9 +448,10 @@
             self._takeover.on_failed(failure)
             return
         self._close_attempt(attempt)
-        detour = self._detours.plan(attempt, failure)
-        if not detour and not (failure.sent and
-                               failure.fault is outbound.Fault.FORWARDER):
+        untried = (failure.fault is outbound.Fault.WITHHELD or
+                   self._detours.plan(attempt, failure))
+        if not untried and not (failure.sent and
+                                failure.fault is outbound.Fault.FORWARDER):
             attempt.replica.view.record_failure(now, attempt.sent_at)
         attempt.log_failed(failure.reason, sent=failure.sent)
         lost = failure.fault is outbound.Fault.LOST
@@ -458,7 +459,7 @@
             # A response that was lost on its way: the replica ran it.
             self._record_run()
         if not failure.sent:
-            if detour:
+            if untried:
                 self.attempts.record_untried(attempt.name)
             else:
                 self.attempts.record_unreached(attempt.name)
--- a/gorsefall/relay/forwarder.py
+++ b/gorsefall/relay/forwarder.py
@@ -30,6 +30,10 @@
         self.sent_at = time.monotonic()
         self.conn = None
 
+    def may_be_sent(self):
+        """See ``outbound.Call``."""
+        return self._peer.node.current_list.is_usable()
+
     def matches_response(self, status, fields):
         """See ``outbound.Call``."""
         self._response = self._peer.node.codec.decode_response(status, fields)
@@ -62,9 +66,12 @@
 
     def on_fail(self, failure):
         """See ``outbound.Call``."""
-        self._peer.end_run(
-            messages.Failed(failure.sent, failure.reason, failure.fault),
-            failure.fault.value)
+        fault = failure.fault
+        if fault is outbound.Fault.WITHHELD:
+            # The other entry is to ask one that was not held up.
+            fault = outbound.Fault.UNREACHED
+        self._peer.end_run(messages.Failed(failure.sent, failure.reason, fault),
+                           failure.fault.value)
 
 
 class _Peer:
--- a/gorsefall/relay/forwarding.py
+++ b/gorsefall/relay/forwarding.py
@@ -146,8 +146,12 @@
     def _on_opened(self, message: messages.Opened):
         del message
         self._timer.cancel()
-        self._requested = True
         call = self._call
+        if not call.may_be_sent():
+            self._channel.close()
+            call.on_fail(outbound.WITHHELD)
+            return
+        self._requested = True
         call.on_sent()
         self._channel.send(
             messages.Request(call.request_id, call.method, call.target,
--- a/gorsefall/relay/sending.py
+++ b/gorsefall/relay/sending.py
@@ -153,6 +153,10 @@
                                     (time.monotonic() - self.sent_at) * 1000,
                                     1))
 
+    def may_be_sent(self):
+        """See ``outbound.Call``."""
+        return self._exchange.node.current_list.is_usable()
+
     def on_sent(self):
         """See ``outbound.Call``."""
         self._exchange.on_request_sent(self)
--- a/tests/forwarding_site.py
+++ b/tests/forwarding_site.py
@@ -81,8 +81,12 @@
         self.status = None
         self.ended = False
         self.failure = None
+        self.withheld = False
         self.interim = 0
 
+    def may_be_sent(self):
+        return not self.withheld
+
     def on_interim(self, status, fields):
         self.interim += 1
 
@@ -115,11 +119,14 @@
             announcements=Announcements(),
             prober=prober.ReplicaProber(loop),
             draining=False,
+            current_list=types.SimpleNamespace(
+                is_usable=lambda: self.is_usable),
             fleet=types.SimpleNamespace(find=self._find),
             paths=types.SimpleNamespace(
                 is_in_doubt=lambda service: self.in_doubt,
                 has_room=lambda replica: False))
         self.in_doubt = False
+        self.is_usable = True
         self.forwarder = forwarder.Forwarder(self.node, ('127.0.0.1', 0))
         self.observer = Observer()
         _, port = self.forwarder.listener.addr
--- a/tests/test_exchange_orders.py
+++ b/tests/test_exchange_orders.py
@@ -12,6 +12,7 @@
 import exchange_site
 
 from gorsefall import errors
+from gorsefall.net import outbound
 from gorsefall.policy import takeover
 
 NOT_RUN_STATUS = 503
@@ -331,3 +332,17 @@
     site = _play([flooding, [(0.05, 'head'), *_EVENTS]], None, 0.0)
     assert site.writer.ended
     assert _is_prefix(site.writer.body) == (True, True)
+
+
+def test_an_attempt_that_was_withheld_says_nothing_of_its_replica():
+    """A suspended entry takes the replicas that it did not ask for failed."""
+    stream = [(0.1, 'head')] + [(0.0, 'event')] * exchange_site.EVENT_COUNT
+    with exchange_site.site([stream]) as site:
+        site.exchange.start()
+        call = site.conns[0]._call
+        site.conns[0].cancelled_at = site.loop.now
+        call.on_fail(
+            outbound.Failure(False, 'withheld', outbound.Fault.WITHHELD))
+        site.loop.run(site.loop.now + 1.0)
+    assert site.writer.ended
+    assert not site.replicas['a'].view.record_failure.called
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -142,6 +142,27 @@
             pass
 
 
+def test_a_forwarder_that_was_held_up_sends_nothing_by_an_old_list(loop):
+    """A request reaches a replica that had left while its VM was suspended."""
+    call = forwarding_site.Call()
+    site = _run(loop, [[RESPONSE]], call,
+                lambda site: setattr(site, 'is_usable', False))
+    assert not site.requests
+    assert (call.failure.sent, call.failure.fault) == (False,
+                                                       outbound.Fault.FORWARDER)
+
+
+def test_what_may_not_be_sent_any_more_is_not_forwarded(loop):
+    """A suspended entry goes on with what another entry agreed to forward."""
+    call = forwarding_site.Call()
+    call.withheld = True
+    site = _run(loop, [[RESPONSE]], call)
+    assert not site.requests
+    assert (call.failure.sent, call.failure.fault) == (False,
+                                                       outbound.Fault.WITHHELD)
+    assert not site.observer.elsewhere + site.observer.refusals
+
+
 def test_a_forwarder_that_does_not_answer_has_no_part_of_the_request(loop):
     """A caller waits for a frozen entry, and is told that its request may have
     run."""
--- a/tests/test_outbound.py
+++ b/tests/test_outbound.py
@@ -10,6 +10,7 @@
 from hypothesis import given
 from hypothesis import settings
 from hypothesis import strategies as st
+import pytest
 
 import peers
 from gorsefall.net import outbound
@@ -353,3 +354,39 @@
         pool.close()
     peer.close()
     assert peak < LARGE_BYTES / 4
+
+
+class _WithheldCall(RecordingCall):
+    """A call that may not be sent any more."""
+
+    sent = False
+
+    def may_be_sent(self):
+        return False
+
+    def on_sent(self):
+        self.sent = True
+
+
+@pytest.mark.parametrize('idle', [True, False])
+def test_what_may_not_be_sent_any_more_does_not_leave(idle):
+    """A process that was suspended while it sent goes on sending."""
+    peer = peers.ScriptedPeer(
+        [[complete_response('a', 'Keep-Alive: timeout=9')]])
+    with peers.loop() as loop:
+        pool = outbound.Pool(loop, peer.addr, max_size=2, connect_timeout_s=1.0)
+        if idle:
+            first = RecordingCall('a')
+            pool.send(first)
+            peers.run(loop, lambda: first.ended)
+        call = _WithheldCall('b')
+        pool.send(call)
+        assert call.failure is None
+        peers.run(loop, lambda: call.failure is not None)
+        for _ in range(5):
+            loop.step(0.01)
+        assert pool.size == 0
+    peer.close()
+    assert len(peer.requests) == idle
+    assert (call.failure.sent, call.failure.fault,
+            call.sent) == (False, outbound.Fault.WITHHELD, False)
