--- a/bench/leaving_lists.py
+++ b/bench/leaving_lists.py
@@ -10,16 +10,11 @@
 import argparse
 import pathlib
 import sys
-from unittest import mock
 
 sys.path.append(str(pathlib.Path(__file__).resolve().parents[1] / 'tests'))
 
 import leaving_entries  # noqa: E402
-import stores  # noqa: E402
 
-from gorsefall.policy import freshness  # noqa: E402
-
-SETTLED_S = 10.0
 TROUBLE_S = 8.0
 PEAK_S = 0.2
 """Time over which the greatest rate of calls is taken, s."""
@@ -27,12 +22,10 @@
 
 def run(per_zone, leave_s, seed):
     """Runs one trouble; returns a line with its figures."""
-    loop = stores.Loop()
-    with (mock.patch('gorsefall.logs.get', lambda name: mock.MagicMock()),
-          mock.patch.object(stores, 'Loop', lambda: loop),
-          mock.patch.object(freshness, 'clock', lambda: loop.now)):
-        site = leaving_entries.Site(per_zone, seed=seed, leave_s=leave_s)
-        site.run(SETTLED_S)
+    with leaving_entries.settled(leaving_entries.Site,
+                                 per_zone,
+                                 seed=seed,
+                                 leave_s=leave_s) as site:
         calls, sent = site.calls(), site.network.sent
         usual_s = site.oldest_s(site.entries, TROUBLE_S)
         usual = ((site.calls() - calls) / TROUBLE_S,
--- a/gorsefall/relay/backups.py
+++ b/gorsefall/relay/backups.py
@@ -14,17 +14,19 @@
             none, or it was claimed.
     """
 
-    def __init__(self, replica_prober, replicas, current_list):
+    def __init__(self, replica_prober, replicas, current_list, log):
         """Creates the state of a run without a backup.
 
         Args:
             replica_prober: The ``prober.ReplicaProber``.
             replicas: The ``fleet.Fleet``.
             current_list: The ``currentlist.CurrentList`` of these replicas.
+            log: Logger of the request.
         """
         self._prober = replica_prober
         self._fleet = replicas
         self._current_list = current_list
+        self._log = log
         self.holder = None
         self._on_probed = None
 
@@ -68,8 +70,8 @@
         if self._on_probed is not done:
             # It was cancelled.
             return
-        if self._current_list.admit(
-                functools.partial(self._handle_verdict, done, verdict)):
+        retry = functools.partial(self._handle_verdict, done, verdict)
+        if self._current_list.admit(retry, self._log):
             self._on_probed = None
             done(verdict)
 
--- a/gorsefall/relay/currentlist.py
+++ b/gorsefall/relay/currentlist.py
@@ -36,16 +36,19 @@
         self._log = logs.get('currentlist')
         self.read_now = lambda: None
 
-    def admit(self, retry):
+    def admit(self, retry, log):
         """Returns whether a request may be sent now.
 
-        If not, ``retry()`` is called later.
+        Args:
+            retry: Called later if not.
+            log: Logger of the request.
         """
         if self.is_usable():
             return True
         if not self._waiting:
             self._begin_wait()
         self._waiting.append(retry)
+        log.info('awaits_replicas')
         metrics.LIST_WAITS.inc()
         return False
 
--- a/gorsefall/relay/exchange.py
+++ b/gorsefall/relay/exchange.py
@@ -81,7 +81,7 @@
         self.disconnect_reason = None
         self.response_end = responseend.ResponseEnd(self)
         self._backup = backups.KvBackup(node.prober, node.fleet,
-                                        node.current_list)
+                                        node.current_list, self.log)
         self._restorer = restoring.Restorer(self, self._backup)
         self.silence = silence.SilenceWatch(self, self._restorer)
         self._takeover = takeover.Takeover(self)
@@ -198,8 +198,7 @@
             if self.attempts.forbids_rerun(self.terms):
                 raise self.attempts.outcome_unknown_error(
                     'its route does not allow another run any more')
-        if not self.node.current_list.admit(self.dispatch):
-            self.log.info('awaits_replicas')
+        if not self.node.current_list.admit(self.dispatch, self.log):
             return
         self.causes = self._possible_causes()
         if not self.node.crashes.try_begin_run(self.causes, self):
--- a/tests/leaving_entries.py
+++ b/tests/leaving_entries.py
@@ -1,30 +1,26 @@
 """Entries at the pace of the settings, and how old their lists become."""
 
+import contextlib
 import types
 import typing
+from unittest import mock
 
 import entries
+import relay_settings
 import stores
 
+from gorsefall import errors
+from gorsefall.policy import freshness
 from gorsefall.relay import pacing
-from gorsefall.relay import settings
 from gorsefall.relay import sharing
 from gorsefall.relay import topic
 from gorsefall.relay import topicfollower
 
 ZONES = 'abcdefg'
-SILENCE_S = topic.SILENCE_TIMEOUT_S
+REFUSAL_S = 0.004
 
-
-def config(leave_s=2.0):
-    """Returns settings of an entry."""
-    return settings.Relay(name='n',
-                          zone='z',
-                          callers='h:1',
-                          readiness='h:2',
-                          store='h:3',
-                          leave_s=leave_s,
-                          apply_s=leave_s)
+SETTLED_S = 10.0
+"""Time until entries that have started know each other, s."""
 
 
 class Paces(typing.NamedTuple):
@@ -44,17 +40,13 @@
     refusing = False
 
     def _call(self, call, done, *args, on_large=None):
-        if self.refusing:
-            self.calls += 1
-            error = entries.errors.StoreError('refused')
-            self._loop.call_later(0.004, lambda: done(None, error))
-            return
-        if not self.unreachable:
+        if not (self.unreachable or self.refusing):
             super()._call(call, done, *args, on_large=on_large)
             return
         self.calls += 1
-        error = entries.errors.StoreError('silent')
-        self._loop.call_later(SILENCE_S, lambda: done(None, error))
+        self._loop.call_later(
+            REFUSAL_S if self.refusing else topic.SILENCE_TIMEOUT_S,
+            lambda: done(None, errors.StoreError('unreachable')))
 
 
 class AgeingList(stores.ObservedState):
@@ -120,7 +112,7 @@
                  seed=1,
                  leave_s=2.0,
                  **options):
-        self.cfg = config(leave_s)
+        self.cfg = relay_settings.relay(leave_s=leave_s, apply_s=leave_s)
         self.statuses_at = {}
         super().__init__(per_zone,
                          zones,
@@ -161,3 +153,21 @@
         return Paces(topic.ReadPace(wait_s=pacing.config_wait_s(self.cfg)),
                      topic.ReadPace(wait_s=pacing.shared_wait_s(self.cfg)),
                      pacing.max_config_age_s(self.cfg))
+
+
+@contextlib.contextmanager
+def settled(site_type, per_zone, **options):
+    """Yields a site whose entries know each other, in simulated time.
+
+    Args:
+        site_type: ``Site`` or a subclass.
+        per_zone: Entries of each zone.
+        **options: See ``Site``.
+    """
+    loop = stores.Loop()
+    with (mock.patch('gorsefall.logs.get', lambda name: mock.MagicMock()),
+          mock.patch.object(stores, 'Loop', lambda: loop),
+          mock.patch.object(freshness, 'clock', lambda: loop.now)):
+        site = site_type(per_zone, **options)
+        site.run(SETTLED_S)
+        yield site
--- a/tests/test_currentlist.py
+++ b/tests/test_currentlist.py
@@ -39,7 +39,7 @@
         request.dispatch()
 
     def _dispatch(self, request):
-        if self.list.admit(request.dispatch):
+        if self.list.admit(request.dispatch, mock.MagicMock()):
             self.sent_at.append(self.loop.now)
 
 
@@ -116,7 +116,7 @@
         self.claimed = []
         prober = types.SimpleNamespace(
             probe=lambda replica, done: self._probes.append(done))
-        self.copy = backups.KvBackup(prober, self, site.list)
+        self.copy = backups.KvBackup(prober, self, site.list, mock.MagicMock())
         self.copy.holder = self.replicas['r']
 
     def probe(self):
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -207,7 +207,7 @@
 def test_a_kv_backup_is_lost_with_its_incarnation():
     directory = _fleet(record('a', started_at_ms=1000),
                        record('b', started_at_ms=1000))
-    copy = backups.KvBackup(Loop(), directory, None)
+    copy = backups.KvBackup(Loop(), directory, None, None)
     copy.choose_holder([directory.replicas['b']], 'request')
     directory.put(record('b', started_at_ms=2000))
     assert copy.claim() is None
--- a/tests/test_followers.py
+++ b/tests/test_followers.py
@@ -4,17 +4,9 @@
 from unittest import mock
 
 import pytest
+import relay_settings
 
 from gorsefall.relay import followers
-from gorsefall.relay import settings
-
-
-def _settings(**fields):
-    return settings.Relay(name='e',
-                          zone='z',
-                          callers='h:1',
-                          readiness='h:2',
-                          **{'store': 'h:3'} | fields)
 
 
 @pytest.mark.parametrize(('fields', 'anew'), [
@@ -37,8 +29,8 @@
 ])
 def test_shorter_bounds_hold_as_soon_as_they_are_set(fields, anew):
     """Guards against followers that go on at the pace of longer bounds."""
-    node = types.SimpleNamespace(cfg=_settings(**fields))
+    node = types.SimpleNamespace(cfg=relay_settings.relay(**fields))
     found = followers.Followers(node, None)
     with mock.patch.object(found, '_start_followers') as start:
-        found.apply_settings(_settings())
+        found.apply_settings(relay_settings.relay())
     assert start.called == anew
--- a/tests/test_leaving_in_time.py
+++ b/tests/test_leaving_in_time.py
@@ -1,42 +1,19 @@
 """How old the lists of replicas become while others lose the store."""
 
-import contextlib
-from unittest import mock
-
 import leaving_entries
 import pytest
-import stores
 from hypothesis import given
 from hypothesis import settings
 from hypothesis import strategies as st
 
-from gorsefall.policy import freshness
 from gorsefall.relay import pacing
 
-SETTLED_S = 10.0
 TROUBLE_S = 8.0
 
 
-@pytest.fixture(autouse=True)
-def _quiet():
-    with mock.patch('gorsefall.logs.get', lambda name: mock.MagicMock()):
-        yield
-
-
-@contextlib.contextmanager
-def _settled(site_type, per_zone):
-    """Yields a site whose entries know each other, in simulated time."""
-    loop = stores.Loop()
-    with (mock.patch.object(stores, 'Loop', lambda: loop),
-          mock.patch.object(freshness, 'clock', lambda: loop.now)):
-        site = site_type(per_zone)
-        site.run(SETTLED_S)
-        yield site
-
-
 @pytest.fixture(name='site', params=[1, 13, 28])
 def _site(request):
-    with _settled(leaving_entries.Site, request.param) as site:
+    with leaving_entries.settled(leaving_entries.Site, request.param) as site:
         yield site
 
 
@@ -81,7 +58,8 @@
 def test_calm_entries_have_a_current_configuration_while_readers_fail(
         per_zone, fail):
     """A new configuration was as late as the lists of replicas were."""
-    with _settled(leaving_entries.ConfigurationSite, per_zone) as site:
+    with leaving_entries.settled(leaving_entries.ConfigurationSite,
+                                 per_zone) as site:
         failing = site.readers()
         for entry in failing:
             fail(entry)
@@ -117,7 +95,7 @@
 @given(_STEPS, _OUTCOMES)
 def test_an_entry_that_reaches_the_store_has_a_current_list(steps, outcomes):
     """Its list was as old as others, and lost messages, made it."""
-    with _settled(leaving_entries.Site, 1) as site:
+    with leaving_entries.settled(leaving_entries.Site, 1) as site:
         site.network.outcomes = iter(outcomes)
         troubled = {
             site.entries[n]
--- a/tests/test_revocation.py
+++ b/tests/test_revocation.py
@@ -3,6 +3,7 @@
 import types
 
 import pytest
+import relay_settings
 
 from gorsefall import errors
 from gorsefall.net import headers
@@ -11,7 +12,6 @@
 from gorsefall.relay import model
 from gorsefall.relay import pacing
 from gorsefall.relay import routes
-from gorsefall.relay import settings
 from gorsefall.relay import topic
 
 ROUTE = model.Route(name='r',
@@ -34,19 +34,11 @@
                         requires_key=True)
 
 
-def _settings(**fields):
-    return settings.Relay(name='e',
-                          zone='z',
-                          callers='h:1',
-                          readiness='h:2',
-                          store='h:3',
-                          **fields)
-
-
 def _grant(table, key, *, strict):
-    entry = types.SimpleNamespace(table=table,
-                                  confirmation=freshness.Confirmation(1.0),
-                                  cfg=_settings(strict_revocation=strict))
+    entry = types.SimpleNamespace(
+        table=table,
+        confirmation=freshness.Confirmation(1.0),
+        cfg=relay_settings.relay(strict_revocation=strict))
     req = model.CallerRequest(id='1',
                               method=b'GET',
                               target=b'/x',
@@ -74,9 +66,9 @@
 def test_a_lost_response_is_detected_before_the_configuration_is_overdue():
     """A lost response to a read must not delay a change past its bound."""
     for apply_s, settle_s in ((2.0, 3.0), (3.0, 4.0), (1.0, 0.5)):
-        cfg = _settings(strict_revocation=False,
-                        apply_s=apply_s,
-                        settle_s=settle_s)
+        cfg = relay_settings.relay(strict_revocation=False,
+                                   apply_s=apply_s,
+                                   settle_s=settle_s)
         wait_s = pacing.config_wait_s(cfg)
         noticed_s = wait_s + topic.SILENCE_TIMEOUT_S
         assert (noticed_s < max(apply_s, settle_s) or
@@ -84,13 +76,15 @@
 
 
 def test_waits_are_short_if_revocation_is_strict():
-    cfg = _settings(strict_revocation=True)
+    cfg = relay_settings.relay(strict_revocation=True)
     assert pacing.config_wait_s(cfg) <= pacing.MAX_CONFIG_WAIT_S
 
 
 @pytest.mark.parametrize('strict', [True, False])
 def test_own_reads_come_before_an_unconfirmed_configuration_is_refused(strict):
     """Guards against refusals by an entry that only lost the other entries."""
-    cfg = _settings(strict_revocation=strict, revoke_s=2.4, apply_s=5.0)
+    cfg = relay_settings.relay(strict_revocation=strict,
+                               revoke_s=2.4,
+                               apply_s=5.0)
     refused_s = cfg.revoke_s - pacing.CONFIRMATION_MARGIN_S
     assert (pacing.max_config_age_s(cfg) <= refused_s) == strict
--- a/tests/test_unknown_configuration.py
+++ b/tests/test_unknown_configuration.py
@@ -5,6 +5,7 @@
 from unittest import mock
 
 import pytest
+import relay_settings
 import stores
 
 import peers
@@ -19,7 +20,6 @@
 from gorsefall.relay import outcomes
 from gorsefall.relay import routes
 from gorsefall.relay import servers
-from gorsefall.relay import settings
 from gorsefall.relay import topic
 from gorsefall.relay import topicfollower
 from gorsefall.relay import topiclisteners
@@ -53,11 +53,7 @@
     return types.SimpleNamespace(table=table,
                                  draining=False,
                                  confirmation=freshness.Confirmation(1.0),
-                                 cfg=settings.Relay(name='e',
-                                                    zone='z',
-                                                    callers='h:1',
-                                                    readiness='h:2',
-                                                    store='h:3'))
+                                 cfg=relay_settings.relay())
 
 
 def _renew(node, host):
