Timers that are cancelled leave the heap before they are due

Callers saw: the entry ended by few bodies sent in chunks of one byte. Cause: each piece of a body restarts the idle timer; a cancelled timer stayed in the heap until it was due (idle-timeout-ms later), as only the top was looked at. Change: the reactor counts cancelled timers and rebuilds its heap once they are more than half of it, which holds for each user of a timer (bodies, silence of replicas, pools, the store). The other way, timers that are only checked when due (net/idletimer.py), mends each user by itself and was not taken.

--- a/gorsefall/net/reactor.py
+++ b/gorsefall/net/reactor.py
@@ -21,21 +21,28 @@
 MAX_WAIT_S = 0.5
 """Longest wait of the loop, s; bounds the delay after a missed wake-up."""
 
+MIN_CANCELLED_TIMERS = 256
+"""Cancelled timers that are kept at least; above it, they are dropped once they
+are more than half of all."""
+
 _READ = select.EPOLLIN | select.EPOLLRDHUP
 _FAILED = select.EPOLLHUP | select.EPOLLERR
 
 
 class Timer:
     """A callback that is due at a time of the monotonic clock."""
-    __slots__ = ('due_at', 'callback')
+    __slots__ = ('due_at', 'callback', '_on_cancel')
 
-    def __init__(self, due_at, callback):
+    def __init__(self, due_at, callback, on_cancel):
         self.due_at = due_at
         self.callback = callback
+        self._on_cancel = on_cancel
 
     def cancel(self):
         """Cancels the callback; does nothing once it has run."""
-        self.callback = None
+        if self.callback is not None:
+            self.callback = None
+            self._on_cancel()
 
 
 class Handler:
@@ -74,6 +81,7 @@
         self._socket_handlers = {}
         self._added_fds = set()
         self._timers = []
+        self._cancelled_count = 0
         self._sequence = itertools.count()
         self._log = logs.get('reactor')
         self.now = time.monotonic()
@@ -106,7 +114,7 @@
 
     def call_later(self, delay_s, callback):
         """Calls ``callback()`` after ``delay_s`` seconds; returns a Timer."""
-        timer = Timer(time.monotonic() + delay_s, callback)
+        timer = Timer(time.monotonic() + delay_s, callback, self._on_cancel)
         heapq.heappush(self._timers,
                        (timer.due_at, next(self._sequence), timer))
         return timer
@@ -170,9 +178,22 @@
             self._log.exception('handler_failed')
             handler.on_handler_error()
 
+    def _on_cancel(self):
+        # A peer that has a timer restarted with each byte would fill the
+        # memory with those that were cancelled but are not due yet.
+        self._cancelled_count += 1
+        if self._cancelled_count > max(MIN_CANCELLED_TIMERS,
+                                       len(self._timers) // 2):
+            self._timers[:] = [
+                item for item in self._timers if item[2].callback is not None
+            ]
+            heapq.heapify(self._timers)
+            self._cancelled_count = 0
+
     def _drop_cancelled(self):
         while self._timers and self._timers[0][2].callback is None:
             heapq.heappop(self._timers)
+            self._cancelled_count -= 1
 
     def _run_timers(self):
         now = time.monotonic()
@@ -180,6 +201,7 @@
             timer = heapq.heappop(self._timers)[2]
             callback, timer.callback = timer.callback, None
             if callback is None:
+                self._cancelled_count -= 1
                 continue
             self.longest_wait_s = max(self.longest_wait_s, now - timer.due_at)
             try:
