All that callers make an entry hold is counted, and yields when short

Callers saw: entries ended by few callers who do not read answers, who pipeline, or who do not end what they send; their requests were lost. Cause: the account of memory knew the bodies of requests alone, and those under 64 KB only once they were whole. What was buffered of an answer, what was unsent, what was read ahead and unfinished heads and bodies were nobody's, and the next request of a connection was read while the last answer was unsent. So nothing bounded them. Unsent bytes, read-ahead and connections are counted for the account of the request. Nothing more of a connection is read until its answer has left. An answer is sent as its pieces came, so that it is held once and not three times. Bytes outside a body are received 16 KB at a time. A body yields with 503 (it has not run), an answer by a reset. The kernel keeps 128 KB for a peer (TCP_NOTSENT_LOWAT), so that what is not read is counted. Why it holds: each byte that a caller can have the entry keep is in one account whose room follows from the memory of the machine.

--- a/gorsefall/metrics.py
+++ b/gorsefall/metrics.py
@@ -248,6 +248,11 @@
 MEMORY_ROOM = prom.Gauge('gorsefall_memory_room_bytes',
                          'Memory that may be held for requests under way.',
                          registry=REGISTRY)
+CALLERS_YIELDED = prom.Counter('gorsefall_callers_yielded_total',
+                               'Connections whose callers did not read or '
+                               'send, and that were closed as others needed '
+                               'room, by what was short.', ('reason',),
+                               registry=REGISTRY)
 MEMORY_REFUSALS = prom.Counter('gorsefall_memory_refusals_total',
                                'Requests refused as there was no room for '
                                'them, by service.', ('service',),
--- a/gorsefall/net/tcp.py
+++ b/gorsefall/net/tcp.py
@@ -15,6 +15,10 @@
 """Size from which written bytes are not copied but kept as they are until they
 are sent. Smaller ones are joined, as each call to the kernel costs more."""
 
+MAX_KERNEL_BYTES = 131072
+"""Bytes that the kernel keeps for a peer beyond those on their way, so that
+what a peer does not read is counted where it is held, in the process."""
+
 LISTEN_BACKLOG = 512
 """Connections that the kernel queues until they are accepted. If the queue is
 full, the kernel drops a caller's SYN, and its retransmission takes seconds."""
@@ -48,6 +52,9 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL,
                     KEEPALIVE_INTERVAL_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT,
+                        MAX_KERNEL_BYTES)
 
 
 class Connection(reactor.Handler):
@@ -66,6 +73,7 @@
         is_open: False once closed.
         broken_by_peer: Whether the peer closed or reset the failed connection;
             False if the kernel gave up on the peer, or after a fault here.
+        max_recv_bytes: Most bytes that are received at once.
         bytes_in: Bytes received.
         bytes_out: Bytes handed to the kernel.
     """
@@ -81,6 +89,7 @@
         self.has_written = self.was_refused = False
         self.broken_by_peer = False
         self._user_timeout_ms = USER_TIMEOUT_MS
+        self.max_recv_bytes = MAX_RECV_BYTES
         self.bytes_in = self.bytes_out = 0
         self.is_open = sock is not None
         if sock is not None:
@@ -140,7 +149,8 @@
         self._unsent_bytes += len(piece)
         if len(piece) >= LARGE_WRITE_BYTES:
             queue.append(memoryview(piece))
-        elif queue and isinstance(queue[-1], bytearray):
+        elif (queue and isinstance(queue[-1], bytearray) and
+              len(queue[-1]) < LARGE_WRITE_BYTES):
             queue[-1].extend(piece)
         elif piece:
             queue.append(bytearray(piece))
@@ -207,7 +217,7 @@
             self._check_hang_up()
             return
         try:
-            data = self._sock.recv(MAX_RECV_BYTES)
+            data = self._sock.recv(self.max_recv_bytes)
         except BlockingIOError:
             return
         except OSError as exc:
--- a/gorsefall/relay/delivery.py
+++ b/gorsefall/relay/delivery.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from gorsefall.relay import events
+from gorsefall.relay import memory
 from gorsefall.relay import model
 
 MAX_BUFFERED_BYTES = 4 << 20
@@ -21,11 +22,13 @@
             arrives, else None.
         chunks: The buffered pieces of its body, if it isn't forwarded.
         size: Their size, bytes.
+        hold: The ``memory.Hold`` of the buffered body; None before its head.
     """
     response: model.Response | None = None
     splitter: events.Splitter | None = None
     chunks: list[bytes] = dataclasses.field(default_factory=list)
     size: int = 0
+    hold: memory.Hold | None = None
 
 
 class Delivery:
@@ -37,13 +40,16 @@
             first.
     """
 
-    def __init__(self, codec, writer):
+    def __init__(self, codec, writer, new_hold):
         """Creates a delivery that has sent nothing.
 
         Args:
             codec: The ``codec.Codec`` of the wire.
             writer: The ``inbound.ResponseWriter`` of the caller.
+            new_hold: Returns a ``memory.Hold`` of nothing yet.
         """
+        self._new_hold = new_hold
+        self._holds = []
         self._codec = codec
         self._writer = writer
         self._part = PartialResponse()
@@ -72,6 +78,9 @@
             # Once a stream was started, only more of its events can follow.
             self.resuming = True
             self._part.splitter = events.Splitter(after=self.last_event_id)
+        else:
+            self._part.hold = self._new_hold()
+            self._holds.append(self._part.hold)
 
     @property
     def event_count(self):
@@ -84,10 +93,9 @@
         return self._part.splitter.overflows
 
     def buffer(self, data):
-        """Buffers a piece of the body; returns False if it gets too large."""
+        """Buffers a piece of the body."""
         self._part.chunks.append(data)
         self._part.size += len(data)
-        return self._part.size <= MAX_BUFFERED_BYTES
 
     def split_events(self, data):
         """Adds a piece of a stream; returns the events it completes, bytes."""
@@ -117,14 +125,21 @@
 
     def send_buffered(self, response):
         """Sends a buffered response."""
-        self._writer.send(response.status,
-                          self._codec.encode_response(response),
-                          b''.join(self._part.chunks))
+        self._writer.send_pieces(response.status,
+                                 self._codec.encode_response(response),
+                                 self._part.chunks)
 
     def discard(self):
         """Drops what is buffered of a failed response."""
+        if self._part.hold is not None:
+            self._part.hold.release()
         self._part = PartialResponse()
 
+    def release(self):
+        """Ends the holds of all that was buffered."""
+        for hold in self._holds:
+            hold.release()
+
     @property
     def part(self):
         """The ``PartialResponse`` of the current response."""
--- a/gorsefall/relay/exchange.py
+++ b/gorsefall/relay/exchange.py
@@ -16,6 +16,7 @@
 from gorsefall.policy import placement
 from gorsefall.policy import retry_delay
 from gorsefall.relay import accesslog
+from gorsefall.relay import answerroom
 from gorsefall.relay import backups
 from gorsefall.relay import boundversion
 from gorsefall.relay import crashes
@@ -65,7 +66,10 @@
         super().__init__(logs.get('exchange').bind(rid=req.id))
         self.node = node
         self.req = req
-        self._delivery = delivery.Delivery(node.codec, writer)
+        self._delivery = delivery.Delivery(
+            node.codec, writer,
+            lambda: node.memory.hold(self.owner, request_id=req.id))
+        self._room = answerroom.AnswerRoom(self)
         self.attempt = None
         self.causes = crashrecords.PossibleCauses(None)
         self.grant = grant.Grant(node, req)
@@ -117,13 +121,17 @@
         """
         if self._hold is not None or not self.req.body:
             return
-        account = self.grant.account
-        owner = memoryshares.Owner(self.grant.service,
-                                   account.name if account else None)
-        self._hold = self.node.memory.hold(owner, request_id=self.req.id)
+        self._hold = self.node.memory.hold(self.owner, request_id=self.req.id)
         if not self._hold.grow(len(self.req.body), small=True):
             raise self._hold.refuse()
 
+    @property
+    def owner(self):
+        """The ``memoryshares.Owner`` of what is held for it."""
+        account = self.grant.account
+        return memoryshares.Owner(self.grant.service,
+                                  account.name if account else None)
+
     def _possible_causes(self):
         """Returns its ``crashrecords.PossibleCauses`` at its service."""
         key = self.node.cfg.digest_key.encode()
@@ -319,8 +327,14 @@
 
     # -- responses of replicas -------------------------------------------------
 
-    def on_response_head(self, attempt, response):
-        """Called with the head of a response."""
+    def on_response_head(self, attempt, response, length):
+        """Called with the head of a response.
+
+        Args:
+            attempt: The ``sending.Attempt``.
+            response: The ``model.Response``.
+            length: The announced length of its body, bytes; 0 if none is.
+        """
         if self._takeover.keeps(attempt) and not response.usable:
             self._takeover.on_error_response(response)
             return
@@ -330,6 +344,22 @@
         if not response.not_run and not self.grant.streams:
             self._record_run()
         self._delivery.begin(response, streams=self.grant.streams)
+        if length and not self._delivery.streaming:
+            self._reserve(attempt, length)
+
+    def _reserve(self, attempt, size):
+        """Holds room for more of a response that is buffered."""
+        if self._delivery.part.hold.size + size > delivery.MAX_BUFFERED_BYTES:
+            self._give_up(attempt, f'answer over {delivery.MAX_BUFFERED_BYTES}')
+        else:
+            self._room.reserve(attempt, self._delivery.part.hold, size)
+
+    def on_no_room(self):
+        """Called when no room was found for the response in time."""
+        self._cancel_attempts()
+        self.fail(
+            self.attempts.outcome_unknown_error(
+                'no memory is free for its answer'))
 
     def on_response_data(self, attempt, data):
         """Called with a piece of a response's body."""
@@ -350,12 +380,18 @@
             self._forward(attempt, self._delivery.split_events(data))
             if self._delivery.overflows:
                 self._give_up(attempt, f'event over {events.MAX_EVENT_BYTES}')
-        elif self._delivery.buffer(data):
+        else:
+            self._buffer(attempt, data)
+
+    def _buffer(self, attempt, data):
+        self._delivery.buffer(data)
+        missing = self._delivery.part.size - self._delivery.part.hold.size
+        if missing > 0:
+            self._reserve(attempt, missing)
+        if self.attempt is attempt and not self._room.awaited:
             # Each piece restarts the timer: a limit on the whole response
             # would abort a long one and run the request again.
             self.silence.await_response()
-        else:
-            self._give_up(attempt, f'answer over {delivery.MAX_BUFFERED_BYTES}')
 
     def _give_up(self, attempt, reason):
         """Ends an attempt whose response has too many bytes."""
@@ -377,7 +413,8 @@
 
     def on_caller_drained(self):
         """Called when all bytes for the caller were sent."""
-        if self.attempt is not None and self.attempt.paused:
+        if (self.attempt is not None and self.attempt.paused and
+                not self._room.awaited):
             self.attempt.resume()
             self.silence.await_event()
 
@@ -570,6 +607,7 @@
     def _close_attempt(self, attempt):
         self.release(attempt)
         self.attempt = None
+        self._room.cancel()
         self.silence.stop()
         self._takeover.record_end()
 
@@ -595,6 +633,7 @@
         self._backup.cancel_probe()
         if self._hold is not None:
             self._hold.release()
+        self._delivery.release()
         self.node.crashes.end_run(self)
         accesslog.record(self, outcome, exc)
         self.node.remove_exchange(self)
--- a/gorsefall/relay/inbound.py
+++ b/gorsefall/relay/inbound.py
@@ -11,11 +11,24 @@
 from gorsefall import errors
 from gorsefall.net import headers
 from gorsefall.net import tcp
+from gorsefall.policy import memoryshares
+from gorsefall.policy import retry_delay
 from gorsefall.relay import memory
 
 MAX_PENDING_BYTES = 65536
 """Limit of the unsent response bytes, above which reading from the replica is
-paused, and of the bytes of later requests that are read ahead."""
+paused."""
+
+HEAD_RECV_BYTES = 16384
+"""Most bytes that are received at once outside a body: what follows a request
+is read ahead, and nothing more is received then."""
+
+CONN_BYTES = 8192
+"""Memory that a connection takes without any request, bytes."""
+
+MAX_EVENTS = 64
+"""Pieces of requests that are handled before other connections have their
+turn: a body may come in pieces of one byte."""
 
 DISCARD_S = 1.0
 """Longest time for which the rest of a body that was refused is read and
@@ -57,10 +70,15 @@
 
     def send(self, status, fields, body):
         """Sends a complete response; ``fields`` are pairs of bytes."""
+        self.send_pieces(status, fields, [body])
+
+    def send_pieces(self, status, fields, pieces):
+        """Sends a complete response whose body is in pieces."""
         if not self.done:
             self.started = self.done = True
-            self._conn.send_head(status, fields, len(body))
-            self._conn.send_body(body)
+            self._conn.send_head(status, fields, sum(map(len, pieces)))
+            for piece in pieces:
+                self._conn.send_body(piece)
             self._conn.end()
 
     def start(self, status, fields):
@@ -94,13 +112,17 @@
     """One connection of a caller.
 
     The server object it belongs to provides ``limits``, ``draining``,
+    ``memory``, a ``memory.Memory``,
     ``on_conn_closed(conn)``, ``error_response(exc)``,
     ``hold_memory(method, target, fields)``, which returns a ``memory.Hold`` or
     None, and ``handle_request(method, target, fields, body, writer)``, which
     calls the release of the body's hold in the end. The last one gets
-    a ``digests.Body`` and returns an exchange with
+    a ``digests.Body`` and returns an exchange with ``owner``, a
+    ``memoryshares.Owner``,
     ``on_caller_disconnected(reason)``, ``on_caller_lost(reason)`` and
     ``on_caller_drained()``, or None when it has already responded.
+
+    Besides, it is a connection of ``callerwaits.CallerWaits``.
     """
 
     def __init__(self, loop, server, sock):
@@ -112,20 +134,24 @@
         self._responding = False
         self._closing = False
         self._waiting = False
+        self._leaving = False
         self._unread_bytes = 0
         self._timer = None
         self._limits = server.limits
         # The limit may rise while the connection is open: see `_advance`.
         self._h11 = h11.Connection(h11.SERVER,
                                    max_incomplete_event_size=sys.maxsize)
+        self._hold = server.memory.hold(memoryshares.Owner())
         self._conn = tcp.Connection(loop, self, sock)
+        self._conn.max_recv_bytes = HEAD_RECV_BYTES
+        self._count()
         self._start_timer(self._limits.idle_timeout_s)
 
     @property
     def idle(self):
         """Whether no request is being read or responded to."""
-        return (not self._responding and self._head is None and
-                not self._h11.trailing_data[0])
+        return (not self._responding and not self._leaving and
+                self._head is None and not self._h11.trailing_data[0])
 
     @property
     def has_unsent(self):
@@ -157,36 +183,127 @@
 
     def on_drained(self):
         """See ``tcp.Connection``."""
-        if self._closing and not self._responding:
+        if self._leaving:
+            self._leaving = False
+            self._end_cycle()
+        elif self._closing and not self._responding:
             self._close_if_read()
         elif self._exchange is not None:
             self._exchange.on_caller_drained()
+        if self._hold.size != CONN_BYTES and self._conn.is_open:
+            self._count()
+
+    # -- memory ----------------------------------------------------------------
+
+    @property
+    def owner(self):
+        """See ``callerwaits.CallerWaits``."""
+        return (self._body.hold or self._hold).owner
+
+    @property
+    def held_bytes(self):
+        """See ``callerwaits.CallerWaits``."""
+        body = self._body.hold
+        return self._hold.size + (body.size if body is not None else 0)
+
+    @property
+    def moved_bytes(self):
+        """See ``callerwaits.CallerWaits``."""
+        return self._conn.bytes_in + self._conn.bytes_out
+
+    @property
+    def idle_limit_s(self):
+        """See ``callerwaits.CallerWaits``."""
+        return self._limits.idle_timeout_s
+
+    @property
+    def _awaits_caller(self):
+        """Whether its memory is held for as long as the caller likes."""
+        if self._conn.unsent_bytes:
+            return True
+        return (not self._responding and not self._closing and
+                not self._waiting and not self.idle)
+
+    def _count(self):
+        """Counts the memory that it holds, beside that of its request."""
+        self._hold.resize(CONN_BYTES + len(self._h11.trailing_data[0]) +
+                          self._conn.unsent_bytes)
+        callers = self._server.memory.callers
+        if self._awaits_caller:
+            callers.add(self)
+        else:
+            callers.discard(self)
+
+    measure = _count
+
+    def yield_room(self, reason):
+        """See ``callerwaits.CallerWaits``."""
+        if self._head is None:
+            self._abandon(f'its caller is slow and {reason} are short')
+            return
+        self._refuse(
+            errors.MemoryShortError('its caller is slow and others wait',
+                                    retry_after=retry_delay.short_delay_s()))
+        if self._conn.is_open:
+            self.close()
+
+    def close_idle(self, reason):
+        """See ``callerwaits.CallerWaits``."""
+        if self._leaving:
+            self._abandon(reason)
+
+    def _abandon(self, reason):
+        """Aborts the connection, and the response that is under way."""
+        exchange, self._exchange = self._exchange, None
+        self.abort()
+        if exchange is not None:
+            exchange.on_caller_lost(reason)
 
     # -- reading ---------------------------------------------------------------
 
     def _advance(self):
-        while (not self._responding and not self._closing and
-               not self._waiting and self._conn.is_open):
-            event = self._h11.next_event()
-            if event is h11.NEED_DATA:
-                self._check_incomplete()
-                if self._h11.they_are_waiting_for_100_continue:
-                    self._conn.write(
-                        self._h11.send(
-                            h11.InformationalResponse(status_code=100,
-                                                      headers=[])))
-                return
-            if isinstance(event, h11.Request):
-                self._on_head(event)
-            elif isinstance(event, h11.Data):
-                self._on_data(event.data)
-            elif isinstance(event, h11.EndOfMessage):
-                self._on_request_end()
-            else:
-                return
-        if len(self._h11.trailing_data[0]) > MAX_PENDING_BYTES:
+        for _ in range(MAX_EVENTS):
+            if not self._read_event():
+                break
+        else:
+            self._conn.pause()
+            self._loop.call_later(0, self._resume)
+        if not self._conn.is_open:
+            return
+        self._count()
+        if ((self._responding or self._leaving) and self._h11.trailing_data[0]):
             self._conn.pause()
 
+    def _read_event(self):
+        """Handles the next event; returns whether another may follow."""
+        if (self._responding or self._closing or self._waiting or
+                self._leaving or not self._conn.is_open):
+            return False
+        event = self._h11.next_event()
+        if isinstance(event, h11.Request):
+            self._on_head(event)
+        elif isinstance(event, h11.Data):
+            self._on_data(event.data)
+        elif isinstance(event, h11.EndOfMessage):
+            self._on_request_end()
+        else:
+            if event is h11.NEED_DATA:
+                self._on_incomplete()
+            return False
+        return True
+
+    def _on_incomplete(self):
+        """Handles a request of which all that was received is read."""
+        self._check_incomplete()
+        if self._closing:
+            return
+        if self._h11.they_are_waiting_for_100_continue:
+            self._conn.write(
+                self._h11.send(
+                    h11.InformationalResponse(status_code=100, headers=[])))
+        if self._head is not None and self._body.hold is None:
+            self._hold_body(self._body.size + self._unread_bytes)
+
     def _check_incomplete(self):
         """Refuses a request of which an incomplete head or line is too long."""
         if self._head is None:
@@ -217,6 +334,7 @@
         self._unread_bytes = int(length or 0)
         if self._unread_bytes >= memory.LARGE_BODY_BYTES:
             self._await_room(self._unread_bytes)
+        self._conn.max_recv_bytes = tcp.MAX_RECV_BYTES
 
     def _on_data(self, data):
         # A long body may take longer than a head on a slow link.
@@ -232,16 +350,28 @@
         held = self._body.hold.size if self._body.hold else 0
         if size >= memory.LARGE_BODY_BYTES and size > held:
             self._await_room(size - held + memory.GROWTH_BYTES)
+        elif self._body.hold is not None and size > held:
+            self._hold_body(size - held)
 
-    def _await_room(self, size):
-        """Reads nothing more of a body until there is room for it."""
+    def _draw_hold(self):
+        """Returns the hold of the body; None if none is needed."""
         if self._body.hold is None:
             head = self._head
             self._body.hold = self._server.hold_memory(
                 head.method, head.target,
                 headers.from_items(head.headers.raw_items()))
-            if self._body.hold is None:
-                return
+        return self._body.hold
+
+    def _hold_body(self, size):
+        """Counts the memory of a short, unfinished body, or refuses it."""
+        hold = self._draw_hold()
+        if hold is not None and not hold.grow(size, small=True):
+            self._refuse(hold.refuse())
+
+    def _await_room(self, size):
+        """Reads nothing more of a body until there is room for it."""
+        if self._draw_hold() is None:
+            return
         self._waiting = True
         self._body.hold.grow_later(size, self._on_room)
         if self._waiting:
@@ -269,10 +399,13 @@
         self._head = None
         self._body = digests.Body()
         self._responding = True
+        self._conn.max_recv_bytes = HEAD_RECV_BYTES
         self._cancel_timer()
         fields = headers.from_items(head.headers.raw_items())
         exchange = self._server.handle_request(head.method, head.target, fields,
                                                body, ResponseWriter(self))
+        if exchange is not None:
+            self._hold.move_to(exchange.owner)
         if self._responding:
             self._exchange = exchange
 
@@ -311,7 +444,10 @@
 
     def send_body(self, data):
         """Sends a piece of the response body."""
-        self._conn.write(self._h11.send(h11.Data(data=data)))
+        self._conn.write(
+            *self._h11.send_with_data_passthrough(h11.Data(data=data)))
+        if self._conn.unsent_bytes:
+            self._count()
 
     def set_time_limit(self, limit_s):
         """Sets how long the caller may leave bytes unread, s."""
@@ -328,6 +464,16 @@
         self._exchange = None
         if not self._conn.is_open:
             return
+        if self._conn.unsent_bytes:
+            # Nothing else is read before the response has left: a caller that
+            # asks and does not read would have one after another kept for it.
+            self._leaving = True
+            self._count()
+            return
+        self._end_cycle()
+
+    def _end_cycle(self):
+        """Reads the next request or closes, as a response has left."""
         # A response head sent before a shutdown didn't announce the close, so
         # the caller may send another request, which couldn't be finished in
         # time. A request that is in flight when the connection closes was not
@@ -346,14 +492,15 @@
 
     def _resume(self):
         try:
-            if self._conn.is_open:
+            if self._conn.is_open and not self._waiting:
+                self._conn.resume()
                 self._advance()
         except h11.RemoteProtocolError as exc:
             self._on_protocol_error(exc)
 
     def abort(self):
         """Resets the connection in the middle of a response."""
-        self._responding = False
+        self._responding = self._leaving = False
         self._exchange = None
         self._conn.abort()
         self._on_closed()
@@ -401,6 +548,8 @@
         self._cancel_timer()
         self._waiting = False
         self._release_body()
+        self._hold.release()
+        self._server.memory.callers.discard(self)
         self._server.on_conn_closed(self)
 
     def _start_timer(self, timeout_s):
--- a/gorsefall/relay/memory.py
+++ b/gorsefall/relay/memory.py
@@ -14,6 +14,7 @@
 from gorsefall import metrics
 from gorsefall.policy import memoryshares
 from gorsefall.policy import retry_delay
+from gorsefall.relay import callerwaits
 
 LARGE_BODY_BYTES = 65536
 """Size from which the body of a request is read only once there is room. What
@@ -71,8 +72,11 @@
         self.terms = terms
 
     def grow(self, size, *, small=False):
-        """Holds ``size`` more bytes if there is room; returns whether."""
-        if not self._memory.fits(self.owner, size, small=small):
+        """Holds ``size`` more bytes if there is room; returns whether.
+
+        Callers that the entry waits for yield if there is none.
+        """
+        if not self._memory.make_room(self.owner, size, small=small):
             return False
         self.add(size)
         return True
@@ -89,6 +93,22 @@
             return
         self._wait = self._memory.wait(lambda: self.grow(size), done)
 
+    def resize(self, size):
+        """Holds ``size`` bytes from now on, whether they fit or not."""
+        if size > self.size:
+            self.add(size - self.size)
+        elif size < self.size:
+            self._memory.shares.remove(self.owner, self.size - size)
+            self.size = size
+            self._memory.on_room()
+
+    def move_to(self, owner):
+        """Has another ``memoryshares.Owner`` hold the bytes."""
+        size = self.size
+        self.resize(0)
+        self.owner = owner
+        self.resize(size)
+
     def refuse(self):
         """Logs and counts that there was no room; returns the error."""
         self._memory.record_refusal(self._request_id, self.owner)
@@ -100,10 +120,7 @@
         if self._wait is not None:
             self._wait.cancel()
             self._wait = None
-        if self.size:
-            self._memory.shares.remove(self.owner, self.size)
-            self.size = 0
-            self._memory.on_room()
+        self.resize(0)
 
 
 class _Wait:
@@ -140,6 +157,7 @@
 
     Attributes:
         shares: The ``memoryshares.MemoryShares``.
+        callers: The ``callerwaits.CallerWaits``.
     """
 
     def __init__(self, loop, limit_mb, resident=resident_bytes):
@@ -158,6 +176,7 @@
         self._base = self._last_base = resident()
         self._base_since = loop.now
         self.shares = memoryshares.MemoryShares(0)
+        self.callers = callerwaits.CallerWaits(loop)
         self._log = logs.get('memory')
         self._measure()
 
@@ -184,6 +203,19 @@
                 return False
         return self.shares.fits(owner, size, small=small)
 
+    def make_room(self, owner, size, *, small=False):
+        """Returns whether ``size`` more bytes fit, if need be as others yield.
+
+        Args:
+            owner: See ``fits``.
+            size: See there.
+            small: See there.
+        """
+        if self.fits(owner, size, small=small):
+            return True
+        return (self.callers.free(size) > 0 and
+                self.fits(owner, size, small=small))
+
     def hold(self, owner, *, request_id=None, terms=None):
         """Returns a ``Hold`` of nothing yet.
 
--- a/gorsefall/relay/sending.py
+++ b/gorsefall/relay/sending.py
@@ -181,7 +181,8 @@
         self._exchange.node.announcements.record_response(
             self.replica, self._response, self.sent_at)
         self.usable = self._response.usable
-        self._exchange.on_response_head(self, self._response)
+        length = int(fields.by_name.get(b'content-length', b'0'))
+        self._exchange.on_response_head(self, self._response, length)
 
     def on_data(self, data):
         """See ``outbound.Call``."""
--- a/gorsefall/relay/servers.py
+++ b/gorsefall/relay/servers.py
@@ -21,6 +21,11 @@
         table = self.node.table
         return table.limits if table else model.CallerLimits()
 
+    @property
+    def memory(self):
+        """The ``memory.Memory`` of the entry."""
+        return self.node.memory
+
     @property
     def draining(self):
         """Whether connections are closed after their next response."""
--- a/tests/exchange_site.py
+++ b/tests/exchange_site.py
@@ -204,6 +204,10 @@
         """See ``inbound.ResponseWriter``."""
         self.failed_at = self._loop.now
 
+    def send_pieces(self, status, fields, pieces):
+        """See ``inbound.ResponseWriter``."""
+        self.send(status, fields, b''.join(pieces))
+
     def send(self, status, fields, body):
         """See ``inbound.ResponseWriter``."""
         self.started = True
--- a/tests/test_inbound.py
+++ b/tests/test_inbound.py
@@ -8,20 +8,35 @@
 from hypothesis import strategies as st
 
 import peers
+from gorsefall.policy import memoryshares
 from gorsefall.relay import inbound
+from gorsefall.relay import memory
 from gorsefall.relay import model
 from gorsefall.relay import outcomes
 
 
+class _Loop:
+    """Runs no timer."""
+    now = 0.0
+
+    def call_later(self, delay_s, action):
+        del delay_s, action
+
+
 class Server:
     """Responds to each request with its own body; records all requests."""
     limits = model.CallerLimits(header_bytes=2000, body_bytes=500)
     draining = False
+    body_timeout_s = 60.0
+    memory = memory.Memory(_Loop(), lambda: 1000.0, lambda: 0)
 
     def __init__(self):
         self.requests = []
         self.closed = 0
 
+    def hold_memory(self, method, target, fields):
+        return self.memory.hold(memoryshares.Owner())
+
     def handle_request(self, method, target, fields, body, writer):
         self.requests.append((method, target, bytes(body.data)))
         writer.send(200, [(b'X-Target', target)], bytes(body.data))
@@ -191,6 +206,7 @@
 
 class Exchange:
     """Records how the connection of its caller ended."""
+    owner = memoryshares.Owner()
 
     def __init__(self):
         self.left = []
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -26,6 +26,7 @@
 
 class _Exchange:
     """A request that runs until its caller leaves."""
+    owner = memoryshares.Owner()
 
     def __init__(self, body):
         self._body = body
@@ -43,6 +44,7 @@
     """
     limits = model.CallerLimits(body_bytes=4 * BODY_BYTES)
     draining = False
+    body_timeout_s = 60.0
 
     def __init__(self, loop, limit_mb=LIMIT_MB):
         self.bodies = []
