Bodies have a time limit as a whole

Callers saw: nothing by themselves; others held connections and memory for as long as they liked by a byte now and then. Cause: each byte of a body restarted the idle time, and nothing limited all of it. Change: a body that does not come with its head has until its caller's own time limit, at most body_timeout_s (300 s by default: 4 MB at 14 KB/s). It is refused with 503, as it has not run. No caller inside the limits meets this: it has given up by its time limit.

--- a/gorsefall/relay/inbound.py
+++ b/gorsefall/relay/inbound.py
@@ -112,7 +112,7 @@
     """One connection of a caller.
 
     The server object it belongs to provides ``limits``, ``draining``,
-    ``memory``, a ``memory.Memory``,
+    ``memory``, a ``memory.Memory``, ``body_timeout_s``,
     ``on_conn_closed(conn)``, ``error_response(exc)``,
     ``hold_memory(method, target, fields)``, which returns a ``memory.Hold`` or
     None, and ``handle_request(method, target, fields, body, writer)``, which
@@ -137,6 +137,7 @@
         self._leaving = False
         self._unread_bytes = 0
         self._timer = None
+        self._body_timer = None
         self._limits = server.limits
         # The limit may rise while the connection is open: see `_advance`.
         self._h11 = h11.Connection(h11.SERVER,
@@ -357,11 +358,30 @@
         """Returns the hold of the body; None if none is needed."""
         if self._body.hold is None:
             head = self._head
-            self._body.hold = self._server.hold_memory(
+            hold = self._body.hold = self._server.hold_memory(
                 head.method, head.target,
                 headers.from_items(head.headers.raw_items()))
+            if hold is not None:
+                self._limit_body_time(hold.time_left_s)
         return self._body.hold
 
+    def _limit_body_time(self, time_left_s):
+        # The idle time restarts with each byte, so a caller could go on for
+        # ever.
+        limit_s = self._server.body_timeout_s
+        if time_left_s is not None:
+            limit_s = min(limit_s, time_left_s)
+        self._body_timer = self._loop.call_later(limit_s, self._on_body_overdue)
+
+    def _on_body_overdue(self):
+        self._body_timer = None
+        if self._waiting:
+            self._waiting = False
+            self._conn.resume()
+        self._refuse(
+            errors.DeadlineError('its body did not arrive in time',
+                                 retry_after=retry_delay.short_delay_s()))
+
     def _hold_body(self, size):
         """Counts the memory of a short, unfinished body, or refuses it."""
         hold = self._draw_hold()
@@ -401,6 +421,7 @@
         self._responding = True
         self._conn.max_recv_bytes = HEAD_RECV_BYTES
         self._cancel_timer()
+        self._cancel_body_timer()
         fields = headers.from_items(head.headers.raw_items())
         exchange = self._server.handle_request(head.method, head.target, fields,
                                                body, ResponseWriter(self))
@@ -512,7 +533,13 @@
 
     # -- closing ---------------------------------------------------------------
 
+    def _cancel_body_timer(self):
+        if self._body_timer is not None:
+            self._body_timer.cancel()
+            self._body_timer = None
+
     def _release_body(self):
+        self._cancel_body_timer()
         hold = self._body.hold
         self._body = digests.Body()
         if hold is not None:
--- a/gorsefall/relay/memory.py
+++ b/gorsefall/relay/memory.py
@@ -61,15 +61,18 @@
         size: Number of bytes.
         terms: The ``grant.Terms`` by which the owner was found; None if it is
             not known.
+        time_left_s: How long its caller waits for a response; None if not
+            known, s.
     """
 
-    def __init__(self, memory, owner, request_id, terms):
+    def __init__(self, memory, owner, request_id, terms, time_left_s):
         self._memory = memory
         self._request_id = request_id
         self._wait = None
         self.owner = owner
         self.size = 0
         self.terms = terms
+        self.time_left_s = time_left_s
 
     def grow(self, size, *, small=False):
         """Holds ``size`` more bytes if there is room; returns whether.
@@ -216,15 +219,16 @@
         return (self.callers.free(size) > 0 and
                 self.fits(owner, size, small=small))
 
-    def hold(self, owner, *, request_id=None, terms=None):
+    def hold(self, owner, *, request_id=None, terms=None, time_left_s=None):
         """Returns a ``Hold`` of nothing yet.
 
         Args:
             owner: The ``memoryshares.Owner``.
             request_id: The caller's id of the request; None if not known.
             terms: See ``Hold``.
+            time_left_s: See there.
         """
-        return Hold(self, owner, request_id, terms)
+        return Hold(self, owner, request_id, terms, time_left_s)
 
     def wait(self, attempt, done):
         """Waits for room; returns an object with ``cancel``.
--- a/gorsefall/relay/node.py
+++ b/gorsefall/relay/node.py
@@ -371,7 +371,8 @@
         account = drawn.account.name if drawn.account else None
         return self.memory.hold(memoryshares.Owner(drawn.service, account),
                                 request_id=req.id,
-                                terms=drawn.terms)
+                                terms=drawn.terms,
+                                time_left_s=req.time_left_s)
 
     def _entry_names(self):
         others = self.work.peer_view.members.probable_names(self.loop.now)
--- a/gorsefall/relay/servers.py
+++ b/gorsefall/relay/servers.py
@@ -26,6 +26,11 @@
         """The ``memory.Memory`` of the entry."""
         return self.node.memory
 
+    @property
+    def body_timeout_s(self):
+        """Longest time for a request body to arrive, s."""
+        return self.node.cfg.body_timeout_s
+
     @property
     def draining(self):
         """Whether connections are closed after their next response."""
--- a/gorsefall/relay/settings.py
+++ b/gorsefall/relay/settings.py
@@ -62,6 +62,8 @@
             ``apply_s`` holds again, s.
         leave_s: Time within which a draining replica stops getting new
             requests, s.
+        body_timeout_s: Longest time for the body of a request to arrive, s,
+            where its caller waits longer for the response.
         memory_mb: Memory that the process may take, MB; more may end it.
         grace_s: Time between the stop signal and the kill by the platform, s.
         digest_key: Key of the request digests, the same at all entries, at
@@ -83,6 +85,7 @@
     apply_s: float = 2.0
     settle_s: float = 3.0
     leave_s: float = 2.0
+    body_timeout_s: float = 300.0
     memory_mb: float = 128.0
     grace_s: float = 8.0
     digest_key: str = ''
@@ -100,8 +103,8 @@
 
 
 _ADDRESSES = ('callers', 'readiness', 'store')
-_POSITIVE = ('revoke_s', 'apply_s', 'settle_s', 'leave_s', 'memory_mb',
-             'grace_s')
+_POSITIVE = ('revoke_s', 'apply_s', 'settle_s', 'leave_s', 'body_timeout_s',
+             'memory_mb', 'grace_s')
 
 _POSITIVE_DUTIES = ('lease_s', 'report_window_s', 'report_due_s')
 
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -207,3 +207,25 @@
     held = room.hold(memoryshares.Owner('s'))
     held.add(1)
     assert not held.grow(1)
+
+
+def test_a_body_that_trickles_in_is_given_up():
+    """A byte now and then kept a connection for as long as its caller liked."""
+    with peers.loop() as loop:
+        server = Server(loop)
+        server.body_timeout_s = 0.2
+        caller = _Caller(loop, server, _sized(b'/a')[:200])
+        caller_sends = [True]
+
+        def trickle():
+            if caller_sends:
+                caller.left += b'x'
+                loop.call_later(0.02, trickle)
+
+        trickle()
+        _run(loop, [caller], lambda: server.closed or caller.received)
+        caller_sends.clear()
+        caller.close()
+        peers.run(loop, lambda: server.closed)
+    assert caller.received.startswith(b'HTTP/1.1 503')
+    assert not server.bodies
