Callers leave descriptors for replicas, the store and the pages

Callers saw: 503 or nothing for as long as others held connections without a request; the entry used its core for nothing meanwhile. Cause: nothing limited the number of connections, so that none was left for replicas and the store; a listener that cannot accept was called again at once (also those of the pages and of other entries: one class, tcp.Listener). Change: callers may have half of the descriptors (max_fds, from the platform's settings; the OS limit if lower) and connections for half of the room in memory. Beyond that a connection that never sent a request goes first, then the longest idle one, then the slowest caller; if all are in use the new one is closed unread, which callers may send again, and the entry is not ready for 2 s. A listener pauses for 0.1 s when no descriptor is free, and accepts 64 at a time. The pages take 64 connections each. The other way, to leave new ones in the queue of the kernel, has an ordinary caller wait behind the crowd for its second and was not taken.

--- a/gorsefall/metrics.py
+++ b/gorsefall/metrics.py
@@ -253,6 +253,10 @@
                                'send, and that were closed as others needed '
                                'room, by what was short.', ('reason',),
                                registry=REGISTRY)
+CONNECTIONS_REFUSED = prom.Counter('gorsefall_connections_refused_total',
+                                   'Connections of callers that were closed '
+                                   'as they came, as too many were in use.',
+                                   registry=REGISTRY)
 MEMORY_REFUSALS = prom.Counter('gorsefall_memory_refusals_total',
                                'Requests refused as there was no room for '
                                'them, by service.', ('service',),
--- a/gorsefall/net/tcp.py
+++ b/gorsefall/net/tcp.py
@@ -23,6 +23,13 @@
 """Connections that the kernel queues until they are accepted. If the queue is
 full, the kernel drops a caller's SYN, and its retransmission takes seconds."""
 
+MAX_ACCEPTS = 64
+"""Connections that are accepted before other sockets have their turn."""
+
+ACCEPT_PAUSE_S = 0.1
+"""Time for which nothing is accepted as no descriptor is free, s: the reactor
+would call the listener again at once, and do nothing else."""
+
 KEEPALIVE_IDLE_S = 2
 """Time without data after which keep-alive probes are sent, s."""
 
@@ -39,6 +46,9 @@
 connection by this time too, whatever the number of probes, so it lies between
 the last probe and the time when that counts as unanswered."""
 
+_SHORT = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM))
+"""Errors of a process or machine that has no room for a connection."""
+
 _BROKEN_BY_PEER = frozenset((errno.ECONNRESET, errno.EPIPE))
 
 
@@ -344,16 +354,25 @@
 
     def on_readable(self):
         """See ``reactor.Handler``."""
-        while True:
+        for _ in range(MAX_ACCEPTS):
             try:
                 sock, _ = self._sock.accept()
-            except OSError:
-                # No connection is queued, the peer has closed it, or no file
-                # descriptor is free. The reactor calls again while any
-                # connection is queued.
+            except OSError as exc:
+                # No connection is queued, or the peer has closed it, or there
+                # is no room. The reactor calls again while any is queued.
+                if exc.errno in _SHORT:
+                    self._pause()
                 return
             self.on_accept(sock)
 
+    def _pause(self):
+        self._loop.unwatch(self._sock)
+        self._loop.call_later(ACCEPT_PAUSE_S, self._resume)
+
+    def _resume(self):
+        if self._sock.fileno() >= 0:
+            self._loop.watch(self._sock, self, read=True, write=False)
+
     def on_writable(self):
         """Never called: listeners are not watched for writing."""
 
--- a/gorsefall/relay/inbound.py
+++ b/gorsefall/relay/inbound.py
@@ -123,6 +123,11 @@
     ``on_caller_drained()``, or None when it has already responded.
 
     Besides, it is a connection of ``callerwaits.CallerWaits``.
+
+    Attributes:
+        used: Whether a request was read.
+        idle_since: When it was opened, or its last response had left, s
+            (monotonic).
     """
 
     def __init__(self, loop, server, sock):
@@ -138,6 +143,8 @@
         self._unread_bytes = 0
         self._timer = None
         self._body_timer = None
+        self.used = False
+        self.idle_since = loop.now
         self._limits = server.limits
         # The limit may rise while the connection is open: see `_advance`.
         self._h11 = h11.Connection(h11.SERVER,
@@ -418,7 +425,7 @@
         head, body = self._head, self._body
         self._head = None
         self._body = digests.Body()
-        self._responding = True
+        self._responding = self.used = True
         self._conn.max_recv_bytes = HEAD_RECV_BYTES
         self._cancel_timer()
         self._cancel_body_timer()
@@ -495,6 +502,7 @@
 
     def _end_cycle(self):
         """Reads the next request or closes, as a response has left."""
+        self.idle_since = self._loop.now
         # A response head sent before a shutdown didn't announce the close, so
         # the caller may send another request, which couldn't be finished in
         # time. A request that is in flight when the connection closes was not
--- a/gorsefall/relay/node.py
+++ b/gorsefall/relay/node.py
@@ -1,6 +1,7 @@
 """A relay entry: connects listeners, followers, replicas and exchanges."""
 
 import os
+import resource
 import signal
 
 from gorsefall import daemon
@@ -212,6 +213,12 @@
         self.fleet.handle_status(status, self.loop.now)
         self.duties.handle_status(status, host)
 
+    @property
+    def max_fds(self):
+        """Descriptors that the process may open."""
+        soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        return min(self.cfg.max_fds or soft, soft)
+
     # -- observed state --------------------------------------------------------
 
     def adopt(self, table):
@@ -256,6 +263,8 @@
         """Returns whether the entry should receive new requests."""
         if self.draining or self.table is None or not self.replicas_known:
             return False
+        if self._callers.is_full:
+            return False
         fresh = (self.confirmation.age_s()
                  <= self.confirmation.bound_s * READY_CONFIRMATION_SHARE)
         if not fresh and self._confirmed:
--- a/gorsefall/relay/servers.py
+++ b/gorsefall/relay/servers.py
@@ -1,5 +1,7 @@
 """Servers of a relay entry: callers, readiness checks and metrics."""
 
+import collections
+
 from gorsefall import directory
 from gorsefall import errors
 from gorsefall import metrics
@@ -7,6 +9,23 @@
 from gorsefall.relay import model
 from gorsefall.relay import outcomes
 
+MAX_CHECK_CONNS = 64
+"""Most connections to the readiness page, and to the metrics page."""
+
+CALLER_FRACTION = 0.5
+"""Part of the descriptors that connections of callers may take. The rest is
+for replicas, other entries, the store and the pages."""
+
+CALLER_MEMORY_FRACTION = 0.5
+"""Part of the room in memory that idle connections of callers may take."""
+
+NONE_IDLE_S = 0.1
+"""Time for which no idle connection is sought after none was found, s."""
+
+FULL_S = 2.0
+"""Time for which the entry counts as full after it has turned a connection
+away, s: the load balancer checks once a second."""
+
 
 class _Server:
     """Base of the servers; keeps track of the open connections."""
@@ -14,6 +33,13 @@
     def __init__(self, node):
         self.node = node
         self.conns = set()
+        self._idle_order = collections.deque()
+        self._none_idle_at = float('-inf')
+
+    @property
+    def max_conns(self):
+        """Most connections that are open at once."""
+        return MAX_CHECK_CONNS
 
     @property
     def limits(self):
@@ -37,9 +63,39 @@
         return self.node.draining
 
     def accept(self, sock):
-        """Starts to serve a new connection."""
+        """Starts to serve a new connection, or closes it if there are many."""
+        if len(self.conns) >= self.max_conns and not self.make_room():
+            sock.close()
+            return
         self.conns.add(inbound.CallerConnection(self.node.loop, self, sock))
 
+    def make_room(self):
+        """Closes a connection that is not in use; returns whether there was.
+
+        One without any request goes first, and then the longest idle.
+        """
+        if self._close_next_idle():
+            return True
+        now = self.node.loop.now
+        if now - self._none_idle_at < NONE_IDLE_S:
+            return False
+        idle = [conn for conn in self.conns if conn.idle]
+        unused = [conn for conn in idle if not conn.used]
+        self._idle_order = collections.deque(
+            sorted(unused or idle, key=lambda conn: conn.idle_since))
+        if not idle:
+            self._none_idle_at = now
+        return self._close_next_idle()
+
+    def _close_next_idle(self):
+        while self._idle_order:
+            conn = self._idle_order.popleft()
+            if conn in self.conns and conn.idle:
+                metrics.CALLERS_YIELDED.labels('idle').inc()
+                conn.close()
+                return True
+        return False
+
     def on_conn_closed(self, conn):
         """Called by a connection when it was closed."""
         self.conns.discard(conn)
@@ -56,6 +112,33 @@
 class CallerServer(_Server):
     """Serves the requests of callers."""
 
+    def __init__(self, node):
+        super().__init__(node)
+        self._full_at = float('-inf')
+
+    @property
+    def max_conns(self):
+        """See ``_Server``."""
+        by_memory = (self.memory.shares.room * CALLER_MEMORY_FRACTION /
+                     inbound.CONN_BYTES)
+        by_descriptors = self.node.max_fds * CALLER_FRACTION
+        return max(1, int(min(by_memory, by_descriptors)))
+
+    @property
+    def is_full(self):
+        """Whether connections of callers were turned away of late."""
+        return self.node.loop.now - self._full_at < FULL_S
+
+    def make_room(self):
+        """See ``_Server``; callers that are slow go after idle ones."""
+        if super().make_room() or self.memory.callers.free_connection():
+            return True
+        if not self.is_full:
+            self.node.log.warning('connections_full', open=len(self.conns))
+        self._full_at = self.node.loop.now
+        metrics.CONNECTIONS_REFUSED.inc()
+        return False
+
     def handle_request(self, method, target, fields, body, writer):
         """Starts the exchange of a complete request; returns it or None."""
         return self.node.start_exchange(method, target, fields, body, writer)
--- /dev/null
+++ b/tests/test_caller_conns.py
@@ -0,0 +1,104 @@
+"""Connections of callers leave descriptors for everything else."""
+
+import socket
+import types
+
+import peers
+from gorsefall import logs
+from gorsefall.policy import memoryshares
+from gorsefall.relay import memory
+from gorsefall.relay import servers
+
+REQUEST = b'GET /a HTTP/1.1\r\nHost: h\r\n\r\n'
+MAX_FDS = 8
+"""Leaves four connections to callers."""
+
+
+class _Exchange:
+    owner = memoryshares.Owner()
+
+    def on_caller_disconnected(self, reason):
+        pass
+
+    def on_caller_drained(self):
+        pass
+
+    on_caller_lost = on_caller_disconnected
+
+
+class _Node:
+    """An entry as its servers use it; no request of it ends."""
+    table = None
+    draining = False
+    max_fds = MAX_FDS
+    cfg = types.SimpleNamespace(body_timeout_s=60.0)
+
+    def __init__(self, loop):
+        self.loop = loop
+        self.log = logs.get('test')
+        self.memory = memory.Memory(loop, lambda: 1000.0, lambda: 0)
+        self.started = []
+
+    def start_exchange(self, method, target, fields, body, writer):
+        self.started.append(writer)
+        return _Exchange()
+
+
+class _Site:
+    """Callers of one server."""
+
+    def __init__(self, loop):
+        self.loop = loop
+        self.node = _Node(loop)
+        self.server = servers.CallerServer(self.node)
+        self._listener = socket.create_server(('127.0.0.1', 0))
+        self._callers = []
+
+    def connect(self, data=b''):
+        """Returns the caller's end of an accepted connection."""
+        caller = socket.create_connection(self._listener.getsockname())
+        self._callers.append(caller)
+        caller.sendall(data)
+        accepted, _ = self._listener.accept()
+        self.server.accept(accepted)
+        return caller
+
+    def run_request(self):
+        """Returns a connection with a request that runs."""
+        count = len(self.node.started)
+        caller = self.connect(REQUEST)
+        peers.run(self.loop, lambda: len(self.node.started) > count)
+        return caller
+
+
+def _is_closed(caller):
+    caller.settimeout(5.0)
+    return caller.recv(65536) == b''
+
+
+def test_a_connection_without_a_request_goes_before_an_idle_one():
+    """Silent callers took the connections of those who use theirs again."""
+    with peers.loop() as loop:
+        site = _Site(loop)
+        used = site.run_request()
+        site.node.started[0].send(200, [], b'')
+        silent = [site.connect() for _ in range(3)]
+        newest = site.connect()
+        assert _is_closed(silent[0])
+        for _ in range(3):
+            site.connect()
+        assert used.recv(65536).startswith(b'HTTP/1.1 200')
+        assert _is_closed(newest)
+        assert not site.server.is_full
+
+
+def test_running_requests_keep_their_connections():
+    """A caller beyond the limit took the connection of a running request."""
+    with peers.loop() as loop:
+        site = _Site(loop)
+        for _ in range(4):
+            site.run_request()
+        late = site.connect()
+        assert _is_closed(late)
+        assert len(site.server.conns) == 4
+        assert site.server.is_full
