Streams that nobody reads yield their places to others

Callers saw: 503 for streams, for minutes, at each entry, while few callers read nothing of theirs. Cause: nothing is read of a stream while its caller is behind, so its replica cannot go on, and place and connection were kept until the time limit. Change: a stream whose caller has been behind for 2 s without a break (it has had less than 128 KB in this time) ends by a reset if a request of this entry finds no place, or while its replica's places are all taken, one each half second: the requests that wait may be at other entries. The oldest of the account with most of them goes first. While places are free it stays. Why it holds: a caller that is sound reads what its replica sends; one behind a slow link gets there with more than 64 KB/s of events only, which no model sends.

--- a/gorsefall/relay/exchange.py
+++ b/gorsefall/relay/exchange.py
@@ -213,12 +213,8 @@
             self.log.info('parked',
                           digest=digests.abbreviate(self.causes.request))
             return
-        choice = self._detours.take(
-            self.node.fleet.replicas) or self.grant.choose_replica(
-                self.unfit(),
-                # A caller that has half a stream waits rather than lose it.
-                may_shed=not (self.attempts.replicas or self._version.bound),
-                least_loaded=self.node.crashes.must_serialize(self.causes))
+        choice = (self._detours.take(self.node.fleet.replicas) or
+                  self._choose_replica())
         if choice is None or self._detours.is_in_vain(choice):
             self.node.announcements.brittle.record_unserved(self.grant.service)
             raise errors.NoReplicaError(
@@ -229,6 +225,33 @@
                 retry_after=self._retry_after_s())
         self._send(self.node.fleet.replicas[choice.target.name], choice)
 
+    def _choose_replica(self):
+        """Chooses a replica, if need be as a stream yields that is not read.
+
+        Returns:
+            See ``grant.Grant.choose_replica``.
+
+        Raises:
+            errors.ShedError: The queue of the best replica is too long.
+        """
+        try:
+            choice = self._try_choose()
+        except errors.ShedError:
+            if not self.node.unread_streams.yield_place(self.grant.service):
+                raise
+            return self._try_choose()
+        if (choice is None and
+                self.node.unread_streams.yield_place(self.grant.service)):
+            return self._try_choose()
+        return choice
+
+    def _try_choose(self):
+        return self.grant.choose_replica(
+            self.unfit(),
+            # A caller that has half a stream waits rather than lose it.
+            may_shed=not (self.attempts.replicas or self._version.bound),
+            least_loaded=self.node.crashes.must_serialize(self.causes))
+
     def _retry_after_s(self):
         """Returns the delay after which a caller should retry, s."""
         return (self.node.fleet.accepts_in_s(self.grant.service) +
@@ -297,6 +320,7 @@
         """Keeps the current attempt until another replica takes the request."""
         attempt, self.attempt = self.attempt, None
         self.silence.stop()
+        self.node.unread_streams.discard(self)
         self._takeover.begin(
             takeover.KeptAttempt(attempt, self.grant.terms,
                                  self._delivery.detach(), self._backup.holder))
@@ -410,11 +434,13 @@
             # nothing.
             self.silence.stop()
             attempt.pause()
+            self.node.unread_streams.add(self)
 
     def on_caller_drained(self):
         """Called when all bytes for the caller were sent."""
         if (self.attempt is not None and self.attempt.paused and
                 not self._room.awaited):
+            self.node.unread_streams.discard(self)
             self.attempt.resume()
             self.silence.await_event()
 
@@ -566,6 +592,14 @@
             outcomes.Outcome.CALLER_LOST,
             errors.CallerLostError(f'connection to the caller: {reason}'))
 
+    def yield_place(self):
+        """Breaks off a stream that its caller does not read."""
+        self._cancel_attempts()
+        self._delivery.abort()
+        self.close(
+            outcomes.Outcome.CALLER_LOST,
+            errors.CallerLostError('its caller does not read, others wait'))
+
     def _on_deadline(self):
         self._cancel_attempts()
         if self.attempts.in_doubt:
@@ -608,6 +642,7 @@
         self.release(attempt)
         self.attempt = None
         self._room.cancel()
+        self.node.unread_streams.discard(self)
         self.silence.stop()
         self._takeover.record_end()
 
--- a/gorsefall/relay/node.py
+++ b/gorsefall/relay/node.py
@@ -37,6 +37,7 @@
 from gorsefall.relay import settings
 from gorsefall.relay import streamlog
 from gorsefall.relay import streamorigins
+from gorsefall.relay import unreadstreams
 from gorsefall.relay import versionstore
 from gorsefall.relay import versionwitnesses
 from gorsefall.relay import workload
@@ -83,6 +84,7 @@
         streams: The ``streamorigins.StreamOrigins``.
         duties: This entry's part in the duties, a ``coordinator.NoDuties``.
         memory: The ``memory.Memory``.
+        unread_streams: The ``unreadstreams.UnreadStreams``.
         share: The ``traffic_share.TrafficShare`` of this entry.
         replicas_known: Whether a snapshot of the replicas was read.
     """
@@ -119,6 +121,8 @@
         self.crashes.entry_names = self._entry_names
         self.work = workload.Workload(self.cfg.name, self.fleet,
                                       self.cfg.retries.window_s)
+        self.unread_streams = unreadstreams.UnreadStreams(
+            self.loop, self.work.is_full)
         self.paths = paths.Paths(self)
         self.prober.paths = self.fleet.paths = self.paths
         self.forwarder = None
--- a/gorsefall/relay/workload.py
+++ b/gorsefall/relay/workload.py
@@ -81,6 +81,13 @@
         self.peer_view.update_views(views, time.monotonic())
         return views
 
+    def is_full(self, replica):
+        """Returns whether all places of a ``replicas.Replica`` are taken."""
+        view = replica.view
+        self.peer_view.update_views([view], time.monotonic())
+        return (replica.pool.is_full() or
+                view.outstanding + view.others_requests >= view.slots)
+
     def leaving_views(self, service):
         """Returns the views of replicas that are leaving.
 
--- a/tests/exchange_site.py
+++ b/tests/exchange_site.py
@@ -11,11 +11,14 @@
 from gorsefall.policy import attempt_timeouts
 from gorsefall.policy import softwareversions
 from gorsefall.relay import exchange
+from gorsefall.relay import memory
 from gorsefall.relay import model
 from gorsefall.relay import routes
+from gorsefall.relay import unreadstreams
 
 EVENT_COUNT = 4
 TIME_LIMIT_S = 5.0
+MEMORY_MB = 1000.0
 PROBE_S = 0.25
 """Time until it is known whether a replica crashed, s."""
 
@@ -308,6 +311,9 @@
                                          strict_revocation=True,
                                          zone='z')
         node.confirmation.is_current.return_value = True
+        node.unread_streams = unreadstreams.UnreadStreams(
+            loop, lambda replica: True)
+        node.memory = memory.Memory(loop, lambda: MEMORY_MB, lambda: 0)
         node.fleet.replicas = self.replicas
         node.fleet.candidates = self._candidates
         node.fleet.with_other_software = self._with_other_software
