What others make an entry hold as it forwards is counted and bounded

Callers saw nothing yet; the same class on the wire between entries, which any process that reaches the port can use: frames without their end (16 MB each), the bodies of up to 128 forwarded requests and connections without a request were not counted or limited, and a connection that is reset before it is accepted raised in the listener (getpeername), whose fault handler was missing. Evidence: tests/test_forwarding.py; frames that do not end pass the room of the machine, and connections are not bounded, on the code before. The reset one passes before as well (an exception in the log). Change: a connection counts its incomplete frame, the body of its request and what is unsent; without room it is told that the replica was not reached, which is true as nothing was sent, and closed. 512 connections at most; one on which nothing comes for 10 s is closed (entries close theirs after 2 s).

--- a/gorsefall/net/frames.py
+++ b/gorsefall/net/frames.py
@@ -22,6 +22,11 @@
     def __init__(self):
         self._buffer = bytearray()
 
+    @property
+    def pending_bytes(self):
+        """Size of a frame that is incomplete so far, bytes."""
+        return len(self._buffer)
+
     def feed(self, data):
         """Adds bytes; returns the payloads of the frames they complete.
 
--- a/gorsefall/net/tcp.py
+++ b/gorsefall/net/tcp.py
@@ -376,6 +376,9 @@
     def on_writable(self):
         """Never called: listeners are not watched for writing."""
 
+    def on_handler_error(self):
+        """Goes on: the fault concerns one connection, which is dropped."""
+
     def close(self):
         """Stops accepting."""
         self._loop.unwatch(self._sock)
--- a/gorsefall/relay/forwarder.py
+++ b/gorsefall/relay/forwarder.py
@@ -7,15 +7,26 @@
 from gorsefall import logs
 from gorsefall import metrics
 from gorsefall.net import frames
+from gorsefall.net import idletimer
 from gorsefall.net import outbound
 from gorsefall.net import tcp
+from gorsefall.policy import memoryshares
 from gorsefall.relay import forwardmessages as messages
 from gorsefall.relay import inbound
+from gorsefall.relay import memory
 
 MAX_RUNS = 128
 """Most requests of other entries that are forwarded at once. Half of the
 entries may have lost their paths, and a few others may have to do for them."""
 
+MAX_CONNS = 512
+"""Most connections of other entries, which close theirs once they have not used
+them for ``forwarding.IDLE_TIMEOUT_S``."""
+
+UNUSED_S = 10.0
+"""Time after which a connection on which nothing comes is closed, s. Other
+entries close theirs sooner."""
+
 
 class _Run(outbound.Call):
     """The request of another entry at a replica."""
@@ -77,14 +88,17 @@
 class _Peer:
     """The connection of another entry."""
 
-    def __init__(self, forwarder, sock):
+    def __init__(self, forwarder, sock, host):
         self._forwarder = forwarder
         self.node = forwarder.node
         self._reader = frames.Reader()
         self._replica = None
         self._run = None
-        self._host = sock.getpeername()[0]
+        self._host = host
+        self._hold = self.node.memory.hold(memoryshares.Owner())
         self._conn = tcp.Connection(self.node.loop, self, sock)
+        self._unused_timer = idletimer.IdleTimer(self.node.loop, UNUSED_S,
+                                                 self._on_unused)
 
     @property
     def is_running(self):
@@ -99,6 +113,32 @@
     def send(self, message):
         """Sends a message to the other entry."""
         self._conn.write(frames.encode(messages.encode(message)))
+        self._hold.resize(self._held_bytes())
+
+    def _held_bytes(self):
+        """Returns the memory that the other entry has this one hold, bytes."""
+        body = len(self._run.body) if self._run is not None else 0
+        return body + self._reader.pending_bytes + self._conn.unsent_bytes
+
+    def _count(self):
+        """Counts the memory that was received.
+
+        Raises:
+            errors.MemoryShortError: There is no room for it.
+        """
+        more = self._held_bytes() - self._hold.size
+        if more <= 0:
+            self._hold.resize(self._hold.size + more)
+        elif self._run is None and not self._hold.grow(
+                more, small=more < memory.LARGE_BODY_BYTES):
+            raise self._hold.refuse()
+
+    def _on_unused(self):
+        if self._run is None:
+            self.close()
+        else:
+            self._unused_timer = idletimer.IdleTimer(self.node.loop, UNUSED_S,
+                                                     self._on_unused)
 
     # -- requests --------------------------------------------------------------
 
@@ -169,6 +209,7 @@
 
     def on_drained(self):
         """See ``tcp.Connection``."""
+        self._hold.resize(self._held_bytes())
         if self._run is not None and self._run.conn is not None:
             self._run.conn.resume()
 
@@ -178,8 +219,16 @@
             self.close()
             return
         try:
+            self._unused_timer.reset()
             for payload in self._reader.feed(data):
                 self._handle(messages.decode(payload))
+            if self._conn.is_open:
+                self._count()
+        except errors.MemoryShortError as exc:
+            # Nothing was sent to the replica yet.
+            self.send(messages.Failed(False, str(exc),
+                                      outbound.Fault.UNREACHED))
+            self.close()
         except errors.FrameError as exc:
             self._forwarder.log.warning('frame_unreadable',
                                         entry=self._host,
@@ -194,8 +243,10 @@
     def close(self):
         """Closes the connection and cancels its request."""
         self._conn.close()
+        self._unused_timer.cancel()
         if self._run is not None:
             self._record_end('cancelled').conn.cancel()
+        self._hold.release()
         self._forwarder.remove(self)
 
 
@@ -221,7 +272,16 @@
         self.listener = tcp.Listener(node.loop, addr, self._accept)
 
     def _accept(self, sock):
-        self._peers.add(_Peer(self, sock))
+        if len(self._peers) >= MAX_CONNS:
+            sock.close()
+            return
+        try:
+            host, _ = sock.getpeername()
+        except OSError:
+            # It was reset before it was accepted.
+            sock.close()
+            return
+        self._peers.add(_Peer(self, sock, host))
 
     def remove(self, peer):
         """Called by a connection when it was closed."""
--- a/tests/forwarding_site.py
+++ b/tests/forwarding_site.py
@@ -6,8 +6,11 @@
 from gorsefall.net import outbound
 from gorsefall.relay import forwarder
 from gorsefall.relay import forwarding
+from gorsefall.relay import memory
 from gorsefall.relay import prober
 
+MEMORY_MB = 1000.0
+
 
 class Codec:
     """Decodes what the forwarder needs of a response."""
@@ -119,6 +122,7 @@
             announcements=Announcements(),
             prober=prober.ReplicaProber(loop),
             draining=False,
+            memory=memory.Memory(loop, lambda: MEMORY_MB, lambda: 0),
             current_list=types.SimpleNamespace(
                 is_usable=lambda: self.is_usable),
             fleet=types.SimpleNamespace(find=self._find),
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -1,6 +1,8 @@
 """Calls to a replica that another entry forwards."""
 
 import contextlib
+import socket
+import struct
 import time
 
 import pytest
@@ -11,6 +13,7 @@
 from gorsefall.relay import forwarder
 from gorsefall.relay import forwarding
 from gorsefall.relay import inbound
+from gorsefall.relay import memory
 from gorsefall.relay import prober
 from gorsefall.standins import acceptor
 
@@ -376,3 +379,61 @@
         peers.run(loop, lambda: second.done)
         assert not second.failure.sent
     replica.close()
+
+
+def _connect(site):
+    return socket.create_connection(site.forwarder.listener.addr)
+
+
+def test_frames_that_do_not_end_are_bounded_in_all(loop):
+    """Frames without their last bytes filled the forwarder's memory."""
+    peer = peers.ScriptedPeer([])
+    with forwarding_site.site(loop, peer.addr) as site:
+        site.node.memory = memory.Memory(loop, lambda: 1.0, lambda: 0)
+        conns = [_connect(site) for _ in range(20)]
+        for conn in conns:
+            conn.setblocking(False)
+            conn.send(struct.pack('>I', 1 << 20) + bytes(100_000))
+        peers.run(loop, lambda: site.node.memory.shares.held)
+        for _ in range(50):
+            loop.step(0.005)
+        assert site.node.memory.shares.held <= site.node.memory.shares.room
+        assert len(site.forwarder._peers) < 20
+        for conn in conns:
+            conn.close()
+        peers.run(loop, lambda: not site.forwarder._peers)
+        assert not site.node.memory.shares.held
+    peer.close()
+
+
+def test_connections_to_the_forwarder_are_bounded(loop, monkeypatch):
+    """Connections without a request took all descriptors."""
+    monkeypatch.setattr(forwarder, 'MAX_CONNS', 3)
+    monkeypatch.setattr(forwarder, 'UNUSED_S', 0.2)
+    peer = peers.ScriptedPeer([])
+    with forwarding_site.site(loop, peer.addr) as site:
+        conns = [_connect(site) for _ in range(5)]
+        peers.run(loop, lambda: len(site.forwarder._peers) == 3)
+        for _ in range(5):
+            loop.step(0.005)
+        assert len(site.forwarder._peers) == 3
+        peers.run(loop, lambda: not site.forwarder._peers)
+        for conn in conns:
+            conn.close()
+    peer.close()
+
+
+def test_a_connection_that_is_reset_before_it_is_accepted_is_dropped(loop):
+    """A connection that was reset at once failed the entry's listener."""
+    peer = peers.ScriptedPeer([[RESPONSE]])
+    with forwarding_site.site(loop, peer.addr) as site:
+        conn = _connect(site)
+        conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                        b'\x01\0\0\0\0\0\0\0')
+        conn.close()
+        call = forwarding_site.Call()
+        site.send(call)
+        peers.run(loop, lambda: call.done)
+        assert call.ended
+        assert len(site.forwarder._peers) == 1
+    peer.close()
