Idle connections of one pass go in the order in which they came

tests/test_caller_conns.py failed in 9 of 10 runs: connections that were accepted in one pass of the loop have the same time, and a set has no order, so that the newest could be closed before those that came first.

--- a/gorsefall/relay/servers.py
+++ b/gorsefall/relay/servers.py
@@ -32,7 +32,8 @@
 
     def __init__(self, node):
         self.node = node
-        self.conns = set()
+        # A dict keeps the order of those that came within one pass.
+        self.conns = {}
         self._idle_order = collections.deque()
         self._none_idle_at = float('-inf')
 
@@ -67,7 +68,8 @@
         if len(self.conns) >= self.max_conns and not self.make_room():
             sock.close()
             return
-        self.conns.add(inbound.CallerConnection(self.node.loop, self, sock))
+        conn = inbound.CallerConnection(self.node.loop, self, sock)
+        self.conns[conn] = None
 
     def make_room(self):
         """Closes a connection that is not in use; returns whether there was.
@@ -98,7 +100,7 @@
 
     def on_conn_closed(self, conn):
         """Called by a connection when it was closed."""
-        self.conns.discard(conn)
+        self.conns.pop(conn, None)
 
     def hold_memory(self, method, target, fields):
         """Returns a ``memory.Hold`` for a request's body, or None for none."""
