The product's own wire bounds what callers make it hold

Change: a component sees the server's events first and drops the connections that exceed a limit: their number (half of the descriptors; the longest idle goes first, none with a running request), the size of a request as it arrives, its time, the time for which nothing is read, and all bytes together (those that hold most).

--- a/gorsefall/entry/app.py
+++ b/gorsefall/entry/app.py
@@ -1,6 +1,7 @@
 """The entry process: HTTP routes, admission, watchers, graceful shutdown."""
 
 import collections
+import resource
 import time
 
 from circuits import core
@@ -21,6 +22,7 @@
 from gorsefall.entry import ledger
 from gorsefall.entry import peers
 from gorsefall.entry import watchers
+from gorsefall.net import callerguard
 from gorsefall.net import links
 from gorsefall.net import poller
 from gorsefall.net import reactor
@@ -35,6 +37,9 @@
 Callers' deadlines are hundreds of ms, and one check of all queues takes less
 than 1 ms."""
 
+MAX_HEAD_BYTES = 65536
+"""Longest head of a request, bytes."""
+
 FINAL_WRITES_S = 0.2
 """Time to write the last responses before the process exits, s."""
 
@@ -271,6 +276,10 @@
         if job is not None:
             job.cancel()
 
+    def serves(self, sock):
+        """Returns whether a request of a caller's socket is unfinished."""
+        return self._rid_by_socket.get(sock) in self.jobs
+
     def usage(self):
         """Returns the ``messages.PeerUsage`` of this entry."""
         return messages.PeerUsage(entry=self.entry_name,
@@ -352,6 +361,17 @@
         reactor.find_reactor(self).call_later(FINAL_WRITES_S, self.root.stop)
 
 
+def _caller_limits(cfg):
+    """Returns the ``callerguard.Limits`` of an ``settings.Entry``."""
+    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return callerguard.Limits(conns=cfg.max_conns or soft // 2,
+                              head_bytes=MAX_HEAD_BYTES,
+                              body_bytes=cfg.max_body_bytes,
+                              held_bytes=int(cfg.callers_mb * (1 << 20)),
+                              request_s=cfg.request_timeout_s,
+                              unread_s=cfg.unread_timeout_s)
+
+
 def build(cfg):
     """Builds the circuits tree of an entry process.
 
@@ -368,6 +388,8 @@
     links.ConnectionPools(loop).register(server)
     replies.JsonOnly().register(server)
     entry = Entry(cfg).register(server)
+    callerguard.CallerGuard(server, _caller_limits(cfg.entry),
+                            entry.serves).register(server)
     api.V1(entry).register(server)
     api.Chat(entry).register(server)
     api.Peer(entry).register(server)
--- /dev/null
+++ b/gorsefall/net/callerguard.py
@@ -0,0 +1,196 @@
+"""Bounds what callers of circuits' web server make a process hold.
+
+circuits reads a request to its end whatever its size and time, keeps all that
+a caller does not read, and accepts connections without a limit. This component
+sees its events first, and drops the connections that exceed a limit.
+"""
+
+import dataclasses
+import time
+
+from circuits import core
+from circuits.core import pollers
+
+from gorsefall import logs
+from gorsefall import metrics
+from gorsefall.net import reactor
+
+CHECK_S = 1.0
+"""Period of the checks of times, s."""
+
+FRAMING_FACTOR = 8
+"""Bytes that may be received for each byte of a body: a body may come in chunks
+of one byte."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Limits:
+    """What callers may have a process hold.
+
+    Attributes:
+        conns: Most connections.
+        head_bytes: Longest head of a request, bytes.
+        body_bytes: Longest body of a request, bytes.
+        held_bytes: Most bytes of unfinished requests, and of unsent responses,
+            of all connections together.
+        request_s: Longest time for a request to arrive, s.
+        unread_s: Longest time for which nothing of a response is read, s.
+    """
+    conns: int
+    head_bytes: int
+    body_bytes: int
+    held_bytes: int
+    request_s: float
+    unread_s: float
+
+    @property
+    def request_bytes(self):
+        """Most bytes that are received for one request."""
+        return self.head_bytes + FRAMING_FACTOR * self.body_bytes
+
+
+@dataclasses.dataclass
+class _Caller:
+    """One connection.
+
+    Attributes:
+        active_at: When bytes were last received or written, s (monotonic).
+        began_at: When the request that is arriving began, s (monotonic); None
+            if none is.
+        received: Bytes received of it.
+        unsent: Bytes of responses that the kernel has not taken.
+        read_at: When some of them were last taken, s (monotonic).
+    """
+    active_at: float
+    began_at: float | None = None
+    received: int = 0
+    unsent: int = 0
+    read_at: float = 0.0
+
+
+class CallerGuard(core.BaseComponent):
+    """Watches the callers of one ``circuits.web`` server."""
+    channel = 'web'
+
+    def __init__(self, server, limits, is_busy):
+        """Creates a guard of a server without connections.
+
+        Args:
+            server: The ``circuits.web.BaseServer``.
+            limits: The ``Limits``.
+            is_busy: Returns whether a request of a socket is being served.
+        """
+        super().__init__()
+        self._server = server.server
+        self._http = server.http
+        self._limits = limits
+        self._is_busy = is_busy
+        self._callers = {}
+        self._log = logs.get('callers')
+
+    @core.handler('started', channel='*')
+    def _on_started(self, *_):
+        reactor.find_reactor(self).call_every(CHECK_S, self.check_times)
+
+    @property
+    def held_bytes(self):
+        """Bytes that are held for all connections."""
+        return sum(c.received + c.unsent for c in self._callers.values())
+
+    # -- events ----------------------------------------------------------------
+
+    @core.handler('connect', priority=100)
+    def _on_connect(self, sock, *_):
+        if len(self._callers) >= self._limits.conns:
+            oldest = self._longest_idle()
+            if oldest is None:
+                self._drop(sock, 'connections')
+                return
+            self._drop(oldest, 'connections')
+        self._callers[sock] = _Caller(time.monotonic())
+
+    @core.handler('disconnect', priority=100)
+    def _on_disconnect(self, sock):
+        self._callers.pop(sock, None)
+        # circuits keeps the parser of a request that was not whole.
+        self._http._buffers.pop(sock, None)
+
+    @core.handler('read', priority=100)
+    def _on_read(self, event, sock, data):
+        caller = self._callers.get(sock)
+        if caller is None:
+            event.stop()
+            return
+        caller.active_at = time.monotonic()
+        caller.began_at = caller.began_at or caller.active_at
+        caller.received += len(data)
+        if caller.received > self._limits.request_bytes:
+            event.stop()
+            self._drop(sock, 'size')
+        else:
+            self._bound_total()
+
+    @core.handler('request', priority=100)
+    def _on_request(self, req, *_):
+        caller = self._callers.get(req.sock)
+        if caller is not None:
+            caller.began_at, caller.received = None, 0
+
+    @core.handler('write', priority=100)
+    def _on_write(self, sock, data):
+        caller = self._callers.get(sock)
+        if caller is not None:
+            caller.active_at = time.monotonic()
+            if not caller.unsent:
+                caller.read_at = caller.active_at
+            caller.unsent = self._unsent(sock) + len(data)
+            self._bound_total()
+
+    def _unsent(self, sock):
+        buffers = self._server._buffers
+        return sum(map(len, buffers[sock])) if sock in buffers else 0
+
+    # -- limits ----------------------------------------------------------------
+
+    def _longest_idle(self):
+        """Returns the socket that goes first; None if all are in use."""
+        idle = [(c.active_at, id(sock), sock)
+                for sock, c in self._callers.items()
+                if not self._is_busy(sock) and not c.unsent]
+        return min(idle)[2] if idle else None
+
+    def _bound_total(self):
+        """Drops the connections that hold most until all fit together."""
+        if self.held_bytes <= self._limits.held_bytes:
+            return
+        for sock, caller in list(self._callers.items()):
+            caller.unsent = self._unsent(sock)
+        while self.held_bytes > self._limits.held_bytes:
+            self._drop(
+                max(self._callers,
+                    key=lambda s: self._callers[s].received + self._callers[s].
+                    unsent), 'memory')
+
+    def check_times(self):
+        """Drops the connections whose callers do not send or read."""
+        now = time.monotonic()
+        for sock, caller in list(self._callers.items()):
+            unsent = self._unsent(sock)
+            if unsent < caller.unsent or not unsent:
+                caller.read_at = now
+            caller.unsent = unsent
+            arriving = (caller.began_at is not None and
+                        now - caller.began_at > self._limits.request_s)
+            if arriving and not self._is_busy(sock):
+                self._drop(sock, 'slow request')
+            elif now - caller.read_at > self._limits.unread_s:
+                self._drop(sock, 'unread')
+
+    def _drop(self, sock, reason):
+        caller = self._callers.pop(sock, None)
+        metrics.CALLERS_YIELDED.labels(reason).inc()
+        self._log.info('caller_dropped',
+                       reason=reason,
+                       received=caller.received if caller else 0,
+                       unsent=caller.unsent if caller else 0)
+        self.fire(pollers._disconnect(sock), self._server.channel)
--- a/gorsefall/settings.py
+++ b/gorsefall/settings.py
@@ -39,6 +39,13 @@
         policy: ``tiers``; ``fifo`` and ``roundrobin`` are baselines for
             benchmarks.
         max_body_bytes: Maximum length of a request body, bytes.
+        max_conns: Most connections of callers; 0 for half of the descriptors
+            that the process may open.
+        callers_mb: Memory for requests that are not whole and for responses
+            that are not read, MB.
+        request_timeout_s: Longest time for a request to arrive, s.
+        unread_timeout_s: Longest time for which a caller reads nothing of a
+            response, s.
         catalogue_poll_s: Seconds between reads of the catalogue stream.
         load_poll_s: Seconds between load reports read from a busy replica;
             idle replicas are polled a quarter as often.
@@ -72,6 +79,10 @@
     entries: int = 1
     policy: str = 'tiers'
     max_body_bytes: int = 1 << 20
+    max_conns: int = 0
+    callers_mb: float = 64.0
+    request_timeout_s: float = 60.0
+    unread_timeout_s: float = 60.0
     catalogue_poll_s: float = 1.0
     load_poll_s: float = 0.5
     load_polls_per_s: float = 20.0
@@ -99,7 +110,8 @@
 _POSITIVE = ('entries', 'max_body_bytes', 'catalogue_poll_s', 'load_poll_s',
              'load_polls_per_s', 'load_max_age_s', 'vm_poll_s', 'snapshot_s',
              'ledger_poll_s', 'ledger_ttl_s', 'peer_poll_s', 'drain_s',
-             'queue_limit', 'slots_per_replica', 'link_idle_s')
+             'queue_limit', 'slots_per_replica', 'link_idle_s', 'callers_mb',
+             'request_timeout_s', 'unread_timeout_s')
 
 
 def _problems(cfg):
