--- a/gorsefall/relay/callerwaits.py
+++ b/gorsefall/relay/callerwaits.py
@@ -2,9 +2,9 @@
 
 A caller that does not read its response, or does not finish its request, holds
 memory and a descriptor for as long as it likes. It may, while there is enough
-for all. When there is not, the slowest callers of the account that holds most
-yield first. What counts is how many bytes moved lately, so that a caller with a
-slow link is told from one that has stopped.
+for all. When there is not, those of the account that holds most yield first:
+the longest without a byte, then the slowest. What counts is how much moved
+lately, so that a caller with a slow link is told from one that has stopped.
 """
 
 import collections
@@ -107,7 +107,8 @@
             of_account[conn.owner.account] += conn.held_bytes
 
         def order(conn):
-            return (-of_account[conn.owner.account], self._paces[conn].per_s,
+            pace = self._paces[conn]
+            return (-of_account[conn.owner.account], -pace.idle_s, pace.per_s,
                     -conn.held_bytes)
 
         self._in_order = collections.deque(
--- a/gorsefall/relay/unreadstreams.py
+++ b/gorsefall/relay/unreadstreams.py
@@ -10,9 +10,10 @@
 from gorsefall import logs
 from gorsefall import metrics
 
-UNREAD_S = 2.0
-"""Time for which a caller that is behind keeps its place in any case, s. It has
-had less than 128 KB in this time, though its replica had more."""
+UNREAD_S = 6.0
+"""Time for which a caller that is behind keeps its place in any case, s: sound
+callers may pause for some seconds. It has had less than 128 KB in this time,
+though its replica had more."""
 
 SWEEP_S = 0.5
 """Period of the checks whether the replicas of such streams are full, s."""
--- a/tests/test_slow_callers.py
+++ b/tests/test_slow_callers.py
@@ -70,6 +70,21 @@
     assert crowd[1].ended == 'memory'
 
 
+def test_the_longest_without_a_byte_yields_before_one_that_paused():
+    """A caller that paused for a moment was cut before one that had stopped."""
+    stopped, paused = _Conn('a', 100), _Conn('a', 100, per_s=10)
+    loop = exchange_site.Loop()
+    waits = callerwaits.CallerWaits(loop)
+    waits.add(paused)
+    waits.add(stopped)
+    loop.run(loop.now + 2.5)
+    paused._per_s = 0
+    loop.run(loop.now + 1.0)
+    waits.free(1)
+    assert stopped.ended == 'memory'
+    assert paused.ended is None
+
+
 def test_a_caller_yields_only_once_its_pace_is_known():
     """An answer that has just begun to leave was cut for another one."""
     conn = _Conn('a', 100)
