--- a/gorsefall/policy/memoryshares.py
+++ b/gorsefall/policy/memoryshares.py
@@ -67,6 +67,27 @@
         return (owner.account is None or not in_account or
                 in_account + size <= allowed - in_service - size)
 
+    def who_limits(self, owner, size, *, small=False):
+        """Returns whose bytes keep ``size`` more from fitting.
+
+        Args:
+            owner: See ``fits``.
+            size: See there.
+            small: See there.
+
+        Returns:
+            A function of an ``Owner``.
+        """
+        free = self.room - self.held - size
+        allowed = free * (SMALL_FACTOR if small else 1)
+        in_service = self._of_service[owner.service]
+        if free < 0 or self.fits(owner, size, small=small):
+            # Or the process has grown beside what is held.
+            return lambda other: True
+        if in_service and in_service + size > allowed:
+            return lambda other: other.service == owner.service
+        return lambda other: other == owner
+
     def add(self, owner, size):
         """Counts ``size`` more bytes, whether they fit or not."""
         self.held += size
--- a/gorsefall/relay/callerwaits.py
+++ b/gorsefall/relay/callerwaits.py
@@ -65,11 +65,21 @@
         """Records that the entry does not wait any more."""
         self._paces.pop(conn, None)
 
-    def free(self, size):
-        """Has callers yield that hold ``size`` bytes; returns the number."""
+    def free(self, size, may_yield):
+        """Has callers yield that hold ``size`` bytes; returns the number.
+
+        Args:
+            size: See there.
+            may_yield: Returns whether the bytes of a ``memoryshares.Owner``
+                are of use.
+        """
         freed = 0
-        while self._in_order and freed < size:
-            freed += self._yield(self._in_order.popleft(), 'memory')
+        for conn in list(self._in_order):
+            if freed >= size:
+                break
+            if may_yield(conn.owner):
+                self._in_order.remove(conn)
+                freed += self._yield(conn, 'memory')
         return freed
 
     def free_connection(self):
--- a/gorsefall/relay/inbound.py
+++ b/gorsefall/relay/inbound.py
@@ -198,7 +198,7 @@
             self._close_if_read()
         elif self._exchange is not None:
             self._exchange.on_caller_drained()
-        if self._hold.size != CONN_BYTES and self._conn.is_open:
+        if self._hold.size != CONN_BYTES:
             self._count()
 
     # -- memory ----------------------------------------------------------------
@@ -234,6 +234,8 @@
 
     def _count(self):
         """Counts the memory that it holds, beside that of its request."""
+        if not self._conn.is_open:
+            return
         self._hold.resize(CONN_BYTES + len(self._h11.trailing_data[0]) +
                           self._conn.unsent_bytes)
         callers = self._server.memory.callers
@@ -276,8 +278,6 @@
         else:
             self._conn.pause()
             self._loop.call_later(0, self._resume)
-        if not self._conn.is_open:
-            return
         self._count()
         if ((self._responding or self._leaving) and self._h11.trailing_data[0]):
             self._conn.pause()
--- a/gorsefall/relay/memory.py
+++ b/gorsefall/relay/memory.py
@@ -216,7 +216,8 @@
         """
         if self.fits(owner, size, small=small):
             return True
-        return (self.callers.free(size) > 0 and
+        frees = self.shares.who_limits(owner, size, small=small)
+        return (self.callers.free(size, frees) > 0 and
                 self.fits(owner, size, small=small))
 
     def hold(self, owner, *, request_id=None, terms=None, time_left_s=None):
--- a/gorsefall/relay/node.py
+++ b/gorsefall/relay/node.py
@@ -107,6 +107,7 @@
         self._path = path
         self.codec = adapter.codec
         self.loop = reactor.Reactor().register(self)
+        self._fd_limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
         self.memory = memory.Memory(self.loop, lambda: self.cfg.memory_mb)
         self.table = None
         self.confirmation = freshness.Confirmation(self.cfg.revoke_s -
@@ -220,8 +221,7 @@
     @property
     def max_fds(self):
         """Descriptors that the process may open."""
-        soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-        return min(self.cfg.max_fds or soft, soft)
+        return min(self.cfg.max_fds or self._fd_limit, self._fd_limit)
 
     # -- observed state --------------------------------------------------------
 
--- a/gorsefall/relay/servers.py
+++ b/gorsefall/relay/servers.py
@@ -16,6 +16,9 @@
 """Part of the descriptors that connections of callers may take. The rest is
 for replicas, other entries, the store and the pages."""
 
+MIN_CALLER_CONNS = 64
+"""Connections that callers may have however little memory is free."""
+
 CALLER_MEMORY_FRACTION = 0.5
 """Part of the room in memory that idle connections of callers may take."""
 
@@ -124,7 +127,8 @@
         by_memory = (self.memory.shares.room * CALLER_MEMORY_FRACTION /
                      inbound.CONN_BYTES)
         by_descriptors = self.node.max_fds * CALLER_FRACTION
-        return max(1, int(min(by_memory, by_descriptors)))
+        return max(1, int(min(max(by_memory, MIN_CALLER_CONNS),
+                              by_descriptors)))
 
     @property
     def is_full(self):
--- a/tests/test_slow_callers.py
+++ b/tests/test_slow_callers.py
@@ -26,6 +26,11 @@
 PIECE = bytes(60_000)
 
 
+def _anyone(owner):
+    del owner
+    return True
+
+
 class _Conn:
     """A connection that waits for a caller at a steady pace.
 
@@ -65,7 +70,7 @@
     honest = _Conn('honest', 100, per_s=10)
     crowd = [_Conn('crowd', 100, per_s=50), _Conn('crowd', 100, per_s=20)]
     waits = _waits([honest, *crowd], 1.5)
-    assert waits.free(100) == 100
+    assert waits.free(100, _anyone) == 100
     assert (honest.ended, crowd[0].ended) == (None, None)
     assert crowd[1].ended == 'memory'
 
@@ -80,7 +85,7 @@
     loop.run(loop.now + 2.5)
     paused._per_s = 0
     loop.run(loop.now + 1.0)
-    waits.free(1)
+    waits.free(1, _anyone)
     assert stopped.ended == 'memory'
     assert paused.ended is None
 
@@ -89,7 +94,7 @@
     """An answer that has just begun to leave was cut for another one."""
     conn = _Conn('a', 100)
     waits = _waits([conn], 0.5)
-    assert not waits.free(1)
+    assert not waits.free(1, _anyone)
     assert not waits.free_connection()
     assert conn.ended is None
 
@@ -99,7 +104,7 @@
     conn = _Conn('a', 100)
     waits = _waits([conn], 1.5)
     waits.discard(conn)
-    assert not waits.free(1)
+    assert not waits.free(1, _anyone)
     assert conn.ended is None
 
 
@@ -111,6 +116,22 @@
     assert slow.ended is None
 
 
+def test_an_account_at_its_share_takes_nothing_of_others():
+    """A crowd that was at its share had the callers of others cut."""
+    loop = exchange_site.Loop()
+    entry = memory.Memory(loop, lambda: 12.0, lambda: 0)
+    honest = _Conn('honest', 1 << 20)
+    entry.hold(honest.owner).add(honest.held_bytes)
+    entry.callers.add(honest)
+    loop.run(loop.now + 1.5)
+    crowd = entry.hold(memoryshares.Owner('other', 'crowd'))
+    crowd.add(3 << 20)
+    assert not crowd.grow(2 << 20)
+    assert honest.ended is None
+    entry.hold(memoryshares.Owner('third', 'new')).grow(5 << 20)
+    assert honest.ended == 'memory'
+
+
 # -- streams -------------------------------------------------------------------
 
 
