--- a/gorsefall/policy/peerview.py
+++ b/gorsefall/policy/peerview.py
@@ -1,6 +1,7 @@
 """The work that other entries report, and this entry's own status report."""
 
 import collections
+import typing
 
 from gorsefall.policy import entrystatus
 from gorsefall.policy import membership
@@ -23,11 +24,37 @@
 """Maximum number of responses in a message, the last ones; see
 ``MAX_PROMPT_USES``."""
 
+MAX_USES_BYTES = 5000
+"""Longest part of a status that tells of prompts, bytes: callers choose the
+number and names of their parts, and a status that is too long tells nothing."""
+
+PART_BYTES = 8
+"""About what a part takes in a message besides its name, bytes."""
+
 MAX_PROMPT_USES = 64
 """Maximum number of prompt uses in a message, the last ones. An entry has 16
 requests a second at the size planned in two years."""
 
 
+class _SentUse(typing.NamedTuple):
+    """A use that is told to other entries.
+
+    Attributes:
+        at: When it was recorded, s (monotonic).
+        use: The ``prompts.Use``.
+        size: About how long it is in a message, bytes.
+    """
+    at: float
+    use: prompts.Use
+    size: int
+
+
+def _use_bytes(use):
+    """Returns about how long a ``prompts.Use`` is in a message, bytes."""
+    return len(use.replica) + sum(
+        len(part.name) + PART_BYTES for part in use.parts)
+
+
 class PeerView:
     """One entry's view of the work of other entries at the replicas.
 
@@ -44,7 +71,8 @@
                 None.
         """
         self._find = find
-        self._uses = collections.deque(maxlen=MAX_PROMPT_USES)
+        self._uses = collections.deque()
+        self._uses_bytes = 0
         self._responses = collections.deque(maxlen=MAX_RESPONSES)
         self._response_count = 0
         self.members = membership.Members(name)
@@ -54,7 +82,18 @@
         view.prompt_cache.record_use(parts)
         tracked = tuple(p for p in parts if p.tokens >= prompts.MIN_PART_TOKENS)
         if tracked:
-            self._uses.append((now, prompts.Use(view.name, tracked)))
+            self._add_use(prompts.Use(view.name, tracked), now)
+
+    def _add_use(self, use, now):
+        size = _use_bytes(use)
+        self._uses.append(_SentUse(now, use, size))
+        self._uses_bytes += size
+        while (self._uses_bytes > MAX_USES_BYTES or
+               len(self._uses) > MAX_PROMPT_USES):
+            self._drop_use()
+
+    def _drop_use(self):
+        self._uses_bytes -= self._uses.popleft().size
 
     def record_response(self, view, ok, now):
         """Records whether a response served the caller's request.
@@ -102,8 +141,8 @@
             **fields: The fields of the status that do not concern the work at
                 the replicas.
         """
-        while self._uses and self._uses[0][0] < now - PROMPT_USE_REPORT_S:
-            self._uses.popleft()
+        while self._uses and self._uses[0].at < now - PROMPT_USE_REPORT_S:
+            self._drop_use()
         while self._responses and self._responses[0][
                 0] < now - RESPONSE_REPORT_S:
             self._responses.popleft()
@@ -112,7 +151,7 @@
             started_at_ms=started_at_ms,
             seq=seq,
             in_flight={v.name: v.in_flight() for v in views if v.outstanding},
-            prompt_uses=tuple(use for _, use in self._uses),
+            prompt_uses=tuple(sent.use for sent in self._uses),
             responses_before=self._response_count - len(self._responses),
             responses=tuple(response for _, response in self._responses),
             **fields)
