Running requests are counted before they are sent; streams hold what they may

Cause: what a running request takes beside its body was not counted, and what its stream had sent was counted without asking. Change: each request holds 32 KB before it is sent, a stream 48 KB more for what is received before its replica waits; without room it gets 503, which is true. Reading from a replica pauses at 32 KB unsent, 16 KB are received at once. If more is held than there is room for all the same, callers yield within 0.1 s. A request has as many yield as it takes for it to fit; bytes of its account in other services count as the account's (before, an ordinary request of the crowd's account was refused for 20 s).

--- a/gorsefall/net/outbound.py
+++ b/gorsefall/net/outbound.py
@@ -30,6 +30,10 @@
 """Size of a request body that the kernel of a peer may not hold for a process
 that does not read it."""
 
+RECV_BYTES = 16384
+"""Most bytes received at once: what was received when reading is paused is
+kept until the consumer of the response goes on."""
+
 _KEEP_ALIVE = re.compile(rb'timeout=(\d+)')
 
 
@@ -169,6 +173,7 @@
         self._skipping_response = False
         self._idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
         self._transport = tcp.Connection(loop, self)
+        self._transport.max_recv_bytes = RECV_BYTES
         self._timer = loop.call_later(connect_timeout_s,
                                       self._on_connect_timeout)
         self._transport.connect(addr, window_bytes)
--- a/gorsefall/policy/memoryshares.py
+++ b/gorsefall/policy/memoryshares.py
@@ -86,7 +86,7 @@
             return lambda other: True
         if in_service and in_service + size > allowed:
             return lambda other: other.service == owner.service
-        return lambda other: other == owner
+        return lambda other: other.account == owner.account
 
     def add(self, owner, size):
         """Counts ``size`` more bytes, whether they fit or not."""
--- a/gorsefall/relay/exchange.py
+++ b/gorsefall/relay/exchange.py
@@ -24,6 +24,7 @@
 from gorsefall.relay import detours
 from gorsefall.relay import events
 from gorsefall.relay import grant
+from gorsefall.relay import memory
 from gorsefall.relay import outcomes
 from gorsefall.relay import responseend
 from gorsefall.relay import restoring
@@ -114,15 +115,20 @@
         self._version.find(self.dispatch)
 
     def _count_memory(self):
-        """Counts the memory of a request whose body was read without asking.
+        """Counts the memory of a request before it is sent.
 
         Raises:
             errors.MemoryShortError: There is no room for it.
         """
-        if self._hold is not None or not self.req.body:
-            return
-        self._hold = self.node.memory.hold(self.owner, request_id=self.req.id)
-        if not self._hold.grow(len(self.req.body), small=True):
+        size = memory.REQUEST_BYTES
+        if self.grant.streams:
+            size += memory.STREAM_BYTES
+        if self._hold is None:
+            # Its body was read without asking.
+            size += len(self.req.body)
+            self._hold = self.node.memory.hold(self.owner,
+                                               request_id=self.req.id)
+        if not self._hold.grow(size, small=True):
             raise self._hold.refuse()
 
     @property
--- a/gorsefall/relay/inbound.py
+++ b/gorsefall/relay/inbound.py
@@ -15,7 +15,7 @@
 from gorsefall.policy import retry_delay
 from gorsefall.relay import memory
 
-MAX_PENDING_BYTES = 65536
+MAX_PENDING_BYTES = 32768
 """Limit of the unsent response bytes, above which reading from the replica is
 paused."""
 
@@ -236,8 +236,8 @@
         """Counts the memory that it holds, beside that of its request."""
         if not self._conn.is_open:
             return
-        self._hold.resize(CONN_BYTES + len(self._h11.trailing_data[0]) +
-                          self._conn.unsent_bytes)
+        size = len(self._h11.trailing_data[0]) + self._conn.unsent_bytes
+        self._hold.resize(CONN_BYTES + size)
         callers = self._server.memory.callers
         if self._awaits_caller:
             callers.add(self)
@@ -503,6 +503,7 @@
     def _end_cycle(self):
         """Reads the next request or closes, as a response has left."""
         self.idle_since = self._loop.now
+        self._count()
         # A response head sent before a shutdown didn't announce the close, so
         # the caller may send another request, which couldn't be finished in
         # time. A request that is in flight when the connection closes was not
--- a/gorsefall/relay/memory.py
+++ b/gorsefall/relay/memory.py
@@ -20,6 +20,14 @@
 """Size from which the body of a request is read only once there is room. What
 is smaller arrives as fast as it could be refused."""
 
+REQUEST_BYTES = 32768
+"""Memory that a running request takes beside its body and its response, with
+its connection to a replica, bytes."""
+
+STREAM_BYTES = 49152
+"""Memory that a stream takes besides while its caller is behind: what was
+received before its replica was made to wait, bytes."""
+
 GROWTH_BYTES = 1 << 18
 """Room that is asked for at a time for a body of unknown length."""
 
@@ -27,6 +35,9 @@
 """Longest time for which a caller's body is left unread for want of room, s.
 Callers give up a request that is not read within one second."""
 
+RELIEF_PAUSE_S = 0.1
+"""Pause between two looks whether more is held than there is room for, s."""
+
 ROOM_FRACTION = 2 / 3
 """Fraction of the memory beside that of the process itself that bodies and
 answers may take. The rest is for what the kernel has received, for pieces on
@@ -88,6 +99,7 @@
         """Holds ``size`` more bytes that are there already."""
         self.size += size
         self._memory.shares.add(self.owner, size)
+        self._memory.relieve_later()
 
     def grow_later(self, size, done):
         """Calls ``done`` with whether there is room, at once or later."""
@@ -115,7 +127,7 @@
     def refuse(self):
         """Logs and counts that there was no room; returns the error."""
         self._memory.record_refusal(self._request_id, self.owner)
-        return errors.MemoryShortError('no memory is free for its body',
+        return errors.MemoryShortError('no memory is free for it',
                                        retry_after=retry_delay.short_delay_s())
 
     def release(self):
@@ -175,7 +187,7 @@
         self._limit_mb = limit_mb
         self._resident = resident
         self._waits = collections.deque()
-        self._retrying = False
+        self._retrying = self._relieving = False
         self._base = self._last_base = resident()
         self._base_since = loop.now
         self.shares = memoryshares.MemoryShares(0)
@@ -214,11 +226,11 @@
             size: See there.
             small: See there.
         """
-        if self.fits(owner, size, small=small):
-            return True
-        frees = self.shares.who_limits(owner, size, small=small)
-        return (self.callers.free(size, frees) > 0 and
-                self.fits(owner, size, small=small))
+        while not self.fits(owner, size, small=small):
+            may_yield = self.shares.who_limits(owner, size, small=small)
+            if not self.callers.free(size, may_yield):
+                return False
+        return True
 
     def hold(self, owner, *, request_id=None, terms=None, time_left_s=None):
         """Returns a ``Hold`` of nothing yet.
@@ -255,6 +267,21 @@
             wait.retry()
         self._waits = collections.deque(w for w in self._waits if not w.is_over)
 
+    def relieve_later(self):
+        """Has callers yield if more is held than there is room for."""
+        if self.shares.held > self.shares.room and not self._relieving:
+            # Not within the call that holds more: its connection may yield.
+            self._relieving = True
+            self._loop.call_later(RELIEF_PAUSE_S, self._relieve)
+
+    def _relieve(self):
+        self._relieving = False
+        self._measure()
+        over = self.shares.held - self.shares.room
+        if over > 0:
+            self.callers.free(over, lambda owner: True)
+            self.relieve_later()
+
     def record_refusal(self, request_id, owner):
         """Logs and counts a request that was refused for want of room."""
         metrics.MEMORY_REFUSALS.labels(owner.service or '').inc()
