Bytes that the kernel has received for a caller are counted

By reading: what callers send behind a running request is not read, and was nobody's in the kernel's buffers, though it is memory of the machine (the platform's page counts it). Now it is measured once a second for each connection that is waited for, and a connection with bytes behind a running request is one of them, so that it yields when memory is short. Evidence: tests/test_slow_callers.py, what the kernel has received is counted; the fuzz of the account has it in its oracle.

--- a/gorsefall/net/tcp.py
+++ b/gorsefall/net/tcp.py
@@ -3,9 +3,12 @@
 import collections
 import contextlib
 import errno
+import fcntl
 import math
 import os
 import socket
+import struct
+import termios
 
 from gorsefall import errors
 from gorsefall.net import reactor
@@ -190,6 +193,15 @@
         """Resumes reading after ``pause``."""
         self._set_reading(True)
 
+    def unread_bytes(self):
+        """Returns what the kernel has received that was not read, bytes."""
+        size = bytearray(struct.calcsize('i'))
+        try:
+            fcntl.ioctl(self._sock, termios.FIONREAD, size)
+        except OSError:
+            return 0
+        return struct.unpack('i', size)[0]
+
     def has_pending_input(self):
         """Returns whether the socket has unread bytes, an EOF or an error."""
         try:
--- a/gorsefall/relay/inbound.py
+++ b/gorsefall/relay/inbound.py
@@ -140,7 +140,7 @@
         self._closing = False
         self._waiting = False
         self._leaving = False
-        self._unread_bytes = 0
+        self._unread_bytes = self._kernel_bytes = 0
         self._timer = None
         self._body_timer = None
         self.used = False
@@ -229,6 +229,9 @@
         """Whether its memory is held for as long as the caller likes."""
         if self._conn.unsent_bytes:
             return True
+        if self._responding and self._h11.trailing_data[0]:
+            # It has sent ahead, and is not read until its response has left.
+            return True
         return (not self._responding and not self._closing and
                 not self._waiting and not self.idle)
 
@@ -236,7 +239,8 @@
         """Counts the memory that it holds, beside that of its request."""
         if not self._conn.is_open:
             return
-        size = len(self._h11.trailing_data[0]) + self._conn.unsent_bytes
+        size = (len(self._h11.trailing_data[0]) + self._conn.unsent_bytes +
+                self._kernel_bytes)
         self._hold.resize(CONN_BYTES + size)
         callers = self._server.memory.callers
         if self._awaits_caller:
@@ -244,7 +248,10 @@
         else:
             callers.discard(self)
 
-    measure = _count
+    def measure(self):
+        """See ``callerwaits.CallerWaits``."""
+        self._kernel_bytes = self._conn.unread_bytes()
+        self._count()
 
     def yield_room(self, reason):
         """See ``callerwaits.CallerWaits``."""
@@ -503,6 +510,7 @@
     def _end_cycle(self):
         """Reads the next request or closes, as a response has left."""
         self.idle_since = self._loop.now
+        self._kernel_bytes = 0
         self._count()
         # A response head sent before a shutdown didn't announce the close, so
         # the caller may send another request, which couldn't be finished in
--- a/tests/test_caller_account_fuzz.py
+++ b/tests/test_caller_account_fuzz.py
@@ -128,7 +128,8 @@
         for conn in self.conns:
             if conn._conn.is_open:
                 hold = conn._body.hold
-                total += (inbound.CONN_BYTES + conn._conn.unsent_bytes +
+                total += (inbound.CONN_BYTES + conn._kernel_bytes +
+                          conn._conn.unsent_bytes +
                           len(conn._h11.trailing_data[0]) +
                           (hold.size if hold is not None else 0))
         return total
--- a/tests/test_slow_callers.py
+++ b/tests/test_slow_callers.py
@@ -343,6 +343,22 @@
         client.close()
 
 
+def test_what_the_kernel_has_received_is_counted():
+    """Bytes behind a running request were nobody's in the kernel's buffers."""
+    with peers.loop() as loop:
+        server = test_inbound.Waiting()
+        server.memory = memory.Memory(loop, lambda: 1000.0, lambda: 0)
+        client, accepted = test_inbound._connected()
+        conn = inbound.CallerConnection(loop, server, accepted)
+        client.sendall(b'GET /a HTTP/1.1\r\nHost: h\r\n\r\n' + bytes(50_000))
+        peers.run(loop, lambda: server.requests)
+        peers.run(loop, lambda: server.memory.shares.held > 50_000)
+        conn.yield_room('memory')
+        assert len(server.exchange.lost) == 1
+        assert not server.memory.shares.held
+        client.close()
+
+
 def test_a_body_of_small_pieces_lets_others_have_their_turn():
     """A body in chunks of one byte held up all other callers."""
     with peers.loop() as loop:
