A request's room is not taken from its own connection; callers are measured for a whole second

By reading the mend as one who has not seen it: a growing body could have its own connection yield, and was then counted for good; a request could end its own connection as it began, and run for nobody; a caller that had just begun to wait was measured over the rest of a period, and yielded at once. An entry is full only while it would turn a connection away.

--- a/gorsefall/relay/callerwaits.py
+++ b/gorsefall/relay/callerwaits.py
@@ -24,10 +24,12 @@
 
     Attributes:
         moved_bytes: Bytes that had moved at the last measurement.
+        in_period: Whether the wait had begun then.
         idle_s: Time for which none has moved since, s.
         per_s: Bytes per second before it; None if it was not measured yet.
     """
     moved_bytes: int
+    in_period: bool = False
     idle_s: float = 0.0
     per_s: float | None = None
 
@@ -128,6 +130,10 @@
     def _measure(self, conn, pace):
         conn.measure()
         moved = conn.moved_bytes - pace.moved_bytes
+        if not pace.in_period:
+            pace.in_period = True
+            pace.moved_bytes += moved
+            return
         pace.per_s = moved / SWEEP_S
         pace.moved_bytes += moved
         pace.idle_s = 0.0 if moved else pace.idle_s + SWEEP_S
--- a/gorsefall/relay/inbound.py
+++ b/gorsefall/relay/inbound.py
@@ -399,7 +399,8 @@
     def _hold_body(self, size):
         """Counts the memory of a short, unfinished body, or refuses it."""
         hold = self._draw_hold()
-        if hold is not None and not hold.grow(size, small=True):
+        if (hold is not None and not hold.grow(size, small=True) and
+                not self._closing):
             self._refuse(hold.refuse())
 
     def _await_room(self, size):
@@ -436,6 +437,8 @@
         self._conn.max_recv_bytes = HEAD_RECV_BYTES
         self._cancel_timer()
         self._cancel_body_timer()
+        # What the request needs must not be taken from its own connection.
+        self._server.memory.callers.discard(self)
         fields = headers.from_items(head.headers.raw_items())
         exchange = self._server.handle_request(head.method, head.target, fields,
                                                body, ResponseWriter(self))
--- a/gorsefall/relay/memory.py
+++ b/gorsefall/relay/memory.py
@@ -80,6 +80,7 @@
         self._memory = memory
         self._request_id = request_id
         self._wait = None
+        self._released = False
         self.owner = owner
         self.size = 0
         self.terms = terms
@@ -93,19 +94,27 @@
         if not self._memory.make_room(self.owner, size, small=small):
             return False
         self.add(size)
-        return True
+        # Its own connection may have been the one that yielded.
+        return not self._released
 
     def add(self, size):
         """Holds ``size`` more bytes that are there already."""
+        if self._released:
+            return
         self.size += size
         self._memory.shares.add(self.owner, size)
         self._memory.relieve_later()
 
     def grow_later(self, size, done):
-        """Calls ``done`` with whether there is room, at once or later."""
+        """Calls ``done`` with whether there is room, at once or later.
+
+        It is not called once the hold is released.
+        """
         if self.grow(size):
             done(True)
             return
+        if self._released:
+            return
         self._wait = self._memory.wait(lambda: self.grow(size), done)
 
     def resize(self, size):
@@ -136,6 +145,7 @@
             self._wait.cancel()
             self._wait = None
         self.resize(0)
+        self._released = True
 
 
 class _Wait:
--- a/gorsefall/relay/servers.py
+++ b/gorsefall/relay/servers.py
@@ -132,12 +132,14 @@
 
     @property
     def is_full(self):
-        """Whether connections of callers were turned away of late."""
-        return self.node.loop.now - self._full_at < FULL_S
+        """Whether connections were turned away of late, and would be now."""
+        return (self.node.loop.now - self._full_at < FULL_S and
+                len(self.conns) >= self.max_conns)
 
     def make_room(self):
         """See ``_Server``; callers that are slow go after idle ones."""
         if super().make_room() or self.memory.callers.free_connection():
+            self._full_at = float('-inf')
             return True
         if not self.is_full:
             self.node.log.warning('connections_full', open=len(self.conns))
