Connections are taken from the account that has most of them

Cause: who yields was ordered by the bytes of the account also where connections were short, so that one long answer went before a crowd of connections that hold little. Change: one order by bytes, one by number. Evidence: tests/test_slow_callers.py, connections are taken from the account that has most of them: fails before.

--- a/gorsefall/relay/callerwaits.py
+++ b/gorsefall/relay/callerwaits.py
@@ -2,9 +2,10 @@
 
 A caller that does not read its response, or does not finish its request, holds
 memory and a descriptor for as long as it likes. It may, while there is enough
-for all. When there is not, those of the account that holds most yield first:
-the longest without a byte, then the slowest. What counts is how much moved
-lately, so that a caller with a slow link is told from one that has stopped.
+for all. When there is not, those of the account that has most of what is short
+yield first: the longest without a byte, then the slowest. What counts is how
+much moved lately, so that a caller with a slow link is told from one that has
+stopped.
 """
 
 import collections
@@ -47,7 +48,8 @@
     def __init__(self, loop):
         self._loop = loop
         self._paces = {}
-        self._in_order = collections.deque()
+        self._by_bytes = []
+        self._by_count = collections.deque()
         self._sweeping = False
         self._log = logs.get('callers')
 
@@ -76,18 +78,19 @@
                 are of use.
         """
         freed = 0
-        for conn in list(self._in_order):
-            if freed >= size:
-                break
-            if may_yield(conn.owner):
-                self._in_order.remove(conn)
+        left = []
+        for conn in self._by_bytes:
+            if freed < size and may_yield(conn.owner):
                 freed += self._yield(conn, 'memory')
+            else:
+                left.append(conn)
+        self._by_bytes = left
         return freed
 
     def free_connection(self):
         """Has one caller yield its connection; returns whether one did."""
-        while self._in_order:
-            if self._yield(self._in_order.popleft(), 'connections'):
+        while self._by_count:
+            if self._yield(self._by_count.popleft(), 'connections'):
                 return True
         return False
 
@@ -114,18 +117,27 @@
             self._loop.call_later(SWEEP_S, self._sweep)
         for conn, pace in list(self._paces.items()):
             self._measure(conn, pace)
-        of_account = collections.Counter()
+        held, conns = collections.Counter(), collections.Counter()
         for conn in self._paces:
-            of_account[conn.owner.account] += conn.held_bytes
+            held[conn.owner.account] += conn.held_bytes
+            conns[conn.owner.account] += 1
+        self._by_bytes = self._order(held)
+        self._by_count = collections.deque(self._order(conns))
 
-        def order(conn):
+    def _order(self, of_account):
+        """Returns the connections that were measured, the first to yield first.
+
+        Args:
+            of_account: What each account has of what is short.
+        """
+
+        def key(conn):
             pace = self._paces[conn]
             return (-of_account[conn.owner.account], -pace.idle_s, pace.per_s,
                     -conn.held_bytes)
 
-        self._in_order = collections.deque(
-            sorted((c for c, p in self._paces.items() if p.per_s is not None),
-                   key=order))
+        return sorted(
+            (c for c, p in self._paces.items() if p.per_s is not None), key=key)
 
     def _measure(self, conn, pace):
         conn.measure()
--- a/tests/test_slow_callers.py
+++ b/tests/test_slow_callers.py
@@ -100,6 +100,17 @@
     assert conn.ended is None
 
 
+def test_connections_are_taken_from_the_account_that_has_most_of_them():
+    """A long answer that was being read was cut for one of many connections."""
+    honest = _Conn('honest', 1 << 20, per_s=400_000)
+    crowd = [_Conn(None, 10, per_s=50) for _ in range(3)]
+    waits = _waits([honest, *crowd], 2.5)
+    for _ in range(3):
+        assert waits.free_connection()
+    assert honest.ended is None
+    assert [conn.ended for conn in crowd] == ['connections'] * 3
+
+
 def test_a_caller_that_has_finished_does_not_yield():
     """A connection was cut after its answer had left."""
     conn = _Conn('a', 100)
@@ -371,7 +382,7 @@
         client.sendall(b'POST /a HTTP/1.1\r\nHost: h\r\n'
                        b'Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n')
         peers.run(loop, lambda: server.memory.callers)
-        server.memory.callers._in_order.append(conn)
+        server.memory.callers._by_bytes.append(conn)
         server.memory.callers._paces[conn].per_s = 0.0
         client.sendall(b'3800\r\n' + bytes(0x3800))
         peers.run(loop, lambda: server.closed)
