Tests: the node of test_unknown_configuration has an account of memory

All ten of its tests on limits failed from on, found by the first whole run of tests/ (it had not been run as a whole before): the stub of the node lacks what servers.CallerServer asks for. Checks and bounds are as they were.

--- a/tests/test_unknown_configuration.py
+++ b/tests/test_unknown_configuration.py
@@ -16,6 +16,7 @@
 from gorsefall.relay import changes
 from gorsefall.relay import configurationlistener
 from gorsefall.relay import grant
+from gorsefall.relay import memory
 from gorsefall.relay import model
 from gorsefall.relay import outcomes
 from gorsefall.relay import routes
@@ -25,6 +26,7 @@
 from gorsefall.relay import topiclisteners
 
 CONFIG = 'config'
+MEMORY_MB, MAX_FDS = 1000.0, 100
 
 LARGE_LIMITS = model.CallerLimits(header_bytes=1 << 16, body_bytes=1 << 23)
 
@@ -89,6 +91,8 @@
     """Yields a function that sends bytes and returns the whole response."""
     with peers.loop() as loop:
         node.loop = loop
+        node.memory = memory.Memory(loop, lambda: MEMORY_MB, lambda: 0)
+        node.max_fds = MAX_FDS
         node.hold_memory = lambda method, target, fields: None
         node.start_exchange = (lambda method, target, fields, body, writer:
                                writer.send(200, [], b'%d' % len(body.data)))
