The pages for readiness and metrics take no long bodies

By reading: requests for these pages had the limits of callers, and their bodies (up to 4 MB on 64 connections each) were counted by nobody. They need none: over 1 KB gives 413. Evidence: tests/test_caller_conns.py, the pages take no long bodies, fails for both before.

--- a/gorsefall/relay/servers.py
+++ b/gorsefall/relay/servers.py
@@ -12,6 +12,9 @@
 MAX_CHECK_CONNS = 64
 """Most connections to the readiness page, and to the metrics page."""
 
+PAGE_LIMITS = model.CallerLimits(body_bytes=1024)
+"""Limits of requests for these pages, which need no body."""
+
 CALLER_FRACTION = 0.5
 """Part of the descriptors that connections of callers may take. The rest is
 for replicas, other entries, the store and the pages."""
@@ -47,9 +50,8 @@
 
     @property
     def limits(self):
-        """The active ``model.CallerLimits``."""
-        table = self.node.table
-        return table.limits if table else model.CallerLimits()
+        """The ``model.CallerLimits``."""
+        return PAGE_LIMITS
 
     @property
     def memory(self):
@@ -121,6 +123,12 @@
         super().__init__(node)
         self._full_at = float('-inf')
 
+    @property
+    def limits(self):
+        """See ``_Server``; the configuration's, once there is one."""
+        table = self.node.table
+        return table.limits if table else model.CallerLimits()
+
     @property
     def max_conns(self):
         """See ``_Server``."""
--- a/tests/test_caller_conns.py
+++ b/tests/test_caller_conns.py
@@ -1,8 +1,11 @@
 """Connections of callers leave descriptors for everything else."""
 
+import contextlib
 import socket
 import types
 
+import pytest
+
 import peers
 from gorsefall import logs
 from gorsefall.policy import memoryshares
@@ -102,3 +105,24 @@
         assert _is_closed(late)
         assert len(site.server.conns) == 4
         assert site.server.is_full
+
+
+@pytest.mark.parametrize('page',
+                         [servers.ReadinessServer, servers.MetricsServer])
+def test_the_pages_take_no_long_bodies(page):
+    """Bodies that were sent to the pages were counted by nobody."""
+    with peers.loop() as loop:
+        site = _Site(loop)
+        site.server = page(site.node)
+        caller = site.connect(b'POST / HTTP/1.1\r\nHost: h\r\n'
+                              b'Content-Length: 4000000\r\n\r\n')
+        caller.setblocking(False)
+        got = bytearray()
+
+        def receive():
+            with contextlib.suppress(BlockingIOError):
+                got.extend(caller.recv(65536))
+            return b'\r\n\r\n' in got
+
+        peers.run(loop, receive)
+        assert got.startswith(b'HTTP/1.1 413')
