Callers that never end their heads do not hide the pages

By reading: a listener of the pages closes idle connections for new ones only; 64 connections with unfinished heads kept the load balancer's check of readiness out until their time limit, at each entry that such callers reach. Evidence: tests/test_caller_conns.py, callers that never end their heads, fails for both pages before. Change: a page is sent as its request is read, so any connection to a page may be closed for a new one, the oldest first.

--- a/gorsefall/relay/servers.py
+++ b/gorsefall/relay/servers.py
@@ -25,8 +25,8 @@
 CALLER_MEMORY_FRACTION = 0.5
 """Part of the room in memory that idle connections of callers may take."""
 
-NONE_IDLE_S = 0.1
-"""Time for which no idle connection is sought after none was found, s."""
+NONE_FOUND_S = 0.1
+"""Time for which no connection to close is sought after none was found, s."""
 
 FULL_S = 2.0
 """Time for which the entry counts as full after it has turned a connection
@@ -40,8 +40,8 @@
         self.node = node
         # A dict keeps the order of those that came within one pass.
         self.conns = {}
-        self._idle_order = collections.deque()
-        self._none_idle_at = float('-inf')
+        self._next_to_close = collections.deque()
+        self._none_found_at = float('-inf')
 
     @property
     def max_conns(self):
@@ -76,28 +76,37 @@
         conn = inbound.CallerConnection(self.node.loop, self, sock)
         self.conns[conn] = None
 
+    def may_close(self, conn):
+        """Returns whether a connection may be closed for another one.
+
+        A page is sent as its request is read, so that whoever has connected
+        for long has not behaved.
+        """
+        return conn in self.conns
+
     def make_room(self):
-        """Closes a connection that is not in use; returns whether there was.
+        """Closes a connection for another one; returns whether there was one.
 
-        One without any request goes first, and then the longest idle.
+        One without any request goes first, and then the one that is open, or
+        unused since its last response, for longest.
         """
-        if self._close_next_idle():
+        if self._close_next():
             return True
         now = self.node.loop.now
-        if now - self._none_idle_at < NONE_IDLE_S:
+        if now - self._none_found_at < NONE_FOUND_S:
             return False
-        idle = [conn for conn in self.conns if conn.idle]
-        unused = [conn for conn in idle if not conn.used]
-        self._idle_order = collections.deque(
-            sorted(unused or idle, key=lambda conn: conn.idle_since))
-        if not idle:
-            self._none_idle_at = now
-        return self._close_next_idle()
-
-    def _close_next_idle(self):
-        while self._idle_order:
-            conn = self._idle_order.popleft()
-            if conn in self.conns and conn.idle:
+        found = [conn for conn in self.conns if self.may_close(conn)]
+        unused = [conn for conn in found if not conn.used]
+        self._next_to_close = collections.deque(
+            sorted(unused or found, key=lambda conn: conn.idle_since))
+        if not found:
+            self._none_found_at = now
+        return self._close_next()
+
+    def _close_next(self):
+        while self._next_to_close:
+            conn = self._next_to_close.popleft()
+            if self.may_close(conn):
                 metrics.CALLERS_YIELDED.labels('idle').inc()
                 conn.close()
                 return True
@@ -144,6 +153,10 @@
         return (self.node.loop.now - self._full_at < FULL_S and
                 len(self.conns) >= self.max_conns)
 
+    def may_close(self, conn):
+        """See ``_Server``; those of requests under way stay."""
+        return conn.idle and super().may_close(conn)
+
     def make_room(self):
         """See ``_Server``; callers that are slow go after idle ones."""
         if super().make_room() or self.memory.callers.free_connection():
--- a/tests/test_caller_conns.py
+++ b/tests/test_caller_conns.py
@@ -42,6 +42,12 @@
         self.memory = memory.Memory(loop, lambda: 1000.0, lambda: 0)
         self.started = []
 
+    def is_ready(self):
+        return True
+
+    def update_gauges(self):
+        pass
+
     def start_exchange(self, method, target, fields, body, writer):
         self.started.append(writer)
         return _Exchange()
@@ -126,3 +132,27 @@
 
         peers.run(loop, receive)
         assert got.startswith(b'HTTP/1.1 413')
+
+
+@pytest.mark.parametrize('page',
+                         [servers.ReadinessServer, servers.MetricsServer])
+def test_callers_that_never_end_their_heads_do_not_hide_the_pages(page):
+    """The load balancer's checks were refused, so that no entry was ready."""
+    with peers.loop() as loop:
+        site = _Site(loop)
+        site.server = page(site.node)
+        for _ in range(servers.MAX_CHECK_CONNS):
+            site.connect(b'GET / HTTP/1.1\r\nX: ')
+        for _ in range(5):
+            loop.step(0.01)
+        late = site.connect(REQUEST)
+        late.setblocking(False)
+        got = bytearray()
+
+        def receive():
+            with contextlib.suppress(BlockingIOError):
+                got.extend(late.recv(65536))
+            return b'\r\n\r\n' in got
+
+        peers.run(loop, receive)
+        assert got.startswith(b'HTTP/1.1 200')
