Own wire: bodies of requests under way are counted, by a running total

By reading: a request was counted until it was whole, and its body by nobody while it waits for a back end (2,000 of 1 MB may); and each event summed over all connections. Now what was received stays counted while the request is under way, and connections without one go first. Evidence: tests/test_callerguard.py, requests under way are counted, fails before.

--- a/gorsefall/net/callerguard.py
+++ b/gorsefall/net/callerguard.py
@@ -31,8 +31,8 @@
         conns: Most connections.
         head_bytes: Longest head of a request, bytes.
         body_bytes: Longest body of a request, bytes.
-        held_bytes: Most bytes of unfinished requests, and of unsent responses,
-            of all connections together.
+        held_bytes: Most bytes of requests that arrive or are under way, and of
+            unsent responses, of all connections together.
         request_s: Longest time for a request to arrive, s.
         unread_s: Longest time for which nothing of a response is read, s.
     """
@@ -57,7 +57,7 @@
         active_at: When bytes were last received or written, s (monotonic).
         began_at: When the request that is arriving began, s (monotonic); None
             if none is.
-        received: Bytes received of it.
+        received: Bytes received of it, or of the request under way.
         unsent: Bytes of responses that the kernel has not taken.
         read_at: When some of them were last taken, s (monotonic).
     """
@@ -67,9 +67,18 @@
     unsent: int = 0
     read_at: float = 0.0
 
+    @property
+    def held_bytes(self):
+        """Bytes that are held for it."""
+        return self.received + self.unsent
+
 
 class CallerGuard(core.BaseComponent):
-    """Watches the callers of one ``circuits.web`` server."""
+    """Watches the callers of one ``circuits.web`` server.
+
+    Attributes:
+        held_bytes: Bytes that are held for all connections together.
+    """
     channel = 'web'
 
     def __init__(self, server, limits, is_busy):
@@ -86,17 +95,13 @@
         self._limits = limits
         self._is_busy = is_busy
         self._callers = {}
+        self.held_bytes = 0
         self._log = logs.get('callers')
 
     @core.handler('started', channel='*')
     def _on_started(self, *_):
         reactor.find_reactor(self).call_every(CHECK_S, self.check_times)
 
-    @property
-    def held_bytes(self):
-        """Bytes that are held for all connections."""
-        return sum(c.received + c.unsent for c in self._callers.values())
-
     # -- events ----------------------------------------------------------------
 
     @core.handler('connect', priority=100)
@@ -111,7 +116,7 @@
 
     @core.handler('disconnect', priority=100)
     def _on_disconnect(self, sock):
-        self._callers.pop(sock, None)
+        self._forget(sock)
         # circuits keeps the parser of a request that was not whole.
         self._http._buffers.pop(sock, None)
 
@@ -122,8 +127,11 @@
             event.stop()
             return
         caller.active_at = time.monotonic()
-        caller.began_at = caller.began_at or caller.active_at
-        caller.received += len(data)
+        if caller.began_at is None:
+            caller.began_at = caller.active_at
+            if not self._is_busy(sock):
+                self._count(caller, received=0)
+        self._count(caller, received=caller.received + len(data))
         if caller.received > self._limits.request_bytes:
             event.stop()
             self._drop(sock, 'size')
@@ -132,9 +140,10 @@
 
     @core.handler('request', priority=100)
     def _on_request(self, req, *_):
+        # What was received stays counted: the request holds it while it runs.
         caller = self._callers.get(req.sock)
         if caller is not None:
-            caller.began_at, caller.received = None, 0
+            caller.began_at = None
 
     @core.handler('write', priority=100)
     def _on_write(self, sock, data):
@@ -143,13 +152,30 @@
             caller.active_at = time.monotonic()
             if not caller.unsent:
                 caller.read_at = caller.active_at
-            caller.unsent = self._unsent(sock) + len(data)
+            # What the kernel took since is left out at the next check.
+            self._count(caller, unsent=caller.unsent + len(data))
             self._bound_total()
 
     def _unsent(self, sock):
         buffers = self._server._buffers
         return sum(map(len, buffers[sock])) if sock in buffers else 0
 
+    def _count(self, caller, *, received=None, unsent=None):
+        """Sets what is held for a caller; None leaves it as it is."""
+        before = caller.held_bytes
+        if received is not None:
+            caller.received = received
+        if unsent is not None:
+            caller.unsent = unsent
+        self.held_bytes += caller.held_bytes - before
+
+    def _forget(self, sock):
+        """Counts a connection no more; returns its ``_Caller`` or None."""
+        caller = self._callers.pop(sock, None)
+        if caller is not None:
+            self.held_bytes -= caller.held_bytes
+        return caller
+
     # -- limits ----------------------------------------------------------------
 
     def _longest_idle(self):
@@ -160,16 +186,22 @@
         return min(idle)[2] if idle else None
 
     def _bound_total(self):
-        """Drops the connections that hold most until all fit together."""
+        """Drops connections until all fit together.
+
+        Those whose requests are not under way go first, then those that hold
+        most.
+        """
         if self.held_bytes <= self._limits.held_bytes:
             return
-        for sock, caller in list(self._callers.items()):
-            caller.unsent = self._unsent(sock)
-        while self.held_bytes > self._limits.held_bytes:
-            self._drop(
-                max(self._callers,
-                    key=lambda s: self._callers[s].received + self._callers[s].
-                    unsent), 'memory')
+        for sock, caller in self._callers.items():
+            self._count(caller, unsent=self._unsent(sock))
+        order = sorted(self._callers,
+                       key=lambda sock:
+                       (self._is_busy(sock), -self._callers[sock].held_bytes))
+        for sock in order:
+            if self.held_bytes <= self._limits.held_bytes:
+                return
+            self._drop(sock, 'memory')
 
     def check_times(self):
         """Drops the connections whose callers do not send or read."""
@@ -178,16 +210,19 @@
             unsent = self._unsent(sock)
             if unsent < caller.unsent or not unsent:
                 caller.read_at = now
-            caller.unsent = unsent
+            self._count(caller, unsent=unsent)
+            busy = self._is_busy(sock)
+            if caller.began_at is None and not busy:
+                self._count(caller, received=0)
             arriving = (caller.began_at is not None and
                         now - caller.began_at > self._limits.request_s)
-            if arriving and not self._is_busy(sock):
+            if arriving and not busy:
                 self._drop(sock, 'slow request')
             elif now - caller.read_at > self._limits.unread_s:
                 self._drop(sock, 'unread')
 
     def _drop(self, sock, reason):
-        caller = self._callers.pop(sock, None)
+        caller = self._forget(sock)
         metrics.CALLERS_YIELDED.labels(reason).inc()
         self._log.info('caller_dropped',
                        reason=reason,
--- a/tests/test_callerguard.py
+++ b/tests/test_callerguard.py
@@ -161,6 +161,16 @@
     assert callers
 
 
+def test_requests_under_way_are_counted(site):
+    """Bodies of requests that wait for a back end were counted by nobody."""
+    site.busy = True
+    head = b'POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 9000\r\n\r\n'
+    caller = site.connect(head + bytes(9000))
+    waiting.until(lambda: site.guard.held_bytes > 9000, 'the body')
+    caller.close()
+    waiting.until(lambda: not site.guard.held_bytes, 'nothing to be held')
+
+
 def test_what_a_caller_left_behind_is_dropped(site):
     """Each request that was not whole stayed as its connection ended."""
     caller = site.connect(b'POST /x HTTP/1.1\r\nHost: h\r\n')
