One place says what keeps bytes from fitting; an answer's room is its own module's

Read again as a newcomer: who_limits repeated the arithmetic of fits; the exchange had half of the buffering of answers and a special case for two reasons to pause a replica; the choice of a replica was tried again in the exchange. A connection that goes on for the same account does not move its bytes. No check changed.

--- a/gorsefall/policy/memoryshares.py
+++ b/gorsefall/policy/memoryshares.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+import enum
 import typing
 
 from gorsefall import ids
@@ -26,6 +27,28 @@
     account: str | None = None
 
 
+class Limit(enum.Enum):
+    """What keeps bytes from being held."""
+    ROOM = 'room'
+    SERVICE = 'service'
+    ACCOUNT = 'account'
+
+
+def counts_against(limit, owner, other):
+    """Returns whether bytes of one owner use up a limit of another one.
+
+    Args:
+        limit: The ``Limit``.
+        owner: The ``Owner`` that it limits.
+        other: The other ``Owner``.
+    """
+    if limit is Limit.SERVICE:
+        return other.service == owner.service
+    if limit is Limit.ACCOUNT:
+        return other.account == owner.account
+    return True
+
+
 class MemoryShares:
     """Counts the bytes that are held, by service and account.
 
@@ -48,8 +71,8 @@
         """Returns the bytes that are held for an account."""
         return self._of_account[account]
 
-    def fits(self, owner, size, *, small=False):
-        """Returns whether ``size`` more bytes may be held for ``owner``.
+    def find_limit(self, owner, size, *, small=False):
+        """Returns the ``Limit`` that keeps bytes from fitting; None if none.
 
         Args:
             owner: The ``Owner``.
@@ -58,35 +81,20 @@
         """
         free = self.room - self.held - size
         if free < 0:
-            return False
+            return Limit.ROOM
         allowed = free * (SMALL_FACTOR if small else 1)
         in_service = self._of_service[owner.service]
         if in_service and in_service + size > allowed:
-            return False
+            return Limit.SERVICE
         in_account = self._of_account[owner.account]
-        return (owner.account is None or not in_account or
-                in_account + size <= allowed - in_service - size)
-
-    def who_limits(self, owner, size, *, small=False):
-        """Returns whose bytes keep ``size`` more from fitting.
+        if (owner.account is not None and in_account and
+                in_account + size > allowed - in_service - size):
+            return Limit.ACCOUNT
+        return None
 
-        Args:
-            owner: See ``fits``.
-            size: See there.
-            small: See there.
-
-        Returns:
-            A function of an ``Owner``.
-        """
-        free = self.room - self.held - size
-        allowed = free * (SMALL_FACTOR if small else 1)
-        in_service = self._of_service[owner.service]
-        if free < 0 or self.fits(owner, size, small=small):
-            # Or the process has grown beside what is held.
-            return lambda other: True
-        if in_service and in_service + size > allowed:
-            return lambda other: other.service == owner.service
-        return lambda other: other.account == owner.account
+    def fits(self, owner, size, *, small=False):
+        """Returns whether more bytes may be held; see ``find_limit``."""
+        return self.find_limit(owner, size, small=small) is None
 
     def add(self, owner, size):
         """Counts ``size`` more bytes, whether they fit or not."""
--- a/gorsefall/relay/answerroom.py
+++ b/gorsefall/relay/answerroom.py
@@ -1,47 +1,62 @@
 """Room for what is buffered of the response to a request."""
 
-from gorsefall.relay import memory
+from gorsefall.relay import delivery
 
 
 class AnswerRoom:
     """Has a response wait at its replica until there is room for it."""
 
-    def __init__(self, exchange):
+    def __init__(self, exchange, answers):
         """Creates the room of an exchange without a response.
 
         Args:
             exchange: The ``exchange.Exchange``.
+            answers: Its ``delivery.Delivery``.
         """
         self._exchange = exchange
-        self._attempt = None
+        self._delivery = answers
+        self._awaiting = None
 
-    @property
-    def awaited(self):
-        """Whether a response waits for room."""
-        return self._attempt is not None
+    def add(self, attempt, data):
+        """Buffers a piece of a response; returns whether more is read now.
 
-    def reserve(self, attempt, hold, size):
+        Args:
+            attempt: The ``sending.Attempt`` whose response it is.
+            data: The piece.
+        """
+        self._delivery.buffer(data)
+        part = self._delivery.part
+        self.reserve(attempt, max(0, part.size - part.hold.size))
+        return self._exchange.attempt is attempt and self._awaiting is None
+
+    def reserve(self, attempt, size):
         """Holds room for more of a response, or has its replica wait.
 
         Args:
             attempt: The ``sending.Attempt`` whose response it is.
-            hold: The ``memory.Hold`` of the response.
             size: Number of bytes.
         """
-        if hold.grow(size, small=size < memory.LARGE_BODY_BYTES):
+        hold = self._delivery.part.hold
+        if hold.size + size > delivery.MAX_BUFFERED_BYTES:
+            self._exchange.give_up(
+                attempt, f'answer over {delivery.MAX_BUFFERED_BYTES}')
+        elif not size or hold.grow_by_piece(size):
             return
-        if self.awaited:
+        elif self._awaiting is not None:
             # Received before the replica was made to wait.
             hold.add(size)
-            return
-        self._attempt = attempt
+        else:
+            self._await(attempt, hold, size)
+
+    def _await(self, attempt, hold, size):
+        self._awaiting = attempt
         hold.grow_later(size, self._on_room)
-        if self.awaited:
+        if self._awaiting is not None:
             self._exchange.silence.stop()
             attempt.pause()
 
     def _on_room(self, granted):
-        attempt, self._attempt = self._attempt, None
+        attempt, self._awaiting = self._awaiting, None
         if not granted:
             self._exchange.on_no_room()
         elif attempt.paused:
@@ -50,4 +65,4 @@
 
     def cancel(self):
         """Ends the wait: the attempt has ended."""
-        self._attempt = None
+        self._awaiting = None
--- a/gorsefall/relay/exchange.py
+++ b/gorsefall/relay/exchange.py
@@ -70,7 +70,7 @@
         self._delivery = delivery.Delivery(
             node.codec, writer,
             lambda: node.memory.hold(self.owner, request_id=req.id))
-        self._room = answerroom.AnswerRoom(self)
+        self._room = answerroom.AnswerRoom(self, self._delivery)
         self.attempt = None
         self.causes = crashrecords.PossibleCauses(None)
         self.grant = grant.Grant(node, req)
@@ -219,8 +219,12 @@
             self.log.info('parked',
                           digest=digests.abbreviate(self.causes.request))
             return
-        choice = (self._detours.take(self.node.fleet.replicas) or
-                  self._choose_replica())
+        choice = self._detours.take(
+            self.node.fleet.replicas) or self.grant.choose_replica(
+                self.unfit(),
+                # A caller that has half a stream waits rather than lose it.
+                may_shed=not (self.attempts.replicas or self._version.bound),
+                least_loaded=self.node.crashes.must_serialize(self.causes))
         if choice is None or self._detours.is_in_vain(choice):
             self.node.announcements.brittle.record_unserved(self.grant.service)
             raise errors.NoReplicaError(
@@ -231,33 +235,6 @@
                 retry_after=self._retry_after_s())
         self._send(self.node.fleet.replicas[choice.target.name], choice)
 
-    def _choose_replica(self):
-        """Chooses a replica, if need be as a stream yields that is not read.
-
-        Returns:
-            See ``grant.Grant.choose_replica``.
-
-        Raises:
-            errors.ShedError: The queue of the best replica is too long.
-        """
-        try:
-            choice = self._try_choose()
-        except errors.ShedError:
-            if not self.node.unread_streams.yield_place(self.grant.service):
-                raise
-            return self._try_choose()
-        if (choice is None and
-                self.node.unread_streams.yield_place(self.grant.service)):
-            return self._try_choose()
-        return choice
-
-    def _try_choose(self):
-        return self.grant.choose_replica(
-            self.unfit(),
-            # A caller that has half a stream waits rather than lose it.
-            may_shed=not (self.attempts.replicas or self._version.bound),
-            least_loaded=self.node.crashes.must_serialize(self.causes))
-
     def _retry_after_s(self):
         """Returns the delay after which a caller should retry, s."""
         return (self.node.fleet.accepts_in_s(self.grant.service) +
@@ -374,15 +351,8 @@
         if not response.not_run and not self.grant.streams:
             self._record_run()
         self._delivery.begin(response, streams=self.grant.streams)
-        if length and not self._delivery.streaming:
-            self._reserve(attempt, length)
-
-    def _reserve(self, attempt, size):
-        """Holds room for more of a response that is buffered."""
-        if self._delivery.part.hold.size + size > delivery.MAX_BUFFERED_BYTES:
-            self._give_up(attempt, f'answer over {delivery.MAX_BUFFERED_BYTES}')
-        else:
-            self._room.reserve(attempt, self._delivery.part.hold, size)
+        if not self._delivery.streaming:
+            self._room.reserve(attempt, length)
 
     def on_no_room(self):
         """Called when no room was found for the response in time."""
@@ -409,21 +379,13 @@
         if self._delivery.streaming:
             self._forward(attempt, self._delivery.split_events(data))
             if self._delivery.overflows:
-                self._give_up(attempt, f'event over {events.MAX_EVENT_BYTES}')
-        else:
-            self._buffer(attempt, data)
-
-    def _buffer(self, attempt, data):
-        self._delivery.buffer(data)
-        missing = self._delivery.part.size - self._delivery.part.hold.size
-        if missing > 0:
-            self._reserve(attempt, missing)
-        if self.attempt is attempt and not self._room.awaited:
+                self.give_up(attempt, f'event over {events.MAX_EVENT_BYTES}')
+        elif self._room.add(attempt, data):
             # Each piece restarts the timer: a limit on the whole response
             # would abort a long one and run the request again.
             self.silence.await_response()
 
-    def _give_up(self, attempt, reason):
+    def give_up(self, attempt, reason):
         """Ends an attempt whose response has too many bytes."""
         attempt.conn.cancel()
         self.on_attempt_failed(attempt,
@@ -445,7 +407,7 @@
     def on_caller_drained(self):
         """Called when all bytes for the caller were sent."""
         if (self.attempt is not None and self.attempt.paused and
-                not self._room.awaited):
+                self._delivery.streaming):
             self.node.unread_streams.discard(self)
             self.attempt.resume()
             self.silence.await_event()
--- a/gorsefall/relay/forwarder.py
+++ b/gorsefall/relay/forwarder.py
@@ -13,7 +13,6 @@
 from gorsefall.policy import memoryshares
 from gorsefall.relay import forwardmessages as messages
 from gorsefall.relay import inbound
-from gorsefall.relay import memory
 
 MAX_RUNS = 128
 """Most requests of other entries that are forwarded at once. Half of the
@@ -129,8 +128,7 @@
         more = self._held_bytes() - self._hold.size
         if more <= 0:
             self._hold.resize(self._hold.size + more)
-        elif self._run is None and not self._hold.grow(
-                more, small=more < memory.LARGE_BODY_BYTES):
+        elif self._run is None and not self._hold.grow_by_piece(more):
             raise self._hold.refuse()
 
     def _on_unused(self):
--- a/gorsefall/relay/grant.py
+++ b/gorsefall/relay/grant.py
@@ -231,11 +231,25 @@
                 requests, because this request may crash its replica.
 
         Returns:
-            The ``placement.Choice``, or None if no replica is available.
+            The ``placement.Choice``, or None if no replica is available, also
+            once a stream that is not read has yielded its place.
 
         Raises:
             errors.ShedError: The queue of the best replica is too long.
         """
+        unread = self._node.unread_streams
+        try:
+            choice = self._choose(tried, may_shed, least_loaded)
+        except errors.ShedError:
+            if not unread.yield_place(self.service):
+                raise
+        else:
+            if choice is not None or not unread.yield_place(self.service):
+                return choice
+        return self._choose(tried, may_shed, least_loaded)
+
+    def _choose(self, tried, may_shed, least_loaded):
+        """Chooses among the replicas as they are; see ``choose_replica``."""
         work = self._node.work
         self.profile = self._build_profile()
         urgent = work.ranks(self.service).is_most_urgent(
--- a/gorsefall/relay/memory.py
+++ b/gorsefall/relay/memory.py
@@ -7,6 +7,7 @@
 """
 
 import collections
+import functools
 import os
 
 from gorsefall import errors
@@ -90,6 +91,10 @@
         """Holds ``size`` more bytes if there is room; returns whether.
 
         Callers that the entry waits for yield if there is none.
+
+        Args:
+            size: Number of bytes.
+            small: Whether they are few for a request.
         """
         if not self._memory.make_room(self.owner, size, small=small):
             return False
@@ -97,6 +102,10 @@
         # Its own connection may have been the one that yielded.
         return not self._released
 
+    def grow_by_piece(self, size):
+        """Holds a piece of what arrives if there is room; returns whether."""
+        return self.grow(size, small=size < LARGE_BODY_BYTES)
+
     def add(self, size):
         """Holds ``size`` more bytes that are there already."""
         if self._released:
@@ -128,10 +137,11 @@
 
     def move_to(self, owner):
         """Has another ``memoryshares.Owner`` hold the bytes."""
-        size = self.size
-        self.resize(0)
-        self.owner = owner
-        self.resize(size)
+        if owner != self.owner:
+            size = self.size
+            self.resize(0)
+            self.owner = owner
+            self.resize(size)
 
     def refuse(self):
         """Logs and counts that there was no room; returns the error."""
@@ -218,26 +228,31 @@
             0, int((self._limit_mb() * _MIB - own) * ROOM_FRACTION))
         return resident
 
-    def fits(self, owner, size, *, small=False):
-        """Returns whether ``size`` more bytes may be held for an owner."""
+    def _find_limit(self, owner, size, small):
+        """Returns what keeps bytes from fitting; see ``MemoryShares``."""
         if not small:
             limit = self._limit_mb() * _MIB * RESIDENT_FRACTION
             resident = self._measure()
             # With nothing held, the rest is free memory that was not returned.
             if self.shares.held and resident + size > limit:
-                return False
-        return self.shares.fits(owner, size, small=small)
+                return memoryshares.Limit.ROOM
+        return self.shares.find_limit(owner, size, small=small)
+
+    def fits(self, owner, size, *, small=False):
+        """Returns whether ``size`` more bytes may be held for an owner."""
+        return self._find_limit(owner, size, small) is None
 
     def make_room(self, owner, size, *, small=False):
         """Returns whether ``size`` more bytes fit, if need be as others yield.
 
         Args:
-            owner: See ``fits``.
-            size: See there.
-            small: See there.
+            owner: The ``memoryshares.Owner``.
+            size: Number of bytes.
+            small: Whether they are few for a request.
         """
-        while not self.fits(owner, size, small=small):
-            may_yield = self.shares.who_limits(owner, size, small=small)
+        while (limit := self._find_limit(owner, size, small)) is not None:
+            may_yield = functools.partial(memoryshares.counts_against, limit,
+                                          owner)
             if not self.callers.free(size, may_yield):
                 return False
         return True
