A response that yields has an outcome and an explanation of its own

Read again: a caller that yields was logged as one whose connection failed, with a reason in bare strings; a body that yields was refused beside the account that knows how; a place and a connection yielded by two methods. Now one method of the exchange breaks off a response (outcome caller_yielded), Shortage names what others need, the hold refuses its body, and explain names both and memory_short. ResponseWriter has its own module. Checks compare with the enum, else as before.

--- a/gorsefall/errors.py
+++ b/gorsefall/errors.py
@@ -207,6 +207,11 @@
     code = 'caller_lost'
 
 
+class CallerYieldedError(GorsefallError):
+    """A caller did not read or send, and others needed what it held."""
+    code = 'caller_yielded'
+
+
 class LinkError(GorsefallError):
     """A connection to another process failed, timed out or went silent."""
     code = 'link_error'
--- a/gorsefall/explain.py
+++ b/gorsefall/explain.py
@@ -50,6 +50,10 @@
         'not run twice, or no attempt was left',
     'caller_lost':
         'the connection to its caller failed, and the caller had not closed it',
+    'caller_yielded':
+        'its caller did not read for a while, and others needed what it held',
+    'memory_short':
+        'the entry had no memory for it beside what it held for others',
     'timed_out':
         'a replica received it but did not complete the response in time',
 }
@@ -306,8 +310,8 @@
         cause_code = last.cause or last.code
         return ('its response had begun and could not be completed: '
                 f'{_CAUSES.get(cause_code, cause_code)}{_failures(own)}')
-    if last.outcome == 'caller_lost':
-        return (f'{_CAUSES["caller_lost"]} ({last.disconnect}), '
+    if last.outcome in ('caller_lost', 'caller_yielded'):
+        return (f'{_CAUSES[last.outcome]} ({last.disconnect or last.error}), '
                 f'{_progress(own)}')
     if last.outcome == 'caller_left':
         return f'the caller left {_progress(own)}{_failures(own)}'
--- a/gorsefall/relay/accesslog.py
+++ b/gorsefall/relay/accesslog.py
@@ -6,7 +6,8 @@
 from gorsefall import metrics
 from gorsefall.relay import outcomes
 
-_BREAKS = (outcomes.Outcome.BROKEN, outcomes.Outcome.CALLER_LOST)
+_BREAKS = (outcomes.Outcome.BROKEN, outcomes.Outcome.CALLER_LOST,
+           outcomes.Outcome.CALLER_YIELDED)
 
 
 def record(exchange, outcome, exc):
--- a/gorsefall/relay/callerwaits.py
+++ b/gorsefall/relay/callerwaits.py
@@ -10,6 +10,7 @@
 
 import collections
 import dataclasses
+import enum
 
 from gorsefall import logs
 from gorsefall import metrics
@@ -19,6 +20,13 @@
 once it was measured over a whole period: a pause of less than that is usual."""
 
 
+class Shortage(enum.Enum):
+    """What others need of a caller; the values are logged."""
+    MEMORY = 'memory'
+    CONNECTIONS = 'connections'
+    PLACES = 'places'
+
+
 @dataclasses.dataclass
 class _Pace:
     """How fast a caller reads or sends.
@@ -41,8 +49,8 @@
     A connection provides ``owner``, a ``memoryshares.Owner``; ``held_bytes``;
     ``moved_bytes``, received and sent so far; ``idle_limit_s``, the longest
     time without a byte; ``measure()``, called before it is measured;
-    ``yield_room(reason)``, which refuses or aborts its request, and
-    ``close_idle(reason)``.
+    ``yield_room(shortage)``, which refuses or aborts its request, and
+    ``close_idle()``.
     """
 
     def __init__(self, loop):
@@ -81,7 +89,7 @@
         left = []
         for conn in self._by_bytes:
             if freed < size and may_yield(conn.owner):
-                freed += self._yield(conn, 'memory')
+                freed += self._yield(conn, Shortage.MEMORY)
             else:
                 left.append(conn)
         self._by_bytes = left
@@ -90,23 +98,23 @@
     def free_connection(self):
         """Has one caller yield its connection; returns whether one did."""
         while self._by_count:
-            if self._yield(self._by_count.popleft(), 'connections'):
+            if self._yield(self._by_count.popleft(), Shortage.CONNECTIONS):
                 return True
         return False
 
-    def _yield(self, conn, reason):
+    def _yield(self, conn, shortage):
         pace = self._paces.pop(conn, None)
         if pace is None:
             return 0
         held = conn.held_bytes
-        metrics.CALLERS_YIELDED.labels(reason).inc()
+        metrics.CALLERS_YIELDED.labels(shortage.value).inc()
         self._log.info('caller_yielded',
-                       reason=reason,
+                       reason=shortage.value,
                        service=conn.owner.service,
                        account=conn.owner.account,
                        held=held,
                        per_s=round(pace.per_s))
-        conn.yield_room(reason)
+        conn.yield_room(shortage)
         return max(1, held)
 
     # -- measurement -----------------------------------------------------------
@@ -150,4 +158,4 @@
         pace.moved_bytes += moved
         pace.idle_s = 0.0 if moved else pace.idle_s + SWEEP_S
         if pace.idle_s > conn.idle_limit_s:
-            conn.close_idle('nothing moved')
+            conn.close_idle()
--- a/gorsefall/relay/delivery.py
+++ b/gorsefall/relay/delivery.py
@@ -45,7 +45,7 @@
 
         Args:
             codec: The ``codec.Codec`` of the wire.
-            writer: The ``inbound.ResponseWriter`` of the caller.
+            writer: The ``responsewriter.ResponseWriter`` of the caller.
             new_hold: Returns a ``memory.Hold`` of nothing yet.
         """
         self._new_hold = new_hold
--- a/gorsefall/relay/exchange.py
+++ b/gorsefall/relay/exchange.py
@@ -60,7 +60,7 @@
         Args:
             node: See the class.
             req: See the class.
-            writer: The ``inbound.ResponseWriter`` of the caller.
+            writer: The ``responsewriter.ResponseWriter`` of the caller.
             hold: The ``memory.Hold`` of the request's body; None if it is
                 small and its memory not counted yet.
         """
@@ -560,13 +560,16 @@
             outcomes.Outcome.CALLER_LOST,
             errors.CallerLostError(f'connection to the caller: {reason}'))
 
-    def yield_place(self):
-        """Breaks off a stream that its caller does not read."""
+    def yield_to_others(self, shortage):
+        """Breaks off the response, as its caller does not read.
+
+        Args:
+            shortage: The ``callerwaits.Shortage``.
+        """
         self._cancel_attempts()
         self._delivery.abort()
-        self.close(
-            outcomes.Outcome.CALLER_LOST,
-            errors.CallerLostError('its caller does not read, others wait'))
+        self.close(outcomes.Outcome.CALLER_YIELDED,
+                   errors.CallerYieldedError(f'others need {shortage.value}'))
 
     def _on_deadline(self):
         self._cancel_attempts()
--- a/gorsefall/relay/inbound.py
+++ b/gorsefall/relay/inbound.py
@@ -13,7 +13,9 @@
 from gorsefall.net import tcp
 from gorsefall.policy import memoryshares
 from gorsefall.policy import retry_delay
+from gorsefall.relay import callerwaits
 from gorsefall.relay import memory
+from gorsefall.relay import responsewriter
 
 MAX_PENDING_BYTES = 32768
 """Limit of the unsent response bytes, above which reading from the replica is
@@ -55,59 +57,6 @@
     return [(n, v) for n, v in fields.items if n.lower() not in drop]
 
 
-class ResponseWriter:
-    """Writes at most one response to a caller.
-
-    Attributes:
-        started: Whether the head was sent.
-        done: Whether the response has ended, complete or aborted.
-    """
-
-    def __init__(self, conn):
-        self._conn = conn
-        self.started = False
-        self.done = False
-
-    def send(self, status, fields, body):
-        """Sends a complete response; ``fields`` are pairs of bytes."""
-        self.send_pieces(status, fields, [body])
-
-    def send_pieces(self, status, fields, pieces):
-        """Sends a complete response whose body is in pieces."""
-        if not self.done:
-            self.started = self.done = True
-            self._conn.send_head(status, fields, sum(map(len, pieces)))
-            for piece in pieces:
-                self._conn.send_body(piece)
-            self._conn.end()
-
-    def start(self, status, fields):
-        """Starts a response of unknown length."""
-        self.started = True
-        self._conn.send_head(status, fields, None)
-
-    def set_time_limit(self, limit_s):
-        """Sets how long the caller may take to read the response, s."""
-        self._conn.set_time_limit(limit_s)
-
-    def write(self, data):
-        """Sends a piece of the body; returns whether the caller keeps up."""
-        self._conn.send_body(data)
-        return self._conn.can_write()
-
-    def end(self):
-        """Ends a response that was started with ``start``."""
-        if not self.done:
-            self.done = True
-            self._conn.end()
-
-    def abort(self):
-        """Aborts the connection so that the response can't look complete."""
-        if not self.done:
-            self.done = True
-            self._conn.abort()
-
-
 class CallerConnection:
     """One connection of a caller.
 
@@ -118,9 +67,10 @@
     None, and ``handle_request(method, target, fields, body, writer)``, which
     calls the release of the body's hold in the end. The last one gets
     a ``digests.Body`` and returns an exchange with ``owner``, a
-    ``memoryshares.Owner``,
-    ``on_caller_disconnected(reason)``, ``on_caller_lost(reason)`` and
-    ``on_caller_drained()``, or None when it has already responded.
+    ``memoryshares.Owner``, ``on_caller_disconnected(reason)``,
+    ``on_caller_lost(reason)``, ``on_caller_drained()`` and
+    ``yield_to_others(shortage)``, which aborts the response, or None when it
+    has already responded.
 
     Besides, it is a connection of ``callerwaits.CallerWaits``.
 
@@ -253,28 +203,22 @@
         self._kernel_bytes = self._conn.unread_bytes()
         self._count()
 
-    def yield_room(self, reason):
+    def yield_room(self, shortage):
         """See ``callerwaits.CallerWaits``."""
-        if self._head is None:
-            self._abandon(f'its caller is slow and {reason} are short')
-            return
-        self._refuse(
-            errors.MemoryShortError('its caller is slow and others wait',
-                                    retry_after=retry_delay.short_delay_s()))
-        if self._conn.is_open:
-            self.close()
+        if self._exchange is not None:
+            self._exchange.yield_to_others(shortage)
+        elif self._body.hold is None:
+            self.abort()
+        else:
+            self._refuse(self._body.hold.refuse())
+            if shortage is callerwaits.Shortage.CONNECTIONS:
+                # At once, though the rest of the body is on its way.
+                self.close()
 
-    def close_idle(self, reason):
+    def close_idle(self):
         """See ``callerwaits.CallerWaits``."""
         if self._leaving:
-            self._abandon(reason)
-
-    def _abandon(self, reason):
-        """Aborts the connection, and the response that is under way."""
-        exchange, self._exchange = self._exchange, None
-        self.abort()
-        if exchange is not None:
-            exchange.on_caller_lost(reason)
+            self.abort()
 
     # -- reading ---------------------------------------------------------------
 
@@ -440,8 +384,9 @@
         # What the request needs must not be taken from its own connection.
         self._server.memory.callers.discard(self)
         fields = headers.from_items(head.headers.raw_items())
-        exchange = self._server.handle_request(head.method, head.target, fields,
-                                               body, ResponseWriter(self))
+        exchange = self._server.handle_request(
+            head.method, head.target, fields, body,
+            responsewriter.ResponseWriter(self))
         if exchange is not None:
             self._hold.move_to(exchange.owner)
         if self._responding:
@@ -464,7 +409,8 @@
         self._release_body()
         self._unread_bytes = max(
             0, self._unread_bytes - len(self._h11.trailing_data[0]))
-        ResponseWriter(self).send(*self._server.error_response(exc))
+        responsewriter.ResponseWriter(self).send(
+            *self._server.error_response(exc))
 
     # -- writing ---------------------------------------------------------------
 
--- a/gorsefall/relay/outcomes.py
+++ b/gorsefall/relay/outcomes.py
@@ -16,6 +16,7 @@
     BROKEN = 'broken_off'
     CALLER_LEFT = 'caller_left'
     CALLER_LOST = 'caller_lost'
+    CALLER_YIELDED = 'caller_yielded'
 
 
 class LateReason(enum.Enum):
--- a/gorsefall/relay/unreadstreams.py
+++ b/gorsefall/relay/unreadstreams.py
@@ -9,6 +9,7 @@
 
 from gorsefall import logs
 from gorsefall import metrics
+from gorsefall.relay import callerwaits
 
 UNREAD_S = 6.0
 """Time for which a caller that is behind keeps its place in any case, s: sound
@@ -71,15 +72,15 @@
         of_account = collections.Counter(x.owner.account for x in streams)
         chosen = max(streams, key=lambda x: of_account[x.owner.account])
         unread_s = self._loop.now - self._since.pop(chosen)
-        metrics.CALLERS_YIELDED.labels('places').inc()
+        metrics.CALLERS_YIELDED.labels(callerwaits.Shortage.PLACES.value).inc()
         self._log.info('caller_yielded',
-                       reason='places',
+                       reason=callerwaits.Shortage.PLACES.value,
                        rid=chosen.req.id,
                        service=chosen.owner.service,
                        account=chosen.owner.account,
                        replica=chosen.attempt.name,
                        unread_s=round(unread_s, 1))
-        chosen.yield_place()
+        chosen.yield_to_others(callerwaits.Shortage.PLACES)
         return True
 
     def _sweep(self):
--- a/tests/exchange_site.py
+++ b/tests/exchange_site.py
@@ -188,31 +188,31 @@
         self.body = b''
 
     def set_time_limit(self, limit_s):
-        """See ``inbound.ResponseWriter``."""
+        """See ``responsewriter.ResponseWriter``."""
 
     def start(self, status, fields):
-        """See ``inbound.ResponseWriter``."""
+        """See ``responsewriter.ResponseWriter``."""
         self.started = True
 
     def write(self, data):
-        """See ``inbound.ResponseWriter``."""
+        """See ``responsewriter.ResponseWriter``."""
         self.body += data
         return self.keeps_up
 
     def end(self):
-        """See ``inbound.ResponseWriter``."""
+        """See ``responsewriter.ResponseWriter``."""
         self.ended = True
 
     def abort(self):
-        """See ``inbound.ResponseWriter``."""
+        """See ``responsewriter.ResponseWriter``."""
         self.failed_at = self._loop.now
 
     def send_pieces(self, status, fields, pieces):
-        """See ``inbound.ResponseWriter``."""
+        """See ``responsewriter.ResponseWriter``."""
         self.send(status, fields, b''.join(pieces))
 
     def send(self, status, fields, body):
-        """See ``inbound.ResponseWriter``."""
+        """See ``responsewriter.ResponseWriter``."""
         self.started = True
         self.status = status
         self.failed_at = self._loop.now
--- a/tests/test_caller_account_fuzz.py
+++ b/tests/test_caller_account_fuzz.py
@@ -10,6 +10,7 @@
 import peers
 import test_inbound
 from gorsefall.policy import memoryshares
+from gorsefall.relay import callerwaits
 from gorsefall.relay import inbound
 from gorsefall.relay import memory
 from gorsefall.relay import model
@@ -51,6 +52,11 @@
 
     on_caller_lost = on_caller_disconnected
 
+    def yield_to_others(self, shortage):
+        del shortage
+        self.end()
+        self.writer.abort()
+
 
 class _Server(test_inbound.Server):
     """Keeps each request until it is told to respond.
@@ -108,7 +114,7 @@
         if kind == 'yield':
             conn = self.conns[which % CONN_COUNT]
             if conn._awaits_caller:
-                conn.yield_room('memory')
+                conn.yield_room(callerwaits.Shortage.MEMORY)
             return
         if not self.server.running:
             return
@@ -157,7 +163,7 @@
         for client in world.clients:
             client.close()
         for conn in world.conns:
-            conn._abandon('the test ends')
+            conn.abort()
         for exchange in list(world.server.running):
             exchange.end()
         assert shares.held == 0
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -151,6 +151,9 @@
      '"cause": "unknown_key"', 'does not contain its API key'),
     ('"outcome": "caller_lost", "code": "caller_lost", "first_ms": 30, '
      '"disconnect": "Connection timed out"', '(Connection timed out)'),
+    ('"outcome": "caller_yielded", "code": "caller_yielded", "first_ms": 30, '
+     '"error": "others need places"', 'others needed what it held (others'),
+    ('"outcome": "refused", "code": "memory_short"', 'had no memory for it'),
 ])
 def test_what_broke_off_a_response_is_named(tmp_path, line, words):
     """An engineer on call cannot tell who ended a response that had begun."""
--- a/tests/test_inbound.py
+++ b/tests/test_inbound.py
@@ -211,6 +211,7 @@
     def __init__(self):
         self.left = []
         self.lost = []
+        self.yielded = []
 
     def on_caller_disconnected(self, reason):
         self.left.append(reason)
@@ -218,6 +219,10 @@
     def on_caller_lost(self, reason):
         self.lost.append(reason)
 
+    def yield_to_others(self, shortage):
+        self.yielded.append(shortage)
+        self.writer.abort()
+
 
 class Waiting(Server):
     """Responds to nothing; each request has an ``Exchange``."""
@@ -228,6 +233,7 @@
 
     def handle_request(self, method, target, fields, body, writer):
         self.requests.append(target)
+        self.exchange.writer = writer
         return self.exchange
 
 
--- a/tests/test_slow_callers.py
+++ b/tests/test_slow_callers.py
@@ -50,10 +50,11 @@
     def measure(self):
         self.moved_bytes += self._per_s
 
-    def yield_room(self, reason):
-        self.ended = reason
+    def yield_room(self, shortage):
+        self.ended = shortage
 
-    close_idle = yield_room
+    def close_idle(self):
+        self.ended = 'idle'
 
 
 def _waits(conns, after_s):
@@ -72,7 +73,7 @@
     waits = _waits([honest, *crowd], 2.5)
     assert waits.free(100, _anyone) == 100
     assert (honest.ended, crowd[0].ended) == (None, None)
-    assert crowd[1].ended == 'memory'
+    assert crowd[1].ended is callerwaits.Shortage.MEMORY
 
 
 def test_the_longest_without_a_byte_yields_before_one_that_paused():
@@ -86,7 +87,7 @@
     paused._per_s = 0
     loop.run(loop.now + 1.0)
     waits.free(1, _anyone)
-    assert stopped.ended == 'memory'
+    assert stopped.ended is callerwaits.Shortage.MEMORY
     assert paused.ended is None
 
 
@@ -108,7 +109,8 @@
     for _ in range(3):
         assert waits.free_connection()
     assert honest.ended is None
-    assert [conn.ended for conn in crowd] == ['connections'] * 3
+    assert [conn.ended for conn in crowd
+           ] == [callerwaits.Shortage.CONNECTIONS] * 3
 
 
 def test_a_caller_that_has_finished_does_not_yield():
@@ -141,7 +143,7 @@
     assert not crowd.grow(2 << 20)
     assert honest.ended is None
     entry.hold(memoryshares.Owner('third', 'new')).grow(5 << 20)
-    assert honest.ended == 'memory'
+    assert honest.ended is callerwaits.Shortage.MEMORY
 
 
 # -- streams -------------------------------------------------------------------
@@ -157,7 +159,8 @@
         self.attempt = types.SimpleNamespace(replica=replica, name=replica)
         self.ended = False
 
-    def yield_place(self):
+    def yield_to_others(self, shortage):
+        assert shortage is callerwaits.Shortage.PLACES
         self.ended = True
 
 
@@ -205,7 +208,7 @@
         site.writer.keeps_up = False
         site.exchange.start()
         site.loop.run(site.loop.now + 0.3)
-        site.exchange.yield_place()
+        site.exchange.yield_to_others(callerwaits.Shortage.PLACES)
         assert not site.conns[0].is_open
         assert site.writer.failed_at is not None
         assert not site.writer.ended
@@ -365,8 +368,8 @@
         client.sendall(b'GET /a HTTP/1.1\r\nHost: h\r\n\r\n' + bytes(50_000))
         peers.run(loop, lambda: server.requests)
         peers.run(loop, lambda: server.memory.shares.held > 50_000)
-        conn.yield_room('memory')
-        assert len(server.exchange.lost) == 1
+        conn.yield_room(callerwaits.Shortage.MEMORY)
+        assert server.exchange.yielded == [callerwaits.Shortage.MEMORY]
         assert not server.memory.shares.held
         client.close()
 
