The body of a forwarded request is counted while it runs

An entry that forwards for others holds the body of a request until its replica has answered. What came with the last bytes of its frame was not counted, as a request that runs is not refused for memory: 1,000 short bodies for a replica that is slow were nobody's. Now it is counted without being refused. test_the_body_of_a_forwarded_request_is_counted_while_it_runs timed out before.

--- a/gorsefall/relay/forwarder.py
+++ b/gorsefall/relay/forwarder.py
@@ -126,9 +126,10 @@
             errors.MemoryShortError: There is no room for it.
         """
         more = self._held_bytes() - self._hold.size
-        if more <= 0:
-            self._hold.resize(self._hold.size + more)
-        elif self._run is None and not self._hold.grow_by_piece(more):
+        if more <= 0 or self._run is not None:
+            # A request that runs is not given up for what it holds already.
+            self._hold.resize(self._held_bytes())
+        elif not self._hold.grow_by_piece(more):
             raise self._hold.refuse()
 
     def _on_unused(self):
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -437,3 +437,18 @@
         assert call.ended
         assert len(site.forwarder._peers) == 1
     peer.close()
+
+
+def test_the_body_of_a_forwarded_request_is_counted_while_it_runs(loop):
+    """Bodies that wait for slow replicas were counted by nobody here."""
+    replica = _Replica()
+    with forwarding_site.site(loop, replica.address) as site:
+        call = forwarding_site.Call(body=bytes(200_000))
+        conn = site.send(call)
+        peers.run(loop, lambda: site.node.memory.shares.held >= 200_000)
+        for _ in range(20):
+            loop.step(0.005)
+        assert site.node.memory.shares.held >= 200_000
+        conn.cancel()
+        peers.run(loop, lambda: not site.node.memory.shares.held)
+    replica.close()
