Own wire: reasons in an enum, idle connections in the order of their activity

Read again: the reasons for which a connection is dropped were bare strings, one of them with a blank that no metric's label has; and each new connection at the limit sorted all others. Who goes first is as before: the longest without a byte.

--- a/gorsefall/net/callerguard.py
+++ b/gorsefall/net/callerguard.py
@@ -5,7 +5,9 @@
 sees its events first, and drops the connections that exceed a limit.
 """
 
+import collections
 import dataclasses
+import enum
 import time
 
 from circuits import core
@@ -23,6 +25,15 @@
 of one byte."""
 
 
+class Excess(enum.Enum):
+    """Which limit a connection exceeds; the values are logged."""
+    CONNECTIONS = 'connections'
+    MEMORY = 'memory'
+    SIZE = 'size'
+    SLOW_REQUEST = 'slow_request'
+    UNREAD = 'unread'
+
+
 @dataclasses.dataclass(frozen=True)
 class Limits:
     """What callers may have a process hold.
@@ -54,14 +65,12 @@
     """One connection.
 
     Attributes:
-        active_at: When bytes were last received or written, s (monotonic).
         began_at: When the request that is arriving began, s (monotonic); None
             if none is.
         received: Bytes received of it, or of the request under way.
         unsent: Bytes of responses that the kernel has not taken.
         read_at: When some of them were last taken, s (monotonic).
     """
-    active_at: float
     began_at: float | None = None
     received: int = 0
     unsent: int = 0
@@ -94,7 +103,8 @@
         self._http = server.http
         self._limits = limits
         self._is_busy = is_busy
-        self._callers = {}
+        # In the order of their last activity.
+        self._callers = collections.OrderedDict()
         self.held_bytes = 0
         self._log = logs.get('callers')
 
@@ -109,10 +119,10 @@
         if len(self._callers) >= self._limits.conns:
             oldest = self._longest_idle()
             if oldest is None:
-                self._drop(sock, 'connections')
+                self._drop(sock, Excess.CONNECTIONS)
                 return
-            self._drop(oldest, 'connections')
-        self._callers[sock] = _Caller(time.monotonic())
+            self._drop(oldest, Excess.CONNECTIONS)
+        self._callers[sock] = _Caller()
 
     @core.handler('disconnect', priority=100)
     def _on_disconnect(self, sock):
@@ -126,15 +136,15 @@
         if caller is None:
             event.stop()
             return
-        caller.active_at = time.monotonic()
+        self._callers.move_to_end(sock)
         if caller.began_at is None:
-            caller.began_at = caller.active_at
+            caller.began_at = time.monotonic()
             if not self._is_busy(sock):
                 self._count(caller, received=0)
         self._count(caller, received=caller.received + len(data))
         if caller.received > self._limits.request_bytes:
             event.stop()
-            self._drop(sock, 'size')
+            self._drop(sock, Excess.SIZE)
         else:
             self._bound_total()
 
@@ -149,9 +159,9 @@
     def _on_write(self, sock, data):
         caller = self._callers.get(sock)
         if caller is not None:
-            caller.active_at = time.monotonic()
+            self._callers.move_to_end(sock)
             if not caller.unsent:
-                caller.read_at = caller.active_at
+                caller.read_at = time.monotonic()
             # What the kernel took since is left out at the next check.
             self._count(caller, unsent=caller.unsent + len(data))
             self._bound_total()
@@ -180,10 +190,10 @@
 
     def _longest_idle(self):
         """Returns the socket that goes first; None if all are in use."""
-        idle = [(c.active_at, id(sock), sock)
-                for sock, c in self._callers.items()
-                if not self._is_busy(sock) and not c.unsent]
-        return min(idle)[2] if idle else None
+        for sock, caller in self._callers.items():
+            if not self._is_busy(sock) and not caller.unsent:
+                return sock
+        return None
 
     def _bound_total(self):
         """Drops connections until all fit together.
@@ -201,7 +211,7 @@
         for sock in order:
             if self.held_bytes <= self._limits.held_bytes:
                 return
-            self._drop(sock, 'memory')
+            self._drop(sock, Excess.MEMORY)
 
     def check_times(self):
         """Drops the connections whose callers do not send or read."""
@@ -217,15 +227,15 @@
             arriving = (caller.began_at is not None and
                         now - caller.began_at > self._limits.request_s)
             if arriving and not busy:
-                self._drop(sock, 'slow request')
+                self._drop(sock, Excess.SLOW_REQUEST)
             elif now - caller.read_at > self._limits.unread_s:
-                self._drop(sock, 'unread')
+                self._drop(sock, Excess.UNREAD)
 
-    def _drop(self, sock, reason):
+    def _drop(self, sock, excess):
         caller = self._forget(sock)
-        metrics.CALLERS_YIELDED.labels(reason).inc()
+        metrics.CALLERS_YIELDED.labels(excess.value).inc()
         self._log.info('caller_dropped',
-                       reason=reason,
+                       reason=excess.value,
                        received=caller.received if caller else 0,
                        unsent=caller.unsent if caller else 0)
         self.fire(pollers._disconnect(sock), self._server.channel)
