An idle connection whose request has come is not closed for another

Cause: which connection is idle was told by what the entry has read. A listener takes up to 64 connections in one pass, before the sockets that it took in the last pass are read, so that the oldest idle one may have its request in the kernel. The pages for readiness and metrics have the same. Change: the kernel is asked before a connection is closed for another. If all that may be closed have unread requests, the new one is closed, until the next pass, in which they are read. Four tests in test_caller_conns.py, all failed before. Why it holds: bytes that the kernel has received are read in the same or the next pass, and from then on the connection is not idle.

--- a/gorsefall/relay/inbound.py
+++ b/gorsefall/relay/inbound.py
@@ -111,6 +111,11 @@
         return (not self._responding and not self._leaving and
                 self._head is None and not self._h11.trailing_data[0])
 
+    @property
+    def has_unread_request(self):
+        """Whether it is idle, and bytes have come that are read next."""
+        return self.idle and self._conn.unread_bytes() > 0
+
     @property
     def has_unsent(self):
         """Whether response bytes are still to be sent to the caller."""
--- a/gorsefall/relay/servers.py
+++ b/gorsefall/relay/servers.py
@@ -41,7 +41,7 @@
         # A dict keeps the order of those that came within one pass.
         self.conns = {}
         self._next_to_close = collections.deque()
-        self._none_found_at = float('-inf')
+        self._none_found_until = float('-inf')
 
     @property
     def max_conns(self):
@@ -93,20 +93,22 @@
         if self._close_next():
             return True
         now = self.node.loop.now
-        if now - self._none_found_at < NONE_FOUND_S:
+        if now <= self._none_found_until:
             return False
         found = [conn for conn in self.conns if self.may_close(conn)]
         unused = [conn for conn in found if not conn.used]
         self._next_to_close = collections.deque(
             sorted(unused or found, key=lambda conn: conn.idle_since))
-        if not found:
-            self._none_found_at = now
-        return self._close_next()
+        if self._close_next():
+            return True
+        # Requests that had come are read before the next pass.
+        self._none_found_until = now if found else now + NONE_FOUND_S
+        return False
 
     def _close_next(self):
         while self._next_to_close:
             conn = self._next_to_close.popleft()
-            if self.may_close(conn):
+            if self.may_close(conn) and not conn.has_unread_request:
                 metrics.CALLERS_YIELDED.labels('idle').inc()
                 conn.close()
                 return True
--- a/tests/test_caller_conns.py
+++ b/tests/test_caller_conns.py
@@ -113,6 +113,48 @@
         assert site.server.is_full
 
 
+def test_a_request_that_was_not_read_yet_keeps_its_connection():
+    """A request that had come was closed as idle when many connected."""
+    with peers.loop() as loop:
+        site = _Site(loop)
+        sound = site.connect(REQUEST)
+        for _ in range(2 * MAX_FDS):
+            site.connect()
+        peers.run(loop, lambda: site.node.started)
+        site.node.started[0].send(200, [], b'')
+        assert sound.recv(65536).startswith(b'HTTP/1.1 200')
+
+
+def test_a_request_on_a_used_connection_that_was_not_read_yet_keeps_it():
+    """The longest idle connection was closed though a request had come."""
+    with peers.loop() as loop:
+        site = _Site(loop)
+        callers = [site.run_request() for _ in range(site.server.max_conns)]
+        for caller, writer in zip(callers, site.node.started, strict=True):
+            writer.send(200, [], b'')
+            assert caller.recv(65536).startswith(b'HTTP/1.1 200')
+        callers[0].sendall(REQUEST)
+        site.connect()
+        count = len(callers)
+        peers.run(loop, lambda: len(site.node.started) > count)
+        assert _is_closed(callers[1])
+
+
+@pytest.mark.parametrize('page',
+                         [servers.ReadinessServer, servers.MetricsServer])
+def test_a_check_that_was_not_read_yet_keeps_its_connection(page):
+    """A check that had come was closed for others that connected at once."""
+    with peers.loop() as loop:
+        site = _Site(loop)
+        site.server = page(site.node)
+        sound = site.connect(REQUEST)
+        for _ in range(2 * servers.MAX_CHECK_CONNS):
+            site.connect(b'GET / HTTP/1.1\r\nX: ')
+        for _ in range(5):
+            loop.step(0.01)
+        assert sound.recv(65536).startswith(b'HTTP/1.1 200')
+
+
 @pytest.mark.parametrize('page',
                          [servers.ReadinessServer, servers.MetricsServer])
 def test_the_pages_take_no_long_bodies(page):
