The announced length of a body that is not sent takes no room

What callers saw: since answers are counted from their heads, 502 for a HEAD request of a resource of over 4 MB, and room that was held for nothing below it. Cause: the length in the response to HEAD, or in a 204 or 304, is that of another response's body. Found by reading the change again. test_an_answer_without_a_body_needs_no_room: three cases, all failed before. Why it holds: h11 ends these responses at their heads, whatever they announce.

--- a/gorsefall/relay/sending.py
+++ b/gorsefall/relay/sending.py
@@ -1,12 +1,29 @@
 """One attempt: a request sent to one replica."""
 
 import contextlib
+import http
 import time
 
 from gorsefall import digests
 from gorsefall.net import outbound
 from gorsefall.policy import stalls
 
+_WITHOUT_BODY = (http.HTTPStatus.NO_CONTENT, http.HTTPStatus.NOT_MODIFIED)
+
+
+def _announced_bytes(method, status, fields):
+    """Returns the announced length of a response's body, 0 if none is.
+
+    Args:
+        method: Method of its request, bytes.
+        status: Its status.
+        fields: Its ``headers.Headers``.
+    """
+    if method == b'HEAD' or status in _WITHOUT_BODY:
+        # It tells the length that the body of another response would have.
+        return 0
+    return int(fields.by_name.get(b'content-length', b'0'))
+
 
 class Attempt(outbound.Call):
     """Sends the request of an exchange to one replica.
@@ -181,8 +198,8 @@
         self._exchange.node.announcements.record_response(
             self.replica, self._response, self.sent_at)
         self.usable = self._response.usable
-        length = int(fields.by_name.get(b'content-length', b'0'))
-        self._exchange.on_response_head(self, self._response, length)
+        self._exchange.on_response_head(
+            self, self._response, _announced_bytes(self.method, status, fields))
 
     def on_data(self, data):
         """See ``outbound.Call``."""
--- a/tests/test_slow_callers.py
+++ b/tests/test_slow_callers.py
@@ -291,6 +291,20 @@
         assert site.node.memory.shares.held == 0
 
 
+@pytest.mark.parametrize('method, status', [(b'HEAD', 200), (b'GET', 204),
+                                            (b'GET', 304)])
+def test_an_answer_without_a_body_needs_no_room(method, status):
+    """The length of a body that is not sent was held, or was over the limit."""
+    with exchange_site.site([[]]) as site:
+        site.exchange.req.method = method
+        call = _start_plain(site, 20.0)
+        fields = headers.from_items([(b'content-length', b'5000000')])
+        call.matches_response(status, fields)
+        call.on_head(status, fields)
+        assert site.node.memory.shares.held == memory.REQUEST_BYTES
+        assert site.conns[0].is_open
+
+
 # -- connections ---------------------------------------------------------------
 
 
