Each listener has its part of the descriptors

Cause: callers had half of the descriptors, each page 64 and other entries 512, whatever the process may open, so that all together had more than there are. Change: descriptors.py gives each a part; the old numbers stay as upper bounds. Why it holds: the parts add up to less than one, and each listener counts its own connections before it keeps a new one.

--- a/gorsefall/relay/forwarder.py
+++ b/gorsefall/relay/forwarder.py
@@ -11,6 +11,7 @@
 from gorsefall.net import outbound
 from gorsefall.net import tcp
 from gorsefall.policy import memoryshares
+from gorsefall.relay import descriptors
 from gorsefall.relay import forwardmessages as messages
 from gorsefall.relay import inbound
 
@@ -271,7 +272,8 @@
         self.listener = tcp.Listener(node.loop, addr, self._accept)
 
     def _accept(self, sock):
-        if len(self._peers) >= MAX_CONNS:
+        limit = descriptors.part(self.node.max_fds, descriptors.OTHER_ENTRIES)
+        if len(self._peers) >= min(MAX_CONNS, limit):
             sock.close()
             return
         try:
--- a/gorsefall/relay/servers.py
+++ b/gorsefall/relay/servers.py
@@ -5,6 +5,7 @@
 from gorsefall import directory
 from gorsefall import errors
 from gorsefall import metrics
+from gorsefall.relay import descriptors
 from gorsefall.relay import inbound
 from gorsefall.relay import model
 from gorsefall.relay import outcomes
@@ -15,10 +16,6 @@
 PAGE_LIMITS = model.CallerLimits(body_bytes=1024)
 """Limits of requests for these pages, which need no body."""
 
-CALLER_FRACTION = 0.5
-"""Part of the descriptors that connections of callers may take. The rest is
-for replicas, other entries, the store and the pages."""
-
 MIN_CALLER_CONNS = 64
 """Connections that callers may have however little memory is free."""
 
@@ -46,7 +43,8 @@
     @property
     def max_conns(self):
         """Most connections that are open at once."""
-        return MAX_CHECK_CONNS
+        return min(MAX_CHECK_CONNS,
+                   descriptors.part(self.node.max_fds, descriptors.PAGE))
 
     @property
     def limits(self):
@@ -145,9 +143,9 @@
         """See ``_Server``."""
         by_memory = (self.memory.shares.room * CALLER_MEMORY_FRACTION /
                      inbound.CONN_BYTES)
-        by_descriptors = self.node.max_fds * CALLER_FRACTION
-        return max(1, int(min(max(by_memory, MIN_CALLER_CONNS),
-                              by_descriptors)))
+        by_descriptors = descriptors.part(self.node.max_fds,
+                                          descriptors.CALLERS)
+        return min(max(int(by_memory), MIN_CALLER_CONNS), by_descriptors)
 
     @property
     def is_full(self):
--- a/tests/forwarding_site.py
+++ b/tests/forwarding_site.py
@@ -9,6 +9,7 @@
 from gorsefall.relay import memory
 from gorsefall.relay import prober
 
+MAX_FDS = 4096
 MEMORY_MB = 1000.0
 
 
@@ -122,6 +123,7 @@
             announcements=Announcements(),
             prober=prober.ReplicaProber(loop),
             draining=False,
+            max_fds=MAX_FDS,
             memory=memory.Memory(loop, lambda: MEMORY_MB, lambda: 0),
             current_list=types.SimpleNamespace(
                 is_usable=lambda: self.is_usable),
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -423,6 +423,20 @@
     peer.close()
 
 
+def test_connections_to_the_forwarder_leave_descriptors(loop):
+    """Connections to all listeners had more descriptors than there are."""
+    peer = peers.ScriptedPeer([])
+    with forwarding_site.site(loop, peer.addr) as site:
+        site.node.max_fds = 18
+        conns = [_connect(site) for _ in range(5)]
+        for _ in range(50):
+            loop.step(0.005)
+        assert len(site.forwarder._peers) == 3
+        for conn in conns:
+            conn.close()
+    peer.close()
+
+
 def test_a_connection_that_is_reset_before_it_is_accepted_is_dropped(loop):
     """A connection that was reset at once failed the entry's listener."""
     peer = peers.ScriptedPeer([[RESPONSE]])
