Descriptors that sockets cannot have are not divided among them

The platform keeps 200 of a process's descriptors for files; a machine that allows 400 would have left none beside callers' half. file_fds says how many they are; the default is 0, and the platform's template sets it. At 4,100 descriptors callers have 1,950 at most, 2,050 before.

--- a/gorsefall/relay/node.py
+++ b/gorsefall/relay/node.py
@@ -220,8 +220,9 @@
 
     @property
     def max_fds(self):
-        """Descriptors that the process may open."""
-        return min(self.cfg.max_fds or self._fd_limit, self._fd_limit)
+        """Descriptors that sockets of the process may take."""
+        limit = min(self.cfg.max_fds or self._fd_limit, self._fd_limit)
+        return limit - self.cfg.file_fds
 
     # -- observed state --------------------------------------------------------
 
--- a/gorsefall/relay/settings.py
+++ b/gorsefall/relay/settings.py
@@ -66,6 +66,7 @@
             where its caller waits longer for the response.
         max_fds: File descriptors that the process may open; 0 for as many as
             the operating system allows.
+        file_fds: How many of these sockets and pipes may not take.
         memory_mb: Memory that the process may take, MB; more may end it.
         grace_s: Time between the stop signal and the kill by the platform, s.
         digest_key: Key of the request digests, the same at all entries, at
@@ -89,6 +90,7 @@
     leave_s: float = 2.0
     body_timeout_s: float = 300.0
     max_fds: int = 0
+    file_fds: int = 0
     memory_mb: float = 128.0
     grace_s: float = 8.0
     digest_key: str = ''
@@ -139,8 +141,11 @@
     for key in _POSITIVE:
         if getattr(cfg, key) <= 0:
             yield f'{key}: must be greater than 0'
-    if cfg.max_fds < 0:
-        yield 'max_fds: must not be negative'
+    for key in ('max_fds', 'file_fds'):
+        if getattr(cfg, key) < 0:
+            yield f'{key}: must not be negative'
+    if 0 < cfg.max_fds <= cfg.file_fds:
+        yield 'file_fds: must be less than max_fds'
     for key in ('name', 'zone'):
         if not getattr(cfg, key):
             yield f'{key}: must not be empty'
--- a/tests/test_relay_settings.py
+++ b/tests/test_relay_settings.py
@@ -31,6 +31,8 @@
     (('zone = "z1"', 'zone = "z1"\nrevoke_s = 0'), 'revoke_s'),
     (('zone = "z1"', 'zone = "z1"\nleave_s = -1'), 'leave_s'),
     (('zone = "z1"', 'zone = "z1"\nmemory_mb = 0'), 'memory_mb'),
+    (('zone = "z1"', 'zone = "z1"\nfile_fds = -1'), 'file_fds'),
+    (('zone = "z1"', 'zone = "z1"\nmax_fds = 200\nfile_fds = 200'), 'file_fds'),
     (('zone = "z1"', 'zone = '), 'TOML'),
     (('zone = "z1"', 'zone = "z1"\nmetrics_port = 70000'), 'metrics_port'),
     (('zone = "z1"', 'zone = "z1"\nduties = { names = "usage" }'),
