A new caller takes the place of an idle one beside requests not read yet

While some connections without a request so far had one in the kernel, a new connection was closed, though others that had been used were idle: only the former were looked at. Now the idle ones that were used come next, as they do when there are none of the former. test_requests_that_were_not_read_yet_leave_the_place_of_an_idle_one timed out before.

--- a/gorsefall/relay/servers.py
+++ b/gorsefall/relay/servers.py
@@ -94,11 +94,12 @@
         if now <= self._none_found_until:
             return False
         found = [conn for conn in self.conns if self.may_close(conn)]
-        unused = [conn for conn in found if not conn.used]
-        self._next_to_close = collections.deque(
-            sorted(unused or found, key=lambda conn: conn.idle_since))
-        if self._close_next():
-            return True
+        found.sort(key=lambda conn: conn.idle_since)
+        for used in (False, True):
+            self._next_to_close = collections.deque(
+                conn for conn in found if conn.used is used)
+            if self._close_next():
+                return True
         # Requests that had come are read before the next pass.
         self._none_found_until = now if found else now + NONE_FOUND_S
         return False
--- a/tests/test_caller_conns.py
+++ b/tests/test_caller_conns.py
@@ -140,6 +140,19 @@
         assert _is_closed(callers[1])
 
 
+def test_requests_that_were_not_read_yet_leave_the_place_of_an_idle_one():
+    """A new caller was refused though a connection that is open was idle."""
+    with peers.loop() as loop:
+        site = _Site(loop)
+        used = site.run_request()
+        site.node.started.pop().send(200, [], b'')
+        assert used.recv(65536).startswith(b'HTTP/1.1 200')
+        for _ in range(site.server.max_conns):
+            site.connect(REQUEST)
+        assert _is_closed(used)
+        peers.run(loop, lambda: len(site.node.started) == 4)
+
+
 @pytest.mark.parametrize('page',
                          [servers.ReadinessServer, servers.MetricsServer])
 def test_a_check_that_was_not_read_yet_keeps_its_connection(page):
