--- a/tests/test_caller_conns.py
+++ b/tests/test_caller_conns.py
@@ -16,6 +16,9 @@
 MAX_FDS = 8
 """Leaves four connections to callers."""
 
+MANY_FDS = 4096
+"""Leaves each page all the connections that it takes at most."""
+
 
 class _Exchange:
     owner = memoryshares.Owner()
@@ -159,6 +162,7 @@
     """A check that had come was closed for others that connected at once."""
     with peers.loop() as loop:
         site = _Site(loop)
+        site.node.max_fds = MANY_FDS
         site.server = page(site.node)
         sound = site.connect(REQUEST)
         for _ in range(2 * servers.MAX_CHECK_CONNS):
@@ -195,6 +199,7 @@
     """The load balancer's checks were refused, so that no entry was ready."""
     with peers.loop() as loop:
         site = _Site(loop)
+        site.node.max_fds = MANY_FDS
         site.server = page(site.node)
         for _ in range(servers.MAX_CHECK_CONNS):
             site.connect(b'GET / HTTP/1.1\r\nX: ')
