--- a/tests/exchange_site.py
+++ b/tests/exchange_site.py
@@ -9,10 +9,13 @@
 from gorsefall.net import headers
 from gorsefall.net import outbound
 from gorsefall.policy import attempt_timeouts
+from gorsefall.policy import memoryshares
 from gorsefall.policy import softwareversions
 from gorsefall.relay import exchange
+from gorsefall.relay import grant
 from gorsefall.relay import memory
 from gorsefall.relay import model
+from gorsefall.relay import prober
 from gorsefall.relay import routes
 from gorsefall.relay import unreadstreams
 
@@ -75,9 +78,10 @@
         ended_at: When the replica ended it, s; None before.
         cancelled_at: When the exchange cancelled it, s; None before.
         paused: Whether the exchange reads nothing from it.
+        sent: Whether the replica has the request.
+        from_copy: Whether it goes on from a KV backup.
     """
     via = None
-    sent = True
 
     def __init__(self, site, call, script, first_event):
         self._site = site
@@ -86,6 +90,8 @@
         self.sent_at = site.loop.now
         self.responded_at = float('inf')
         self.refused = self.paused = False
+        self.sent = True
+        self.from_copy = (b'copy', b'1') in call.fields
         self.ended_at = self.cancelled_at = None
         delay_s = 0.0
         for pause_s, step in script:
@@ -154,10 +160,16 @@
         self.ended_at = self._site.loop.now
         self._call.on_fail(outbound.Failure(True, 'reset', outbound.Fault.LOST))
 
+    def _unreached(self):
+        self.sent = False
+        self.ended_at = self._site.loop.now
+        self._call.on_fail(
+            outbound.Failure(False, 'not connected', outbound.Fault.UNREACHED))
+
     def cancel(self):
         """See ``outbound.Connection``."""
         self.cancelled_at = self._site.loop.now
-        return True
+        return self.sent
 
     def pause(self):
         """See ``outbound.Connection``."""
@@ -247,13 +259,17 @@
     def record_alive(self, now):
         """See ``replicas.Replica``."""
 
+    def refusal(self, now):
+        """See ``replicas.Replica``; a script refuses by itself."""
+
 
 class Codec:
-    """Encodes nothing but the id of the last event."""
+    """Encodes the id of the last event, and whether a copy is used."""
 
     def encode_request(self, req, options):
         """See ``codec.Codec``."""
-        return [(b'last', options.resume_after or b'0')]
+        copy = b'0' if options.restore_from is None else b'1'
+        return [(b'last', options.resume_after or b'0'), (b'copy', copy)]
 
     def decode_response(self, status, fields):
         """See ``codec.Codec``."""
@@ -296,7 +312,7 @@
         may_shed: Whether the last choice of a replica could refuse.
     """
 
-    def __init__(self, loop, scripts):
+    def __init__(self, loop, scripts, route=ROUTE, *, drawn=False):
         self.loop = loop
         self.conns = []
         self.writer = Writer(loop)
@@ -306,7 +322,7 @@
         }
         node = self.node = unittest.mock.MagicMock()
         node.loop, node.codec = loop, Codec()
-        node.table = table(1, ['k'])
+        node.table = table(1, ['k'], route)
         node.cfg = types.SimpleNamespace(digest_key='d',
                                          strict_revocation=True,
                                          zone='z')
@@ -329,16 +345,32 @@
         node.crashes.check_exit = lambda replica, done: loop.call_later(
             PROBE_S, lambda: done(False))
         node.paths.send = self._send
+        node.paths.needs_detour.return_value = False
+        node.prober.probe = lambda replica, done: loop.call_later(
+            PROBE_S, lambda: done(prober.Verdict.EXITED))
         req = model.CallerRequest(id='rid',
                                   method=b'GET',
                                   target=b'/x',
                                   host='h',
                                   headers=headers.from_items([]),
                                   key='k')
-        self.exchange = exchange.Exchange(node, req, self.writer)
+        self.exchange = exchange.Exchange(
+            node, req, self.writer,
+            self._drawn_hold(req) if drawn else None)
         self.exchange.grant.choose_replica = self._choose
         self.may_shed = None
 
+    def _drawn_hold(self, req):
+        """Returns the hold of a body that did not arrive with its head."""
+        drawn = grant.Grant(self.node, req)
+        drawn.draw_service()
+        return self.node.memory.hold(memoryshares.Owner(SERVICE, 'a'),
+                                     terms=drawn.terms)
+
+    def back_up_to(self, name):
+        """Has the run's KV backup kept by a replica."""
+        self.exchange._backup.holder = self.replicas[name]
+
     def let_stream_go_on(self, software):
         """Has the request take a stream up that began at a version."""
         self.exchange.req.began_as = 'first'
@@ -377,7 +409,7 @@
 
 
 @contextlib.contextmanager
-def site(scripts):
+def site(scripts, route=ROUTE, *, drawn=False):
     """Yields a ``Site`` in simulated time.
 
     Args:
@@ -385,8 +417,12 @@
             ``head``, ``event``, ``back`` (what follows begins with the event
             before), ``refuse``, ``stray`` (a 404 that does not bear a replica's
             mark), ``reset``, ``close`` (the connection ends, which is no
-            error), ``part`` (of an event) or ``cut`` (both).
+            error), ``part`` (of an event), ``cut`` (both) or ``unreached`` (no
+            connection is established).
+        route: The ``model.Route`` of the request.
+        drawn: Whether its service was drawn as the first bytes of its body
+            arrived.
     """
     loop = Loop()
     with unittest.mock.patch('time.monotonic', lambda: loop.now):
-        yield Site(loop, scripts)
+        yield Site(loop, scripts, route, drawn=drawn)
--- a/tests/forwarding_site.py
+++ b/tests/forwarding_site.py
@@ -127,12 +127,13 @@
             memory=memory.Memory(loop, lambda: MEMORY_MB, lambda: 0),
             current_list=types.SimpleNamespace(
                 is_usable=lambda: self.is_usable),
-            fleet=types.SimpleNamespace(find=self._find),
+            fleet=types.SimpleNamespace(find=self._find,
+                                        is_listed=lambda r: self.listed),
             paths=types.SimpleNamespace(
                 is_in_doubt=lambda service: self.in_doubt,
                 has_room=lambda replica: False))
         self.in_doubt = False
-        self.is_usable = True
+        self.is_usable = self.listed = True
         self.forwarder = forwarder.Forwarder(self.node, ('127.0.0.1', 0))
         self.observer = Observer()
         _, port = self.forwarder.listener.addr
--- a/tests/test_leaving_in_time.py
+++ b/tests/test_leaving_in_time.py
@@ -53,6 +53,27 @@
     assert site.oldest_s(calm, TROUBLE_S) <= pacing.max_replicas_age_s(site.cfg)
 
 
+@pytest.mark.parametrize('fail',
+                         [_lose_store, _refuse, _kill, _freeze, _change_store])
+def test_half_of_the_time_is_left_for_the_way_to_a_replica(site, fail):
+    """A slow machine took longer for a request than the list's age left."""
+    failing = site.readers()
+    for entry in failing:
+        fail(entry)
+    calm = [e for e in site.entries if e not in failing]
+    assert site.oldest_s(calm, TROUBLE_S) <= site.cfg.leave_s / 2
+
+
+@pytest.mark.parametrize('fail', [_lose_store, _refuse])
+def test_readers_that_lose_the_store_go_by_what_others_read(site, fail):
+    """An entry that read for others went by its own list for four seconds."""
+    failing = site.readers()[:1]
+    for entry in failing:
+        fail(entry)
+    assert site.oldest_s(failing,
+                         TROUBLE_S) <= pacing.max_replicas_age_s(site.cfg)
+
+
 @pytest.mark.parametrize('fail', [_lose_store, _kill, _change_store])
 @pytest.mark.parametrize('per_zone', [1, 13])
 def test_calm_entries_have_a_current_configuration_while_readers_fail(
--- /dev/null
+++ b/tests/test_unreadable_records.py
@@ -0,0 +1,202 @@
+"""What cannot be read of the store, or of other entries, costs itself alone."""
+
+import types
+
+import msgspec
+import pytest
+
+import entries
+import stores
+
+from gorsefall import errors
+from gorsefall import replies
+from gorsefall.duties import claims
+from gorsefall.net import links
+from gorsefall.policy import entrystatus
+from gorsefall.policy import softwareversions
+from gorsefall.relay import changes
+from gorsefall.relay import crashstore
+from gorsefall.relay import forwardmessages
+from gorsefall.relay import messages
+from gorsefall.relay import routerecord
+from gorsefall.relay import snapshots
+from gorsefall.relay import streamlog
+from gorsefall.relay import topic
+from gorsefall.relay import topicfollower
+from gorsefall.relay import versionrecords
+
+DEPTH = 30_000
+NESTED = b'\x91' * DEPTH + b'\x01'
+NESTED_JSON = b'[' * DEPTH + b']' * DEPTH
+
+_ORIGIN = softwareversions.Origin('s', 'v1')
+_REPORT = entrystatus.RunReport(b'd' * 16, 0, 'r')
+
+
+def _extended(value, *path):
+    """Returns a value with one more element, nested deeply.
+
+    Args:
+        value: An array, msgpack.
+        *path: Indices of the inner array that gets the element.
+    """
+    raw = msgspec.msgpack.decode(value)
+    inner = raw
+    for i in path:
+        inner = inner[i]
+    inner.append(msgspec.Raw(NESTED))
+    return msgspec.msgpack.encode(raw)
+
+
+@pytest.mark.parametrize(('decode', 'value'), [
+    (claims.decode, _extended(claims.encode(claims.Claim()))),
+    (claims.decode, NESTED),
+    (lambda v: crashstore.decode(v, 0),
+     _extended(crashstore.encode([_REPORT], 0), 0)),
+    (lambda v: crashstore.decode(v, 0), NESTED),
+    (routerecord.decode, b'\x81\xa1s' + NESTED),
+    (messages.decode, _extended(messages.encode(messages.AskVersions(1)))),
+    (messages.decode, NESTED),
+    (forwardmessages.decode,
+     _extended(forwardmessages.encode(forwardmessages.Refused('x')))),
+    (forwardmessages.decode, NESTED),
+])
+def test_each_decoder_fails_in_one_way(decode, value):
+    """A nested value raised what no reader of records expects."""
+    with pytest.raises(errors.GorsefallError):
+        decode(value)
+
+
+def _snapshot(values):
+    records = [
+        changes.Record(key, value, i)
+        for i, (key, value) in enumerate(values.items())
+    ]
+    return snapshots.Snapshot(records, len(records), 0)
+
+
+def test_a_version_that_cannot_be_read_costs_no_other():
+    """No version was known as long as one record could not be read."""
+    found = versionrecords.decode(
+        _snapshot({
+            'a': b'["s",' + NESTED_JSON + b']',
+            'b': versionrecords.encode(_ORIGIN)[1],
+            'c': b'["s","v2",' + NESTED_JSON + b']',
+            versionrecords.ROUTES_KEY: b'\x81\xa1s' + NESTED,
+        }))
+    assert found.origins == {_ORIGIN}
+    assert not found.proven
+
+
+def test_streams_that_cannot_be_read_cost_no_others():
+    """Streams of all entries were unknown beside one that cannot be read."""
+    loop = stores.Loop()
+    log = streamlog.StreamLog.__new__(streamlog.StreamLog)
+    log._loop = loop
+    log._log = types.SimpleNamespace(warning=lambda *a, **kw: None)
+    log._keep(_snapshot({'a': NESTED, 'b': msgspec.msgpack.encode(())}))
+    assert log._batches == []
+    assert log._read_at == loop.now
+
+
+def test_a_response_of_nested_json_is_no_json(monkeypatch):
+    """A caller of the log service waited for ever."""
+    started = {}
+
+    def call(mgr, addr, method, path, body, **kw):
+        started.update(kw)
+        return types.SimpleNamespace(status=200)
+
+    monkeypatch.setattr(links, 'call', call)
+    found = []
+    links.fetch_json(None,
+                     None,
+                     'GET',
+                     '/',
+                     done=lambda *result: found.append(result))
+    started['on_data'](NESTED_JSON)
+    started['on_end'](None)
+    assert found == [(200, None, None)]
+
+
+def test_a_body_of_nested_json_is_refused():
+    """A caller of the own wire got an internal error."""
+    body = types.SimpleNamespace(seek=lambda at: None,
+                                 read=lambda size: NESTED_JSON[:size])
+    with pytest.raises(errors.BadRequestError):
+        replies.read_json(types.SimpleNamespace(body=body), len(NESTED_JSON),
+                          list)
+
+
+class _Choking(stores.ObservedState):
+    """A listener that some records make fail."""
+
+    def on_snapshot(self, records):
+        """See ``topic.Listener``."""
+        for key in set(self.newest) - {r.key for r in records}:
+            del self.newest[key]
+        return [r for r in records if self.apply(r)]
+
+    def on_record(self, record):
+        """See ``topic.Listener``."""
+        if record.value == b'foreign':
+            raise RecursionError('too deep')
+        return super().on_record(record)
+
+
+FOREIGN = ('0', 'b', 'zz')
+
+
+@pytest.mark.parametrize('per_zone', [1, 28])
+def test_reads_go_on_whatever_becomes_of_one_record(per_zone):
+    """One record made every entry stop reading, and none start."""
+    site = entries.Site(per_zone,
+                        'abcdefg',
+                        new_listener=lambda entry: _Choking(entry.site.store))
+    site.run(3.0)
+    for key in FOREIGN:
+        site.store.put(key, b'foreign')
+    site.store.put('c', b'sound')
+    site.run(3.0)
+    assert all(e.observed.newest.get('c') == b'sound' for e in site.entries)
+    for entry in site.entries:
+        entry.loop.dead = True
+    for entry in site.entries:
+        entry.start()
+    site.run(3.0)
+    for key in FOREIGN:
+        site.store.put(key, b'foreign')
+    site.store.put('d', b'sound')
+    site.run(3.0)
+    assert all(e.observed.newest.get('d') == b'sound' for e in site.entries)
+    assert all(e.age_s() < entries.BOUND_S for e in site.entries)
+
+
+class _FailingSnapshot(topic.Listener):
+    """A listener whose first snapshots fail."""
+
+    def __init__(self, failures):
+        self._failures = failures
+        self.confirmed = False
+
+    def on_snapshot(self, records):
+        """See ``topic.Listener``."""
+        self._failures -= 1
+        if self._failures >= 0:
+            raise ValueError('fault')
+        return records
+
+    def on_confirmed(self, sent_at):
+        """See ``topic.Listener``."""
+        self.confirmed = True
+
+
+def test_a_reader_outlasts_a_fault_in_what_it_calls():
+    """A reader that failed once waited for a response that had come."""
+    loop = stores.Loop()
+    store = stores.Store(loop, ())
+    store.put('a', b'x')
+    listener = _FailingSnapshot(3)
+    topicfollower.Follower(loop, store, listener, name='t').start()
+    loop.run(loop.now + 8.0)
+    assert listener.confirmed
