TWICE: whether a request may run again is a fact of the request

Cause: Grant.non_repeatable was set where a service is drawn. A request whose body does not arrive with its head has its service drawn sooner, for the account of memory, so that renew skipped that branch and the request counted as one that may run again. Besides, an attempt that was not sent was followed by another one without a look at max-attempts.

Class: a promise of the request was a flag that one road sets.

Change: Grant.terms is set in one place, which keeps the strictest of all terms that the request ever had (repeatable, max_attempts); every road asks Grant.retry_terms, and dispatch also asks for the limit of attempts. The 'sent' line has both.

--- a/gorsefall/policy/attempts.py
+++ b/gorsefall/policy/attempts.py
@@ -101,6 +101,10 @@
         uncounted = self._refusals if terms.refusals_uncounted else 0
         return len(self.replicas) - uncounted < terms.max_attempts
 
+    def is_exhausted(self, terms):
+        """Returns whether it may have run, and may be sent no more."""
+        return bool(self.in_doubt) and not self.has_attempts_left(terms)
+
     def may_run_concurrently(self, terms):
         """Returns whether the request may be sent during another run of it."""
         return terms.repeatable and self.has_attempts_left(terms)
--- a/gorsefall/relay/exchange.py
+++ b/gorsefall/relay/exchange.py
@@ -10,7 +10,6 @@
 from gorsefall import errors
 from gorsefall import logs
 from gorsefall.net import outbound
-from gorsefall.policy import attempts
 from gorsefall.policy import crashrecords
 from gorsefall.policy import memoryshares
 from gorsefall.policy import placement
@@ -73,11 +72,9 @@
         self._room = answerroom.AnswerRoom(self, self._delivery)
         self.attempt = None
         self.causes = crashrecords.PossibleCauses(None)
-        self.grant = grant.Grant(node, req)
+        # The service whose room it took.
+        self.grant = grant.Grant(node, req, hold and hold.terms)
         self._hold = hold
-        if hold is not None and hold.terms is not None:
-            # The service whose room it took.
-            self.grant.terms = hold.terms
         self._deadline = None
         self._deadline_timer = None
         self.longest_pause_s = 0.0
@@ -154,8 +151,7 @@
     @property
     def terms(self):
         """See ``serving.ActiveRequest``."""
-        return attempts.RetryTerms(repeatable=not self.grant.non_repeatable,
-                                   max_attempts=self.grant.route.max_attempts)
+        return self.grant.retry_terms
 
     @property
     def budget(self):
--- a/gorsefall/relay/grant.py
+++ b/gorsefall/relay/grant.py
@@ -7,6 +7,7 @@
 from gorsefall import errors
 from gorsefall import ids
 from gorsefall import metrics
+from gorsefall.policy import attempts
 from gorsefall.policy import knowledge
 from gorsefall.policy import overload
 from gorsefall.policy import placement
@@ -36,21 +37,52 @@
 class Grant:
     """A request's ``Terms``, checked again before each attempt.
 
+    Whether the request may run again, and how often it may be sent, follow from
+    all terms that it ever had: they are set in one place, ``terms``.
+
     Attributes:
-        terms: The ``Terms`` of the last attempt.
-        non_repeatable: Whether any route that the request matched forbids a
-            second run.
         profile: The ``knowledge.RequestProfile`` that the last replica was
             chosen for.
     """
 
-    def __init__(self, node, req):
+    def __init__(self, node, req, terms=None):
+        """Creates the grant of a request.
+
+        Args:
+            node: The ``node.Node``.
+            req: The ``model.CallerRequest``.
+            terms: The ``Terms`` by which room for its body was found; None if
+                it has none yet.
+        """
         self._node = node
         self._req = req
-        self.terms = Terms()
-        self.non_repeatable = False
+        self._repeatable = True
+        self._max_attempts = None
+        self.terms = terms or Terms()
         self.profile = knowledge.RequestProfile(zone=node.cfg.zone)
 
+    @property
+    def terms(self):
+        """The ``Terms`` of the last attempt."""
+        return self._terms
+
+    @terms.setter
+    def terms(self, terms):
+        self._terms = terms
+        route = terms.route
+        if route is None:
+            return
+        self._repeatable = self._repeatable and route.repeatable
+        if self._max_attempts is None:
+            self._max_attempts = route.max_attempts
+        self._max_attempts = min(self._max_attempts, route.max_attempts)
+
+    @property
+    def retry_terms(self):
+        """The ``attempts.RetryTerms``, the strictest of all its routes."""
+        return attempts.RetryTerms(repeatable=self._repeatable,
+                                   max_attempts=self._max_attempts or 0)
+
     @property
     def route(self):
         """See ``Terms``."""
@@ -89,7 +121,6 @@
         service = self.service
         if service is None or self.route != route:
             service = routes.pick_service(route)
-            self.non_repeatable = self.non_repeatable or not route.repeatable
         self.terms = Terms(route,
                            account,
                            service,
--- a/gorsefall/relay/sending.py
+++ b/gorsefall/relay/sending.py
@@ -99,6 +99,7 @@
         """Logs attempt ``number`` and the data its replica was chosen by."""
         choice, view, node = (self.choice, self.replica.view,
                               self._exchange.node)
+        terms = self._exchange.terms
         self._exchange.log.info(
             'sent',
             digest=digests.abbreviate(self._exchange.causes.request),
@@ -117,6 +118,8 @@
             source=choice.fetch_source.name if choice.fetch_source else None,
             limit_per_s=self.replica.limit.per_s,
             via=self.conn.via,
+            repeatable=terms.repeatable,
+            max_attempts=terms.max_attempts,
             version=node.table.version,
             proof_age_s=node.confirmation.logged_age_s(),
             replicas_age_s=node.fleet.confirmation.logged_age_s(),
--- a/gorsefall/serving.py
+++ b/gorsefall/serving.py
@@ -79,6 +79,11 @@
                 # this method.
                 raise self.attempts.outcome_unknown_error(
                     'it may not be repeated')
+            if self.attempts.is_exhausted(self.terms):
+                # As after an attempt beyond their limit that went on with the
+                # run of an earlier one, and was not sent.
+                raise self.attempts.outcome_unknown_error(
+                    'it may be sent to no other replica')
             self.send_next()
         except errors.GorsefallError as exc:
             # No replica can be tried now, but an earlier attempt may have run
