MIXED: an end that is none is not taken for the end of an answer

What callers may have seen: a part of an answer without length as a whole one, 200; 600 and 999 as answers of a replica; 204 in chunks on streaming routes.

Causes: tcp.Connection.write reports a reset after it has returned, and send has taken the error off the socket by then, so that recv gives an end of file first (shown at the socket's level). A response of unknown length was always sent in chunks.

Change: no end of file is reported after a write that failed; an answer that ends with its connection is broken while its request is unsent; a status over 599 is no answer; 204 and 304 have no transfer coding.

Weighed: to wait for the rest of the upload and see whether it is reset. A peer that has gone is told from one that reads on only seconds later, and the caller waits for an answer that may be half; sound replicas announce a length where they answer early.

--- a/gorsefall/net/headers.py
+++ b/gorsefall/net/headers.py
@@ -2,6 +2,7 @@
 
 import datetime
 import email.utils
+import http
 import math
 import typing
 
@@ -17,6 +18,11 @@
     by_name: dict[bytes, bytes]
 
 
+STATUSES_WITHOUT_BODY = (http.HTTPStatus.NO_CONTENT,
+                         http.HTTPStatus.NOT_MODIFIED)
+"""Statuses of responses that have no body, whatever their header says."""
+
+
 def parse_retry_after(value, now):
     """Returns the delay of a ``Retry-After`` field, s; None if it has none.
 
--- a/gorsefall/net/outbound.py
+++ b/gorsefall/net/outbound.py
@@ -34,6 +34,9 @@
 """Most bytes received at once: what was received when reading is paused is
 kept until the consumer of the response goes on."""
 
+MAX_STATUS = 599
+"""Largest status that HTTP defines a class for."""
+
 _KEEP_ALIVE = re.compile(rb'timeout=(\d{1,9})(?!\d)')
 
 
@@ -329,6 +332,9 @@
         return True
 
     def _on_response(self, event):
+        if event.status_code > MAX_STATUS:
+            self._fail(f'bad answer: status {event.status_code}')
+            return
         fields = headers.from_items(event.headers.raw_items())
         if not self._call.matches_response(event.status_code, fields):
             # A peer may respond twice or late to an earlier request. If
@@ -354,6 +360,11 @@
         # Bytes after the response belong to no request. A peer that responds
         # before it has read the whole request would read the next request as
         # the rest of this one. In both cases the connection is not reused.
+        if ending is Ending.CLOSED and self._transport.unsent_bytes:
+            # A peer that closes without having read the request resets its
+            # connection, and its end of file may arrive before that.
+            self._fail_connection('closed before it had the request')
+            return
         rest, closed = self._h11.trailing_data
         reusable = (not self._desynchronized and not rest and not closed and
                     not self._transport.unsent_bytes and
--- a/gorsefall/net/tcp.py
+++ b/gorsefall/net/tcp.py
@@ -98,7 +98,7 @@
         self._send_queue = collections.deque()
         self._unsent_bytes = 0
         self._reading = True
-        self._connecting = False
+        self._connecting = self._failing = False
         self.has_written = self.was_refused = False
         self.broken_by_peer = False
         self._user_timeout_ms = USER_TIMEOUT_MS
@@ -226,12 +226,15 @@
             self._sock.close()
 
     def abort(self):
-        """Closes with a reset, which the peer cannot mistake for an EOF."""
-        if self.is_open:
+        """Closes with a reset, which the peer cannot mistake for an EOF.
+
+        The kernel drops what the peer has not received yet.
+        """
+        if self.is_open and self._sock is not None:
             with contextlib.suppress(OSError):
                 self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
                                       b'\x01\0\0\0\0\0\0\0')
-            self.close()
+        self.close()
 
     def on_readable(self):
         """See ``reactor.Handler``."""
@@ -252,6 +255,9 @@
         self.bytes_in += len(data)
         if not data:
             self._set_reading(False)
+            if self._failing:
+                # The write took the error off the socket: this is no end.
+                return
         self._owner.on_bytes(data)
 
     def on_writable(self):
@@ -332,6 +338,7 @@
         # A request whose connection the peer has reset would fail before the
         # call that sends it has returned, and its sender not know the
         # connection yet.
+        self._failing = True
         self._loop.call_later(0, lambda: self._fail(reason, code))
 
     def _fail(self, reason, code=None):
--- a/gorsefall/relay/inbound.py
+++ b/gorsefall/relay/inbound.py
@@ -424,7 +424,8 @@
         out = list(fields)
         if length is not None:
             out.append((b'Content-Length', str(length).encode()))
-        elif self._h11.their_http_version >= b'1.1':
+        elif (self._h11.their_http_version >= b'1.1' and
+              status not in headers.STATUSES_WITHOUT_BODY):
             out.append((b'Transfer-Encoding', b'chunked'))
         if self._server.draining or self._closing:
             out.append((b'Connection', b'close'))
--- a/gorsefall/relay/sending.py
+++ b/gorsefall/relay/sending.py
@@ -1,15 +1,13 @@
 """One attempt: a request sent to one replica."""
 
 import contextlib
-import http
 import time
 
 from gorsefall import digests
+from gorsefall.net import headers
 from gorsefall.net import outbound
 from gorsefall.policy import stalls
 
-_WITHOUT_BODY = (http.HTTPStatus.NO_CONTENT, http.HTTPStatus.NOT_MODIFIED)
-
 
 def _announced_bytes(method, status, fields):
     """Returns the announced length of a response's body, 0 if none is.
@@ -19,7 +17,7 @@
         status: Its status.
         fields: Its ``headers.Headers``.
     """
-    if method == b'HEAD' or status in _WITHOUT_BODY:
+    if method == b'HEAD' or status in headers.STATUSES_WITHOUT_BODY:
         # It tells the length that the body of another response would have.
         return 0
     return int(fields.by_name.get(b'content-length', b'0'))
--- a/tests/test_inbound.py
+++ b/tests/test_inbound.py
@@ -309,3 +309,31 @@
     server = _send_slowly([encode(b'/a', bytes(80), False)[:sent]], 0.0)
     assert server.closed
     assert not server.requests
+
+
+class _WithoutBody(Server):
+    """Starts and ends a stream of a status that has no body."""
+
+    def __init__(self, status):
+        super().__init__()
+        self._status = status
+
+    def handle_request(self, method, target, fields, body, writer):
+        self.requests.append((method, target, bytes(body.data)))
+        writer.start(self._status, [])
+        writer.end()
+
+
+@pytest.mark.parametrize('status', [204, 304])
+def test_a_stream_without_body_is_not_announced_in_chunks(status):
+    """A response that has no body was announced in chunks."""
+    server = _WithoutBody(status)
+    with peers.loop() as loop:
+        client, accepted = _connected()
+        inbound.CallerConnection(loop, server, accepted)
+        client.sendall(encode(b'/s', b'', False))
+        peers.run(loop, lambda: server.requests)
+    head = client.recv(1000)
+    client.close()
+    assert head.startswith(b'HTTP/1.1 %d' % status)
+    assert b'transfer-encoding' not in head.lower()
