DRAIN: what the list says of a replica is asked as the bytes leave

What the users saw: requests reached replicas that had said that they leave.

Cause, one of several: as the bytes leave, the age of the list was asked, not what it says of the replica that was chosen before. An entry that is held up while it connects learns from another entry that the replica has left, finds its list current, and sends. The same at an entry that agreed to forward.

Change: fleet.is_listed is asked beside the age, on new and kept connections and at entries that forward. 'withheld' is logged with what it was for.

Which hypothesis the users' record is of is not shown.

--- a/gorsefall/relay/fleet.py
+++ b/gorsefall/relay/fleet.py
@@ -287,6 +287,15 @@
         if replica_id in self.replicas:
             self._drop(replica_id, 'another replica has its address')
 
+    def is_listed(self, replica):
+        """Returns whether the list still has a replica for new requests.
+
+        Args:
+            replica: The ``replicas.Replica`` that was chosen before.
+        """
+        return (self.replicas.get(replica.record.id) is replica and
+                not replica.is_leaving and not replica.record_malformed)
+
     def is_replaced(self, replica):
         """Returns whether another process has a replica's id or address."""
         record = replica.record
--- a/gorsefall/relay/forwarder.py
+++ b/gorsefall/relay/forwarder.py
@@ -43,7 +43,9 @@
 
     def may_be_sent(self):
         """See ``outbound.Call``."""
-        return self._peer.node.current_list.is_usable()
+        node = self._peer.node
+        return (node.current_list.is_usable() and
+                node.fleet.is_listed(self.replica))
 
     def matches_response(self, status, fields):
         """See ``outbound.Call``."""
--- a/gorsefall/relay/sending.py
+++ b/gorsefall/relay/sending.py
@@ -173,7 +173,16 @@
 
     def may_be_sent(self):
         """See ``outbound.Call``."""
-        return self._exchange.node.current_list.is_usable()
+        node = self._exchange.node
+        usable = node.current_list.is_usable()
+        listed = node.fleet.is_listed(self.replica)
+        if not (usable and listed):
+            self._exchange.log.info(
+                'withheld',
+                replica=self.replica.record.id,
+                listed=listed,
+                replicas_age_s=node.fleet.confirmation.logged_age_s())
+        return usable and listed
 
     def on_sent(self):
         """See ``outbound.Call``."""
