DRAIN: the list is half as old as the promise at most, half is left for the way

Cause, suspected: the list could be 1.7 s old at a send, of 2.0 s, so that 0.3 s were left for a connection, the kernels and a replica that waits for a processor. On a machine that is busy that is too little.

Change: the list is used up to leave_s / 2 (1.0 s); readers read every 0.65 s (0.9 s), entries ask every 0.4 s (0.5 s). The configuration is read as before.

--- a/gorsefall/relay/pacing.py
+++ b/gorsefall/relay/pacing.py
@@ -24,16 +24,29 @@
 MIN_CONFIG_WAIT_S = 0.2
 """Shortest time a read of the configuration waits, s: five calls a second."""
 
-LEAVE_MARGIN_S = 0.6
-"""Part of the bound on new requests to a leaving replica that remains after the
-pause between reads of the replicas' records, s: a response of the store and a
-new connection to the replica (0.25 s at most) fit. These reads do not wait at
-the store, as they would return at each heartbeat of a replica, several a
-second, and the store charges by the call."""
+LIST_AGE_SHARE = 0.5
+"""Part of the bound on new requests to a leaving replica up to which the
+replicas' records are used. The rest is left for the way of a request: a new
+connection (0.25 s at most), directly or through another entry, and processes
+on both sides that wait for a processor."""
+
+LIST_READ_MARGIN_S = 0.3
+"""Part of that age that remains after the pause between reads of the records,
+s: a response of a slow store takes 0.25 s. These reads do not wait at the
+store, as they would return at each heartbeat of a replica, several a second,
+and the store charges by the call."""
+
+LIST_SHARED_MARGIN_S = 0.35
+"""The same where other entries depend on the reads, s: they are queried, and an
+entry may still read by itself then."""
+
+LIST_QUERY_SHARE = 0.4
+"""Longest pause between queries, as a part of the age of the records."""
 
 SEND_MARGIN_S = 0.3
-"""Part of the same bound left for the way of a request to its replica, s: a new
-connection (0.25 s at most), directly or through another entry."""
+"""Part of the bound on a new configuration left for the way of a request to its
+replica, s: a new connection (0.25 s at most), directly or through another
+entry."""
 
 MIN_REPLICAS_PAUSE_S = 0.2
 """Shortest pause between reads of the replicas' records, s."""
@@ -70,7 +83,8 @@
 
 def replicas_pause_s(cfg):
     """Returns the pause between reads of the replicas' records, s."""
-    return max(MIN_REPLICAS_PAUSE_S, cfg.leave_s - LEAVE_MARGIN_S)
+    return max(MIN_REPLICAS_PAUSE_S,
+               max_replicas_age_s(cfg) - LIST_READ_MARGIN_S)
 
 
 def max_replicas_age_s(cfg):
@@ -79,7 +93,7 @@
     A request that is sent by them reaches no replica that has left for longer
     than the settings allow.
     """
-    return max(2 * MIN_REPLICAS_PAUSE_S, cfg.leave_s - SEND_MARGIN_S)
+    return max(2 * MIN_REPLICAS_PAUSE_S, cfg.leave_s * LIST_AGE_SHARE)
 
 
 def max_config_age_s(cfg):
@@ -97,6 +111,12 @@
 
 def query_pause_s(cfg):
     """Returns the pause between queries to another entry, s."""
+    return min(_config_query_pause_s(cfg),
+               LIST_QUERY_SHARE * max_replicas_age_s(cfg))
+
+
+def _config_query_pause_s(cfg):
+    """Returns the longest such pause for the configuration, s."""
     bounds = [cfg.apply_s, cfg.leave_s]
     if cfg.strict_revocation:
         bounds.append(cfg.revoke_s - CONFIRMATION_MARGIN_S)
@@ -105,10 +125,11 @@
 
 def shared_wait_s(cfg):
     """Returns ``config_wait_s`` of an entry that others query, s."""
-    return min(MAX_SHARED_WAIT_S, config_wait_s(cfg), query_pause_s(cfg))
+    return min(MAX_SHARED_WAIT_S, config_wait_s(cfg),
+               _config_query_pause_s(cfg))
 
 
 def shared_pause_s(cfg):
     """Returns ``replicas_pause_s`` of an entry that others query, s."""
-    pause_s = replicas_pause_s(cfg) - query_pause_s(cfg)
+    pause_s = max_replicas_age_s(cfg) - LIST_SHARED_MARGIN_S
     return max(MIN_REPLICAS_PAUSE_S, min(MAX_SHARED_PAUSE_S, pause_s))
