DRAIN: a reader whose reads are not answered goes by what others read

Change: an entry that reads asks the others once its own reads are overdue by its pace, and takes what confirms more than its last own read. It goes on reading. The other way, that it stops reading for others at once, makes all readers stop at a store that is slow for all, and others begin: not taken.

--- a/gorsefall/relay/ownreads.py
+++ b/gorsefall/relay/ownreads.py
@@ -35,13 +35,16 @@
     newer confirmation by then.
     """
 
-    def __init__(self, loop, rng, *, query, retry_pause_s, on_read):
+    def __init__(self, loop, rng, *, query, query_overdue, retry_pause_s,
+                 on_read):
         """Creates the watch without topics.
 
         Args:
             loop: The ``reactor.Reactor``.
             rng: A ``random.Random``.
             query: Queries other entries.
+            query_overdue: The same while this entry reads by itself, and its
+                reads are not answered.
             retry_pause_s: Returns the pause after an own read that brought no
                 confirmation, s.
             on_read: Called before each own read.
@@ -49,6 +52,7 @@
         self._loop = loop
         self._rng = rng
         self._query = query
+        self._query_overdue = query_overdue
         self._retry_pause_s = retry_pause_s
         self._on_read = on_read
         self._topics = ()
@@ -90,12 +94,21 @@
                             self._query_once)
         elif followed.follower.continuous or not followed.follower.has_snapshot:
             # It reads by itself for now.
+            if self._is_overdue(followed):
+                self._query_overdue()
             self._loop.call_later(
                 RESPONSE_S, functools.partial(self._check, followed, age_s,
                                               then))
         else:
             then(followed)
 
+    @staticmethod
+    def _is_overdue(followed):
+        """Returns whether own reads should have confirmed a topic since."""
+        follower = followed.follower
+        return (follower.has_snapshot and follower.age_s()
+                > follower.pace.max_confirmation_age_s + READER_MARGIN_S)
+
     def _query_once(self, followed):
         self._query()
         self._await_age(
--- a/gorsefall/relay/sharing.py
+++ b/gorsefall/relay/sharing.py
@@ -142,6 +142,7 @@
             loop,
             rng,
             query=self._query_readers,
+            query_overdue=self._query_others,
             retry_pause_s=self._own_read_pause_s,
             on_read=self._on_own_read)
         self._probed_at = float('-inf')
@@ -258,6 +259,12 @@
             # Begun anew before all of them had time to respond, the queries
             # would never come to an end.
             return
+        self._query_others()
+
+    def _query_others(self):
+        """Queries the others that read the store, one after the other."""
+        if self._open_query is not None:
+            return
         self._response_missing = False
         self._query(
             self._selector.query_order(
@@ -298,8 +305,8 @@
         metrics.PEER_READS.labels('unanswered').inc()
         self._response_missing = True
         host, *rest = self._open_query.hosts
-        if self.is_reader:
-            # Asked only for what the store has lost.
+        if self.is_reader and not rest:
+            # Asked only for what the store has lost, or the last one.
             self._open_query = None
             self._lost.forget_ahead()
             return
@@ -389,7 +396,8 @@
         if (not self._lost.learn(followed.follower, change_set, query.hosts[0])
                 or change_set.end.era < followed.follower.position.era):
             return False
-        if self.is_reader:
+        if self.is_reader and (not change_set.complete or
+                               not self._is_newer(followed, query, change_set)):
             return True
         if not change_set.complete:
             followed.follower.read_once(change_set.end)
@@ -402,6 +410,12 @@
             return False
         return change_set.age_s <= followed.max_age_s
 
+    @staticmethod
+    def _is_newer(followed, query, change_set):
+        """Returns whether changes confirm more than the last own read."""
+        return (query.sent_at - change_set.age_s
+                > followed.follower.confirmed_at)
+
     @handle_message.register
     def _(self, message: messages.Hint, host):
         if self.is_reader or message.store != self._store:
--- a/gorsefall/relay/topicfollower.py
+++ b/gorsefall/relay/topicfollower.py
@@ -247,8 +247,7 @@
         Raises:
             errors.RecordError: It cannot be unpacked; nothing was applied.
         """
-        if (self._continuous or not self.has_snapshot or
-                change_set.end.era < self.position.era):
+        if not self.has_snapshot or change_set.end.era < self.position.era:
             return
         records = [changes.unpack(c) for c in change_set.changes]
         if change_set.end > self.position:
@@ -270,6 +269,9 @@
             self._apply(record)
         self.position = max(self.position, change_set.end)
         self._confirm(sent_at)
+        if self._continuous and self._state is _State.IDLE:
+            # What the own reads could not bring has come from elsewhere.
+            self._schedule_read()
 
     # -- reads -----------------------------------------------------------------
 
--- a/tests/test_unknown_configuration.py
+++ b/tests/test_unknown_configuration.py
@@ -201,9 +201,9 @@
 def test_a_known_configuration_stays_when_part_of_another_is_told():
     """An entry denies everything, as it drops what it has for a part."""
     node, listener = _listener()
-    listener.on_record(changes.Record(CONFIG, b'6!', 1))
+    listener.apply(changes.Record(CONFIG, b'6!', 1))
     listener.on_version_told(7, changes.Record(CONFIG, b'7', 1))
-    listener.on_record(changes.Record(CONFIG, b'7', 2))
+    listener.apply(changes.Record(CONFIG, b'7', 2))
     assert node.table.version == 6
 
 
