--- a/gorsefall/explain.py
+++ b/gorsefall/explain.py
@@ -223,6 +223,13 @@
             f'{_via(event)}')
 
 
+@describe.register
+def _(event: loglines.Withheld):
+    why = ('whose records were too old'
+           if event.listed else 'which had left or restarted since')
+    return f'not sent to {event.replica} after all, {why}'
+
+
 @describe.register
 def _(event: loglines.Answered):
     took = '' if event.ms is None else f' after {event.ms:.0f} ms'
--- a/gorsefall/loglines.py
+++ b/gorsefall/loglines.py
@@ -52,6 +52,8 @@
     replicas_age_s: float | None = None
     told_by: str | None = None
     lapsed: bool = False
+    repeatable: bool | None = None
+    max_attempts: int | None = None
 
 
 class AttemptFailed(RequestEvent, tag='attempt_failed'):
@@ -91,6 +93,13 @@
     """The request waits until the records of the replicas were read."""
 
 
+class Withheld(RequestEvent, tag='withheld'):
+    """The request did not leave for the replica that was chosen."""
+    replica: str
+    listed: bool
+    replicas_age_s: float | None = None
+
+
 class Restored(RequestEvent, tag='restored'):
     """A stream continues at another replica, from a KV backup."""
     gone: str
@@ -332,7 +341,7 @@
 
 
 _EventType = (Sent | AttemptFailed | Forwarded | PathsLost | PathsRegained |
-              NotRun | Retry | Parked | AwaitsReplicas | Restored |
+              NotRun | Retry | Parked | AwaitsReplicas | Withheld | Restored |
               StreamTakenUp | NotTakenOver | Kept | Answered | Configuration |
               ProofLost | ProofRegained | StoreLost | StoreRegained |
               StoreRestored | StoreIsBehind | ConfirmationWithheld |
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -245,6 +245,14 @@
     assert 'this replica has no record any more' in text
 
 
+@pytest.mark.parametrize(('listed', 'why'), [(True, 'too old'),
+                                             (False, 'had left')])
+def test_a_request_that_was_withheld_is_explained(listed, why):
+    """A request went to another replica, and nothing said why."""
+    line = loglines.Withheld(rid='r', replica='i-1', listed=listed)
+    assert why in explain.describe(line)
+
+
 def test_a_wait_for_the_records_of_the_replicas_is_explained():
     """A request that waited looked as if nothing had happened to it."""
     line = loglines.AwaitsReplicas(rid='r')
