CONFIG: the cost of matching a path is bounded by the routes

Cause: Table.match tried a prefix at each slash, each a copy of the path up to it, so its cost was the square of what a caller sent.

Change: only slashes within the longest prefix of the host are tried; no other can end one. The other way, a lookup for each distinct length of a prefix, costs an ordinary path of three slashes more lookups at thousands of routes.

--- a/gorsefall/relay/routes.py
+++ b/gorsefall/relay/routes.py
@@ -58,8 +58,11 @@
         self.accounts = accounts
         self.requires_key = requires_key
         self._by_host = {}
+        self._longest_prefix = {}
         for route in routes:
             self._by_host.setdefault(route.host, {})[route.prefix] = route
+            self._longest_prefix[route.host] = max(
+                self._longest_prefix.get(route.host, 0), len(route.prefix))
 
         pairs = _all_pairs({r.priority for r in routes},
                            {a.priority for a in accounts.values()})
@@ -101,8 +104,9 @@
         prefixes = self._by_host.get(req.host, {})
         # Prefixes end with a slash, so a matching one ends at a slash of the
         # path. The cost of trying each slash does not depend on the number of
-        # routes.
-        end = path.rfind('/')
+        # routes, nor on the length of the path: a caller chooses that, and the
+        # cost is the square of what is tried.
+        end = path.rfind('/', 0, self._longest_prefix.get(req.host, 0))
         while end >= 0:
             route = prefixes.get(path[:end + 1])
             if route is not None:
--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -1,5 +1,6 @@
 """Routes of requests, compared to a plain search, and their ranks."""
 
+import contextlib
 import dataclasses
 
 import pytest
@@ -81,6 +82,32 @@
     }
 
 
+class _CountingPrefixes(dict):
+    """Prefixes of a host.
+
+    Attributes:
+        tried: Number of prefixes that were sought.
+    """
+    tried = 0
+
+    def get(self, prefix, default=None):
+        self.tried += 1
+        return super().get(prefix, default)
+
+
+@pytest.mark.parametrize('target', [b'/a/' + b'/' * 16000, b'/' * 16000])
+def test_the_cost_of_a_match_is_bounded_by_the_routes(target):
+    """A path of many slashes held the thread for a tenth of a second."""
+    table = _table(
+        [_route('h', '/a/b/'),
+         _route('h', '/c/'),
+         _route('h', '/a/')])
+    table._by_host['h'] = prefixes = _CountingPrefixes(table._by_host['h'])
+    with contextlib.suppress(errors.NoRouteError):
+        assert table.match(_request('h', target.decode())).prefix == '/a/'
+    assert prefixes.tried <= len('/a/b/')
+
+
 def test_among_equal_accounts_the_more_urgent_route_goes_first():
     """Guards against starving the most urgent class in an overload.
 
