CONFIG: answers of no request without end end the call

Cause: each such answer begins the exchange anew, and nothing bounds their number; interim responses likewise.

Change: a call skips 8 such answers and takes 64 interim ones, then its connection is given up and the request counts as sent. A peer repeats one answer, or is late with one. The other way, a budget of events for each turn of the loop, lets the peer go on for as long as the call lasts, and is needed only where the answers are of the request.

--- a/gorsefall/net/outbound.py
+++ b/gorsefall/net/outbound.py
@@ -34,6 +34,13 @@
 """Most bytes received at once: what was received when reading is paused is
 kept until the consumer of the response goes on."""
 
+MAX_STRAY_RESPONSES = 8
+"""Most responses to earlier requests that a call skips. A peer repeats one or
+is late with one; more of them hold the thread, and no end of them is known."""
+
+MAX_INTERIM_RESPONSES = 64
+"""Most interim responses to a call, for the same reason."""
+
 MAX_STATUS = 599
 """Largest status that HTTP defines a class for."""
 
@@ -174,6 +181,7 @@
         self._h11 = None
         self._desynchronized = False
         self._skipping_response = False
+        self._stray_count = self._interim_count = 0
         self._idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
         self._transport = tcp.Connection(loop, self)
         self._transport.max_recv_bytes = RECV_BYTES
@@ -209,6 +217,7 @@
     def send(self, call):
         """Sends ``call``; no other call may be in progress."""
         self._call = call
+        self._stray_count = self._interim_count = 0
         self._transport.has_written = False
         self._set_time_limit(call)
         pieces = self._start_exchange(call)
@@ -322,10 +331,7 @@
         if isinstance(event, h11.Response):
             self._on_response(event)
         elif isinstance(event, h11.InformationalResponse):
-            if not self._skipping_response:
-                self._call.on_interim(
-                    event.status_code,
-                    headers.from_items(event.headers.raw_items()))
+            self._on_interim(event)
         elif isinstance(event, h11.Data):
             if not self._skipping_response:
                 self._call.on_data(bytes(event.data))
@@ -336,6 +342,14 @@
             return False
         return True
 
+    def _on_interim(self, event):
+        self._interim_count += 1
+        if self._interim_count > MAX_INTERIM_RESPONSES:
+            self._fail('bad answer: interim responses without end')
+        elif not self._skipping_response:
+            self._call.on_interim(event.status_code,
+                                  headers.from_items(event.headers.raw_items()))
+
     def _on_response(self, event):
         if event.status_code > MAX_STATUS:
             self._fail(f'bad answer: status {event.status_code}')
@@ -347,6 +361,9 @@
             # would get another caller's response. It is skipped, and the
             # connection is not reused.
             self._skipping_response = self._desynchronized = True
+            self._stray_count += 1
+            if self._stray_count > MAX_STRAY_RESPONSES:
+                self._fail('bad answer: responses to no request without end')
             return
         match = _KEEP_ALIVE.search(fields.by_name.get(b'keep-alive', b''))
         if match:
--- a/tests/test_outbound.py
+++ b/tests/test_outbound.py
@@ -390,3 +390,34 @@
     assert len(peer.requests) == idle
     assert (call.failure.sent, call.failure.fault,
             call.sent) == (False, outbound.Fault.WITHHELD, False)
+
+
+@pytest.mark.parametrize('answer', [
+    head('old', 'Content-Length: 0'), b'HTTP/1.1 204 X\r\nRid: old\r\n\r\n',
+    b'HTTP/1.1 103 X\r\n\r\n'
+])
+def test_answers_of_no_request_without_end_end_the_call(answer):
+    """Answers of no request held the thread for as long as they came."""
+    peer = peers.ScriptedPeer([[answer * 1000, complete_response('a')]])
+    with peers.loop() as loop:
+        pool = outbound.Pool(loop, peer.addr, max_size=1, connect_timeout_s=1.0)
+        call = RecordingCall('a')
+        pool.send(call)
+        peers.run(loop, lambda: call.ended or call.failure is not None)
+        assert pool.size == 0
+    peer.close()
+    assert (call.failure.sent, call.failure.fault) == (True,
+                                                       outbound.Fault.INVALID)
+
+
+def test_a_few_answers_of_no_request_are_skipped():
+    """A request is lost by an answer that a peer repeats."""
+    strays = complete_response('old') * outbound.MAX_STRAY_RESPONSES
+    peer = peers.ScriptedPeer([[strays, complete_response('a')]])
+    with peers.loop() as loop:
+        pool = outbound.Pool(loop, peer.addr, max_size=1, connect_timeout_s=1.0)
+        call = RecordingCall('a')
+        pool.send(call)
+        peers.run(loop, lambda: call.ended or call.failure is not None)
+    peer.close()
+    assert call.received == b'answer a'
