--- a/gorsefall/relay/versionstore.py
+++ b/gorsefall/relay/versionstore.py
@@ -155,6 +155,11 @@
             origin: Its ``softwareversions.Origin``.
         """
         served = self._fleet.versions.served(origin.service, self._loop.now)
+        self._log.info('version_seen',
+                       service=origin.service,
+                       version=origin.software,
+                       served=sorted(served),
+                       keeper=self.keeper())
         if len(served) > 1:
             self._pending.add(origin)
             starts = not self._has_read
