Store: several records can be appended in one call, all or none

What two records prove together must not be torn apart by a death between two calls. The platform's log-append takes several; append_at is the case of one.

--- a/gorsefall/relay/topic.py
+++ b/gorsefall/relay/topic.py
@@ -52,6 +52,17 @@
     era: ids.Era = ids.NO_ERA
 
 
+class NewRecord(typing.NamedTuple):
+    """A record to be appended.
+
+    Attributes:
+        key: Its key.
+        value: Its value, bytes; empty to drop the key.
+    """
+    key: str
+    value: bytes
+
+
 class Source:
     """Interface to the store: reads and appends of one keyed topic.
 
@@ -76,6 +87,13 @@
         be. The history may be another one than that in which the topic was
         seen to end there: the era of the position tells.
         """
+        self.append_all_at([NewRecord(key, value)], end, silence_s, done)
+
+    def append_all_at(self, records, end, silence_s, done):
+        """Appends all of some ``NewRecord`` objects, or none of them.
+
+        See ``append_at``; the position is that of the first one.
+        """
         raise NotImplementedError
 
     def read(self, offset, wait_s, max_kb, silence_s, done, *, on_large=None):
