ORDER: a stream begins at a version and through a route that the store has

Cause: a fact on which all later decisions rely was made to last by one entry, after others had acted on it; and a version and the record of its era were two calls, so that a kill between them refused every stream.

Now whoever begins a resumable stream has seen its version and its route stored, in the present era and since its view had its last gap; until then the request waits, 1 s at most while the store does not answer. Versions, routes and the era are written together. The keeper still writes first; others follow after 0.3 to 1 s, and within a millisecond or two of each other if a stream waits. A version is marked 10 s before it is dropped, so that a keeper whose view lags does not drop what others have just stored; routes are dropped after they were missed for an upkeep.

Tests that stood in for append_at stand in for append_all_at.

--- a/features/platform_versions.feature
+++ b/features/platform_versions.feature
@@ -109,6 +109,42 @@
     And the callers take their streams up at all entries in turn
     Then no stream is joined from two versions, and what is refused has not run
 
+  # Guards against a service's first version that is left to an entry which is
+  # held up, so that nobody stores it.
+  Scenario Outline: another version replaces a first one that came as the entry that stores versions was <fault>
+    Given three entries before a service without replicas
+    When the entry that stores versions is <fault> as replicas of the versions "v1 v1" come
+    And ten callers leave their streams after <count> events there
+    And all entries are killed
+    And replicas of the versions "v2 v2" replace all others
+    And all entries start again
+    And the callers take their streams up at all entries in turn
+    Then no stream is joined from two versions, and what is refused has not run
+
+    Examples:
+      | fault  | count |
+      | frozen | 1     |
+      | frozen | 2     |
+      | killed | 1     |
+      | killed | 2     |
+
+  # Guards against streams that nobody goes on with as their version is stored,
+  # but not that no other one was.
+  Scenario Outline: a first version stays that came as the entry that stores versions was <fault>
+    Given three entries before a service without replicas
+    When the entry that stores versions is <fault> as replicas of the versions "v1 v1" come
+    And ten callers leave their streams after 1 events there
+    And all entries are killed
+    And all entries start again
+    And the callers take their streams up at all entries in turn
+    Then no stream is joined from two versions, and what is refused has not run
+    And at least half of the streams go on
+
+    Examples:
+      | fault  |
+      | frozen |
+      | killed |
+
   # Guards against streams that begin at a version which nobody can store.
   Scenario: the store shows no versions as a second one comes
     Given three entries before replicas of the versions "v1 v1"
--- a/features/steps/streams_taken_up.py
+++ b/features/steps/streams_taken_up.py
@@ -37,6 +37,14 @@
                       'the other entries')
 
 
+def wait_until_listed(context, site):
+    names = {r.id for r in pool(context)}
+    waiting.until(
+        lambda: names <=
+        {ln['replica'] for ln in site.log() if ln['event'] == 'replica_seen'},
+        'the replicas')
+
+
 def pool(context):
     return [
         r for r in context.platform.replicas.values() if r.service == 'pool'
@@ -86,6 +94,21 @@
         ], 'the other entries')
 
 
+def leave(context, site, until, extra=()):
+    """Sends a request, leaves after an event; returns the request's id."""
+    script(context, 'is silent after two events')
+    rid = platform_site.new_rid(context)
+    with wire_callers.connect(site.callers) as sock:
+        sock.sendall(
+            wire_callers.request_bytes('/r/x', rid, body=b'body', extra=extra))
+        got = b''
+        while until not in got:
+            data = sock.recv(wire_callers.MAX_RECV_BYTES)
+            assert data, got
+            got += data
+    return rid
+
+
 def take_up(context, site, rids, extra, **kw):
     script(context)
     rid = platform_site.new_rid(context)
--- a/features/steps/version_steps.py
+++ b/features/steps/version_steps.py
@@ -110,31 +110,19 @@
     streams_taken_up.check_one_version(context)
 
 
-def _leave(context, site, until, extra=()):
-    """Sends a request, leaves after an event; returns the request's id."""
-    streams_taken_up.script(context, 'is silent after two events')
-    rid = platform_site.new_rid(context)
-    with wire_callers.connect(site.callers) as sock:
-        sock.sendall(
-            wire_callers.request_bytes('/r/x', rid, body=b'body', extra=extra))
-        got = b''
-        while until not in got:
-            data = sock.recv(wire_callers.MAX_RECV_BYTES)
-            assert data, got
-            got += data
-    return rid
-
-
 @when('ten callers leave their streams after two events')
 def step_leave_ten(context):
-    context.tries = [[_leave(context, context.platform, LEFT_AT)]
-                     for _ in range(streams_taken_up.STREAM_COUNT)]
+    context.tries = [[
+        streams_taken_up.leave(context, context.platform, LEFT_AT)
+    ] for _ in range(streams_taken_up.STREAM_COUNT)]
     context.last_event = 2
 
 
 @when('a caller leaves its stream after two events')
 def step_leave_one(context):
-    context.tries = [[_leave(context, context.platform, LEFT_AT)]]
+    context.tries = [[
+        streams_taken_up.leave(context, context.platform, LEFT_AT)
+    ]]
     context.last_event = 2
 
 
@@ -164,8 +152,9 @@
 def step_take_up_and_leave(context):
     for rids in context.tries:
         rids.append(
-            _leave(context, context.sites[1], b'id: 3\ndata: piece 3\n\n',
-                   streams_taken_up.take_up_fields(context, rids)))
+            streams_taken_up.leave(
+                context, context.sites[1], b'id: 3\ndata: piece 3\n\n',
+                streams_taken_up.take_up_fields(context, rids)))
     context.last_event = 3
 
 
--- a/gorsefall/metrics.py
+++ b/gorsefall/metrics.py
@@ -144,6 +144,11 @@
                              'stream, as one was taken up, by whether the '
                              'store shows them all.', ('result',),
                              registry=REGISTRY)
+RECORD_WAITS = prom.Counter('gorsefall_record_waits_total',
+                            'Streams that waited before they began until their '
+                            'version and route were stored, by how the wait '
+                            'ended.', ('result',),
+                            registry=REGISTRY)
 STREAMS_TAKEN_UP = prom.Counter('gorsefall_streams_taken_up_total',
                                 'Streams that callers took up, by how it was '
                                 'decided at which software version they may go '
--- a/gorsefall/policy/softwareversions.py
+++ b/gorsefall/policy/softwareversions.py
@@ -255,17 +255,24 @@
     return route[:end + 1] or None
 
 
+def _pairs(services):
+    """Returns the pairs of a route's key and a service of it, a set."""
+    return {(route, name) for route, names in services.items() for name in names
+           }
+
+
 class RouteHistory:
     """The services that routes have led to of late.
 
     Attributes:
-        on_changed: Called when a route leads to other services.
+        on_changed: Called when routes lead to other services, with the pairs
+            of a route's key and the name of a service that are new, a set.
     """
 
     def __init__(self):
         self._services = {}
         self._left_at = {}
-        self.on_changed = lambda: None
+        self.on_changed = lambda added: None
 
     def adopt(self, services, now):
         """Records a new configuration.
@@ -285,9 +292,9 @@
             for route, left_at in self._left_at.items()
             if now - max(left_at.values()) <= SERVED_WINDOW_S
         }
-        changed, self._services = self._services != services, services
-        if changed:
-            self.on_changed()
+        before, self._services = self._services, services
+        if before != services:
+            self.on_changed(_pairs(services) - _pairs(before))
 
     def _record_other_prefix(self, route, services, now):
         """Records where requests were led that another route gets now."""
@@ -299,6 +306,14 @@
             for name in self.of_late(old, now):
                 self._left_at.setdefault(new, {})[name] = now
 
+    def leads_to(self, route, service):
+        """Returns whether a route leads to a service now."""
+        return service in self._services.get(route, ())
+
+    def current(self):
+        """Returns the pairs of a route's key and a service of it now."""
+        return _pairs(self._services)
+
     def all_of_late(self, now):
         """Returns ``key of a route -> names of its services of late``."""
         routes = {*self._services, *self._left_at}
--- a/gorsefall/relay/boundversion.py
+++ b/gorsefall/relay/boundversion.py
@@ -5,6 +5,7 @@
 from gorsefall import errors
 from gorsefall.policy import retry_delay
 from gorsefall.policy import softwareversions
+from gorsefall.relay import missingrecords
 
 REFRESH_S = 10.0
 """Time after which others are told again of a stream that goes on, s: they
@@ -104,8 +105,10 @@
         grant = exchange.grant
         if grant.route.resumable and not self._is_doubtful():
             origin = softwareversions.Origin(grant.service, self.software)
-            exchange.node.streams.record_begun(self._digest, origin,
-                                               grant.route.service_names)
+            exchange.node.streams.record_begun(self._digest,
+                                               origin,
+                                               grant.route.service_names,
+                                               route=grant.route.key)
 
     def record_served(self):
         """Records that the caller has the whole stream."""
@@ -121,12 +124,35 @@
             return {r.record.id for r in fleet.of_service(service)}
         return fleet.with_other_software(service, self.software)
 
+    def admit(self, retry):
+        """Returns whether the request may be sent now.
+
+        A stream does not begin before its version and its route are stored:
+        nobody would know of them if all entries were gone.
+
+        Args:
+            retry: Called later if not.
+        """
+        exchange = self._exchange
+        grant = exchange.grant
+        if self.bound or not (grant.streams and grant.route.resumable):
+            return True
+        versions = exchange.node.streams.unrecorded(grant.service)
+        if self._unrecorded():
+            # Replicas of other versions take it.
+            versions = ()
+        beginning = missingrecords.Beginning(grant.service, frozenset(versions),
+                                             grant.route.key)
+        if exchange.node.streams.admit(beginning, retry):
+            return True
+        exchange.log.info('awaits_record', versions=sorted(versions))
+        return False
+
     def _unrecorded(self):
         """Returns the ids of replicas at which its stream must not begin yet.
 
-        Their version is not stored yet, so that nobody would know of it if all
-        entries were gone. If no other replica takes requests, it begins there
-        all the same: otherwise none would be served while the store is away.
+        Their version is not stored yet. If no other replica takes requests, it
+        begins there once it is, or if the store does not answer.
         """
         grant, node = self._exchange.grant, self._exchange.node
         if not (grant.streams and grant.route.resumable):
--- a/gorsefall/relay/exchange.py
+++ b/gorsefall/relay/exchange.py
@@ -210,6 +210,8 @@
                     'its route does not allow another run any more')
         if not self.node.current_list.admit(self.dispatch, self.log):
             return
+        if not self._version.admit(self.dispatch):
+            return
         self.causes = self._possible_causes()
         if not self.node.crashes.try_begin_run(self.causes, self):
             self.log.info('parked',
--- a/gorsefall/relay/routerecord.py
+++ b/gorsefall/relay/routerecord.py
@@ -51,6 +51,25 @@
     return {name for name, hashes in routes.items() if key in hashes}
 
 
+def has(routes, route, service):
+    """Returns whether such a mapping has a route that leads to a service."""
+    return _hash(route) in routes.get(service, ())
+
+
+def without(routes, pairs):
+    """Returns a mapping without pairs of a service and the hash of a route."""
+    left = {
+        name: frozenset(h for h in hashes if (name, h) not in pairs)
+        for name, hashes in routes.items()
+    }
+    return {name: hashes for name, hashes in left.items() if hashes}
+
+
+def pairs(routes):
+    """Returns the pairs of a service and the hash of a route, a set."""
+    return {(name, h) for name, hashes in routes.items() for h in hashes}
+
+
 def encode(routes):
     """Returns the value of the record."""
     return _ENCODER.encode({
--- a/gorsefall/relay/streamorigins.py
+++ b/gorsefall/relay/streamorigins.py
@@ -21,6 +21,7 @@
 from gorsefall.policy import softwareversions
 from gorsefall.policy import streammemory
 from gorsefall.relay import messages
+from gorsefall.relay import missingrecords
 from gorsefall.relay import routerecord
 from gorsefall.relay import versionrecords
 
@@ -122,21 +123,36 @@
             return set()
         return self.version_store.unrecorded(service)
 
+    def admit(self, beginning, retry):
+        """Returns whether a stream may begin now.
+
+        Args:
+            beginning: The ``missingrecords.Beginning``.
+            retry: Called later if not.
+        """
+        return (self.version_store is None or
+                self.version_store.admit(beginning, retry))
+
     # -- streams of this entry -------------------------------------------------
 
-    def record_begun(self, digest, origin, services):
+    def record_begun(self, digest, origin, services, *, route=''):
         """Records that a caller gets events of a stream.
 
         Args:
             digest: Its ``ids.StreamDigest``.
             origin: The ``softwareversions.Origin`` of its replica.
             services: Names of the services of its route.
+            route: ``model.Route.key`` of its route.
         """
         now = self._loop.now
         self._memory.put(digest, streammemory.BegunStream(origin, now,
                                                           own=True))
         versions = self._fleet.versions
         versions.record_running(origin, now)
+        if self.version_store is not None:
+            self.version_store.on_stream_begun(
+                missingrecords.Beginning(origin.service,
+                                         frozenset({origin.software}), route))
         # Another version may come after the keeper has dropped this one.
         if (versions.origins(services, now) != {origin} or
                 not versions.has_replicas(origin)):
--- a/gorsefall/relay/versionrecords.py
+++ b/gorsefall/relay/versionrecords.py
@@ -2,7 +2,7 @@
 
 Each software version is a record of its own; the services of all routes are one
 (``routerecord``). One more names the era of the store in which all versions are
-known to be stored.
+known to be stored: whoever begins a stream has its version stored before.
 """
 
 import hashlib
@@ -15,6 +15,7 @@
 from gorsefall import ids
 from gorsefall.policy import softwareversions
 from gorsefall.relay import routerecord
+from gorsefall.relay import topic
 
 KEY_BYTES = 16
 """Bytes of the hash that is the key of a version."""
@@ -32,9 +33,11 @@
     Attributes:
         service: Name of the service.
         software: The version.
+        leaving: Whether its record is to be dropped.
     """
     service: str
     software: str
+    leaving: bool = False
 
 
 _DECODER = decoding.json_decoder(_StoredOrigin)
@@ -52,6 +55,8 @@
             them. A store that came back from an older copy may lack some until
             an entry that outlasted it has written them again.
         in_era: Whether the record of the era says so.
+        leaving: Those of ``origins`` whose records are to be dropped: they
+            have to be written again before a stream begins there.
     """
     origins: frozenset
     routes: dict
@@ -59,13 +64,32 @@
     era: ids.Era
     proven: bool
     in_era: bool
+    leaving: frozenset = frozenset()
 
+    @property
+    def kept(self):
+        """The origins whose records stay, a frozenset."""
+        return self.origins - self.leaving
 
-def encode(origin):
-    """Returns key and value of the record of a ``softwareversions.Origin``."""
-    value = msgspec.json.encode(_StoredOrigin(*origin))
+
+def encode(origin, *, leaving=False):
+    """Returns the ``topic.NewRecord`` of a ``softwareversions.Origin``.
+
+    Args:
+        origin: The origin.
+        leaving: Whether its record is to be dropped.
+    """
+    value = msgspec.json.encode(tuple(origin))
     # Names may be longer than a key.
-    return hashlib.blake2b(value, digest_size=KEY_BYTES).hexdigest(), value
+    key = hashlib.blake2b(value, digest_size=KEY_BYTES).hexdigest()
+    if leaving:
+        value = msgspec.json.encode((*origin, True))
+    return topic.NewRecord(key, value)
+
+
+def encode_drop(origin):
+    """Returns the ``topic.NewRecord`` that drops the record of an origin."""
+    return topic.NewRecord(encode(origin).key, b'')
 
 
 def decode(snapshot):
@@ -75,7 +99,8 @@
     proven. A topic that has never been written belongs to a system that has
     just started for the first time.
     """
-    origins, routes, proven_era, readable = set(), {}, None, True
+    origins, leaving, routes = set(), set(), {}
+    proven_era, readable = None, True
     for record in snapshot.records:
         try:
             if record.key == ERA_KEY:
@@ -84,15 +109,19 @@
                 routes = routerecord.decode(record.value)
             else:
                 stored = _DECODER.decode(record.value)
-                origins.add(
-                    softwareversions.Origin(stored.service, stored.software))
+                origin = softwareversions.Origin(stored.service,
+                                                 stored.software)
+                origins.add(origin)
+                if stored.leaving:
+                    leaving.add(origin)
         except errors.UndecodableError:
             readable = False
-    in_era = proven_era == encode_era(snapshot.era) or not snapshot.end
+    in_era = proven_era == encode_era(snapshot.era).value or not snapshot.end
     return StoredVersions(frozenset(origins), routes, snapshot.end,
-                          snapshot.era, readable and in_era, in_era)
+                          snapshot.era, readable and in_era, in_era,
+                          frozenset(leaving))
 
 
 def encode_era(era):
-    """Returns the value of the record of an ``ids.Era``."""
-    return b'%d' % era
+    """Returns the ``topic.NewRecord`` of an ``ids.Era``."""
+    return topic.NewRecord(ERA_KEY, b'%d' % era)
--- a/gorsefall/relay/versionstore.py
+++ b/gorsefall/relay/versionstore.py
@@ -1,14 +1,15 @@
 """Stores which software versions and services may have begun streams.
 
 Entries tell each other which versions serve, and forget it with their process.
-A version is stored before streams begin at it, and dropped by an entry that has
-seen for long enough that no replica has it. So an entry that has just started
-learns from the store which versions the streams have that it is to go on with.
-The services that each route has led to of late are stored likewise.
+What is stored proves that no other version has begun a stream: whoever begins
+one at a version, or through a route, has seen its record before. So an entry
+that has just started learns from the store which versions the streams have that
+it is to go on with. Versions that no replica has any more are dropped. The
+services that each route has led to of late are stored likewise.
 No time is stored: clocks differ, and each entry measures the time by its own.
 
-One entry by hash, the keeper, stores what all see. The others only make sure of
-versions that come beside another one, at which streams can begin meanwhile.
+One entry by hash, the keeper, writes what all see and drops what none does. The
+others write what it has not written in time, at once if a stream waits for it.
 """
 
 import random
@@ -17,6 +18,10 @@
 from gorsefall import logs
 from gorsefall import metrics
 from gorsefall.policy import rendezvous
+from gorsefall.policy import softwareversions
+from gorsefall.relay import missingrecords
+from gorsefall.relay import recorddrops
+from gorsefall.relay import recordwaits
 from gorsefall.relay import routerecord
 from gorsefall.relay import snapshots
 from gorsefall.relay import topic
@@ -29,10 +34,21 @@
 """Time after which an entry knows the others and so whether it is the keeper,
 s."""
 
+FOLLOW_RANGE_S = (0.05, 0.3)
+"""Range of the time after which others read what the keeper writes at once,
+s."""
+
 WRITE_DELAY_RANGE_S = (0.3, 1.0)
 """Range of the time after which entries write that are not the keeper, s,
 should it be gone."""
 
+URGENT_SPREAD_S = 0.0005
+"""Range of the delay of an urgent read for each entry there is, s: all may have
+streams that wait for the same record, which one of them writes."""
+
+MAX_WRITE_BYTES = 1 << 16
+"""Most data of one write, bytes."""
+
 RETRY_RANGE_S = (0.5, 1.5)
 """Range of the pause after a failed call, s."""
 
@@ -80,11 +96,16 @@
         self._fleet = fleet
         self._name = name
         self._rng = rng
-        self._pending = set()
-        self._has_read = self._has_started = False
-        self._syncing = self._routes_changed = False
+        self._missing = missingrecords.MissingRecords()
+        self._waits = recordwaits.RecordWaits(loop, self._on_silent)
+        self._drops = recorddrops.RecordDrops()
+        self._read_at = self._due_at = float('-inf')
+        self._has_started = self._routes_changed = False
+        self._syncing = self._urgent = self._waited = False
+        self._failed = self._is_silent = False
+        self._timer = None
         self._was_written = False
-        self._began_era = None
+        self._era = self._began_era = None
         self._asks_left = self._upkeeps = 0
         self._witnessed = frozenset()
         self._log = logs.get('versions')
@@ -96,11 +117,46 @@
     # -- what is stored --------------------------------------------------------
 
     def unrecorded(self, service):
-        """Returns versions of a service that are not known to be stored, a set.
+        """Returns versions of a service that are not known to be stored."""
+        return self._missing.versions(service)
 
-        Only such as came beside another one, which is to be preferred.
+    def admit(self, beginning, retry):
+        """Returns whether a stream may begin now.
+
+        While the store does not answer, streams begin at what is not stored:
+        otherwise none would be served.
+
+        Args:
+            beginning: The ``missingrecords.Beginning``.
+            retry: Called later if not.
         """
-        return {v.software for v in self._pending if v.service == service}
+        if (self._is_silent or self._fleet.store_lost or
+                not self._bars(beginning)):
+            return True
+        self._waits.add(beginning, retry)
+        self._hasten()
+        return False
+
+    def on_stream_begun(self, beginning):
+        """Called when a caller gets events of a stream."""
+        if self._missing.bars(beginning):
+            self._hasten()
+
+    def _bars(self, beginning):
+        return not self._is_current() or self._missing.bars(beginning)
+
+    def _is_current(self):
+        """Whether all versions were seen that have come since the last read.
+
+        Otherwise one may have been dropped and come back meanwhile.
+        """
+        age_s = self._loop.now - self._read_at
+        return age_s <= (self._fleet.observation.age_s +
+                         softwareversions.MAX_GAP_S)
+
+    def _on_silent(self):
+        self._is_silent = True
+        self._waits.give_up()
 
     def read(self, done):
         """Reads which versions may have begun streams.
@@ -125,17 +181,31 @@
         self._read(on_read)
 
     def _read(self, done):
+        asked_at = self._loop.now
 
         def on_snapshot(snapshot, exc):
             stored = None
             if exc is None:
                 stored = self._check_first(versionrecords.decode(snapshot))
-                self._has_read = True
-                self._pending -= stored.origins
+                self._record_read(stored, asked_at)
             done(stored, exc)
 
         self._reader.read(on_snapshot)
 
+    def _record_read(self, stored, asked_at):
+        routes = self._fleet.routes
+        if stored.era != self._era:
+            self._missing.add_routes(routes.current())
+        self._era = stored.era
+        self._read_at = asked_at
+        self._failed = self._is_silent = False
+        self._missing.update(stored,
+                             self._fleet.versions.all_origins(self._loop.now),
+                             routes)
+        self._waits.release(self._bars)
+        if self._missing.origins:
+            self._sync_in(self._rng.uniform(*FOLLOW_RANGE_S))
+
     def _check_first(self, stored):
         """Returns what was read; an empty topic proves nothing once it was not.
 
@@ -160,14 +230,16 @@
                        version=origin.software,
                        served=sorted(served),
                        keeper=self.keeper())
-        if len(served) > 1:
-            self._pending.add(origin)
-            starts = not self._has_read
-            self._sync_in(self._rng.uniform(0, START_SPREAD_S * starts))
-        elif self._has_started and self._is_keeper():
+        self._missing.add_origins({origin})
+        if self._era is None:
+            self._sync_in(self._rng.uniform(0, START_SPREAD_S))
+        elif self._keeps():
             self._sync_in(0.0)
+        else:
+            self._sync_in(self._rng.uniform(*FOLLOW_RANGE_S))
 
-    def _on_routes_changed(self):
+    def _on_routes_changed(self, added):
+        self._missing.add_routes(added)
         if self._has_started and not self._routes_changed:
             self._routes_changed = True
             self._loop.call_later(ROUTES_DELAY_S, self._store_routes)
@@ -184,7 +256,9 @@
         """Called when the store came back from an older copy."""
         self._was_written = True
         self._asks_left = MAX_ASKS
-        self._pending |= self._fleet.versions.all_origins(self._loop.now)
+        self._missing.add_origins(
+            self._fleet.versions.all_origins(self._loop.now))
+        self._missing.add_routes(self._fleet.routes.current())
         # All entries learn of it at the same moment.
         first = self._is_keeper()
         self._sync_in(0.0 if first else self._rng.uniform(*WRITE_DELAY_RANGE_S))
@@ -198,6 +272,8 @@
         # One that was frozen before may answer now.
         self._asks_left = max(1, self._asks_left)
         self._upkeeps = self._upkeeps + 1 if self._is_keeper() else 0
+        if not self._upkeeps:
+            self._drops.reset()
         self._sync_if_keeper()
 
     def keeper(self):
@@ -208,33 +284,67 @@
     def _is_keeper(self):
         return self.keeper() == self._name
 
+    def _keeps(self):
+        """Whether this entry knows that it is the keeper."""
+        return self._has_started and self._is_keeper()
+
+    def _hasten(self):
+        """Has what is missing written soon, as streams begin at it."""
+        if not self._urgent:
+            self._urgent = True
+            spread_s = URGENT_SPREAD_S * len(self.reader_names())
+            if not self._failed:
+                self._sync_in(self._rng.uniform(0, spread_s))
+
     def _sync_in(self, delay_s):
-        if not self._syncing:
-            self._syncing = True
-            self._loop.call_later(delay_s, lambda: self._read(self._sync))
+        """Begins to read and write after a delay, or sooner if that is due."""
+        due_at = self._loop.now + delay_s
+        if self._timer is not None and due_at < self._due_at:
+            self._timer.cancel()
+        elif self._syncing:
+            return
+        self._syncing = True
+        self._due_at = due_at
+        self._timer = self._loop.call_later(delay_s, self._begin_sync)
+
+    def _begin_sync(self):
+        self._timer = None
+        self._read(self._sync)
+
+    def _sync_again(self, range_s):
+        self._syncing = False
+        self._sync_in(self._rng.uniform(*range_s))
+
+    def _end_sync(self):
+        self._syncing = self._urgent = self._waited = False
 
-    def _sync(self, stored, exc, *, waited=False):
-        """Writes one record that the store lacks, and reads again, if any."""
+    def _sync(self, stored, exc):
+        """Writes what the store lacks, and reads again, if anything."""
         if exc is not None:
             self._log.warning('not_read', error=str(exc))
-            self._read_again(RETRY_RANGE_S)
+            self._failed = True
+            self._sync_again(RETRY_RANGE_S)
             return
         if not self._was_written:
             self._began_era = stored.era
         if self._needs_witnesses(stored):
             self.witnesses.ask(lambda found: self._on_witnessed(stored, found))
             return
-        self._pending &= self._fleet.versions.all_origins(self._loop.now)
-        writes = waited or self._is_keeper()
-        record = self._next_record(stored)
-        if record is None:
-            self._syncing = False
-        elif writes:
-            self._write(*record, stored.end)
-        elif self._pending:
-            self._read_again(WRITE_DELAY_RANGE_S, waited=True)
+        records = self._next_records(stored)
+        if not records:
+            self._end_sync()
+        elif self._writes():
+            self._write(records, stored.end)
+        elif self._missing.origins:
+            self._waited = True
+            self._sync_again(WRITE_DELAY_RANGE_S)
         else:
-            self._syncing = False
+            self._end_sync()
+
+    def _writes(self):
+        """Whether this entry writes what is missing now."""
+        return (self._urgent or self._waited or not self._has_started or
+                self._is_keeper())
 
     def _needs_witnesses(self, stored):
         """Whether others have to say what an older copy may have lost."""
@@ -246,7 +356,7 @@
         if origins is None:
             self._asks_left -= 1
             self._log.info('versions_unwitnessed', era=stored.era)
-            self._read_again(RETRY_RANGE_S)
+            self._sync_again(RETRY_RANGE_S)
             return
         self._witnessed = frozenset(origins)
         self._began_era = stored.era
@@ -257,13 +367,8 @@
         """Whether this entry has seen all versions of the whole time."""
         return (self._fleet.observation.covers() and not self._fleet.store_lost)
 
-    def _read_again(self, range_s, *, waited=False):
-        self._loop.call_later(
-            self._rng.uniform(*range_s), lambda: self._read(
-                lambda stored, exc: self._sync(stored, exc, waited=waited)))
-
-    def _next_record(self, stored):
-        """Returns the next key and value to be written; None if there is none.
+    def _next_records(self, stored):
+        """Returns the ``topic.NewRecord`` objects to be written, a list.
 
         Args:
             stored: The ``versionrecords.StoredVersions``.
@@ -271,41 +376,69 @@
         origins = self._fleet.versions.all_origins(self._loop.now)
         if not stored.proven:
             origins |= self._witnessed
+        missing = origins - stored.kept
+        records = _first_bytes(
+            versionrecords.encode(o) for o in sorted(missing))
+        if len(records) < len(missing):
+            return records
         covers = self._observes()
-        missing, old = origins - stored.origins, stored.origins - origins
-        if missing:
-            return versionrecords.encode(min(missing))
-        routes = routerecord.from_history(
-            self._fleet.routes.all_of_late(self._loop.now))
-        if not (covers and stored.in_era):
-            routes = routerecord.join(routes, stored.routes)
         proves = covers or self._began_era == stored.era
-        if routes != stored.routes and (self._is_keeper() or
+        routes = self._next_routes(stored, covers)
+        if routes != stored.routes and (self._keeps() or
+                                        self._missing.any_routes() or
                                         (proves and not stored.in_era)):
-            return versionrecords.ROUTES_KEY, routerecord.encode(routes)
+            records.append(
+                topic.NewRecord(versionrecords.ROUTES_KEY,
+                                routerecord.encode(routes)))
+        # It says that all versions are stored, so none may be left for later.
         if not stored.in_era and proves:
-            return versionrecords.ERA_KEY, versionrecords.encode_era(stored.era)
+            records.append(versionrecords.encode_era(stored.era))
         # The keeper alone is told of streams whose version has no replicas.
-        if (covers and old and self._is_keeper() and
+        if (not records and covers and self._keeps() and
                 self._upkeeps >= DROP_UPKEEPS):
-            return versionrecords.encode(min(old))[0], b''
-        return None
-
-    def _write(self, key, value, end):
-        """Writes a record if nothing was written meanwhile, and reads again."""
+            records = self._drops.due_records(stored, origins, self._loop.now)
+        return records
+
+    def _next_routes(self, stored, covers):
+        """Returns the routes that are to be stored, see ``routerecord``."""
+        now = self._loop.now
+        own = routerecord.from_history(self._fleet.routes.all_of_late(now))
+        routes = routerecord.join(own, stored.routes)
+        if covers and stored.in_era and self._keeps():
+            routes = routerecord.without(
+                routes, self._drops.due_routes(stored, own, now))
+        return routes
+
+    def _write(self, records, end):
+        """Writes records if nothing was written meanwhile, and reads again."""
 
         def on_written(position, exc):
             del position
             if exc is None:
-                self._log_stored(key, value)
+                for record in records:
+                    self._log_stored(record)
             failed = exc and not isinstance(exc, errors.ConflictError)
-            self._read_again(RETRY_RANGE_S if failed else (0.0, 0.0))
+            self._failed = bool(failed)
+            self._sync_again(RETRY_RANGE_S if failed else (0.0, 0.0))
 
-        self._source.append_at(key, value, end, topic.SILENCE_TIMEOUT_S,
-                               on_written)
+        self._source.append_all_at(records, end, topic.SILENCE_TIMEOUT_S,
+                                   on_written)
 
-    def _log_stored(self, key, value):
-        if key == versionrecords.ROUTES_KEY:
-            self._log.info('routes_stored', size=len(value))
+    def _log_stored(self, record):
+        if record.key == versionrecords.ROUTES_KEY:
+            self._log.info('routes_stored', size=len(record.value))
         else:
-            self._log.info('version_stored', version=value.decode(), key=key)
+            self._log.info('version_stored',
+                           version=record.value.decode(),
+                           key=record.key)
+
+
+def _first_bytes(records):
+    """Returns the first records that make one write, a list."""
+    found, size = [], 0
+    for record in records:
+        size += len(record.key) + len(record.value)
+        if found and size > MAX_WRITE_BYTES:
+            break
+        found.append(record)
+    return found
--- a/tests/stream_entries.py
+++ b/tests/stream_entries.py
@@ -56,7 +56,7 @@
         """See ``topic.Source``."""
         self.append_at(key, value, None, silence_s, done)
 
-    def append_at(self, key, value, end, silence_s, done):
+    def append_all_at(self, records, end, silence_s, done):
         """See ``topic.Source``."""
         self.writes += 1
 
@@ -64,7 +64,8 @@
             if end not in (None, len(self.records)):
                 done(None, errors.ConflictError('ends elsewhere'))
                 return
-            self.put(key, value)
+            for record in records:
+                self.put(*record)
             done(positions.Position(self.era, end), None)
 
         if self.away:
@@ -267,11 +268,12 @@
             timer.action()
         self.now = end
 
-    def begin(self, host, rid, version, services=(SERVICE,)):
+    def begin(self, host, rid, version, services=(SERVICE,), route=''):
         origins = self.entries[host].origins
         origins.record_begun(origins.digest('a', rid),
                              softwareversions.Origin(services[0], version),
-                             services)
+                             services,
+                             route=route)
 
     def take_up(self, host, rid, account='a', services=(SERVICE,), route=''):
         """Returns the ``Decision``, and after how long it was made, s."""
--- a/tests/test_versions_review.py
+++ b/tests/test_versions_review.py
@@ -82,9 +82,9 @@
     """Executes a drop seconds after its caller has given up on it."""
     late_s = 3.0
 
-    def append_at(self, key, value, end, silence_s, done):
-        if value:
-            super().append_at(key, value, end, silence_s, done)
+    def append_all_at(self, records, end, silence_s, done):
+        if all(r.value for r in records):
+            super().append_all_at(records, end, silence_s, done)
             return
         self.writes += 1
         self._sim.call_later(
@@ -93,7 +93,8 @@
 
         def write():
             if len(self.records) == end:
-                self.put(key, value)
+                for record in records:
+                    self.put(*record)
 
         self._sim.call_later(self.late_s, write)
 
@@ -432,9 +433,10 @@
 class _ShortKeys(stream_entries.Store):
     """Has keys of up to 255 bytes, as the platform's client."""
 
-    def append_at(self, key, value, end, silence_s, done):
-        bytes([len(key.encode())])
-        super().append_at(key, value, end, silence_s, done)
+    def append_all_at(self, records, end, silence_s, done):
+        for record in records:
+            bytes([len(record.key.encode())])
+        super().append_all_at(records, end, silence_s, done)
 
 
 def test_a_long_version_does_not_keep_others_from_being_stored():
--- a/tests/test_versions_review2.py
+++ b/tests/test_versions_review2.py
@@ -301,7 +301,7 @@
     others = [h for h in fleet.hosts if h != _keeper(fleet.hosts)]
     _route(fleet, others, {'h/': (OTHER,)})
     fleet.run(0.3)
-    fleet.begin(others[0], 'x', 'v1', services=(OTHER,))
+    fleet.begin(others[0], 'x', 'v1', services=(OTHER,), route='h/')
     fleet.run(0.5)
     _route(fleet, fleet.hosts, {'h/': (SERVICE,)})
     fleet.run(3.0)
@@ -476,9 +476,9 @@
         self.called_at.append(self._sim.now)
         super().read_snapshot(after, silence_s, done)
 
-    def append_at(self, key, value, end, silence_s, done):
+    def append_all_at(self, records, end, silence_s, done):
         self.called_at.append(self._sim.now)
-        super().append_at(key, value, end, silence_s, done)
+        super().append_all_at(records, end, silence_s, done)
 
     def most_in_a_second(self):
         best = first = 0
