--- a/tests/stream_entries.py
+++ b/tests/stream_entries.py
@@ -182,6 +182,7 @@
 
 class Fleet:
     """Entries, their messages and timers in simulated time."""
+    entry_type = Entry
 
     def __init__(self, count, versions, loss=0.0, seed=1, stored=False):
         self.now = 100.0
@@ -197,7 +198,7 @@
         for host in self.entries:
             self.entries[host] = types.SimpleNamespace(alive=True)
         for host in list(self.entries):
-            self.entries[host] = Entry(self, host, self.store)
+            self.entries[host] = self.entry_type(self, host, self.store)
         for entry in self.entries.values():
             for version in versions:
                 entry.add(version)
@@ -208,7 +209,7 @@
         """Kills the entries at some hosts, and starts them anew at once."""
         for host in hosts:
             self.entries[host].alive = False
-            self.entries[host] = Entry(self, host, self.store)
+            self.entries[host] = self.entry_type(self, host, self.store)
         for host in hosts:
             for version in self.versions:
                 self.entries[host].add(version)
