ORDER: entries that were cut off count those that have ended meanwhile as witnesses

Callers got streams joined from two versions after a partition of 30 s, a death and an older copy of the store: two of three entries, cut off from the third and from the store, asked only those heard in the last 23 s, whom they had not heard for 30 s because of the partition itself. Those heard since the last gap in their view count now, and an observation proves an older copy only once it has lasted for 23 s after it, not before: what another entry alone saw in a gap of less than 3 s may be lost with it.

test_entries_on_one_side_of_a_partition_do_not_prove_an_older_copy[30.0] failed before and passes.

--- a/gorsefall/policy/softwareversions.py
+++ b/gorsefall/policy/softwareversions.py
@@ -154,11 +154,12 @@
             clock: Returns the time, s, which goes on while the VM is suspended.
         """
         self._clock = clock
-        self._began_at = self._confirmed_at = float('-inf')
+        self._began_at = self._confirmed_at = self._gap_at = float('-inf')
 
     def record(self, at):
         """Records that all replicas as of the time ``at``, s, are known."""
         if at - self._confirmed_at > MAX_GAP_S:
+            self._gap_at = self._confirmed_at
             self._began_at = at
         self._confirmed_at = max(self._confirmed_at, at)
 
@@ -170,6 +171,17 @@
             return 0.0
         return now - self._began_at
 
+    @property
+    def missed_for_s(self):
+        """Time since the first version may have come that was missed, s.
+
+        It is 0 if none was missed that still counts as serving.
+        """
+        if self.covers():
+            return 0.0
+        in_gap = not self.age_s
+        return self._clock() - (self._confirmed_at if in_gap else self._gap_at)
+
     def covers(self):
         """Returns whether it lasts as long as a version counts as serving."""
         return self.age_s > SERVED_WINDOW_S + MAX_GAP_S
--- a/gorsefall/relay/versionstore.py
+++ b/gorsefall/relay/versionstore.py
@@ -26,6 +26,7 @@
 from gorsefall.relay import snapshots
 from gorsefall.relay import topic
 from gorsefall.relay import versionrecords
+from gorsefall.relay import versionwitnesses
 
 START_SPREAD_S = 0.3
 """Range of the delay of the first read, s: many entries may start at once."""
@@ -106,6 +107,7 @@
         self._timer = None
         self._was_written = False
         self._era = self._began_era = None
+        self._era_at = float('-inf')
         self._asks_left = self._upkeeps = 0
         self._witnessed = frozenset()
         self._log = logs.get('versions')
@@ -195,8 +197,8 @@
     def _record_read(self, stored, asked_at):
         routes = self._fleet.routes
         if stored.era != self._era:
+            self._era, self._era_at = stored.era, self._loop.now
             self._missing.add_routes(routes.current())
-        self._era = stored.era
         self._read_at = asked_at
         self._failed = self._is_silent = False
         self._missing.update(stored,
@@ -350,7 +352,7 @@
         """Whether others have to say what an older copy may have lost."""
         return (self.witnesses is not None and self._is_keeper() and
                 self._asks_left > 0 and not stored.in_era and
-                not self._observes())
+                not self._proves(stored))
 
     def _on_witnessed(self, stored, origins):
         if origins is None:
@@ -363,6 +365,16 @@
         self._asks_left = 0
         self._read(self._sync)
 
+    def _proves(self, stored):
+        """Whether this entry knows all versions that an older copy has lost.
+
+        One that was seen by others alone, for a moment, may still have streams
+        for as long as they can be taken up.
+        """
+        outlasted_s = self._loop.now - self._era_at
+        return (self._began_era == stored.era or
+                self._observes() and outlasted_s > versionwitnesses.WINDOW_S)
+
     def _observes(self):
         """Whether this entry has seen all versions of the whole time."""
         return (self._fleet.observation.covers() and not self._fleet.store_lost)
@@ -382,7 +394,7 @@
         if len(records) < len(missing):
             return records
         covers = self._observes()
-        proves = covers or self._began_era == stored.era
+        proves = self._proves(stored)
         routes = self._next_routes(stored, covers)
         if routes != stored.routes and (self._keeps() or
                                         self._missing.any_routes() or
--- a/gorsefall/relay/versionwitnesses.py
+++ b/gorsefall/relay/versionwitnesses.py
@@ -14,6 +14,10 @@
 WINDOW_S = softwareversions.SERVED_WINDOW_S + softwareversions.MAX_GAP_S
 """Time in which no process may have ended, s: as for an observation."""
 
+HEARD_MARGIN_S = softwareversions.MAX_GAP_S
+"""Longest time between the last status of an entry and the moment at which this
+one was cut off from it, s."""
+
 ANSWER_TIMEOUT_S = 0.3
 """Longest wait for answers, s: hundreds arrive at one link."""
 
@@ -69,7 +73,9 @@
         if self._peers is None or self._age_s() < WINDOW_S or self._inquiry:
             done(None)
             return
-        hosts = self._members.heard_since(now - WINDOW_S)
+        # Also those that ended while this entry was cut off from everyone.
+        missed_s = self._fleet.observation.missed_for_s + HEARD_MARGIN_S
+        hosts = self._members.heard_since(now - max(WINDOW_S, missed_s))
         inquiry = self._inquiry = _Inquiry(hosts, done)
         if not hosts:
             self._finish(set())
