ORDER: after an older copy of the store no entry's own view proves what was lost

Callers got streams joined from two versions: the view of two entries lags by 2 s, the third begins a stream at a new version and dies, messages are lost, and the store comes back without that version. The others, which had observed all versions with a gap of less than 3 s, vouched for the one they knew. While the store names no era in which all is stored, nobody's observation counts; all entries together prove it within some 0.3 s, or 23 s pass. A record that cannot be decoded is not an older copy: there observers vouch as before.

--- a/gorsefall/policy/softwareversions.py
+++ b/gorsefall/policy/softwareversions.py
@@ -86,7 +86,8 @@
            *,
            view_current,
            stored,
-           stored_services=frozenset()):
+           stored_services=frozenset(),
+           older_copy=False):
     """Returns the ``Decision`` on a stream that is taken up.
 
     Args:
@@ -99,6 +100,8 @@
             them, a frozenset; None if it does not show them.
         stored_services: Names of the services that its route has led to of
             late, as the store has them.
+        older_copy: Whether the store has come back from an older copy, and no
+            entry has shown what it lacks.
     """
     everyone = (own, *others)
     began = {k.began for k in everyone if k.began is not None}
@@ -116,7 +119,8 @@
         return Decision(None, Reason.SEVERAL_VERSIONS)
     if not (others or view_current):
         return Decision(None, Reason.OUTDATED)
-    if stored is None and not any(k.covers for k in everyone):
+    vouched = stored is not None or any(k.covers for k in everyone)
+    if older_copy or not vouched:
         return Decision(None, Reason.UNPROVEN)
     if not served:
         return Decision(None, Reason.NO_VERSION)
--- a/gorsefall/relay/streamorigins.py
+++ b/gorsefall/relay/streamorigins.py
@@ -286,9 +286,11 @@
         self._decide(lookup)
 
     def _decide(self, lookup):
-        origins, services = None, frozenset()
+        origins, services, older_copy = None, frozenset(), False
         if lookup.stored is not None:
-            origins = lookup.stored.origins
+            older_copy = not lookup.stored.in_era
+            # Otherwise those that have observed all versions may say.
+            origins = lookup.stored.origins if lookup.stored.proven else None
             services = routerecord.services_of(lookup.route,
                                                lookup.stored.routes)
         decision = softwareversions.decide(
@@ -297,7 +299,8 @@
             list(lookup.answers.values()),
             view_current=not self._fleet.store_lost,
             stored=origins,
-            stored_services=services)
+            stored_services=services,
+            older_copy=older_copy)
         if (decision.reason is softwareversions.Reason.SEVERAL_VERSIONS and
                 lookup.digest is not None and self.stream_log is not None):
             self.stream_log.find(lookup.digest,
--- a/gorsefall/relay/versionstore.py
+++ b/gorsefall/relay/versionstore.py
@@ -165,19 +165,20 @@
 
         Args:
             done: Called with the ``versionrecords.StoredVersions``, or None if
-                the store does not show them in time.
+                the store does not show any in time.
         """
         waiting = [done]
 
         def finish(found):
             if waiting:
                 timer.cancel()
-                metrics.VERSION_READS.labels('unproven' if found is
-                                             None else 'proven').inc()
+                proven = found is not None and found.proven
+                metrics.VERSION_READS.labels(
+                    'proven' if proven else 'unproven').inc()
                 waiting.pop()(found)
 
         def on_read(stored, exc):
-            finish(stored if exc is None and stored.proven else None)
+            finish(stored if exc is None else None)
 
         timer = self._loop.call_later(READ_TIMEOUT_S, lambda: finish(None))
         self._read(on_read)
--- a/tests/test_first_versions.py
+++ b/tests/test_first_versions.py
@@ -179,6 +179,20 @@
     assert fleet.store.reads > reads
 
 
+def test_a_record_that_cannot_be_decoded_does_not_refuse_streams_for_good():
+    """Another writer's record is taken for the loss of a version."""
+    fleet = _fleet()
+    _add_service(fleet)
+    fleet.run(30.0)
+    fleet.store.put('foreign', b'[[[')
+    fleet.begin_stream(fleet.hosts[0], 'x', 'r')
+    fleet.run(0.1)
+    fleet.kill(fleet.hosts[:1])
+    fleet.start(fleet.hosts[:1])
+    fleet.run(1.5)
+    assert _take_up(fleet, fleet.hosts[0], 'x').origin == POOL_V1
+
+
 class _Day:
     """A random series of events, and what may not happen in it."""
 
