--- a/gorsefall/policy/softwareversions.py
+++ b/gorsefall/policy/softwareversions.py
@@ -220,6 +220,21 @@
         """Returns whether a replica of an ``Origin`` is known now."""
         return bool(self._counts[origin.service][origin.software])
 
+    def left_for_s(self, origin, now):
+        """Returns for how long an ``Origin`` has served no more, s.
+
+        Args:
+            origin: The ``Origin``.
+            now: Time, s (monotonic).
+
+        Returns:
+            0 while it has replicas, infinity if it has not served of late.
+        """
+        if self.has_replicas(origin):
+            return 0.0
+        gone_at = self._gone_at[origin.service].get(origin.software)
+        return float('inf') if gone_at is None else now - gone_at
+
     def record_running(self, origin, now):
         """Records that a stream of an origin runs, though its replicas left.
 
--- a/gorsefall/relay/missingrecords.py
+++ b/gorsefall/relay/missingrecords.py
@@ -25,6 +25,18 @@
     route: str
 
 
+def lacking(stored, versions, now):
+    """Returns the origins that have to be written, a set.
+
+    Args:
+        stored: The ``versionrecords.StoredVersions``.
+        versions: The ``softwareversions.VersionHistory``.
+        now: Time, s (monotonic).
+    """
+    back = {o for o in stored.leaving if versions.has_replicas(o)}
+    return (versions.all_origins(now) - stored.origins) | back
+
+
 class MissingRecords:
     """The versions and routes that the store lacks, as far as is known."""
 
@@ -52,10 +64,10 @@
 
         Args:
             stored: The ``versionrecords.StoredVersions``.
-            origins: All origins that have served of late.
+            origins: The origins that lack, see ``lacking``.
             routes: The ``softwareversions.RouteHistory``.
         """
-        self._origins = set(origins - stored.kept)
+        self._origins = set(origins)
         self._routes = collections.defaultdict(
             set, {
                 service: left
--- a/gorsefall/relay/versionrecords.py
+++ b/gorsefall/relay/versionrecords.py
@@ -66,11 +66,6 @@
     in_era: bool
     leaving: frozenset = frozenset()
 
-    @property
-    def kept(self):
-        """The origins whose records stay, a frozenset."""
-        return self.origins - self.leaving
-
 
 def encode(origin, *, leaving=False):
     """Returns the ``topic.NewRecord`` of a ``softwareversions.Origin``.
--- a/gorsefall/relay/versionstore.py
+++ b/gorsefall/relay/versionstore.py
@@ -202,9 +202,7 @@
             self._missing.add_routes(routes.current())
         self._read_at = asked_at
         self._failed = self._is_silent = False
-        self._missing.update(stored,
-                             self._fleet.versions.all_origins(self._loop.now),
-                             routes)
+        self._missing.update(stored, self._lacking(stored), routes)
         self._waits.release(self._bars)
         if self._missing.origins:
             self._sync_in(self._rng.uniform(*FOLLOW_RANGE_S))
@@ -386,10 +384,9 @@
         Args:
             stored: The ``versionrecords.StoredVersions``.
         """
-        origins = self._fleet.versions.all_origins(self._loop.now)
+        missing = self._lacking(stored)
         if not stored.proven:
-            origins |= self._witnessed
-        missing = origins - stored.kept
+            missing |= self._witnessed - stored.origins
         records = _first_bytes(
             versionrecords.encode(o) for o in sorted(missing))
         if len(records) < len(missing):
@@ -409,9 +406,14 @@
         # The keeper alone is told of streams whose version has no replicas.
         if (not records and covers and self._keeps() and
                 self._upkeeps >= DROP_UPKEEPS):
-            records = self._drops.due_records(stored, origins, self._loop.now)
+            records = self._drops.due_records(stored, self._fleet.versions,
+                                              self._loop.now)
         return records
 
+    def _lacking(self, stored):
+        return missingrecords.lacking(stored, self._fleet.versions,
+                                      self._loop.now)
+
     def _next_routes(self, stored, covers):
         """Returns the routes that are to be stored, see ``routerecord``."""
         now = self._loop.now
--- a/tests/test_first_versions.py
+++ b/tests/test_first_versions.py
@@ -136,27 +136,31 @@
     assert fleet.begun['y'].began_at - asked_at <= 0.01
 
 
-def test_a_version_that_comes_back_is_not_dropped_by_a_keeper_that_sees_late():
-    """A version returns as its record is about to be dropped; streams begin at
-    it, the keeper drops it, and all entries are killed."""
+def _fleet_before_a_drop():
+    """Returns entries that have seen v2 replace v1 a moment ago."""
     fleet = _fleet()
     _add_service(fleet)
     fleet.run(5.0)
     fleet.world.replicas = {*fleet.world.replicas, POOL_V2} - {POOL_V1}
-    marked = versionrecords.encode(POOL_V1, leaving=True)
-    while marked not in [(r.key, r.value) for r in fleet.store.records]:
-        fleet.run(0.01)
+    return fleet
+
+
+def test_a_version_that_comes_back_is_not_dropped_by_a_keeper_that_sees_late():
+    """A version returns as its record is about to be dropped; streams begin at
+    it, the keeper drops it, and all entries are killed."""
+    fleet = _fleet_before_a_drop()
+    while _key(POOL_V1) in _stored(fleet):
+        fleet.run(0.1)
         assert fleet.now < 300.0
-    dropped_at = fleet.now + 10.0
-    fleet.run(9.0)
-    fleet.world.replicas.add(POOL_V1)
-    keeper = fleet.entries[fleet.keeper()]
-    keeper.observe = lambda: keeper.observation.record(keeper.now)
-    fleet.run(dropped_at + 5.0 - fleet.now)
-    assert _key(POOL_V1) in _stored(fleet)
-    assert marked not in [
-        (r.key, r.value) for r in fleet.store.records if r.key == marked.key
-    ][-1:]
+    dropped_at = fleet.now
+    for before_s in [0.5, 1.0, 2.0, 3.0]:
+        fleet = _fleet_before_a_drop()
+        fleet.run(dropped_at - before_s - fleet.now)
+        keeper = fleet.entries[fleet.keeper()]
+        keeper.observe = lambda k=keeper: k.observation.record(k.now)
+        fleet.world.replicas.add(POOL_V1)
+        fleet.run(before_s + 0.5)
+        assert _key(POOL_V1) in _stored(fleet)
 
 
 def test_an_entry_that_was_frozen_reads_before_a_stream_begins():
