--- a/bench/version_ways.py
+++ b/bench/version_ways.py
@@ -26,13 +26,13 @@
 
 from gorsefall.policy import softwareversions  # noqa: E402
 from gorsefall.relay import streamorigins  # noqa: E402
-from gorsefall.relay import topic  # noqa: E402
-from gorsefall.relay import versionrecords  # noqa: E402
 from gorsefall.relay import versionstore  # noqa: E402
 
 STREAMS = 40
 TICK_S = 0.005
-KILL_AFTER_S = 0.05
+KILL_AFTER_S = 0.002
+SLOW_S = 0.24
+VIEW_RANGE_S = (0.02, 0.06)
 V1, V2 = (softwareversions.Origin('pool', v) for v in ('v1', 'v2'))
 STORE = versionstore.VersionStore
 
@@ -98,8 +98,7 @@
 
 @contextlib.contextmanager
 def older_than_the_start():
-    """One entry by hash stores it; entries that have all started anew believe
-    only a version that the store had when they first read it."""
+    """The same; a version that came after the start of all proves nothing."""
 
     def record_read(self, stored, asked_at):
         if self._era is None:
@@ -142,13 +141,21 @@
     'who begins, before, the keeper first': stored_before,
 }
 
-CASES = 'frozen', 'dead', 'none', 'start', 'returns'
+CASES = 'frozen', 'dead', 'none', 'start', 'returns', 'slow'
 """What happens to the keeper; or all entries start as the first version serves;
-or a version comes back that the store still has."""
+a version comes back that the store still has; or it answers after 0.24 s."""
 
 
-def play(count, case, stays, seed):
-    """Returns the ``Result`` of one play."""
+def play(count, case, stays, seed, at_once):
+    """Returns the ``Result`` of one play.
+
+    Args:
+        count: Number of entries.
+        case: One of ``CASES``.
+        stays: Whether the version serves on after the kill.
+        seed: Seed.
+        at_once: Whether all are killed as the first stream begins.
+    """
     fleet = held_up_entries.Fleet(count, [('old', 'v7')], {'r-old': 'old'},
                                   seed=seed)
     fleet.services = ['old', 'pool']
@@ -171,11 +178,14 @@
     fleet.world.routes['r'] = 'pool'
     if case == 'start':
         fleet.start(fleet.hosts)
+    for entry in fleet.entries.values():
+        entry.answer_s = SLOW_S if case == 'slow' else 0.0
     reads, writes = fleet.store.reads, fleet.store.writes
     asked = {}
     hosts = [h for h in fleet.hosts if h != keeper or case in ('none', 'start')]
     until = fleet.now + 5.0
-    while len(fleet.begun) < min(STREAMS, len(hosts)) and fleet.now < until:
+    enough = 1 if at_once else len(hosts)
+    while len(fleet.begun) < enough and fleet.now < until:
         for host in hosts:
             if host not in asked and fleet.entries[host].listed('pool'):
                 asked[host] = fleet.now
@@ -215,8 +225,11 @@
     args = parser.parse_args()
     structlog.configure(
         wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL))
-    print('entries | way | joined, replaced: ' + ', '.join(CASES) +
-          ' | go on, stays | calls, writes in the mean | wait ms mean, most')
+    held_up_entries.Fleet.view_range_s = VIEW_RANGE_S
+    print('cases: ' + ', '.join(CASES))
+    print('entries | way | killed at the first event: joined | go on | killed '
+          'after all have begun: joined | go on | calls, writes in the mean | '
+          'wait ms mean, most')
     for count in args.entries:
         for name, way in WAYS.items():
             with way():
@@ -226,19 +239,26 @@
 
 def measure(count, seeds):
     """Returns a row's figures."""
-    joined, went_on, results = [], [], []
-    for case in CASES:
-        replaced = [play(count, case, False, s + 1) for s in range(seeds)]
-        stay = [play(count, case, True, s + 1) for s in range(seeds)]
-        joined.append(statistics.fmean(r.joined for r in replaced))
-        went_on.append(statistics.fmean(r.went_on for r in stay))
-        results += replaced + stay
+    columns, results = [], []
+    for at_once in (True, False):
+        for stays in (False, True):
+            shares = []
+            for case in CASES:
+                plays = [
+                    play(count, case, stays, seed + 1, at_once)
+                    for seed in range(seeds)
+                ]
+                shares.append(
+                    statistics.fmean(
+                        p.went_on if stays else p.joined for p in plays))
+                results += [] if at_once else plays
+            columns.append(', '.join(f'{s:.2f}' for s in shares))
     waits = [w * 1000 for r in results for w in r.waits_s]
-    return (', '.join(f'{j:.2f}' for j in joined) + ' | ' +
-            ', '.join(f'{w:.2f}' for w in went_on) + ' | ' +
-            f'{statistics.fmean(r.calls for r in results):.0f}, '
-            f'{statistics.fmean(r.writes for r in results):.1f} | '
-            f'{statistics.fmean(waits):.1f}, {max(waits):.1f}')
+    return ' | '.join([
+        *columns, f'{statistics.fmean(r.calls for r in results):.0f}, '
+        f'{statistics.fmean(r.writes for r in results):.1f}',
+        f'{statistics.fmean(waits):.1f}, {max(waits):.1f}'
+    ])
 
 
 if __name__ == '__main__':
--- a/tests/held_up_entries.py
+++ b/tests/held_up_entries.py
@@ -88,7 +88,8 @@
 
     def observe(self):
         """Reads the world again and again, at times of its own."""
-        self.call_later(self.fleet.rng.uniform(0.02, 1.0), self.observe)
+        self.call_later(self.fleet.rng.uniform(*self.fleet.view_range_s),
+                        self.observe)
         if self.origins.version_store is None or self.cut:
             return
         self.store_lost = False
@@ -140,8 +141,10 @@
 
     Attributes:
         begun: ``id -> Stream`` of those that have begun.
+        view_range_s: Range of the time between two reads of an entry, s.
     """
     entry_type = Entry
+    view_range_s = (0.02, 1.0)
 
     def __init__(self, count, replicas, routes, seed=1):
         self.world = World(replicas={Origin(*r) for r in replicas},
--- a/tests/stream_entries.py
+++ b/tests/stream_entries.py
@@ -1,5 +1,7 @@
 """Entries that remember streams, their messages and store in simulated time."""
 
+import heapq
+import itertools
 import random
 import types
 
@@ -189,6 +191,7 @@
         self.loss = loss
         self.rng = random.Random(seed)
         self.due = []
+        self._numbers = itertools.count()
         self.store = Store(self) if stored else None
         self.stream_store = Store(self) if stored else None
         self.versions = list(versions)
@@ -239,11 +242,10 @@
             entry.remove(version)
 
     def call_later(self, delay_s, action):
-        timer = types.SimpleNamespace(at=self.now + delay_s,
-                                      action=action,
-                                      cancelled=False)
+        timer = types.SimpleNamespace(action=action, cancelled=False)
         timer.cancel = lambda: setattr(timer, 'cancelled', True)
-        self.due.append(timer)
+        heapq.heappush(self.due,
+                       (self.now + delay_s, next(self._numbers), timer))
         return timer
 
     def deliver(self, sender, host, message):
@@ -257,16 +259,11 @@
 
     def run(self, for_s):
         end = self.now + for_s
-        while True:
-            left = [t for t in self.due if not t.cancelled and t.at <= end]
-            if not left:
-                break
-            timer = min(left, key=lambda t: t.at)
-            self.due = [
-                t for t in self.due if t is not timer and not t.cancelled
-            ]
-            self.now = timer.at
-            timer.action()
+        while self.due and self.due[0][0] <= end:
+            at, _, timer = heapq.heappop(self.due)
+            if not timer.cancelled:
+                self.now = at
+                timer.action()
         self.now = end
 
     def begin(self, host, rid, version, services=(SERVICE,), route=''):
