--- a/gorsefall/relay/malformed.py
+++ b/gorsefall/relay/malformed.py
@@ -1,5 +1,7 @@
 """Logs and counts records of the store that cannot be used."""
 
+import time
+
 from gorsefall import errors
 from gorsefall import metrics
 
@@ -7,6 +9,11 @@
 """Most keys whose last fault is remembered: a few times the number of replicas
 of a large deployment, at some 100 bytes each."""
 
+MAX_LINES = 100
+LINES_PERIOD_S = 10.0
+"""Most lines in a period, s: a writer may put in any number of records, and an
+entry that starts reads them all before it is ready."""
+
 
 class MalformedRecords:
     """Logs records that cannot be used, once for each key and error.
@@ -25,6 +32,8 @@
         self._log = log
         self._topic = topic
         self._errors = {}
+        self._lines = 0
+        self._period_end = float('-inf')
 
     def record_fault(self, record, exc):
         """Logs that ``record`` could not be used, with the error ``exc``.
@@ -38,6 +47,8 @@
         if len(self._errors) >= MAX_LOGGED_FAULTS:
             self._errors.clear()
         self._errors[record.key] = str(exc)
+        if not self._may_log():
+            return
         self._log.error(
             'record_spoilt',
             key=record.key,
@@ -46,6 +57,15 @@
             error=str(exc),
             exc_info=None if isinstance(exc, errors.RecordError) else exc)
 
+    def _may_log(self):
+        now = time.monotonic()
+        if now >= self._period_end:
+            self._lines, self._period_end = 0, now + LINES_PERIOD_S
+        self._lines += 1
+        if self._lines == MAX_LINES:
+            self._log.error('more_records_spoilt', period_s=LINES_PERIOD_S)
+        return self._lines < MAX_LINES
+
     def record_valid(self, key):
         """Logs that a key's newest record is valid again, or dropped."""
         if self._errors.pop(key, None) is not None:
--- a/gorsefall/relay/snapshots.py
+++ b/gorsefall/relay/snapshots.py
@@ -1,5 +1,6 @@
 """Reads the newest record of every key of a topic, for all that ask at once."""
 
+import functools
 import typing
 
 from gorsefall import ids
@@ -64,17 +65,19 @@
     def _read_page(self, after, records, asked):
         self._source.read_snapshot(
             after, topic.SILENCE_TIMEOUT_S,
-            lambda page, exc: self._on_page(page, exc, records, asked))
+            lambda page, exc: self._on_page(page, exc, after, records, asked))
 
-    def _on_page(self, page, exc, records, asked):
+    def _on_page(self, page, exc, after, records, asked):
         if exc is None:
             records.extend(page.records)
-            if page.more and page.records:
-                self._read_page(page.records[-1].key, records, asked)
+            following = page.next_after(after)
+            if following is not None:
+                self._read_page(following, records, asked)
                 return
         snapshot = None if exc else Snapshot(records, page.end, page.era)
         self._reading = False
         for done in asked:
-            done(snapshot, exc)
+            # Each by itself: one that fails keeps no other from its result.
+            self._loop.call_later(0, functools.partial(done, snapshot, exc))
         if self._waiting and not self._reading:
             self._begin_soon()
--- a/gorsefall/relay/topic.py
+++ b/gorsefall/relay/topic.py
@@ -30,11 +30,29 @@
         more: Whether another page follows.
         end: Offset after the topic's last record.
         era: The ``ids.Era`` of the history that the offsets belong to.
+        last_key: Last key of the page that can be named exactly in the next
+            call; None if it is that of the last record.
     """
     records: list
     more: bool
     end: int
     era: ids.Era = ids.NO_ERA
+    last_key: str | None = None
+
+    def next_after(self, after):
+        """Returns the key after which the next page begins; None without one.
+
+        A page that leads no further than the one before would be read for ever.
+
+        Args:
+            after: The key after which this page begins.
+        """
+        if not self.more:
+            return None
+        key = self.last_key
+        if key is None and self.records:
+            key = self.records[-1].key
+        return key if key is not None and key > after else None
 
 
 class Batch(typing.NamedTuple):
@@ -165,6 +183,14 @@
         except Exception as exc:
             return self.on_unusable_record(record, exc)
 
+    def is_usable(self, record):
+        """Returns whether a record can be decoded.
+
+        Asked of records with a long value, which is not kept otherwise.
+        """
+        del record
+        return True
+
     def on_unusable_record(self, record, exc):
         """Called with a record that ``on_record`` has failed for.
 
--- a/gorsefall/relay/topicfollower.py
+++ b/gorsefall/relay/topicfollower.py
@@ -40,6 +40,10 @@
 RECORD_LAPSE_S = 3 * topic.HEARTBEAT_S
 """Time between two confirmations after which records may have lapsed, s."""
 
+CHECKED_BYTES = 512
+"""Length of a value from which on it is checked before it is kept, bytes: the
+record of a replica takes some 300."""
+
 
 class _State(enum.Enum):
     """What a follower does at the moment.
@@ -325,10 +329,13 @@
                               lambda: self._read_snapshot(''))
             return
         for record in page.records:
-            self._snapshot[record.key] = record
-        if page.more and page.records:
-            self._read_snapshot(page.records[-1].key)
+            self._snapshot[record.key] = self._condense(record)
+        after = page.next_after(self._snapshot_after)
+        if after is not None:
+            self._read_snapshot(after)
             return
+        if page.more:
+            self._log.error('pages_skipped', after=self._snapshot_after)
         self.failed_reads = 0
         self._record_success()
         self._apply_snapshot(self._snapshot_end)
@@ -453,9 +460,19 @@
         self._last_record_kb = len(record.value) / 1024
         changed = self.listener.apply(record)
         if changed:
-            self.recent.add(record)
+            self.recent.add(self._condense(record))
         return changed
 
+    def _condense(self, record):
+        """Returns a record without its value if that is long and of no use.
+
+        All pages of a snapshot are held in memory until the last one is read.
+        """
+        if (len(record.value) <= CHECKED_BYTES or
+                self.listener.is_usable(record)):
+            return record
+        return record._replace(value=b'', well_formed=False)
+
     def _confirm(self, sent_at):
         # Only a read after a prompt one may wait. After a failure one that does
         # not shows at once that the store is back. A slow response confirms
--- a/gorsefall/relay/topiclisteners.py
+++ b/gorsefall/relay/topiclisteners.py
@@ -108,6 +108,15 @@
         self._node.fleet.put(decoded)
         return self._observe(record.key, decoded)
 
+    def is_usable(self, record):
+        """See ``topic.Listener``."""
+        try:
+            self._records.decode_replica(record)
+        except Exception:
+            # Told of when it is applied, without its value.
+            return False
+        return True
+
     def on_unusable_record(self, record, exc):
         """See ``topic.Listener``."""
         self._malformed.record_fault(record, exc)
--- a/tests/test_unreadable_records.py
+++ b/tests/test_unreadable_records.py
@@ -19,6 +19,7 @@
 from gorsefall.relay import changes
 from gorsefall.relay import crashstore
 from gorsefall.relay import forwardmessages
+from gorsefall.relay import malformed
 from gorsefall.relay import messages
 from gorsefall.relay import routerecord
 from gorsefall.relay import snapshots
@@ -214,3 +215,114 @@
     topicfollower.Follower(loop, store, listener, name='t').start()
     loop.run(loop.now + 8.0)
     assert listener.confirmed
+
+
+class _SamePage(stores.Store):
+    """Has pages whose last key cannot be named, so that the next is the same.
+
+    Attributes:
+        asked: The keys after which pages were asked for.
+    """
+
+    def __init__(self, loop, last_key):
+        super().__init__(loop, ())
+        self.asked = []
+        self._last_key = last_key
+
+    def read_snapshot(self, after, silence_s, done):
+        """See ``topic.Source``."""
+        self.asked.append(after)
+        keys = ['a', 'b\ufffd'] if after < 'b' else ['b\ufffd']
+        page = topic.SnapshotPage(
+            [changes.Record(k, b'v', i) for i, k in enumerate(keys)],
+            True,
+            9,
+            last_key=self._last_key)
+        self._loop.call_later(0.004, lambda: done(page, None))
+
+
+@pytest.mark.parametrize('last_key', [None, 'a'])
+def test_a_page_that_leads_no_further_is_the_last(last_key):
+    """Pages of keys that are no text were read for ever."""
+    loop = stores.Loop()
+    store = _SamePage(loop, last_key)
+    found = []
+    snapshots.SnapshotReader(
+        loop, store).read(lambda snapshot, exc: found.append(snapshot))
+    listener = _FailingSnapshot(0)
+    topicfollower.Follower(loop, store, listener, name='t').start()
+    loop.run(loop.now + 1.0)
+    assert found
+    assert listener.confirmed
+    assert found[0].records[0].key == 'a'
+
+
+def test_one_that_waits_for_a_snapshot_and_fails_keeps_no_other():
+    """Who waited for the same read got no result, and no later read began."""
+    loop = stores.Loop()
+    store = stores.Store(loop, ())
+    reader = snapshots.SnapshotReader(loop, store)
+    found = []
+
+    def fail(snapshot, exc):
+        raise ValueError('fault')
+
+    # What is asked during a read shares the next one.
+    reader.read(lambda snapshot, exc: None)
+    reader.read(fail)
+    reader.read(lambda snapshot, exc: found.append(snapshot))
+    for _ in range(2):
+        try:
+            loop.run(loop.now + 1.0)
+        except ValueError:
+            # The reactor logs it and goes on.
+            continue
+    assert len(found) == 1
+
+
+def test_many_records_that_cannot_be_read_are_few_lines():
+    """An entry that started wrote a line for each of 100,000 before it was
+    ready."""
+    log = mock.MagicMock()
+    records = malformed.MalformedRecords(log, 'replicas')
+    for i in range(5000):
+        records.record_fault(changes.Record(f'{i}', b'', i),
+                             errors.RecordError('x'))
+    assert len(log.error.mock_calls) <= malformed.MAX_LINES
+
+
+class _Picky(topic.Listener):
+    """A listener that can use no record of more than some bytes."""
+
+    def __init__(self):
+        self.sizes = {}
+
+    def is_usable(self, record):
+        """See ``topic.Listener``."""
+        return record.value.startswith(b'sound')
+
+    def on_snapshot(self, records):
+        """See ``topic.Listener``."""
+        self.sizes = {r.key: (len(r.value), r.well_formed) for r in records}
+        return records
+
+
+def test_long_values_that_cannot_be_used_are_not_held():
+    """Some hundred records at the size limit took the memory of an entry that
+    started."""
+    loop = stores.Loop()
+    store = stores.Store(loop, ())
+    for key in 'abc':
+        store.put(key, b'x' * 262_000)
+    store.put('d', b'sound' * 200)
+    store.put('e', b'short')
+    listener = _Picky()
+    topicfollower.Follower(loop, store, listener, name='t').start()
+    loop.run(loop.now + 1.0)
+    assert listener.sizes == {
+        'a': (0, False),
+        'b': (0, False),
+        'c': (0, False),
+        'd': (1000, True),
+        'e': (5, True)
+    }
