--- a/gorsefall/relay/crashstore.py
+++ b/gorsefall/relay/crashstore.py
@@ -158,8 +158,9 @@
         for record in page.records:
             self._merge(record)
         self._log.info('read', records=len(page.records))
-        if page.more and page.records:
-            self._read(page.records[-1].key)
+        following = page.next_after(after)
+        if following is not None:
+            self._read(following)
         else:
             # Others would ask for them one after the other.
             self._crashes.reports.send_gravest_to_all()
--- a/tests/test_crash_store.py
+++ b/tests/test_crash_store.py
@@ -153,6 +153,23 @@
     return loop, source, book
 
 
+def test_pages_that_lead_no_further_are_not_read_for_ever(monkeypatch):
+    """The keys of some records were no text, and one page was read again and
+    again."""
+    loop, source, book = _start_reading(lambda now: True)
+    record = changes.Record('b\ufffd', crashstore.encode([], 0), 1)
+    page = topic.SnapshotPage([record], True, 2, 0, last_key='a')
+
+    def read_snapshot(after, silence_s, done):
+        source.reads += 1
+        loop.call_later(0.004, lambda: done(page, None))
+
+    monkeypatch.setattr(source, 'read_snapshot', read_snapshot)
+    loop.run(PROPAGATION_S + READY_S)
+    assert source.reads <= 3
+    del book
+
+
 def test_a_lost_read_is_soon_made_up_for():
     """All entries restarted, and a known cause runs again as the answer to the
     first read of it was lost."""
