--- a/gorsefall/relay/versionstore.py
+++ b/gorsefall/relay/versionstore.py
@@ -24,6 +24,7 @@
 from gorsefall.relay import recordwaits
 from gorsefall.relay import routerecord
 from gorsefall.relay import snapshots
+from gorsefall.relay import syncschedule
 from gorsefall.relay import topic
 from gorsefall.relay import versionrecords
 from gorsefall.relay import versionwitnesses
@@ -100,12 +101,11 @@
         self._missing = missingrecords.MissingRecords()
         self._waits = recordwaits.RecordWaits(loop, self._on_silent)
         self._drops = recorddrops.RecordDrops()
-        self._read_at = self._due_at = float('-inf')
+        self._schedule = syncschedule.SyncSchedule(
+            loop, rng, lambda: self._read(self._sync))
+        self._read_at = float('-inf')
         self._has_started = self._routes_changed = False
-        self._syncing = self._urgent = self._waited = False
-        self._failed = self._is_silent = False
-        self._timer = None
-        self._was_written = False
+        self._is_silent = self._was_written = False
         self._era = self._began_era = None
         self._era_at = float('-inf')
         self._asks_left = self._upkeeps = 0
@@ -201,11 +201,11 @@
             self._era, self._era_at = stored.era, self._loop.now
             self._missing.add_routes(routes.current())
         self._read_at = asked_at
-        self._failed = self._is_silent = False
+        self._schedule.failed = self._is_silent = False
         self._missing.update(stored, self._lacking(stored), routes)
         self._waits.release(self._bars)
         if self._missing.origins:
-            self._sync_in(self._rng.uniform(*FOLLOW_RANGE_S))
+            self._schedule.begin_within(FOLLOW_RANGE_S)
 
     def _check_first(self, stored):
         """Returns what was read; an empty topic proves nothing once it was not.
@@ -233,11 +233,11 @@
                        keeper=self.keeper())
         self._missing.add_origins({origin})
         if self._era is None:
-            self._sync_in(self._rng.uniform(0, START_SPREAD_S))
+            self._schedule.begin_within((0.0, START_SPREAD_S))
         elif self._keeps():
-            self._sync_in(0.0)
+            self._schedule.begin_in(0.0)
         else:
-            self._sync_in(self._rng.uniform(*FOLLOW_RANGE_S))
+            self._schedule.begin_within(FOLLOW_RANGE_S)
 
     def _on_routes_changed(self, added):
         self._missing.add_routes(added)
@@ -251,7 +251,7 @@
 
     def _sync_if_keeper(self):
         if self._is_keeper():
-            self._sync_in(0.0)
+            self._schedule.begin_in(0.0)
 
     def on_store_restored(self):
         """Called when the store came back from an older copy."""
@@ -262,7 +262,8 @@
         self._missing.add_routes(self._fleet.routes.current())
         # All entries learn of it at the same moment.
         first = self._is_keeper()
-        self._sync_in(0.0 if first else self._rng.uniform(*WRITE_DELAY_RANGE_S))
+        self._schedule.begin_within((0.0,
+                                     0.0) if first else WRITE_DELAY_RANGE_S)
         # The topic of the replicas may be regained later.
         self._loop.call_later(STARTING_S, self._sync_if_keeper)
 
@@ -291,40 +292,14 @@
 
     def _hasten(self):
         """Has what is missing written soon, as streams begin at it."""
-        if not self._urgent:
-            self._urgent = True
-            spread_s = URGENT_SPREAD_S * len(self.reader_names())
-            if not self._failed:
-                self._sync_in(self._rng.uniform(0, spread_s))
-
-    def _sync_in(self, delay_s):
-        """Begins to read and write after a delay, or sooner if that is due."""
-        due_at = self._loop.now + delay_s
-        if self._timer is not None and due_at < self._due_at:
-            self._timer.cancel()
-        elif self._syncing:
-            return
-        self._syncing = True
-        self._due_at = due_at
-        self._timer = self._loop.call_later(delay_s, self._begin_sync)
-
-    def _begin_sync(self):
-        self._timer = None
-        self._read(self._sync)
-
-    def _sync_again(self, range_s):
-        self._syncing = False
-        self._sync_in(self._rng.uniform(*range_s))
-
-    def _end_sync(self):
-        self._syncing = self._urgent = self._waited = False
+        self._schedule.hasten(URGENT_SPREAD_S * len(self.reader_names()))
 
     def _sync(self, stored, exc):
         """Writes what the store lacks, and reads again, if anything."""
         if exc is not None:
             self._log.warning('not_read', error=str(exc))
-            self._failed = True
-            self._sync_again(RETRY_RANGE_S)
+            self._schedule.failed = True
+            self._schedule.again_within(RETRY_RANGE_S)
             return
         if not self._was_written:
             self._began_era = stored.era
@@ -333,19 +308,19 @@
             return
         records = self._next_records(stored)
         if not records:
-            self._end_sync()
+            self._schedule.end()
         elif self._writes():
             self._write(records, stored.end)
         elif self._missing.origins:
-            self._waited = True
-            self._sync_again(WRITE_DELAY_RANGE_S)
+            self._schedule.waited = True
+            self._schedule.again_within(WRITE_DELAY_RANGE_S)
         else:
-            self._end_sync()
+            self._schedule.end()
 
     def _writes(self):
         """Whether this entry writes what is missing now."""
-        return (self._urgent or self._waited or not self._has_started or
-                self._is_keeper())
+        return (self._schedule.urgent or self._schedule.waited or
+                not self._has_started or self._is_keeper())
 
     def _needs_witnesses(self, stored):
         """Whether others have to say what an older copy may have lost."""
@@ -357,7 +332,7 @@
         if origins is None:
             self._asks_left -= 1
             self._log.info('versions_unwitnessed', era=stored.era)
-            self._sync_again(RETRY_RANGE_S)
+            self._schedule.again_within(RETRY_RANGE_S)
             return
         self._witnessed = frozenset(origins)
         self._began_era = stored.era
@@ -433,8 +408,8 @@
                 for record in records:
                     self._log_stored(record)
             failed = exc and not isinstance(exc, errors.ConflictError)
-            self._failed = bool(failed)
-            self._sync_again(RETRY_RANGE_S if failed else (0.0, 0.0))
+            self._schedule.failed = bool(failed)
+            self._schedule.again_within(RETRY_RANGE_S if failed else (0.0, 0.0))
 
         self._source.append_all_at(records, end, topic.SILENCE_TIMEOUT_S,
                                    on_written)
--- a/tests/test_first_versions.py
+++ b/tests/test_first_versions.py
@@ -360,3 +360,18 @@
         taken_up += day.taken_up
     assert taken_up > 100
     assert went_on >= taken_up / 2, (went_on, taken_up)
+
+
+def test_a_read_whose_handling_failed_is_not_the_last():
+    """What one entry had seen was never stored again, and each stream at it
+    waited in vain."""
+    fleet = _fleet()
+    host = fleet.keeper()
+    store = fleet.entries[host].origins.version_store
+    sync, store._sync = store._sync, lambda stored, exc: None
+    fleet.run(11.0)
+    store._sync = sync
+    fleet.kill(h for h in fleet.hosts if h != host)
+    _add_service(fleet)
+    fleet.run(20.0)
+    assert _key(POOL_V1) in _stored(fleet)
