ORDER: what an older copy of the store lost is written before anyone is asked

The entry that stores versions asked all others first, three times over some seconds where one had died, and wrote no version meanwhile. The proof of an era is a module of its own (eraproof.py). test_what_an_older_copy_lost_is_written_before_anyone_is_asked failed before.

--- a/gorsefall/relay/versionstore.py
+++ b/gorsefall/relay/versionstore.py
@@ -19,6 +19,7 @@
 from gorsefall import metrics
 from gorsefall.policy import rendezvous
 from gorsefall.policy import softwareversions
+from gorsefall.relay import eraproof
 from gorsefall.relay import missingrecords
 from gorsefall.relay import recorddrops
 from gorsefall.relay import recordwaits
@@ -27,7 +28,6 @@
 from gorsefall.relay import syncschedule
 from gorsefall.relay import topic
 from gorsefall.relay import versionrecords
-from gorsefall.relay import versionwitnesses
 
 START_SPREAD_S = 0.3
 """Range of the delay of the first read, s: many entries may start at once."""
@@ -66,9 +66,6 @@
 """Time for which changes of routes are collected, s: configurations may come in
 quick succession."""
 
-MAX_ASKS = 3
-"""How often all entries are asked after an older copy; messages may be lost."""
-
 READ_TIMEOUT_S = 0.1
 """Longest wait of a stream that is taken up for the store, s: the same as for
 other entries."""
@@ -105,11 +102,9 @@
             loop, rng, lambda: self._read(self._sync))
         self._read_at = float('-inf')
         self._has_started = self._routes_changed = False
-        self._is_silent = self._was_written = False
-        self._era = self._began_era = None
-        self._era_at = float('-inf')
-        self._asks_left = self._upkeeps = 0
-        self._witnessed = frozenset()
+        self._is_silent = False
+        self._proof = eraproof.EraProof(loop)
+        self._upkeeps = 0
         self._log = logs.get('versions')
         self.reader_names = lambda: [name]
         self.witnesses = None
@@ -189,7 +184,8 @@
         def on_snapshot(snapshot, exc):
             stored = None
             if exc is None:
-                stored = self._check_first(versionrecords.decode(snapshot))
+                stored = self._proof.check_first(
+                    versionrecords.decode(snapshot))
                 self._record_read(stored, asked_at)
             done(stored, exc)
 
@@ -197,8 +193,7 @@
 
     def _record_read(self, stored, asked_at):
         routes = self._fleet.routes
-        if stored.era != self._era:
-            self._era, self._era_at = stored.era, self._loop.now
+        if self._proof.record_era(stored.era):
             self._missing.add_routes(routes.current())
         self._read_at = asked_at
         self._schedule.failed = self._is_silent = False
@@ -207,16 +202,6 @@
         if self._missing.origins:
             self._schedule.begin_within(FOLLOW_RANGE_S)
 
-    def _check_first(self, stored):
-        """Returns what was read; an empty topic proves nothing once it was not.
-
-        The store may have come back from a copy older than the first record.
-        """
-        self._was_written |= stored.end > 0
-        if stored.end or not self._was_written:
-            return stored
-        return stored._replace(proven=False, in_era=False)
-
     # -- writing ---------------------------------------------------------------
 
     def on_version_added(self, origin):
@@ -232,7 +217,7 @@
                        served=sorted(served),
                        keeper=self.keeper())
         self._missing.add_origins({origin})
-        if self._era is None:
+        if self._proof.era is None:
             self._schedule.begin_within((0.0, START_SPREAD_S))
         elif self._keeps():
             self._schedule.begin_in(0.0)
@@ -255,8 +240,7 @@
 
     def on_store_restored(self):
         """Called when the store came back from an older copy."""
-        self._was_written = True
-        self._asks_left = MAX_ASKS
+        self._proof.on_store_restored()
         self._missing.add_origins(
             self._fleet.versions.all_origins(self._loop.now))
         self._missing.add_routes(self._fleet.routes.current())
@@ -271,8 +255,7 @@
         """Has the keeper make up for what was lost, dropped or has gone."""
         self._loop.call_later(UPKEEP_PERIOD_S, self._upkeep)
         self._has_started = True
-        # One that was frozen before may answer now.
-        self._asks_left = max(1, self._asks_left)
+        self._proof.ask_again()
         self._upkeeps = self._upkeeps + 1 if self._is_keeper() else 0
         if not self._upkeeps:
             self._drops.reset()
@@ -301,19 +284,15 @@
             self._schedule.failed = True
             self._schedule.again_within(RETRY_RANGE_S)
             return
-        if not self._was_written:
-            self._began_era = stored.era
-        if self._needs_witnesses(stored):
-            self.witnesses.ask(lambda found: self._on_witnessed(stored, found))
-            return
         records = self._next_records(stored)
-        if not records:
-            self._schedule.end()
-        elif self._writes():
+        if records and self._writes():
             self._write(records, stored.end)
-        elif self._missing.origins:
+        elif records and self._missing.origins:
             self._schedule.waited = True
             self._schedule.again_within(WRITE_DELAY_RANGE_S)
+        elif not records and self._needs_witnesses(stored):
+            self.witnesses.ask(
+                lambda found: self._on_witnessed(stored.era, found))
         else:
             self._schedule.end()
 
@@ -325,29 +304,19 @@
     def _needs_witnesses(self, stored):
         """Whether others have to say what an older copy may have lost."""
         return (self.witnesses is not None and self._is_keeper() and
-                self._asks_left > 0 and not stored.in_era and
+                self._proof.may_ask() and not stored.in_era and
                 not self._proves(stored))
 
-    def _on_witnessed(self, stored, origins):
+    def _on_witnessed(self, era, origins):
+        self._proof.on_witnessed(era, origins)
         if origins is None:
-            self._asks_left -= 1
-            self._log.info('versions_unwitnessed', era=stored.era)
+            self._log.info('versions_unwitnessed', era=era)
             self._schedule.again_within(RETRY_RANGE_S)
-            return
-        self._witnessed = frozenset(origins)
-        self._began_era = stored.era
-        self._asks_left = 0
-        self._read(self._sync)
+        else:
+            self._schedule.again_within((0.0, 0.0))
 
     def _proves(self, stored):
-        """Whether this entry knows all versions that an older copy has lost.
-
-        One that was seen by others alone, for a moment, may still have streams
-        for as long as they can be taken up.
-        """
-        outlasted_s = self._loop.now - self._era_at
-        return (self._began_era == stored.era or
-                self._observes() and outlasted_s > versionwitnesses.WINDOW_S)
+        return self._proof.holds(stored.era, observes=self._observes())
 
     def _observes(self):
         """Whether this entry has seen all versions of the whole time."""
@@ -361,7 +330,7 @@
         """
         missing = self._lacking(stored)
         if not stored.proven:
-            missing |= self._witnessed - stored.origins
+            missing |= self._proof.witnessed - stored.origins
         records = _first_bytes(
             versionrecords.encode(o) for o in sorted(missing))
         if len(records) < len(missing):
--- a/tests/test_first_versions.py
+++ b/tests/test_first_versions.py
@@ -375,3 +375,20 @@
     _add_service(fleet)
     fleet.run(20.0)
     assert _key(POOL_V1) in _stored(fleet)
+
+
+def test_what_an_older_copy_lost_is_written_before_anyone_is_asked():
+    """Streams went on and began at a version that was not stored for seconds,
+    as an entry that had died did not answer."""
+    fleet = _fleet()
+    before = len(fleet.store.records)
+    _add_service(fleet)
+    fleet.run(30.0)
+    fleet.kill(_others(fleet)[:1])
+    fleet.store.restore(len(fleet.store.records) - before)
+    assert _key(POOL_V1) not in _stored(fleet)
+    for entry in fleet.entries.values():
+        if entry.alive:
+            entry.origins.version_store.on_store_restored()
+    fleet.run(0.1)
+    assert _key(POOL_V1) in _stored(fleet)
