--- a/bench/version_ways.py
+++ b/bench/version_ways.py
@@ -4,7 +4,7 @@
 as soon as they see it, and all are killed; then another version serves, or the
 same one. Prints a table of each way and number of entries.
 
-    python bench/version_ways.py [--entries N ...] [--seeds N]
+    python bench/version_ways.py [--entries N ...] [--seeds N] [--way NAME]
 """
 
 import argparse
@@ -222,6 +222,7 @@
                         nargs='+',
                         default=[7, 87, 195, 350])
     parser.add_argument('--seeds', type=int, default=2)
+    parser.add_argument('--way', default='', help='part of a name of ways')
     args = parser.parse_args()
     structlog.configure(
         wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL))
@@ -232,6 +233,8 @@
           'wait ms mean, most')
     for count in args.entries:
         for name, way in WAYS.items():
+            if args.way not in name:
+                continue
             with way():
                 print(f'{count} | {name} | ' + measure(count, args.seeds),
                       flush=True)
--- a/gorsefall/relay/versionstore.py
+++ b/gorsefall/relay/versionstore.py
@@ -44,7 +44,7 @@
 """Range of the time after which entries write that are not the keeper, s,
 should it be gone."""
 
-URGENT_SPREAD_S = 0.0005
+URGENT_SPREAD_S = 0.0001
 """Range of the delay of an urgent read for each entry there is, s: all may have
 streams that wait for the same record, which one of them writes."""
 
